--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Entry points for people and CI; the build itself is CMake's.
+BUILD ?= build
+
+.PHONY: test demo build lint format packages bench slopes
+
+packages:
+	@scripts/install-packages.sh
+
+build: packages
+	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	@cmake --build $(BUILD)
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure
+
+lint: build
+	@BUILD_DIR=$(BUILD) scripts/lint.sh
+
+format:
+	@scripts/lint.sh --fix
--- /dev/null
+++ b/packages/core/include/snipeplank/core/error.hpp
@@ -0,0 +1,97 @@
+/// @file
+/// Typed errors whose messages name the remedy.
+
+#ifndef SNIPEPLANK_CORE_ERROR_HPP
+#define SNIPEPLANK_CORE_ERROR_HPP
+
+#include <boost/outcome/result.hpp>
+
+#include <stdexcept>
+#include <string>
+
+namespace snipeplank::core
+{
+
+/// @brief Numbered kinds of error. Hundreds name the package that reports them.
+enum class error_code
+{
+    invalid_address = 101,
+    settings_unreadable = 201,
+    settings_syntax = 202,
+    settings_unknown_key = 203,
+    settings_duplicate_key = 204,
+    settings_missing_key = 205,
+    settings_bad_value = 206,
+    settings_out_of_range = 207,
+    config_invalid = 210,
+    answers_contradict = 220,
+    ticket_malformed = 301,
+    ticket_bad_signature = 302,
+    frame_too_large = 401,
+    frame_unverified = 402,
+    frame_wrong_version = 403,
+    frame_unknown_message = 404,
+    peer_unauthenticated = 405,
+    peer_silent = 406,
+    connection_failed = 501,
+    connection_closed = 502,
+    upstream_timeout = 503,
+    answer_truncated = 504,
+};
+
+/// @brief An error: what went wrong and what to do about it.
+struct error
+{
+    error_code code{};
+    std::string message;
+    std::string remedy;
+
+    /// @brief One line: `[code] message; remedy`.
+    std::string to_string() const
+    {
+        return "[" + std::to_string(static_cast<int>(code)) + "] " + message + "; " + remedy;
+    }
+};
+
+/// @brief Exception form of an error, thrown when a failed result's value is taken.
+class error_exception : public std::runtime_error
+{
+  public:
+    explicit error_exception(error cause)
+        : std::runtime_error(cause.to_string()), m_cause(std::move(cause))
+    {
+    }
+
+    /// @brief The error that was thrown.
+    const error& cause() const noexcept { return m_cause; }
+
+  private:
+    error m_cause;
+};
+
+/// @brief Called by Boost.Outcome when `value()` is taken from a failed result.
+[[noreturn]] inline void outcome_throw_as_system_error_with_payload(error cause)
+{
+    throw error_exception(std::move(cause));
+}
+
+/// @brief A value or an error.
+///
+/// @code
+/// core::result<settings::node_settings> loaded = settings::load_node_settings(path);
+/// if (!loaded)
+///     report(loaded.error().to_string());
+/// @endcode
+template <typename Value>
+using result = boost::outcome_v2::basic_result<
+    Value, error, boost::outcome_v2::policy::error_code_throw_as_system_error<Value, error, void>>;
+
+/// @brief Shorthand for a failed result.
+inline auto fail(error_code code, std::string message, std::string remedy)
+{
+    return boost::outcome_v2::failure(error{code, std::move(message), std::move(remedy)});
+}
+
+} // namespace snipeplank::core
+
+#endif
--- /dev/null
+++ b/packages/core/src/rcu.cpp
@@ -0,0 +1,38 @@
+#include <snipeplank/core/detail/rcu.hpp>
+
+#include <urcu/urcu-memb.h>
+
+namespace snipeplank::core::detail
+{
+
+namespace
+{
+
+/// Keeps a thread registered with liburcu from its first read section to its end.
+struct thread_registration
+{
+    thread_registration() { urcu_memb_register_thread(); }
+    ~thread_registration() { urcu_memb_unregister_thread(); }
+    thread_registration(const thread_registration&) = delete;
+    thread_registration& operator=(const thread_registration&) = delete;
+};
+
+} // namespace
+
+rcu_read_section::rcu_read_section()
+{
+    thread_local const thread_registration registration;
+    urcu_memb_read_lock();
+}
+
+rcu_read_section::~rcu_read_section()
+{
+    urcu_memb_read_unlock();
+}
+
+void rcu_wait_for_readers()
+{
+    urcu_memb_synchronize_rcu();
+}
+
+} // namespace snipeplank::core::detail
--- /dev/null
+++ b/packages/node/src/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/packages/settings/include/snipeplank/settings/published_config.hpp
@@ -0,0 +1,139 @@
+/// @file
+/// The published configuration: what operators publish for the whole fleet.
+
+#ifndef SNIPEPLANK_SETTINGS_PUBLISHED_CONFIG_HPP
+#define SNIPEPLANK_SETTINGS_PUBLISHED_CONFIG_HPP
+
+#include <snipeplank/core/error.hpp>
+#include <snipeplank/core/ids.hpp>
+#include <snipeplank/core/units.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace snipeplank::settings
+{
+
+enum class service_kind
+{
+    model,
+    plain,
+};
+
+enum class residency
+{
+    bound, ///< never leaves its home region; also the meaning of an unknown value
+    free,
+};
+
+enum class ticket_rule
+{
+    required,
+    optional,
+};
+
+/// @brief One service: a model or a plain service.
+struct service_config
+{
+    core::service_id name;
+    service_kind kind = service_kind::plain;
+    settings::residency residency = residency::bound;
+    std::set<std::string> non_idempotent_methods; ///< methods whose calls may not be repeated
+    ticket_rule ticket = ticket_rule::required;   ///< for non-idempotent calls
+    core::milliseconds deadline{10'000};          ///< when the caller names none
+    std::set<int> not_run_statuses;      ///< statuses that the upstream sends only before execution
+    unsigned calls_per_upstream = 8;     ///< starting concurrency limit
+    bool engine_checks_fencing = false;  ///< engines refuse an old fencing number
+    bool engine_resumes_streams = false; ///< engines honour Last-Event-ID
+};
+
+/// @brief A link between two regions, the same in both directions.
+struct link_config
+{
+    core::region_id a;
+    core::region_id b;
+    core::milliseconds one_way_delay{80};
+    core::bytes_per_second rate{};
+    double spill_share = 0.25; ///< part of the rate that forwarded calls may use
+};
+
+/// @brief How much each measure weighs in routing; larger avoids more.
+struct routing_weights
+{
+    double latency = 1.0;
+    double cost = 0.2;
+    double away = 0.5;
+};
+
+/// @brief One account.
+struct account_config
+{
+    core::account_id id;
+    std::string key_sha256; ///< hexadecimal SHA-256 of the bearer key
+    core::region_id home;
+    double calls_per_second = 50;
+    double burst = 100;
+};
+
+/// @brief Which routing policy is in force; the others are baselines for comparison.
+enum class routing_kind
+{
+    adaptive,
+    round_robin,
+    least_outstanding,
+    random_of_two,
+};
+
+/// @brief The whole configuration of one version.
+struct published_config
+{
+    core::config_version version;
+    std::map<core::region_id, std::vector<core::zone_id>> regions;
+    std::vector<link_config> links;
+    std::map<core::service_id, service_config> services;
+    routing_weights weights;
+    routing_kind routing = routing_kind::adaptive;
+    core::bytes_per_second weight_store_rate{};
+    core::region_id weight_store_region;
+    std::unordered_map<std::string, account_config> accounts; ///< by key_sha256
+
+    /// @brief The service of that name, or nothing.
+    const service_config* find_service(const core::service_id& name) const
+    {
+        const auto found = services.find(name);
+        return found == services.end() ? nullptr : &found->second;
+    }
+};
+
+/// @brief Name and content hash of one section of the configuration.
+struct section_ref
+{
+    std::string name;
+    std::string sha256;
+
+    friend bool operator==(const section_ref&, const section_ref&) = default;
+};
+
+/// @brief Version and list of sections; the one value that changes in place.
+struct manifest
+{
+    core::config_version version;
+    std::vector<section_ref> sections;
+};
+
+/// @brief Parses and checks a manifest.
+core::result<manifest> parse_manifest(const std::string& text, const std::string& file);
+
+/// @brief Builds the configuration from a manifest and its sections' texts.
+/// @param sections text of each section, by hash
+/// @return the configuration, or the first error; a function of the documents alone
+core::result<published_config> build_config(const manifest& index,
+                                            const std::map<std::string, std::string>& sections);
+
+} // namespace snipeplank::settings
+
+#endif
