settings: parse and check node settings and the published configuration

Cause: the headers of the settings package had no implementation, so no other package could read a file or a section.

Every refusal names file, line, key and remedy; none shows a fleet key. drain_limit is removed, because a planned stop has no limit of its own.

--- a/packages/settings/include/snipeplank/settings/node_settings.hpp
+++ b/packages/settings/include/snipeplank/settings/node_settings.hpp
@@ -37,7 +37,6 @@
 
     std::size_t max_connections = 512;
     core::bytes max_body{1'048'576};
-    core::milliseconds drain_limit{30'000};
 
     log_format format = log_format::text;
     std::string log_level = "info";
--- a/packages/settings/include/snipeplank/settings/published_config.hpp
+++ b/packages/settings/include/snipeplank/settings/published_config.hpp
@@ -125,6 +125,12 @@
     std::vector<section_ref> sections;
 };
 
+/// Accounts are spread over this many sections, so that a change moves a small part of them.
+constexpr unsigned account_section_count = 128;
+
+/// @brief Name of the section that holds an account, `accounts-000` to `accounts-127`.
+std::string account_section_name(const core::account_id& id);
+
 /// @brief Parses and checks a manifest.
 core::result<manifest> parse_manifest(const std::string& text, const std::string& file);
 
--- /dev/null
+++ b/packages/settings/src/services_section.cpp
@@ -0,0 +1,149 @@
+#include <snipeplank/settings/detail/sections.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace snipeplank::settings::detail
+{
+
+namespace
+{
+
+using core::error_code;
+
+// Every call ends within 10 minutes, so that a planned stop ends without a limit of its own.
+constexpr std::uint64_t longest_deadline_ms = 600'000;
+constexpr std::uint64_t most_calls_per_upstream = 10'000;
+constexpr std::size_t most_services = 1'000;
+constexpr std::size_t most_statuses = 50;
+constexpr std::size_t most_methods = 5;
+
+/// First segments of the node's own paths: a service of that name could never be reached.
+constexpr std::array<const char*, 4> reserved_names{"v1", "healthz", "readyz", "metrics"};
+
+void check_service_name(const std::string& name, const yaml_field& field)
+{
+    const auto same = [&name](const char* reserved) { return name == reserved; };
+    if (std::any_of(reserved_names.begin(), reserved_names.end(), same))
+    {
+        field.refuse(error_code::config_invalid, "the name is a path of the node itself",
+                     "give the service another name");
+    }
+}
+
+void read_methods(const yaml_field& list, service_config& service)
+{
+    for (const yaml_field& item : list.items(0, most_methods))
+    {
+        const char* method = item.one_of<const char*>({{"POST", "POST"},
+                                                       {"PUT", "PUT"},
+                                                       {"PATCH", "PATCH"},
+                                                       {"DELETE", "DELETE"},
+                                                       {"GET", "GET"}});
+        if (!service.non_idempotent_methods.insert(method).second)
+        {
+            item.refuse(error_code::settings_bad_value, "the method is listed twice",
+                        "remove one of the two");
+        }
+    }
+}
+
+void read_statuses(const yaml_field& list, service_config& service)
+{
+    constexpr int first_error_status = 400;
+    constexpr int last_error_status = 599;
+    for (const yaml_field& item : list.items(0, most_statuses))
+    {
+        const auto status =
+            static_cast<int>(item.whole(first_error_status, last_error_status, "HTTP statuses"));
+        if (!service.not_run_statuses.insert(status).second)
+        {
+            item.refuse(error_code::settings_bad_value, "the status is listed twice",
+                        "remove one of the two");
+        }
+    }
+}
+
+void read_plain_keys(const yaml_field& group, service_config& service)
+{
+    // The methods are asked for even when there are none: a missing key must not let a POST be
+    // repeated.
+    group.expect_keys(
+        {"kind", "non_idempotent_methods"},
+        {"residency", "ticket", "deadline_ms", "not_run_statuses", "calls_per_upstream"});
+    read_methods(group["non_idempotent_methods"], service);
+    const yaml_field ticket = group["ticket"];
+    if (!ticket.is_present())
+    {
+        return;
+    }
+    service.ticket = ticket.one_of<ticket_rule>(
+        {{"required", ticket_rule::required}, {"optional", ticket_rule::optional}});
+    if (service.non_idempotent_methods.empty())
+    {
+        ticket.refuse(error_code::config_invalid, "the service has no non-idempotent method",
+                      "remove the key, or list the methods under non_idempotent_methods");
+    }
+}
+
+void read_model_keys(const yaml_field& group, service_config& service)
+{
+    group.expect_keys(
+        {"kind"}, {"residency", "deadline_ms", "not_run_statuses", "calls_per_upstream", "engine"});
+    const yaml_field engine = group["engine"];
+    if (!engine.is_present())
+    {
+        return;
+    }
+    engine.expect_keys({"checks_fencing", "resumes_streams"});
+    service.engine_checks_fencing = engine["checks_fencing"].flag();
+    service.engine_resumes_streams = engine["resumes_streams"].flag();
+}
+
+service_config read_service(const std::string& name, const yaml_field& group)
+{
+    service_config service;
+    service.name = core::service_id{name};
+    check_service_name(name, group);
+    service.kind = group["kind"].one_of<service_kind>(
+        {{"plain", service_kind::plain}, {"model", service_kind::model}});
+    service.kind == service_kind::plain ? read_plain_keys(group, service)
+                                        : read_model_keys(group, service);
+    if (const yaml_field field = group["residency"]; field.is_present())
+    {
+        service.residency =
+            field.one_of<residency>({{"bound", residency::bound}, {"free", residency::free}});
+    }
+    if (const yaml_field field = group["deadline_ms"]; field.is_present())
+    {
+        service.deadline = core::milliseconds{field.whole(1, longest_deadline_ms, "milliseconds")};
+    }
+    if (const yaml_field field = group["not_run_statuses"]; field.is_present())
+    {
+        read_statuses(field, service);
+    }
+    if (const yaml_field field = group["calls_per_upstream"]; field.is_present())
+    {
+        service.calls_per_upstream =
+            static_cast<unsigned>(field.whole(1, most_calls_per_upstream, "calls"));
+    }
+    return service;
+}
+
+} // namespace
+
+void read_services_section(const yaml_field& root, published_config& config)
+{
+    root.expect_keys({"services"});
+    for (const auto& [name, group] : root["services"].members())
+    {
+        config.services.emplace(core::service_id{name}, read_service(name, group));
+    }
+    if (config.services.empty() || config.services.size() > most_services)
+    {
+        root["services"].refuse(error_code::config_invalid, "no service, or more than 1,000",
+                                "list 1 to 1,000 services");
+    }
+}
+
+} // namespace snipeplank::settings::detail
