ctl: operator's tool with questionnaire, check, status, explain and drain

Cause: operators had no way to check a file, ask a node or obtain a first configuration.

Change: snipeplankctl has one command per source file behind one interface. The questionnaire reads an answers file or asks on a terminal, with the same check for both, refuses contradictory answers by naming the question, and writes the published configuration and one settings file per entry host. Each derived value has a comment with its answer. Other content under a version that was written before is refused, because nodes keep the first. Example answers for both users are in examples/.

gflags ends the process on a wrong flag without a remedy, so flags are checked before it sees them. JSON of a node is printed to a nesting of 64; a recursive printer would otherwise overflow the stack on a deep answer.

--- /dev/null
+++ b/packages/ctl/src/json_text.cpp
@@ -0,0 +1,78 @@
+#include <snipeplank/ctl/json_text.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace snipeplank::ctl
+{
+
+namespace
+{
+
+using json = nlohmann::ordered_json;
+
+/// No answer of a node is nested deeper. The bound keeps the recursion off the end of the stack.
+constexpr int deepest_nesting = 64;
+
+/// A string without quotes where that is unambiguous; control characters stay escaped, so that a
+/// value cannot move the cursor of the terminal.
+std::string scalar_text(const json& value)
+{
+    std::string dumped = value.dump(-1, ' ', false, json::error_handler_t::replace);
+    const bool is_plain = value.is_string() && dumped.find('\\') == std::string::npos;
+    return is_plain ? dumped.substr(1, dumped.size() - 2) : dumped;
+}
+
+bool is_group(const json& value)
+{
+    return value.is_structured() && !value.empty();
+}
+
+void append(std::string& text, const json& value, int depth);
+
+void append_entry(std::string& text, const std::string& label, const json& value, int depth)
+{
+    text += std::string(static_cast<std::size_t>(depth) * 2, ' ') + label;
+    if (!is_group(value))
+    {
+        text += " " + scalar_text(value) + "\n";
+        return;
+    }
+    text += "\n";
+    append(text, value, depth + 1);
+}
+
+void append(std::string& text, const json& value, int depth)
+{
+    for (const auto& [key, child] : value.items())
+    {
+        // Keys of an array are its positions.
+        const std::string label = value.is_array() ? "-" : scalar_text(json(key)) + ":";
+        append_entry(text, label, child, depth);
+    }
+}
+
+} // namespace
+
+core::result<std::string> render_json(const std::string& text)
+{
+    constexpr bool allow_exceptions = false;
+    bool is_too_deep = false;
+    const auto check_depth = [&is_too_deep](int depth, json::parse_event_t, json&)
+    {
+        is_too_deep = is_too_deep || depth > deepest_nesting;
+        return !is_too_deep;
+    };
+    const json value = json::parse(text, check_depth, allow_exceptions);
+    if (is_too_deep || !value.is_object())
+    {
+        return core::fail(core::error_code::connection_failed, "the answer is not a JSON object",
+                          "check that --node names the admin_address of a snipeplank node");
+    }
+    std::string lines;
+    append(lines, value, 0);
+    return lines;
+}
+
+} // namespace snipeplank::ctl
--- /dev/null
+++ b/packages/settings/include/snipeplank/settings/detail/service_text.hpp
@@ -0,0 +1,31 @@
+/// @file
+/// Writing of values that the answers file and the generated files share.
+
+#ifndef SNIPEPLANK_SETTINGS_DETAIL_SERVICE_TEXT_HPP
+#define SNIPEPLANK_SETTINGS_DETAIL_SERVICE_TEXT_HPP
+
+#include <snipeplank/settings/detail/yaml_writer.hpp>
+#include <snipeplank/settings/published_config.hpp>
+
+#include <string>
+#include <vector>
+
+namespace snipeplank::settings::detail
+{
+
+/// @brief Keys of one service. With a `question` such as `services.booking.`, each value is
+/// followed by a comment naming the answer; without one there are no comments.
+void write_service(yaml_writer& yaml, const service_config& service, const std::string& question);
+
+/// @brief An address; quoted when it is an IPv6 address, whose bracket would begin a list.
+std::string yaml_address(const core::address& address);
+
+/// @brief A list of addresses.
+std::string yaml_addresses(const std::vector<core::address>& addresses);
+
+/// @brief A list of hexadecimal keys.
+std::string yaml_keys(const std::vector<std::string>& keys);
+
+} // namespace snipeplank::settings::detail
+
+#endif
--- a/packages/settings/include/snipeplank/settings/detail/yaml_reader.hpp
+++ b/packages/settings/include/snipeplank/settings/detail/yaml_reader.hpp
@@ -67,8 +67,8 @@
     const std::string& path() const { return m_path; }
 
     /// @brief Refuses a map with a key outside the two lists or without one of `required`.
-    void expect_keys(std::initializer_list<const char*> required,
-                     std::initializer_list<const char*> optional = {}) const;
+    void expect_keys(const std::vector<const char*>& required,
+                     const std::vector<const char*>& optional = {}) const;
 
     /// @brief The value under `key`; absent when there is none.
     yaml_field operator[](const char* key) const;
--- /dev/null
+++ b/packages/settings/include/snipeplank/settings/generator.hpp
@@ -0,0 +1,32 @@
+/// @file
+/// Generation of the configuration from the questionnaire's answers.
+
+#ifndef SNIPEPLANK_SETTINGS_GENERATOR_HPP
+#define SNIPEPLANK_SETTINGS_GENERATOR_HPP
+
+#include <snipeplank/core/error.hpp>
+#include <snipeplank/settings/answers.hpp>
+
+#include <map>
+#include <string>
+
+namespace snipeplank::settings
+{
+
+/// Text of each file, by its path below the output directory.
+using generated_files = std::map<std::string, std::string>;
+
+/// @brief Generates `publish/manifest.yaml`, `publish/sections/<sha256>.yaml` and
+/// `nodes/<host>.yaml`.
+///
+/// A function of the answers alone: the same answers give the same bytes. Each derived value
+/// carries a comment with the answer it follows from. Contradictory answers are refused with
+/// `answers_contradict`. O(n log n) in the number of answers, and links are quadratic in regions.
+/// @code
+/// auto files = generate_files(load_answers("hallstein.answers.yaml").value());
+/// @endcode
+core::result<generated_files> generate_files(const answers& given);
+
+} // namespace snipeplank::settings
+
+#endif
--- a/packages/settings/include/snipeplank/settings/published_config.hpp
+++ b/packages/settings/include/snipeplank/settings/published_config.hpp
@@ -88,11 +88,14 @@
     random_of_two,
 };
 
+/// Availability zones of each region.
+using region_map = std::map<core::region_id, std::vector<core::zone_id>>;
+
 /// @brief The whole configuration of one version.
 struct published_config
 {
     core::config_version version;
-    std::map<core::region_id, std::vector<core::zone_id>> regions;
+    region_map regions;
     std::vector<link_config> links;
     std::map<core::service_id, service_config> services;
     routing_weights weights;
--- a/packages/settings/src/accounts_section.cpp
+++ b/packages/settings/src/accounts_section.cpp
@@ -29,26 +29,29 @@
 constexpr double highest_rate = 1'000'000;
 constexpr double lowest_rate = 0.001;
 
-account_config read_account(const yaml_field& item, const published_config& config)
+} // namespace
+
+double read_account_rate(const yaml_field& field)
+{
+    return field.decimal(lowest_rate, highest_rate, "calls per second");
+}
+
+account_config read_account_values(const yaml_field& group, const region_map& regions)
 {
-    item.expect_keys({"id", "key_sha256", "home"}, {"calls_per_second", "burst"});
     account_config account;
-    account.id = core::account_id{item["id"].name()};
-    account.key_sha256 = item["key_sha256"].hex(sha256_characters, sha256_characters);
-    account.home = read_known_region(item["home"], config);
-    if (const yaml_field field = item["calls_per_second"]; field.is_present())
+    account.key_sha256 = group["key_sha256"].hex(sha256_characters, sha256_characters);
+    account.home = read_known_region(group["home"], regions);
+    if (const yaml_field field = group["calls_per_second"]; field.is_present())
     {
-        account.calls_per_second = field.decimal(lowest_rate, highest_rate, "calls per second");
+        account.calls_per_second = read_account_rate(field);
     }
-    if (const yaml_field field = item["burst"]; field.is_present())
+    if (const yaml_field field = group["burst"]; field.is_present())
     {
         account.burst = field.decimal(1, highest_rate, "calls");
     }
     return account;
 }
 
-} // namespace
-
 void read_accounts_section(const yaml_field& root, const std::string& name,
                            published_config& config)
 {
@@ -56,7 +59,9 @@
     std::set<core::account_id> seen;
     for (const yaml_field& item : root["accounts"].items(0, most_accounts_in_section))
     {
-        account_config account = read_account(item, config);
+        item.expect_keys({"id", "key_sha256", "home"}, {"calls_per_second", "burst"});
+        account_config account = read_account_values(item, config.regions);
+        account.id = core::account_id{item["id"].name()};
         const std::string place = account_section_name(account.id);
         if (place != name)
         {
--- a/packages/settings/src/fleet_section.cpp
+++ b/packages/settings/src/fleet_section.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace snipeplank::settings::detail
@@ -14,50 +15,18 @@
 
 constexpr std::size_t most_zones = 64;
 constexpr std::size_t most_links = 10'000;
-constexpr double longest_delay_ms = 10'000;
+constexpr std::uint64_t longest_delay_ms = 10'000;
 constexpr double fastest_link = 10'000'000;
 constexpr double slowest_link = 0.001;
 constexpr double largest_weight = 1'000;
 
-void read_regions(const yaml_field& group, published_config& config)
-{
-    std::set<core::zone_id> seen;
-    for (const auto& [name, zones] : group.members())
-    {
-        std::vector<core::zone_id>& listed = config.regions[core::region_id{name}];
-        for (const yaml_field& item : zones.items(1, most_zones))
-        {
-            const core::zone_id zone{item.name()};
-            if (!seen.insert(zone).second)
-            {
-                item.refuse(error_code::config_invalid, "availability zone listed twice",
-                            "give every availability zone of the fleet a name of its own");
-            }
-            listed.push_back(zone);
-        }
-    }
-    if (config.regions.empty())
-    {
-        group.refuse(error_code::config_invalid, "no region is listed",
-                     "list at least one region with its availability zones");
-    }
-}
-
 link_config read_link(const yaml_field& item, const published_config& config)
 {
     item.expect_keys({"between", "delay_ms", "megabits_per_second", "spill_share"});
     link_config link;
-    constexpr std::size_t ends = 2;
-    const std::vector<yaml_field> between = item["between"].items(ends, ends);
-    if (between.size() == ends)
-    {
-        link.a = read_known_region(between.front(), config);
-        link.b = read_known_region(between.back(), config);
-    }
-    link.one_way_delay = core::milliseconds{
-        item["delay_ms"].whole(0, static_cast<std::uint64_t>(longest_delay_ms), "milliseconds")};
-    link.rate = core::from_megabits(item["megabits_per_second"].decimal(
-        slowest_link, fastest_link, "megabits per second, each way"));
+    std::tie(link.a, link.b) = read_link_ends(item["between"], config.regions);
+    link.one_way_delay = read_link_delay(item["delay_ms"]);
+    link.rate = core::from_megabits(read_megabits(item["megabits_per_second"]));
     link.spill_share = item["spill_share"].decimal(0, 1, "parts of the link's rate");
     return link;
 }
@@ -73,11 +42,6 @@
             item.refuse(error_code::config_invalid, "a link between these regions is listed twice",
                         "keep one entry for each pair; it holds for both directions");
         }
-        if (link.a == link.b)
-        {
-            item.refuse(error_code::config_invalid, "the link joins a region to itself",
-                        "name two different regions under `between`");
-        }
         config.links.push_back(link);
     }
 }
@@ -85,9 +49,8 @@
 void read_weight_store(const yaml_field& group, published_config& config)
 {
     group.expect_keys({"region", "megabits_per_second"});
-    config.weight_store_region = read_known_region(group["region"], config);
-    config.weight_store_rate = core::from_megabits(
-        group["megabits_per_second"].decimal(slowest_link, fastest_link, "megabits per second"));
+    config.weight_store_region = read_known_region(group["region"], config.regions);
+    config.weight_store_rate = core::from_megabits(read_megabits(group["megabits_per_second"]));
 }
 
 void read_routing(const yaml_field& group, published_config& config)
@@ -107,21 +70,76 @@
 
 } // namespace
 
-core::region_id read_known_region(const yaml_field& field, const published_config& config)
+core::region_id read_known_region(const yaml_field& field, const region_map& regions)
 {
     core::region_id region{field.name()};
-    if (!config.regions.contains(region))
+    if (!regions.contains(region))
     {
         field.refuse(error_code::config_invalid, "region \"" + region.get() + "\" is not listed",
-                     "name a region of the fleet section, or add it there");
+                     "name one of the regions listed under `regions`, or add it there");
     }
     return region;
 }
 
+region_map read_regions(const yaml_field& group)
+{
+    region_map regions;
+    std::set<core::zone_id> seen;
+    for (const auto& [name, zones] : group.members())
+    {
+        std::vector<core::zone_id>& listed = regions[core::region_id{name}];
+        for (const yaml_field& item : zones.items(1, most_zones))
+        {
+            const core::zone_id zone{item.name()};
+            if (!seen.insert(zone).second)
+            {
+                item.refuse(error_code::config_invalid, "availability zone listed twice",
+                            "give every availability zone of the fleet a name of its own");
+            }
+            listed.push_back(zone);
+        }
+    }
+    if (regions.empty())
+    {
+        group.refuse(error_code::config_invalid, "no region is listed",
+                     "list at least one region with its availability zones");
+    }
+    return regions;
+}
+
+std::pair<core::region_id, core::region_id> read_link_ends(const yaml_field& between,
+                                                           const region_map& regions)
+{
+    constexpr std::size_t ends = 2;
+    const std::vector<yaml_field> items = between.items(ends, ends);
+    if (items.size() != ends)
+    {
+        return {};
+    }
+    const core::region_id a = read_known_region(items.front(), regions);
+    const core::region_id b = read_known_region(items.back(), regions);
+    if (a == b)
+    {
+        between.refuse(error_code::config_invalid, "the link joins a region to itself",
+                       "name two different regions under `between`");
+    }
+    return {a, b};
+}
+
+core::milliseconds read_link_delay(const yaml_field& field)
+{
+    return core::milliseconds{field.whole(0, longest_delay_ms, "milliseconds, one way")};
+}
+
+double read_megabits(const yaml_field& field)
+{
+    return field.decimal(slowest_link, fastest_link, "megabits per second, each way");
+}
+
 void read_fleet_section(const yaml_field& root, published_config& config)
 {
     root.expect_keys({"regions", "links", "weight_store", "routing"});
-    read_regions(root["regions"], config);
+    config.regions = read_regions(root["regions"]);
     read_links(root["links"], config);
     read_weight_store(root["weight_store"], config);
     read_routing(root["routing"], config);
--- a/packages/settings/src/node_settings.cpp
+++ b/packages/settings/src/node_settings.cpp
@@ -1,9 +1,8 @@
+#include <snipeplank/settings/detail/answer_fields.hpp>
 #include <snipeplank/settings/detail/read_file.hpp>
 #include <snipeplank/settings/detail/yaml_reader.hpp>
 #include <snipeplank/settings/node_settings.hpp>
 
-#include <algorithm>
-
 namespace snipeplank::settings
 {
 
@@ -13,12 +12,7 @@
 using core::error_code;
 using detail::yaml_field;
 
-constexpr std::size_t shortest_fleet_key = 32;
-constexpr std::size_t longest_fleet_key = 256;
-constexpr std::size_t most_replicas = 16;
 constexpr std::size_t most_connections = 100'000;
-// A body travels between nodes in one frame of at most 1 MB and 64 KB for the rest.
-constexpr std::uint64_t largest_body = 1'048'576;
 
 void refuse_second(const yaml_field& field, bool is_repeated)
 {
@@ -45,27 +39,14 @@
 void read_platform(const yaml_field& group, node_settings& settings)
 {
     group.expect_keys({"config_service", "host_list"});
-    for (const yaml_field& item : group["config_service"].items(1, most_replicas))
-    {
-        const core::address replica = item.address();
-        const auto& known = settings.config_service;
-        refuse_second(item, std::find(known.begin(), known.end(), replica) != known.end());
-        settings.config_service.push_back(replica);
-    }
+    settings.config_service = detail::read_config_service(group["config_service"]);
     settings.host_list = group["host_list"].address();
 }
 
 void read_fleet(const yaml_field& group, node_settings& settings)
 {
     group.expect_keys({"keys"});
-    constexpr std::size_t most_keys = 2;
-    for (const yaml_field& item : group["keys"].items(1, most_keys))
-    {
-        const std::string key = item.hex(shortest_fleet_key, longest_fleet_key);
-        const auto& known = settings.fleet_keys;
-        refuse_second(item, std::find(known.begin(), known.end(), key) != known.end());
-        settings.fleet_keys.push_back(key);
-    }
+    settings.fleet_keys = detail::read_fleet_keys(group["keys"]);
 }
 
 void read_limits(const yaml_field& group, node_settings& settings)
@@ -77,7 +58,7 @@
     }
     if (const yaml_field field = group["max_body_bytes"]; field.is_present())
     {
-        settings.max_body = core::bytes{field.whole(1, largest_body, "bytes")};
+        settings.max_body = detail::read_max_body(field);
     }
 }
 
@@ -86,8 +67,7 @@
     group.expect_keys({}, {"format", "level"});
     if (const yaml_field field = group["format"]; field.is_present())
     {
-        settings.format =
-            field.one_of<log_format>({{"text", log_format::text}, {"json", log_format::json}});
+        settings.format = detail::read_log_format(field);
     }
     if (const yaml_field field = group["level"]; field.is_present())
     {
--- a/packages/settings/src/published_config.cpp
+++ b/packages/settings/src/published_config.cpp
@@ -1,4 +1,5 @@
 #include <snipeplank/core/hash.hpp>
+#include <snipeplank/settings/detail/answer_fields.hpp>
 #include <snipeplank/settings/detail/sections.hpp>
 #include <snipeplank/settings/published_config.hpp>
 
@@ -156,9 +157,7 @@
     const yaml_field root = yaml_field::root(report, document.value());
     root.expect_keys({"version", "sections"});
     manifest index;
-    // Fencing numbers are (version << 20) + n, so a version has at most 43 bits.
-    constexpr std::uint64_t highest_version = (std::uint64_t{1} << 43) - 1;
-    index.version = core::config_version{root["version"].whole(1, highest_version, "versions")};
+    index.version = detail::read_version(root["version"]);
     constexpr std::size_t most_sections = account_section_count + 2;
     for (const yaml_field& item : root["sections"].items(1, most_sections))
     {
--- a/packages/settings/src/services_section.cpp
+++ b/packages/settings/src/services_section.cpp
@@ -21,33 +21,6 @@
 /// First segments of the node's own paths: a service of that name could never be reached.
 constexpr std::array<const char*, 4> reserved_names{"v1", "healthz", "readyz", "metrics"};
 
-void check_service_name(const std::string& name, const yaml_field& field)
-{
-    const auto same = [&name](const char* reserved) { return name == reserved; };
-    if (std::any_of(reserved_names.begin(), reserved_names.end(), same))
-    {
-        field.refuse(error_code::config_invalid, "the name is a path of the node itself",
-                     "give the service another name");
-    }
-}
-
-void read_methods(const yaml_field& list, service_config& service)
-{
-    for (const yaml_field& item : list.items(0, most_methods))
-    {
-        const char* method = item.one_of<const char*>({{"POST", "POST"},
-                                                       {"PUT", "PUT"},
-                                                       {"PATCH", "PATCH"},
-                                                       {"DELETE", "DELETE"},
-                                                       {"GET", "GET"}});
-        if (!service.non_idempotent_methods.insert(method).second)
-        {
-            item.refuse(error_code::settings_bad_value, "the method is listed twice",
-                        "remove one of the two");
-        }
-    }
-}
-
 void read_statuses(const yaml_field& list, service_config& service)
 {
     constexpr int first_error_status = 400;
@@ -64,21 +37,23 @@
     }
 }
 
-void read_plain_keys(const yaml_field& group, service_config& service)
+using key_list = std::vector<const char*>;
+
+void read_plain_keys(const yaml_field& group, const key_list& more_keys, service_config& service)
 {
     // The methods are asked for even when there are none: a missing key must not let a POST be
     // repeated.
+    key_list required{"kind", "non_idempotent_methods"};
+    required.insert(required.end(), more_keys.begin(), more_keys.end());
     group.expect_keys(
-        {"kind", "non_idempotent_methods"},
-        {"residency", "ticket", "deadline_ms", "not_run_statuses", "calls_per_upstream"});
-    read_methods(group["non_idempotent_methods"], service);
+        required, {"residency", "ticket", "deadline_ms", "not_run_statuses", "calls_per_upstream"});
+    service.non_idempotent_methods = read_method_set(group["non_idempotent_methods"]);
     const yaml_field ticket = group["ticket"];
     if (!ticket.is_present())
     {
         return;
     }
-    service.ticket = ticket.one_of<ticket_rule>(
-        {{"required", ticket_rule::required}, {"optional", ticket_rule::optional}});
+    service.ticket = read_ticket_rule(ticket);
     if (service.non_idempotent_methods.empty())
     {
         ticket.refuse(error_code::config_invalid, "the service has no non-idempotent method",
@@ -86,10 +61,12 @@
     }
 }
 
-void read_model_keys(const yaml_field& group, service_config& service)
+void read_model_keys(const yaml_field& group, const key_list& more_keys, service_config& service)
 {
+    key_list required{"kind"};
+    required.insert(required.end(), more_keys.begin(), more_keys.end());
     group.expect_keys(
-        {"kind"}, {"residency", "deadline_ms", "not_run_statuses", "calls_per_upstream", "engine"});
+        required, {"residency", "deadline_ms", "not_run_statuses", "calls_per_upstream", "engine"});
     const yaml_field engine = group["engine"];
     if (!engine.is_present())
     {
@@ -100,23 +77,86 @@
     service.engine_resumes_streams = engine["resumes_streams"].flag();
 }
 
-service_config read_service(const std::string& name, const yaml_field& group)
+} // namespace
+
+void check_service_name(const std::string& name, const yaml_field& field)
+{
+    const auto same = [&name](const char* reserved) { return name == reserved; };
+    if (std::any_of(reserved_names.begin(), reserved_names.end(), same))
+    {
+        field.refuse(error_code::config_invalid, "\"" + name + "\" is a path of the node itself",
+                     "give the service another name");
+    }
+}
+
+service_kind read_kind(const yaml_field& field)
+{
+    return field.one_of<service_kind>(
+        {{"plain", service_kind::plain}, {"model", service_kind::model}});
+}
+
+residency read_residency(const yaml_field& field)
+{
+    return field.one_of<residency>({{"bound", residency::bound}, {"free", residency::free}});
+}
+
+ticket_rule read_ticket_rule(const yaml_field& field)
+{
+    return field.one_of<ticket_rule>(
+        {{"required", ticket_rule::required}, {"optional", ticket_rule::optional}});
+}
+
+core::milliseconds read_deadline(const yaml_field& field)
+{
+    return core::milliseconds{field.whole(1, longest_deadline_ms, "milliseconds")};
+}
+
+unsigned read_calls_per_upstream(const yaml_field& field)
+{
+    return static_cast<unsigned>(field.whole(1, most_calls_per_upstream, "calls"));
+}
+
+std::set<std::string> read_method_set(const yaml_field& list)
+{
+    std::set<std::string> methods;
+    for (const yaml_field& item : list.items(0, most_methods))
+    {
+        const char* method = item.one_of<const char*>({{"POST", "POST"},
+                                                       {"PUT", "PUT"},
+                                                       {"PATCH", "PATCH"},
+                                                       {"DELETE", "DELETE"},
+                                                       {"GET", "GET"}});
+        if (!methods.insert(method).second)
+        {
+            item.refuse(error_code::settings_bad_value, "the method is listed twice",
+                        "remove one of the two");
+        }
+    }
+    return methods;
+}
+
+service_config read_service(const std::string& name, const yaml_field& group,
+                            const std::vector<const char*>& more_keys)
 {
     service_config service;
     service.name = core::service_id{name};
     check_service_name(name, group);
-    service.kind = group["kind"].one_of<service_kind>(
-        {{"plain", service_kind::plain}, {"model", service_kind::model}});
-    service.kind == service_kind::plain ? read_plain_keys(group, service)
-                                        : read_model_keys(group, service);
+    service.kind = read_kind(group["kind"]);
+    if (service.kind == service_kind::plain)
+    {
+        read_plain_keys(group, more_keys, service);
+    }
+    else
+    {
+        read_model_keys(group, more_keys, service);
+    }
     if (const yaml_field field = group["residency"]; field.is_present())
     {
-        service.residency =
-            field.one_of<residency>({{"bound", residency::bound}, {"free", residency::free}});
+        service.residency = read_residency(field);
     }
     if (const yaml_field field = group["deadline_ms"]; field.is_present())
     {
-        service.deadline = core::milliseconds{field.whole(1, longest_deadline_ms, "milliseconds")};
+        service.deadline = read_deadline(field);
     }
     if (const yaml_field field = group["not_run_statuses"]; field.is_present())
     {
@@ -124,14 +164,11 @@
     }
     if (const yaml_field field = group["calls_per_upstream"]; field.is_present())
     {
-        service.calls_per_upstream =
-            static_cast<unsigned>(field.whole(1, most_calls_per_upstream, "calls"));
+        service.calls_per_upstream = read_calls_per_upstream(field);
     }
     return service;
 }
 
-} // namespace
-
 void read_services_section(const yaml_field& root, published_config& config)
 {
     root.expect_keys({"services"});
--- a/packages/settings/src/yaml_reader.cpp
+++ b/packages/settings/src/yaml_reader.cpp
@@ -128,15 +128,15 @@
                      "unknown key", remedy);
 }
 
-void yaml_field::expect_keys(std::initializer_list<const char*> required,
-                             std::initializer_list<const char*> optional) const
+void yaml_field::expect_keys(const std::vector<const char*>& required,
+                             const std::vector<const char*>& optional) const
 {
     if (!expect_kind(yaml_kind::map, "a group of keys", "write one `key: value` a line below it"))
     {
         return;
     }
     std::vector<const char*> known(required);
-    known.insert(known.end(), optional);
+    known.insert(known.end(), optional.begin(), optional.end());
     for (const yaml_entry& entry : m_value->entries)
     {
         const auto same = [&entry](const char* key) { return entry.key == key; };
--- a/packages/settings/tests/published_config_test.cpp
+++ b/packages/settings/tests/published_config_test.cpp
@@ -153,7 +153,7 @@
 TEST(published_config, each_fault_of_the_services_section_is_refused)
 {
     const fault rows[] = {
-        {"kiln-model:", "v1:", "the name is a path of the node itself"},
+        {"kiln-model:", "v1:", "\"v1\" is a path of the node itself"},
         {"kiln-model:", "Kiln Model:", "is not a name"},
         {"kiln-model:", "booking:", "given twice"},
         {"kind: model", "kind: engine", "write one of: plain, model"},
