settings: parse only the sections that changed between versions

Cause: building a configuration of 11,000 accounts in 128 sections parsed all of them.

Change: config_builder keeps the parsed account sections of the last version by name and hash, and drops them when the fleet section changes, because accounts are checked against its regions. build_config is a new builder each time.

Conclusion: a node should keep one config_builder and give it every version.

--- a/packages/settings/include/snipeplank/settings/detail/sections.hpp
+++ b/packages/settings/include/snipeplank/settings/detail/sections.hpp
@@ -15,15 +15,28 @@
 namespace snipeplank::settings::detail
 {
 
+/// @brief Whether the name is `accounts-000` to `accounts-127`.
+bool is_account_section(const std::string& name);
+
+/// @brief The section of that name in the manifest, or nothing.
+const section_ref* find_section(const manifest& index, const std::string& name);
+
 /// @brief Section `fleet`: regions, links, weight store, routing.
 void read_fleet_section(const yaml_field& root, published_config& config);
 
 /// @brief Section `services`.
 void read_services_section(const yaml_field& root, published_config& config);
 
-/// @brief Section `accounts-NNN`, called `name`. The regions must have been read before.
-void read_accounts_section(const yaml_field& root, const std::string& name,
-                           published_config& config);
+/// @brief An account and the line of its key, for errors found after the section was read.
+struct account_entry
+{
+    account_config account;
+    int line = 1;
+};
+
+/// @brief Section `accounts-NNN`, called `name`.
+std::vector<account_entry> read_accounts_section(const yaml_field& root, const std::string& name,
+                                                 const region_map& regions);
 
 // The questionnaire's answers hold some of the same groups, so their readers are shared.
 
--- a/packages/settings/src/accounts_section.cpp
+++ b/packages/settings/src/accounts_section.cpp
@@ -52,15 +52,16 @@
     return account;
 }
 
-void read_accounts_section(const yaml_field& root, const std::string& name,
-                           published_config& config)
+std::vector<account_entry> read_accounts_section(const yaml_field& root, const std::string& name,
+                                                 const region_map& regions)
 {
     root.expect_keys({"accounts"});
+    std::vector<account_entry> accounts;
     std::set<core::account_id> seen;
     for (const yaml_field& item : root["accounts"].items(0, most_accounts_in_section))
     {
         item.expect_keys({"id", "key_sha256", "home"}, {"calls_per_second", "burst"});
-        account_config account = read_account_values(item, config.regions);
+        account_config account = read_account_values(item, regions);
         account.id = core::account_id{item["id"].name()};
         const std::string place = account_section_name(account.id);
         if (place != name)
@@ -73,13 +74,9 @@
             item["id"].refuse(error_code::config_invalid, "the account is listed twice",
                               "remove one of the two");
         }
-        const std::string key = account.key_sha256;
-        if (!config.accounts.emplace(key, std::move(account)).second)
-        {
-            item["key_sha256"].refuse(error_code::config_invalid, "two accounts share one key",
-                                      "issue a key of its own to each account");
-        }
+        accounts.push_back({std::move(account), item["key_sha256"].line()});
     }
+    return accounts;
 }
 
 } // namespace detail
--- a/packages/settings/src/generator.cpp
+++ b/packages/settings/src/generator.cpp
@@ -117,16 +117,15 @@
 
 void write_account(yaml_writer& yaml, const account_config& account)
 {
-    const std::string source = "from accounts." + account.id.get();
-    yaml.open_item("id", yaml_word(account.id.get()), source);
-    yaml.value("key_sha256", account.key_sha256, source + ".key_sha256");
-    yaml.value("home", yaml_word(account.home.get()), source + ".home");
-    yaml.value("calls_per_second", yaml_number(account.calls_per_second),
-               source + ".calls_per_second");
+    // One comment for each account: with one for each value, comments are half of the bytes that
+    // a change moves to every node.
+    yaml.open_item("id", yaml_word(account.id.get()), "from accounts." + account.id.get());
+    yaml.value("key_sha256", account.key_sha256);
+    yaml.value("home", yaml_word(account.home.get()));
+    yaml.value("calls_per_second", yaml_number(account.calls_per_second));
     const bool is_default = account.burst == detail::default_burst(account.calls_per_second);
     yaml.value("burst", yaml_number(account.burst),
-               is_default ? "two seconds of accounts." + account.id.get() + ".calls_per_second"
-                          : source + ".burst");
+               is_default ? "from calls_per_second, for two seconds" : "");
     yaml.close();
 }
 
@@ -206,11 +205,11 @@
     yaml_writer yaml;
     yaml.comment(generated_notice);
     yaml.value("version", std::to_string(given.version.get()), "from version");
-    yaml.open("sections");
+    yaml.open("sections", "each hash is the SHA-256 of the section's file");
     for (const auto& [name, text] : sections)
     {
         yaml.open_item("name", name);
-        yaml.value("hash", core::sha256_hex(text), "SHA-256 of the section's file");
+        yaml.value("hash", core::sha256_hex(text));
         yaml.close();
     }
     return yaml.text();
--- /dev/null
+++ b/packages/settings/tests/config_builder_test.cpp
@@ -0,0 +1,125 @@
+/// Guards against a node that keeps parsed sections and so differs from one that starts anew.
+
+#include <snipeplank/settings/config_builder.hpp>
+
+#include <property.hpp>
+
+#include <string>
+#include <vector>
+
+#include "describe.hpp"
+#include "documents.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::settings;
+using namespace snipeplank::settings::tests;
+
+namespace
+{
+
+/// A configuration as it is published.
+struct publication
+{
+    manifest index;
+    std::map<std::string, std::string> sections;
+
+    void add(const std::string& name, const std::string& text)
+    {
+        const std::string hash = core::sha256_hex(text);
+        index.sections.push_back({name, hash});
+        sections[hash] = text;
+    }
+};
+
+std::string account_text(const std::string& id, const std::string& key, const std::string& home)
+{
+    return "  - id: " + id + "\n    key_sha256: " + core::sha256_hex(key) + "\n    home: " + home +
+           "\n";
+}
+
+/// A publication in which accounts, homes, keys and regions vary, some of them wrongly.
+publication draw_publication()
+{
+    publication drawn;
+    drawn.index.version = core::config_version{*rc::gen::inRange<std::uint64_t>(1, 100)};
+    const bool has_ennstal = *rc::gen::inRange(0, 4) != 0;
+    const std::string fleet =
+        has_ennstal ? valid_fleet : replaced(valid_fleet, "ennstal:", "murtal:");
+    drawn.add("fleet", has_ennstal ? fleet : replaced(fleet, ", ennstal]", ", murtal]"));
+    drawn.add("services", valid_services);
+    std::map<std::string, std::string> texts;
+    for (int i = 0; i < 6; ++i)
+    {
+        const std::string id = "account-" + std::to_string(i);
+        const std::string key = *rc::gen::inRange(0, 12) == 0 ? "shared" : id;
+        const std::string home = *rc::gen::inRange(0, 12) == 0 ? "ennstal" : "salzkammer";
+        if (*rc::gen::inRange(0, 3) != 0)
+        {
+            texts[account_section_name(core::account_id{id})] += account_text(id, key, home);
+        }
+    }
+    for (const auto& [name, text] : texts)
+    {
+        drawn.add(name, "accounts:\n" + text);
+    }
+    return drawn;
+}
+
+std::string outcome(const core::result<published_config>& built)
+{
+    return built ? describe(built.value()) : built.error().to_string();
+}
+
+} // namespace
+
+TEST_GROUP(config_builder){};
+
+TEST(config_builder, a_kept_builder_gives_what_a_new_one_gives)
+{
+    snipeplank::tests::check_property(
+        "a sequence of publications",
+        []
+        {
+            config_builder kept;
+            for (int i = 0; i < 8; ++i)
+            {
+                const publication drawn = draw_publication();
+                RC_ASSERT(outcome(kept.build(drawn.index, drawn.sections)) ==
+                          outcome(build_config(drawn.index, drawn.sections)));
+            }
+        });
+}
+
+TEST(config_builder, an_account_is_checked_again_when_the_regions_change)
+{
+    publication before;
+    before.add("fleet", valid_fleet);
+    before.add("services", valid_services);
+    const auto [name, text] = account_section("buyer-1", "ennstal");
+    before.add(name, text);
+    publication after;
+    after.add("fleet",
+              replaced(replaced(valid_fleet, "ennstal:", "murtal:"), ", ennstal]", ", murtal]"));
+    after.add("services", valid_services);
+    after.add(name, text);
+    config_builder builder;
+    CHECK_TRUE(builder.build(before.index, before.sections).has_value());
+    check_refused(builder.build(after.index, after.sections), "region \"ennstal\" is not listed",
+                  "region removed");
+    CHECK_TRUE(builder.build(before.index, before.sections).has_value());
+}
+
+TEST(config_builder, a_kept_section_still_needs_its_text)
+{
+    // Validity is a function of the documents alone, not of what a node has seen before.
+    publication published;
+    published.add("fleet", valid_fleet);
+    published.add("services", valid_services);
+    const auto [name, text] = account_section("buyer-1", "ennstal");
+    published.add(name, text);
+    config_builder builder;
+    CHECK_TRUE(builder.build(published.index, published.sections).has_value());
+    published.sections.erase(core::sha256_hex(text));
+    check_refused(builder.build(published.index, published.sections), "the section has no text",
+                  "text gone");
+}
