ctl: keep the fleet key from other users and earlier answers from being replaced

Cause: a conversation wrote answers.yaml over an earlier one, which held the fleet key in use, and the files with the key were readable by everyone under the usual umask. A trial on a pseudo-terminal showed both.

Change: answers.yaml and the files in nodes/ are readable by their owner only. A conversation is refused when the directory has answers already.

--- a/packages/ctl/src/questionnaire.cpp
+++ b/packages/ctl/src/questionnaire.cpp
@@ -19,15 +19,27 @@
 namespace fs = std::filesystem;
 
 constexpr const char* manifest_path = "publish/manifest.yaml";
+constexpr const char* answers_name = "answers.yaml";
+
+/// Whether a file holds the fleet key: the answers and the node settings do.
+bool holds_secret(const fs::path& path)
+{
+    return path.filename() == answers_name || path.parent_path().filename() == "nodes";
+}
 
 std::optional<core::error> write_file(const fs::path& path, const std::string& text)
 {
     std::error_code problem;
     fs::create_directories(path.parent_path(), problem);
     std::ofstream file(path, std::ios::binary | std::ios::trunc);
+    if (holds_secret(path))
+    {
+        // Set before the text is written, so that no other user can open the file in between.
+        fs::permissions(path, fs::perms::owner_read | fs::perms::owner_write, problem);
+    }
     file << text;
     file.close();
-    if (!file)
+    if (!file || problem)
     {
         return core::error{core::error_code::settings_unreadable,
                            path.string() + ": the file cannot be written",
@@ -131,13 +143,21 @@
                               "--answers is not given and the input is not a terminal",
                               "give --answers FILE, or run the questionnaire on a terminal");
         }
+        const fs::path path = fs::path(line.out) / answers_name;
+        std::error_code ignored;
+        if (fs::exists(path, ignored))
+        {
+            return core::fail(core::error_code::answers_contradict,
+                              path.string() + " has answers and a fleet key already",
+                              "edit that file and give it with --answers, or give another "
+                              "directory with --out");
+        }
         auto given = settings::ask_answers(io.in, io.out, settings::draw_random_secret);
         if (!given)
         {
             return given;
         }
         // Kept before the check, so that a contradiction is mended by an edit.
-        const fs::path path = fs::path(line.out) / "answers.yaml";
         if (const auto failed = write_file(path, settings::render_answers(given.value())))
         {
             return core::fail(failed->code, failed->message, failed->remedy);
--- a/packages/ctl/tests/file_commands_test.cpp
+++ b/packages/ctl/tests/file_commands_test.cpp
@@ -156,6 +156,38 @@
     STRCMP_CONTAINS("cannot be written; check", result.err.c_str());
 }
 
+TEST(file_commands, only_the_owner_can_read_files_with_the_fleet_key)
+{
+    scratch_directory scratch;
+    const std::string out = scratch / "out";
+    run_ctl({"questionnaire", "--answers", example("tamarack"), "--out", out});
+    const auto for_others = [](const std::string& path)
+    {
+        return std::filesystem::status(path).permissions() &
+               (std::filesystem::perms::group_all | std::filesystem::perms::others_all);
+    };
+    std::size_t nodes = 0;
+    for (const auto& file : std::filesystem::directory_iterator(out + "/nodes"))
+    {
+        CHECK_TRUE(for_others(file.path().string()) == std::filesystem::perms::none);
+        ++nodes;
+    }
+    LONGS_EQUAL(6, nodes);
+}
+
+TEST(file_commands, a_conversation_never_replaces_earlier_answers)
+{
+    // The earlier file holds the fleet key in use.
+    scratch_directory scratch;
+    write(scratch / "answers.yaml", "earlier");
+    recorded_node nobody;
+    const outcome refused =
+        run_ctl({"questionnaire", "--out", scratch / ""}, nobody.connector(), "\n", true);
+    LONGS_EQUAL(exit_refused, refused.status);
+    STRCMP_CONTAINS("give it with --answers", refused.err.c_str());
+    STRCMP_EQUAL("earlier", read(scratch / "answers.yaml").c_str());
+}
+
 TEST(file_commands, a_conversation_keeps_its_answers)
 {
     scratch_directory scratch;
--- a/packages/settings/src/generator.cpp
+++ b/packages/settings/src/generator.cpp
@@ -194,7 +194,8 @@
     yaml.close();
     write_limits(yaml, given);
     yaml.open("log");
-    yaml.value("format", given.format == log_format::text ? "text" : "json",
+    const log_format format = given.format.value_or(node_settings{}.format);
+    yaml.value("format", format == log_format::json ? "json" : "text",
                given.format ? "from log_format" : "default");
     yaml.value("level", node_settings{}.log_level, "default");
     return yaml.text();
