--- /dev/null
+++ b/packages/policy/include/snipeplank/policy/dispatcher.hpp
@@ -0,0 +1,233 @@
+/// @file
+/// Facade of the request decisions: admission, routing, limits, retries, hedges and spill.
+
+#ifndef SNIPEPLANK_POLICY_DISPATCHER_HPP
+#define SNIPEPLANK_POLICY_DISPATCHER_HPP
+
+#include <snipeplank/core/ids.hpp>
+#include <snipeplank/core/random.hpp>
+#include <snipeplank/core/strong_type.hpp>
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/policy/call_path.hpp>
+#include <snipeplank/policy/refusal.hpp>
+#include <snipeplank/policy/routing_policy.hpp>
+#include <snipeplank/settings/published_config.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipeplank::policy
+{
+
+/// Number of an attempt within one dispatcher; never used twice.
+using attempt_id = core::strong_type<std::uint64_t, struct attempt_id_tag>;
+
+/// @brief One upstream of a service as the platform's list or a peer describes it.
+struct upstream_facts
+{
+    core::address address;
+    core::region_id region;
+    core::zone_id zone;
+    bool is_leaving = false;
+    double cost = 1;             ///< relative cost of a call
+    double one_way_delay_ms = 0; ///< from this node's availability zone
+};
+
+/// @brief Capacity of one service in another region.
+struct region_capacity
+{
+    double free_calls = 0; ///< calls that the region could start now
+    double latency_ms = 0; ///< its time to first byte; 0 when unknown
+    double cost = 1;       ///< relative cost of a call there
+};
+
+/// @brief What a node knows of another region. A region that is not listed is unknown and gets no
+/// spill.
+struct region_facts
+{
+    core::region_id region;
+    std::vector<core::zone_id> zones; ///< zones with live nodes
+    double one_way_delay_ms = 0;
+    std::map<core::service_id, region_capacity> services;
+};
+
+/// @brief How an attempt ended.
+enum class attempt_outcome
+{
+    answered,
+    failed,         ///< connection error, broken answer or server error
+    timed_out,      ///< no answer within the deadline
+    refused_busy,   ///< the upstream or region refused for load before execution
+    caller_at_fault ///< a client error; says nothing about the upstream
+};
+
+/// @brief Why another attempt is wanted.
+enum class retry_reason
+{
+    connect_failed,     ///< no byte was handed to a socket: proven not run
+    refused_before_run, ///< status configured as refusing before execution: proven not run
+    upstream_failed,    ///< may have run
+    answer_truncated,   ///< may have run
+    peer_unreachable,   ///< may have run
+};
+
+/// @brief Send the call to this upstream.
+struct use_upstream
+{
+    attempt_id attempt;
+    core::address address;
+    core::zone_id zone;
+};
+
+/// @brief Send the call to a node of this region, which serves it there or refuses.
+struct send_to_region
+{
+    attempt_id attempt;
+    core::region_id region;
+    std::vector<core::zone_id> zones; ///< zones the call may enter; never empty
+};
+
+/// @brief One upstream or region that was considered.
+struct candidate
+{
+    core::address address; ///< empty for a region
+    core::region_id region;
+    double score = 0; ///< lower is better
+    double predicted_ms = 0;
+    unsigned in_flight = 0;
+    unsigned limit = 0;
+    std::string passed_over; ///< why it was not usable; empty when usable
+};
+
+/// @brief What happens to a call, and why.
+struct decision
+{
+    std::variant<use_upstream, send_to_region, refusal> action;
+    std::vector<candidate> candidates;   ///< best first, then the unusable ones
+    std::vector<std::string> limits_met; ///< such as `concurrency`, `link_budget`, `deadline`
+};
+
+/// @brief The node that decides.
+struct dispatcher_self
+{
+    core::address node;
+    core::region_id region;
+    core::zone_id zone;
+};
+
+/// @brief Extra work since the start, for metrics.
+struct extra_work
+{
+    std::uint64_t first_attempts = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+};
+
+/// @brief Decides what happens to each call. Pure: no I/O, no threads, no clock.
+///
+/// The owner guards one instance with one mutex. Services are independent of each other, but the
+/// link budgets and account limits are shared by all services of an instance. An owner that keeps
+/// one instance per service gives each its part of the links with `set_link_share` and calls
+/// `admit_account` on one of them only.
+///
+/// Each `use_upstream` or `send_to_region` opens an attempt. The owner ends every attempt exactly
+/// once, with `on_finished` or `on_abandoned`; the losing attempt of a hedge is abandoned.
+/// @code
+/// decision chosen = dispatcher.route(call, now, random);
+/// if (const auto* target = std::get_if<use_upstream>(&chosen.action))
+///     start(target->attempt, target->address);
+/// @endcode
+class dispatcher
+{
+  public:
+    explicit dispatcher(dispatcher_self self);
+    ~dispatcher();
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
+
+    /// @brief Puts a configuration in force. O(services + links).
+    void set_config(const settings::published_config& config);
+
+    /// @brief Live entry nodes of the own region, this one included. Sets account and link shares.
+    void set_nodes(std::vector<core::address> live_nodes);
+
+    /// @brief Part of this node's link budgets that this instance may use, in (0, 1].
+    void set_link_share(double share);
+
+    /// @brief Replaces the upstreams of a service. Upstreams of other regions are ignored. An
+    /// upstream that was ever seen leaving stays leaving for 60 s whatever the list says.
+    void set_upstreams(const core::service_id& service,
+                       const std::vector<upstream_facts>& upstreams, core::time_point now);
+
+    /// @brief Replaces what is known of other regions.
+    void set_regions(const std::vector<region_facts>& regions, core::time_point now);
+
+    /// @brief A load report of an upstream. Unknown addresses are ignored.
+    /// @param kv_use used part of the KV cache, in [0, 1]
+    void on_load_report(const core::address& upstream, unsigned running, unsigned waiting,
+                        double kv_use, core::time_point now);
+
+    /// @brief Any source says that an upstream is leaving. Known or not, it gets no work for 60 s.
+    void on_leaving(const core::address& upstream, core::time_point now);
+
+    /// @brief Decides one attempt of a call. O(upstreams of the service in the region).
+    decision route(const call_view& call, core::time_point now, core::random_source& random);
+
+    /// @brief The first byte of the answer arrived.
+    void on_first_byte(attempt_id attempt, core::time_point now);
+
+    /// @brief The attempt ended. Unknown attempts are ignored.
+    void on_finished(attempt_id attempt, attempt_outcome outcome, core::time_point now);
+
+    /// @brief The attempt was given up without a verdict: cancelled, or lost to a hedge.
+    void on_abandoned(attempt_id attempt, core::time_point now);
+
+    /// @brief Whether the call may be tried again. Takes from the extra-work budget when true, so
+    /// route the retry with `attempt_kind::retry`.
+    bool may_retry(const call_view& call, retry_reason reason, core::time_point now);
+
+    /// @brief Time since the attempt's start after which one hedge may be sent, or nothing.
+    /// @param call with the running attempt's upstream as the last of `tried`
+    std::optional<core::milliseconds> hedge_delay(const call_view& call, core::time_point now);
+
+    /// @brief Takes one hedge from the extra-work budget, right before it is routed with
+    /// `attempt_kind::hedge`.
+    bool take_hedge(core::time_point now);
+
+    /// @brief Takes one call from this node's part of the account's rate.
+    /// @return nothing when admitted
+    std::optional<refusal> admit_account(const settings::account_config& account,
+                                         core::time_point now, core::random_source& random);
+
+    /// @brief Entry points for an account in the own region: the steered nodes in random order,
+    /// then fallbacks.
+    /// @param account nothing when accounts are not configured
+    std::vector<core::address> entry_points(const settings::account_config* account,
+                                            core::random_source& random) const;
+
+    /// @brief Takes bytes for weights or KV cache from this node's part of a link.
+    /// @return whether the transfer may start now
+    bool take_link(const core::region_id& region, core::bytes size, core::time_point now);
+
+    /// @brief Calls of a service that the own region could start now, for the region summary.
+    double free_calls(const core::service_id& service, core::time_point now) const;
+
+    /// @brief Smoothed time to first byte of a service here, in ms; 0 when never measured.
+    double latency_ms(const core::service_id& service) const;
+
+    /// @brief Extra work so far.
+    extra_work work() const;
+
+  private:
+    class state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace snipeplank::policy
+
+#endif
--- a/packages/policy/include/snipeplank/policy/routing_policy.hpp
+++ b/packages/policy/include/snipeplank/policy/routing_policy.hpp
@@ -7,6 +7,8 @@
 #include <snipeplank/core/ids.hpp>
 #include <snipeplank/core/random.hpp>
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/policy/call_path.hpp>
+#include <snipeplank/settings/published_config.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -31,6 +33,22 @@
     double latency_ms = 0;       ///< smoothed time to first byte; 0 when never measured
     double one_way_delay_ms = 0; ///< of the path to it
     double cost = 1;             ///< relative cost of a call
+    double predicted_ms = 0;     ///< predicted time to first byte, queueing and path included
+};
+
+/// @brief Batch work is refused before interactive work.
+enum class call_priority
+{
+    interactive,
+    batch,
+};
+
+/// @brief Why an attempt is made.
+enum class attempt_kind
+{
+    first,
+    retry, ///< allowed by `dispatcher::may_retry`
+    hedge, ///< allowed by `dispatcher::take_hedge`
 };
 
 /// @brief What matters of a call for its routing.
@@ -38,6 +56,16 @@
 {
     std::uint64_t prefix_hash = 0; ///< of the prompt's prefix; 0 when there is none
     core::milliseconds remaining{0};
+    core::service_id service;
+    core::region_id home; ///< empty when unknown
+    settings::residency residency = settings::residency::bound;
+    call_priority priority = call_priority::interactive;
+    bool is_idempotent = false;
+    attempt_kind kind = attempt_kind::first;
+    call_path path;                             ///< nodes before this one; empty at the entry node
+    std::vector<core::address> tried;           ///< upstreams of earlier attempts, latest last
+    std::vector<core::region_id> tried_regions; ///< regions that earlier attempts were sent to
+    core::bytes size{};                         ///< body and expected answer, for the link budget
 };
 
 /// @brief Ranks upstreams for a call.
