--- a/packages/gateway/include/snipeplank/gateway/answer_stream.hpp
+++ b/packages/gateway/include/snipeplank/gateway/answer_stream.hpp
@@ -6,6 +6,7 @@
 
 #include <snipeplank/core/error.hpp>
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/policy/refusal.hpp>
 
 #include <condition_variable>
 #include <deque>
@@ -40,6 +41,7 @@
 {
     core::error cause;
     bool bytes_handed_out = true; ///< false only when no byte of the call reached a socket
+    std::optional<policy::refusal> refused; ///< a peer's or an upstream's refusal before execution
 };
 
 /// @brief Wakes a consumer that waits on several streams.
@@ -71,6 +73,9 @@
     void put_head(answer_head head);
     /// @return false when the consumer has cancelled: the producer stops and drops its connection
     bool put_chunk(std::string chunk);
+    /// @brief As `put_chunk`, but never blocks; for a producer that serves many streams.
+    /// @return false when cancelled or when the consumer is too far behind
+    bool offer_chunk(std::string chunk);
     void finish();
     void fail(attempt_failure failure);
     /// @brief Sets what `cancel` calls, to interrupt a producer that waits for input.
@@ -83,6 +88,8 @@
     state current_state() const;
     /// @brief The head; only while `current_state()` is not `waiting`.
     const answer_head& head() const { return *m_head; }
+    /// @brief True once a head has arrived.
+    bool has_head() const;
     /// @brief True once a head, a failure or the end has arrived. The caller holds the signal's mutex.
     bool has_head_or_failure() const;
     /// @brief Waits for the next chunk.
@@ -99,6 +106,7 @@
 
   private:
     static constexpr std::size_t max_queued_bytes = 262'144;
+    static constexpr std::size_t max_offered_bytes = 8'388'608;
 
     std::shared_ptr<stream_signal> m_signal;
     std::optional<answer_head> m_head;
--- /dev/null
+++ b/packages/gateway/include/snipeplank/gateway/call_service.hpp
@@ -0,0 +1,93 @@
+/// @file
+/// Runs a call: route, attempt, retry, hedge.
+
+#ifndef SNIPEPLANK_GATEWAY_CALL_SERVICE_HPP
+#define SNIPEPLANK_GATEWAY_CALL_SERVICE_HPP
+
+#include <snipeplank/gateway/call.hpp>
+#include <snipeplank/gateway/decision_log.hpp>
+#include <snipeplank/gateway/dispatch_guard.hpp>
+#include <snipeplank/gateway/metrics.hpp>
+#include <snipeplank/gateway/region_calls.hpp>
+#include <snipeplank/gateway/upstream_client.hpp>
+#include <snipeplank/gateway/worker_pool.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace snipeplank::gateway
+{
+
+/// @brief What a call service works with. All outlive it.
+struct call_service_parts
+{
+    dispatch_guard& dispatch;
+    upstream_client& upstreams;
+    region_calls& regions;
+    worker_pool& workers;
+    metrics& counters;
+};
+
+/// @brief One attempt under way.
+struct attempt
+{
+    policy::attempt_id id;
+    std::shared_ptr<answer_stream> stream;
+    core::address upstream; ///< empty for another region
+    core::region_id region;
+    core::time_point started;
+    std::size_t record = 0; ///< index in the call's record
+};
+
+/// @brief An answer whose head has arrived and whose body is still coming.
+///
+/// Destroying it before the end cancels the upstream's work.
+class running_answer
+{
+  public:
+    running_answer(attempt winner, dispatch_guard& dispatch, metrics& counters);
+    ~running_answer();
+    running_answer(const running_answer&) = delete;
+    running_answer& operator=(const running_answer&) = delete;
+
+    const answer_head& head() const { return m_attempt.stream->head(); }
+
+    /// @brief The next chunk; nothing at the end, on failure or after `limit`.
+    std::optional<std::string> next(core::duration limit);
+
+    /// @brief True when the whole answer has been taken.
+    bool is_complete() const { return m_attempt.stream->is_drained(); }
+
+    /// @brief The failure that broke the answer off, if any.
+    std::optional<attempt_failure> failure() const;
+
+  private:
+    attempt m_attempt;
+    dispatch_guard& m_dispatch;
+    metrics& m_metrics;
+    core::time_point m_last_chunk;
+};
+
+using call_result = std::variant<std::unique_ptr<running_answer>, policy::refusal>;
+
+/// @brief Decides and carries out attempts until one has an answer or the call is given up.
+class call_service
+{
+  public:
+    explicit call_service(call_service_parts parts) : m_parts(parts) {}
+
+    /// @brief Blocks until the head of an answer or a final refusal is there.
+    /// @param[in,out] record receives each attempt
+    call_result start(const call& request, call_record& record);
+
+  private:
+    class run;
+
+    call_service_parts m_parts;
+};
+
+} // namespace snipeplank::gateway
+
+#endif
--- a/packages/gateway/include/snipeplank/gateway/metrics.hpp
+++ b/packages/gateway/include/snipeplank/gateway/metrics.hpp
@@ -4,6 +4,7 @@
 #ifndef SNIPEPLANK_GATEWAY_METRICS_HPP
 #define SNIPEPLANK_GATEWAY_METRICS_HPP
 
+#include <snipeplank/policy/dispatcher.hpp>
 #include <snipeplank/policy/refusal.hpp>
 
 #include <array>
@@ -42,19 +43,6 @@
 
 constexpr std::size_t counter_count = static_cast<std::size_t>(counter::view_expired) + 1;
 
-/// @brief Why a call was sent again.
-enum class retry_reason
-{
-    connect_failed,
-    upstream_refused,
-    upstream_closed,
-    upstream_silent,
-    bad_status,
-    peer_lost,
-};
-
-constexpr std::size_t retry_reason_count = static_cast<std::size_t>(retry_reason::peer_lost) + 1;
-
 /// @brief Latencies that are summarised.
 enum class latency
 {
@@ -66,6 +54,9 @@
 
 constexpr std::size_t latency_count = static_cast<std::size_t>(latency::gateway_overhead) + 1;
 
+constexpr std::size_t retry_reason_count =
+    static_cast<std::size_t>(policy::retry_reason::peer_unreachable) + 1;
+
 /// @brief All metrics of one node. Thread-safe; counting is one atomic addition.
 class metrics
 {
@@ -82,7 +73,7 @@
     void count_refusal(policy::refusal_reason reason);
 
     /// @brief Counts one retry.
-    void count_retry(retry_reason reason);
+    void count_retry(policy::retry_reason reason);
 
     /// @brief Sets a gauge, by its full name with labels.
     void set_gauge(const std::string& name, double value);
--- /dev/null
+++ b/packages/gateway/include/snipeplank/gateway/request_parser.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// From a caller's HTTP request to a checked call.
+
+#ifndef SNIPEPLANK_GATEWAY_REQUEST_PARSER_HPP
+#define SNIPEPLANK_GATEWAY_REQUEST_PARSER_HPP
+
+#include <snipeplank/core/ids.hpp>
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/gateway/call.hpp>
+#include <snipeplank/policy/refusal.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipeplank::gateway
+{
+
+/// @brief Request line and headers of a caller's request.
+struct request_head
+{
+    std::string method;
+    std::string path;   ///< without the query
+    std::string target; ///< path and query
+    std::vector<header_field> headers;
+};
+
+/// @brief Whether the path belongs to the model interface.
+bool is_model_path(const std::string& path);
+
+/// @brief Checks the headers before any byte of the body is read.
+///
+/// For a model path the service is known only from the body, so residency is decided as if the
+/// service were bound, unless the caller states `Snipeplank-Residency: free`.
+/// @param[out] parsed the call without its body
+/// @return a refusal, or nothing
+std::optional<policy::refusal> parse_head(const request_head& head, config_ptr config,
+                                          const core::region_id& here, core::time_point now,
+                                          call& parsed);
+
+/// @brief Adds the body: for a model call the service, the prompt's prefix and the residency.
+/// @return a refusal, or nothing
+std::optional<policy::refusal> parse_body(std::string body, const core::region_id& here,
+                                          call& parsed);
+
+} // namespace snipeplank::gateway
+
+#endif
--- a/packages/gateway/src/answer_stream.cpp
+++ b/packages/gateway/src/answer_stream.cpp
@@ -27,6 +27,17 @@
     return true;
 }
 
+bool answer_stream::offer_chunk(std::string chunk)
+{
+    const std::lock_guard lock(m_signal->mutex);
+    if (m_is_cancelled || m_queued_bytes + chunk.size() > max_offered_bytes)
+        return false;
+    m_queued_bytes += chunk.size();
+    m_chunks.push_back(std::move(chunk));
+    m_signal->changed.notify_all();
+    return true;
+}
+
 void answer_stream::finish()
 {
     const std::lock_guard lock(m_signal->mutex);
@@ -67,6 +78,12 @@
     return m_head ? state::streaming : state::waiting;
 }
 
+bool answer_stream::has_head() const
+{
+    const std::lock_guard lock(m_signal->mutex);
+    return m_head.has_value();
+}
+
 bool answer_stream::has_head_or_failure() const
 {
     return m_head.has_value() || m_failure.has_value() || m_is_finished;
--- a/packages/gateway/src/metrics.cpp
+++ b/packages/gateway/src/metrics.cpp
@@ -34,8 +34,8 @@
 };
 
 constexpr std::array<std::string_view, retry_reason_count> retry_names{
-    "connect_failed",  "upstream_refused", "upstream_closed",
-    "upstream_silent", "bad_status",       "peer_lost",
+    "connect_failed",   "refused_before_run", "upstream_failed",
+    "answer_truncated", "peer_unreachable",
 };
 
 constexpr std::array<std::string_view, latency_count> latency_names{
@@ -79,7 +79,7 @@
     m_refusals[index_of(reason)].fetch_add(1, std::memory_order_relaxed);
 }
 
-void metrics::count_retry(retry_reason reason)
+void metrics::count_retry(policy::retry_reason reason)
 {
     m_retries[index_of(reason)].fetch_add(1, std::memory_order_relaxed);
 }
