--- /dev/null
+++ b/packages/policy/include/snipeplank/policy/reserved_call.hpp
@@ -0,0 +1,191 @@
+/// @file
+/// The two ends of a reserve/commit exchange as pure state machines.
+///
+/// The entry node (where the caller sent the call) reserves the ticket at the issuing node, then
+/// commits. Each event returns the actions to take; nothing here reads a clock or a socket.
+///
+/// `executed: no` states that the ticket had not been run at some moment after the attempt came
+/// in, and that this attempt never runs. It is not told on the entry's word alone, because an
+/// earlier attempt through another entry node may have run.
+
+#ifndef SNIPEPLANK_POLICY_RESERVED_CALL_HPP
+#define SNIPEPLANK_POLICY_RESERVED_CALL_HPP
+
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/policy/call_outcome.hpp>
+#include <snipeplank/policy/ticket_table.hpp>
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipeplank::policy
+{
+
+// Actions of the entry node.
+
+/// @brief Send `reserve` to the issuing node.
+struct send_reserve
+{
+    core::milliseconds remaining{0};
+};
+
+/// @brief Send `commit` with the request. From here on only the issuer can prove "not run".
+struct send_commit
+{
+    reservation_number reservation;
+    core::milliseconds remaining{0};
+};
+
+/// @brief Send `outcome_request`, on a new connection where the former one was lost.
+struct send_outcome_request
+{
+};
+
+/// @brief Send `cancel`: the attempt no longer waits and gives its reservation back.
+struct send_cancel
+{
+};
+
+/// @brief Give the caller this whole answer; final.
+struct give_answer
+{
+    upstream_answer answer;
+};
+
+/// @brief Refuse the caller; final. `why.executed` is the honest statement.
+struct give_refusal
+{
+    refusal why;
+};
+
+using entry_action = std::variant<send_reserve, send_commit, send_outcome_request, send_cancel,
+                                  give_answer, give_refusal>;
+using entry_actions = std::vector<entry_action>;
+
+/// @brief One attempt at its entry node.
+///
+/// An answer that is streamed (`call_head`, `call_chunk`, `call_end`) is assembled by the owner;
+/// the owner calls `on_answer_begun` with its first frame and `on_answer` when it is whole.
+/// @code
+/// entry_call call(deadline);
+/// perform(call.start(now));
+/// perform(call.on_reserved(number, now));
+/// @endcode
+class entry_call
+{
+  public:
+    explicit entry_call(core::time_point deadline) : m_deadline(deadline) {}
+
+    entry_actions start(core::time_point now);
+    entry_actions on_reserved(reservation_number number, core::time_point now);
+    entry_actions on_outcome(const call_outcome& outcome, core::time_point now);
+
+    /// @brief `call_refused` from the issuing node.
+    entry_actions on_refused(const refusal& why, core::time_point now);
+
+    /// @brief The first frame of a streamed answer: the call has run.
+    void on_answer_begun();
+
+    /// @brief The streamed answer is whole. The owner has given it to the caller.
+    void on_answer();
+
+    /// @brief The streamed answer is broken (gap, wrong checksum): asks for the stored outcome.
+    entry_actions on_answer_broken(core::time_point now);
+
+    /// @brief The connection to the issuing node was lost, or it reconnected.
+    entry_actions on_connection_lost(core::time_point now);
+
+    /// @brief The issuing incarnation is gone for good and no successor answers for it.
+    entry_actions on_issuer_gone();
+
+    /// @brief Time has passed: gives up at the deadline and asks again after silence.
+    entry_actions on_time(core::time_point now);
+
+    /// @brief The caller hung up: no answer is due any more.
+    entry_actions on_caller_gone();
+
+    /// @brief When `on_time` is due next.
+    core::time_point due_at() const;
+
+    bool is_finished() const { return m_phase == phase::finished; }
+
+  private:
+    enum class phase
+    {
+        created,
+        reserving,
+        committed,
+        finished,
+    };
+
+    entry_actions finish(entry_action last);
+
+    core::time_point m_deadline;
+    core::time_point m_ask_again_at;
+    phase m_phase = phase::created;
+    bool m_has_run = false;
+    bool m_was_reserved = false;
+};
+
+// Actions of the issuing node.
+
+/// @brief Send `reserved` to the attempt's entry node.
+struct send_reserved
+{
+    call_key to;
+    reservation_number reservation;
+};
+
+/// @brief Send `outcome` to the attempt's entry node.
+struct send_outcome
+{
+    call_key to;
+    call_outcome outcome;
+};
+
+/// @brief Send the committed request upstream, on a fresh connection, streaming to `attempt`.
+struct run_call
+{
+    ticket_id id;
+    call_key attempt;
+    core::time_point deadline;
+};
+
+using issuer_action = std::variant<send_reserved, send_outcome, run_call>;
+using issuer_actions = std::vector<issuer_action>;
+
+/// @brief The issuing node's end for all its tickets. Refusals travel as outcomes of kind
+/// `not_run` or `unknown`. Guarded by the same mutex as the table.
+class issuer_calls
+{
+  public:
+    explicit issuer_calls(ticket_table& table) : m_table(table) {}
+
+    issuer_actions on_reserve(const call_key& from, const std::string& ticket_text,
+                              const std::string& body_hash, core::time_point now);
+
+    /// @param body_hash SHA-256 of the body that came with the commit, computed by this node
+    issuer_actions on_commit(const call_key& from, const std::string& ticket_text,
+                             reservation_number number, const std::string& body_hash,
+                             core::milliseconds remaining, core::time_point now);
+
+    issuer_actions on_outcome_request(const call_key& from, const std::string& ticket_text,
+                                      core::time_point now);
+    void on_cancel(const call_key& from, const std::string& ticket_text, core::time_point now);
+
+    /// @brief Right before the first byte: true allows it, false has ended the call (`actions`).
+    bool may_send(const ticket_id& id, core::time_point now, issuer_actions& actions);
+
+    /// @brief The call ended. `streamed` means the running attempt has had the answer already.
+    issuer_actions on_result(const ticket_id& id, const call_key& ran, const call_outcome& result,
+                             bool streamed);
+
+  private:
+    ticket_table& m_table;
+};
+
+} // namespace snipeplank::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/include/snipeplank/policy/ticket_table.hpp
@@ -0,0 +1,216 @@
+/// @file
+/// Tickets and outcomes of one incarnation, and outcomes taken over from a stopped one.
+
+#ifndef SNIPEPLANK_POLICY_TICKET_TABLE_HPP
+#define SNIPEPLANK_POLICY_TICKET_TABLE_HPP
+
+#include <snipeplank/core/random.hpp>
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/policy/call_outcome.hpp>
+#include <snipeplank/policy/ticket.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace snipeplank::policy
+{
+
+/// @brief Bounds of a ticket table.
+struct ticket_limits
+{
+    /// Longer than the longest deadline (10 minutes), so that an outcome outlives its call.
+    core::milliseconds lifetime{900'000};
+    core::milliseconds reservation{2'000};
+    core::bytes answer{65'536};          ///< a longer answer is not kept
+    core::bytes all_answers{16'777'216}; ///< when reached, nothing is issued
+    std::size_t tickets = 32'768;        ///< issued and not expired
+};
+
+/// Number of one reservation, never reused, so that a late commit cannot match a newer one.
+using reservation_number = core::strong_type<std::uint64_t, struct reservation_number_tag>;
+
+/// @brief A new ticket.
+struct issued_ticket
+{
+    std::string text;
+    core::milliseconds expires_in{0};
+};
+
+/// @brief The reservation was granted to the attempt that asked.
+struct reservation_granted
+{
+    reservation_number number;
+};
+
+/// @brief Another attempt is running; the asking attempt is told the outcome when it ends.
+struct must_wait
+{
+};
+
+/// @brief The attempt may be sent upstream now.
+struct may_run
+{
+};
+
+using issue_result = std::variant<issued_ticket, refusal>;
+using check_result = std::variant<ticket, refusal>;
+using reserve_result = std::variant<reservation_granted, must_wait, call_outcome>;
+using commit_result = std::variant<may_run, must_wait, call_outcome>;
+using lookup_result = std::variant<must_wait, call_outcome>;
+
+/// @brief States of the tickets of one incarnation: `unused -> running -> done | unknown`.
+///
+/// A ticket without an entry is unused: only issued tickets carry a valid signature. Not
+/// thread-safe; the owner holds one mutex, since at-most-once needs one winner per ticket.
+class ticket_table
+{
+  public:
+    /// @param self the incarnation that issues
+    /// @param secret signing key, drawn at process start and known to this process only
+    ticket_table(core::node_id self, std::string secret, ticket_limits limits = {});
+
+    /// @brief Issues a ticket; refuses with `overloaded` or, once frozen, `draining`.
+    issue_result issue(const core::service_id& service, core::time_point now,
+                       core::random_source& random);
+
+    /// @brief Parses and checks a caller's ticket: issuer, signature, expiry.
+    /// @return the ticket; or `ticket_invalid`, `ticket_issuer_gone` or `ticket_expired`
+    check_result check(std::string_view text, core::time_point now) const;
+
+    /// @brief Reserves a checked ticket for one attempt. Reservations end after 2 s.
+    ///
+    /// A running ticket makes the attempt wait. A ticket reserved for another attempt is refused
+    /// with `ticket_in_use`, as is another body than that of an earlier run.
+    reserve_result reserve(const ticket& which, const call_key& attempt,
+                           const std::string& body_hash, core::time_point now);
+
+    /// @brief Turns a reservation that has not ended into a running call.
+    /// @param deadline of the attempt, on this node's clock
+    commit_result commit(const ticket& which, const call_key& attempt, reservation_number number,
+                         const std::string& body_hash, core::time_point deadline,
+                         core::time_point now);
+
+    /// @brief Outcome of a ticket for an attempt whose connection was lost.
+    ///
+    /// Withdraws a reservation of that attempt, so that a commit which is still under way cannot
+    /// run after `not_run` was stated.
+    lookup_result ask(const ticket& which, const call_key& attempt, core::time_point now);
+
+    /// @brief Outcome of a ticket for `GET /v1/tickets/{ticket}`; `must_wait` while running.
+    lookup_result look_up(const ticket& which, core::time_point now) const;
+
+    /// @brief Right before the first byte goes upstream: whether the deadline still allows it.
+    ///
+    /// After `true` only `finish` with an answer or an outcome of kind `unknown`, or the
+    /// upstream's refusal before execution, ends the call.
+    bool begin_sending(const ticket_id& id, core::time_point now);
+
+    /// @brief Ends a running call and returns the attempts to tell, the running one included.
+    ///
+    /// `not_run` makes the ticket unused again. An answer above the bounds is not kept, but it is
+    /// still returned whole to the attempt that ran.
+    std::vector<call_key> finish(const ticket_id& id, call_outcome result);
+
+    /// @brief What a waiting or repeated attempt is told about a ticket that has ended.
+    std::optional<call_outcome> stored(const ticket_id& id) const;
+
+    /// @brief Ends the wait of one attempt, or withdraws its reservation.
+    void forget_attempt(const ticket_id& id, const call_key& attempt);
+
+    /// @brief Forgets expired tickets and ended reservations. O(expired).
+    void expire(core::time_point now);
+
+    /// @brief Stops issuing and running for good, when nothing is running or reserved.
+    /// @return whether the table is frozen
+    bool freeze(core::time_point now);
+
+    /// @brief All outcomes of a frozen table, for the one successor.
+    std::vector<outcome_record> outcomes() const;
+
+    /// @brief Issuer's clock when frozen; tickets that expired before are not in `outcomes`.
+    core::milliseconds frozen_at() const { return m_frozen_at; }
+
+    bool is_frozen() const { return m_is_frozen; }
+    std::size_t running() const { return m_running; }
+    core::bytes stored_bytes() const { return m_stored; }
+    const core::node_id& self() const { return m_self; }
+
+  private:
+    enum class phase
+    {
+        reserved,
+        running,
+        ended,
+    };
+
+    struct entry
+    {
+        phase state = phase::reserved;
+        core::milliseconds expires_at{0};
+        call_key holder;
+        reservation_number reservation;
+        core::time_point reserved_until;
+        core::time_point deadline;
+        std::string body_hash;
+        bool is_body_bound = false; ///< true from the first run on
+        std::set<call_key> waiting;
+        call_outcome result;
+    };
+
+    core::node_id m_self;
+    ticket_signer m_signer;
+    ticket_limits m_limits;
+    std::unordered_map<ticket_id, entry> m_entries;
+    std::deque<core::milliseconds> m_issued; ///< expiries, ascending
+    std::uint64_t m_last_reservation = 0;
+    std::size_t m_running = 0;
+    core::bytes m_stored;
+    core::milliseconds m_frozen_at{0};
+    bool m_is_frozen = false;
+};
+
+/// @brief Outcomes taken over from a stopped incarnation. Runs nothing.
+///
+/// Answers only when all parts have arrived: a ticket missing from an incomplete table could have
+/// been used.
+class successor_table
+{
+  public:
+    explicit successor_table(ticket_limits limits = {}) : m_limits(limits) {}
+
+    /// @brief Adds one part; a repeated part changes nothing.
+    /// @return whether the part was taken and may be acknowledged
+    bool add_part(const core::node_id& former, core::milliseconds frozen_at, std::uint32_t part,
+                  std::uint32_t parts, std::vector<outcome_record> records, core::time_point now);
+
+    /// @brief Outcome for a parsed ticket of a former incarnation.
+    /// @return nothing when this node is not its successor; `not_run` for an unused ticket
+    std::optional<call_outcome> look_up(const ticket& which, const std::string& body_hash) const;
+
+    /// @brief Forgets incarnations whose tickets have all expired.
+    void expire(core::time_point now);
+
+  private:
+    struct former_node
+    {
+        core::milliseconds frozen_at{0};
+        core::time_point forget_at;
+        std::uint32_t parts = 0;
+        std::set<std::uint32_t> received;
+        std::unordered_map<std::string, outcome_record> records;
+    };
+
+    ticket_limits m_limits;
+    std::map<core::node_id, former_node> m_former;
+};
+
+} // namespace snipeplank::policy
+
+#endif
--- /dev/null
+++ b/packages/wire/include/snipeplank/wire/messages.hpp
@@ -0,0 +1,175 @@
+/// @file
+/// Messages between nodes, as plain structs.
+
+#ifndef SNIPEPLANK_WIRE_MESSAGES_HPP
+#define SNIPEPLANK_WIRE_MESSAGES_HPP
+
+#include <snipeplank/core/ids.hpp>
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/policy/call_outcome.hpp>
+#include <snipeplank/policy/refusal.hpp>
+#include <snipeplank/policy/ticket_table.hpp>
+#include <snipeplank/settings/published_config.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipeplank::wire
+{
+
+/// Version of the frames. Peers with another version are refused.
+constexpr std::uint16_t protocol_version = 1;
+
+/// @brief First frame both ways; the handshake is internal to `peer_network`.
+struct hello
+{
+    std::uint16_t protocol = protocol_version;
+    core::node_id node;
+    core::region_id region;
+    core::zone_id zone;
+    std::string nonce; ///< 32 random bytes
+    std::string proof; ///< HMAC-SHA256 over both nonces and the identity; empty in the first frame
+};
+
+/// @brief Keeps a connection known to be alive; never reaches the handler.
+struct heartbeat
+{
+};
+
+/// @brief A node that a call has passed.
+struct hop
+{
+    core::region_id region;
+    core::zone_id zone;
+    core::node_id node;
+};
+
+/// @brief A caller's request as it travels between nodes.
+struct call_request
+{
+    core::service_id service;
+    core::account_id account; ///< empty when no accounts are configured
+    core::region_id home;
+    settings::residency residency = settings::residency::bound;
+    bool is_interactive = true;
+    std::string request_id;          ///< drawn by the entry node
+    core::milliseconds remaining{0}; ///< of the deadline, when sent
+    std::vector<hop> path;           ///< entry node first
+    std::string method;
+    std::string target; ///< path and query for the upstream
+    policy::header_list headers;
+    std::string body;
+};
+
+/// @brief An idempotent call, or one without a ticket that nothing resends.
+struct call
+{
+    core::call_number number;
+    call_request request;
+};
+
+/// @brief Start of an answer.
+struct call_head
+{
+    core::call_number number;
+    int status = 0;
+    policy::header_list headers;
+};
+
+/// @brief Bytes of an answer.
+struct call_chunk
+{
+    core::call_number number;
+    std::uint64_t offset = 0;
+    std::string data;
+};
+
+/// @brief End of a whole answer.
+struct call_end
+{
+    core::call_number number;
+    std::uint64_t length = 0;
+    std::uint64_t checksum = 0; ///< XXH64 of all bytes
+};
+
+/// @brief The call is not served, or its answer broke off.
+struct call_refused
+{
+    core::call_number number;
+    policy::refusal why;
+};
+
+/// @brief The sender no longer wants the answer.
+struct cancel
+{
+    core::call_number number;
+    std::string ticket; ///< empty for a call without a ticket
+};
+
+/// @brief Asks the issuing node to reserve a ticket.
+struct reserve
+{
+    core::call_number number;
+    std::string ticket;
+    std::string body_hash; ///< SHA-256, hexadecimal
+    core::milliseconds remaining{0};
+};
+
+/// @brief The reservation is granted. Anything else is answered with `outcome`.
+struct reserved
+{
+    core::call_number number;
+    policy::reservation_number reservation;
+};
+
+/// @brief Authorises the issuing node to run the call.
+struct commit
+{
+    core::call_number number;
+    policy::reservation_number reservation;
+    std::string ticket;
+    call_request request;
+};
+
+/// @brief Asks what became of a call. For a call without a ticket, `ticket` is empty.
+struct outcome_request
+{
+    core::call_number number;
+    core::incarnation issuer; ///< the incarnation that was asked to run the call
+    std::string ticket;
+};
+
+/// @brief What became of a call.
+struct outcome
+{
+    core::call_number number;
+    policy::call_outcome result;
+};
+
+/// @brief Part of the outcomes of a stopping node, for its successor.
+struct handover
+{
+    core::node_id former;
+    core::milliseconds frozen_at{0}; ///< on the former node's monotonic clock
+    std::uint32_t part = 0;          ///< from 0
+    std::uint32_t parts = 1;
+    std::vector<policy::outcome_record> records;
+};
+
+/// @brief The successor keeps this part.
+struct handover_ack
+{
+    core::node_id former;
+    std::uint32_t part = 0;
+};
+
+/// @brief Any message. Fleet messages join the list with `fleet/messages.hpp`.
+using message =
+    std::variant<hello, heartbeat, call, call_head, call_chunk, call_end, call_refused, cancel,
+                 reserve, reserved, commit, outcome_request, outcome, handover, handover_ack>;
+
+} // namespace snipeplank::wire
+
+#endif
