--- /dev/null
+++ b/packages/fleet/include/snipeplank/fleet/messages.hpp
@@ -0,0 +1,187 @@
+/// @file
+/// Messages between the fleet modules of two nodes, as plain values.
+///
+/// The codec lives in `wire`. Gossip is bounded: `estimated_size` is an upper bound for the encoded
+/// size if tables hold strings, and if `upstream_load`, `upstream_leaving` and `service_load` are
+/// encoded as FlatBuffers structs of 24, 16 and 16 bytes. Hashes may travel as 32 raw bytes.
+
+#ifndef SNIPEPLANK_FLEET_MESSAGES_HPP
+#define SNIPEPLANK_FLEET_MESSAGES_HPP
+
+#include <snipeplank/core/ids.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipeplank::fleet
+{
+
+/// Encoded size that no gossip message exceeds, in bytes. It fits one Ethernet frame.
+constexpr std::size_t max_gossip_bytes = 1'100;
+
+/// @brief State of one incarnation; `leaving` and `dead` are final.
+enum class member_state : std::uint8_t
+{
+    alive = 0,
+    suspected = 1,
+    leaving = 2,
+    dead = 3,
+};
+
+/// @brief What one node says about one incarnation of the sender's region.
+struct member_update
+{
+    core::node_id id;
+    core::zone_id zone;
+    member_state state = member_state::alive;
+    std::uint32_t counter = 0; ///< raised by the member itself to refute a suspicion
+
+    friend bool operator==(const member_update&, const member_update&) = default;
+};
+
+/// @brief Which configuration a node holds.
+struct config_digest
+{
+    core::config_version version; ///< 0 when the node holds none
+    std::string manifest_hash;    ///< SHA-256, 64 hexadecimal characters; empty when none
+    bool in_force = false;        ///< false while the version still settles
+
+    friend bool operator==(const config_digest&, const config_digest&) = default;
+};
+
+/// @brief Load of one upstream of the sender's region, as a prober read it. A struct of 24 bytes.
+struct upstream_load
+{
+    std::uint64_t upstream_key = 0;   ///< `upstream_key(address)`
+    std::uint32_t prober = 0;         ///< low 32 bits of the prober's incarnation
+    std::uint32_t sequence = 0;       ///< rises with each report of one prober
+    std::uint16_t running = 0;        ///< requests, saturating
+    std::uint16_t waiting = 0;        ///< requests, saturating
+    std::uint16_t cache_permille = 0; ///< used part of the KV cache in thousandths
+    std::uint16_t age_centis = 0;     ///< hundredths of a second since the reading, saturating
+
+    friend bool operator==(const upstream_load&, const upstream_load&) = default;
+};
+
+/// @brief An upstream that some source calls leaving. A struct of 16 bytes.
+struct upstream_leaving
+{
+    std::uint64_t upstream_key = 0; ///< `upstream_key(address)`
+    std::uint32_t age_ms = 0;       ///< since a source last said so
+
+    friend bool operator==(const upstream_leaving&, const upstream_leaving&) = default;
+};
+
+/// @brief Sum over the upstreams of one service in one region. A struct of 16 bytes.
+struct service_load
+{
+    std::uint32_t service_key = 0; ///< `service_key(name)`
+    std::uint16_t upstreams = 0;   ///< live ones, saturating
+    std::uint32_t running = 0;     ///< requests
+    std::uint32_t waiting = 0;     ///< requests
+
+    friend bool operator==(const service_load&, const service_load&) = default;
+};
+
+/// @brief What the other regions know of one region.
+struct region_summary
+{
+    core::region_id region;
+    std::uint64_t issuer = 0;   ///< incarnation of the relay that summed it up
+    std::uint32_t sequence = 0; ///< rises with each summary of one issuer
+    std::uint32_t age_ms = 0;   ///< since it was summed up
+    std::uint16_t live_nodes = 0;
+    std::vector<core::address> entry_points; ///< peer addresses, at most `max_summary_entry_points`
+    std::vector<service_load> services;      ///< at most `max_summary_services`
+
+    friend bool operator==(const region_summary&, const region_summary&) = default;
+};
+
+constexpr std::size_t max_summary_entry_points = 3;
+constexpr std::size_t max_summary_services = 16;
+
+enum class gossip_kind : std::uint8_t
+{
+    ping = 0,         ///< asks for an `ack` with the same sequence
+    ping_request = 1, ///< asks the receiver to ping `target` on the sender's behalf
+    ack = 2,          ///< `target` is the member that answered
+    announce = 3,     ///< asks for nothing
+};
+
+/// @brief One message of the membership protocol with what travels along.
+struct gossip
+{
+    gossip_kind kind = gossip_kind::announce;
+    std::uint32_t sequence = 0; ///< number of the sender's ping; echoed by the ack
+    core::address target;       ///< see `gossip_kind`; empty otherwise
+    member_update sender;       ///< the sender about itself, with its peer address
+    core::region_id sender_region;
+    config_digest digest;
+    bool wants_members = false; ///< asks for `announce` messages with every member
+    std::vector<member_update> members;
+    std::vector<upstream_load> loads;
+    std::vector<upstream_leaving> leaving;
+    std::vector<region_summary> regions;
+
+    friend bool operator==(const gossip&, const gossip&) = default;
+};
+
+/// @brief Asks for configuration texts by their hashes.
+struct config_request
+{
+    /// @brief One wanted text and, if the asker holds a former one, what a delta may start from.
+    struct item
+    {
+        std::string hash;      ///< SHA-256 of the wanted text, hexadecimal
+        std::string base_hash; ///< SHA-256 of a text that the asker holds; may be empty
+
+        friend bool operator==(const item&, const item&) = default;
+    };
+    std::vector<item> items;
+
+    friend bool operator==(const config_request&, const config_request&) = default;
+};
+
+/// @brief A piece of a delta: copies tokens of the base text, then appends new text.
+struct delta_step
+{
+    std::uint32_t copy_from = 0;  ///< offset in the base text, in bytes
+    std::uint32_t copy_count = 0; ///< bytes
+    std::string append;
+
+    friend bool operator==(const delta_step&, const delta_step&) = default;
+};
+
+/// @brief Answer to one item of a `config_request`; the receiver checks the hash.
+struct config_reply
+{
+    std::string hash;
+    bool found = false;
+    std::string text;              ///< the whole text, when `delta` is empty
+    std::string base_hash;         ///< base of the delta
+    std::vector<delta_step> delta; ///< used instead of `text` when not empty
+
+    friend bool operator==(const config_reply&, const config_reply&) = default;
+};
+
+using message = std::variant<gossip, config_request, config_reply>;
+
+/// @brief Name of an upstream in load messages. O(length).
+std::uint64_t upstream_key(const core::address& upstream);
+
+/// @brief Name of a service in summaries. O(length).
+std::uint32_t service_key(const core::service_id& service);
+
+/// @brief Upper bound of the encoded size in bytes, without transport overhead. O(items).
+std::size_t estimated_size(const message& value);
+std::size_t estimated_size(const member_update& value);
+std::size_t estimated_size(const upstream_load& value);
+std::size_t estimated_size(const upstream_leaving& value);
+std::size_t estimated_size(const region_summary& value);
+
+} // namespace snipeplank::fleet
+
+#endif
--- /dev/null
+++ b/packages/fleet/src/messages.cpp
@@ -0,0 +1,108 @@
+#include <snipeplank/core/hash.hpp>
+#include <snipeplank/fleet/messages.hpp>
+
+namespace snipeplank::fleet
+{
+
+namespace
+{
+
+/// Frame length, root, `frame` table with protocol version, and vtables shared by all items.
+constexpr std::size_t frame_bytes = 96;
+/// Offset in the owner's vector or table, vtable offset and alignment of one table.
+constexpr std::size_t table_bytes = 12;
+constexpr std::size_t vector_bytes = 8;
+constexpr std::size_t load_bytes = 24;
+constexpr std::size_t leaving_bytes = 16;
+constexpr std::size_t service_load_bytes = 16;
+
+/// Offset, length, terminating zero and alignment.
+std::size_t string_bytes(const std::string& text)
+{
+    constexpr std::size_t overhead = 12;
+    return text.size() + overhead;
+}
+
+std::size_t size_of(const config_digest& digest)
+{
+    constexpr std::size_t scalars = 12;
+    return table_bytes + scalars + string_bytes(digest.manifest_hash);
+}
+
+std::size_t size_of(const gossip& value)
+{
+    constexpr std::size_t scalars = 8;
+    constexpr std::size_t vectors = 4;
+    std::size_t total = frame_bytes + table_bytes + scalars + vectors * vector_bytes;
+    total += string_bytes(value.target.get()) + string_bytes(value.sender_region.get());
+    total += estimated_size(value.sender) + size_of(value.digest);
+    for (const member_update& item : value.members)
+        total += estimated_size(item);
+    total += value.loads.size() * load_bytes + value.leaving.size() * leaving_bytes;
+    for (const region_summary& item : value.regions)
+        total += estimated_size(item);
+    return total;
+}
+
+std::size_t size_of(const config_request& value)
+{
+    std::size_t total = frame_bytes + table_bytes + vector_bytes;
+    for (const config_request::item& item : value.items)
+        total += table_bytes + string_bytes(item.hash) + string_bytes(item.base_hash);
+    return total;
+}
+
+std::size_t size_of(const config_reply& value)
+{
+    constexpr std::size_t step_scalars = 8;
+    std::size_t total = frame_bytes + table_bytes + vector_bytes + string_bytes(value.hash) +
+                        string_bytes(value.text) + string_bytes(value.base_hash);
+    for (const delta_step& step : value.delta)
+        total += table_bytes + step_scalars + string_bytes(step.append);
+    return total;
+}
+
+} // namespace
+
+std::uint64_t upstream_key(const core::address& upstream)
+{
+    return core::hash64(upstream.get());
+}
+
+std::uint32_t service_key(const core::service_id& service)
+{
+    return static_cast<std::uint32_t>(core::hash64(service.get()));
+}
+
+std::size_t estimated_size(const member_update& value)
+{
+    constexpr std::size_t scalars = 24;
+    return 2 * table_bytes + scalars + string_bytes(value.id.address.get()) +
+           string_bytes(value.zone.get());
+}
+
+std::size_t estimated_size(const upstream_load& /*value*/)
+{
+    return load_bytes;
+}
+
+std::size_t estimated_size(const upstream_leaving& /*value*/)
+{
+    return leaving_bytes;
+}
+
+std::size_t estimated_size(const region_summary& value)
+{
+    constexpr std::size_t scalars = 24;
+    std::size_t total = table_bytes + scalars + 2 * vector_bytes + string_bytes(value.region.get());
+    for (const core::address& entry_point : value.entry_points)
+        total += string_bytes(entry_point.get());
+    return total + value.services.size() * service_load_bytes;
+}
+
+std::size_t estimated_size(const message& value)
+{
+    return std::visit([](const auto& body) { return size_of(body); }, value);
+}
+
+} // namespace snipeplank::fleet
