fleet: carry caller addresses in member updates and summaries

Cause: the entry-point answer names caller addresses, and gossip knew only peer addresses. Change: member_update.caller_address; region_summary.entry_points holds both addresses.

--- a/packages/fleet/include/snipeplank/fleet/messages.hpp
+++ b/packages/fleet/include/snipeplank/fleet/messages.hpp
@@ -34,7 +34,8 @@
 /// @brief What one node says about one incarnation of the sender's region.
 struct member_update
 {
-    core::node_id id;
+    core::node_id id;             ///< with the peer address
+    core::address caller_address; ///< where callers reach the member
     core::zone_id zone;
     member_state state = member_state::alive;
     std::uint32_t counter = 0; ///< raised by the member itself to refute a suspicion
@@ -86,6 +87,15 @@
     friend bool operator==(const service_load&, const service_load&) = default;
 };
 
+/// @brief Where a node of another region is reached.
+struct entry_point
+{
+    core::address peer;
+    core::address caller;
+
+    friend bool operator==(const entry_point&, const entry_point&) = default;
+};
+
 /// @brief What the other regions know of one region.
 struct region_summary
 {
@@ -94,8 +104,8 @@
     std::uint32_t sequence = 0; ///< rises with each summary of one issuer
     std::uint32_t age_ms = 0;   ///< since it was summed up
     std::uint16_t live_nodes = 0;
-    std::vector<core::address> entry_points; ///< peer addresses, at most `max_summary_entry_points`
-    std::vector<service_load> services;      ///< at most `max_summary_services`
+    std::vector<entry_point> entry_points; ///< at most `max_summary_entry_points`
+    std::vector<service_load> services;    ///< at most `max_summary_services`
 
     friend bool operator==(const region_summary&, const region_summary&) = default;
 };
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -78,7 +78,7 @@
 {
     constexpr std::size_t scalars = 24;
     return 2 * table_bytes + scalars + string_bytes(value.id.address.get()) +
-           string_bytes(value.zone.get());
+           string_bytes(value.caller_address.get()) + string_bytes(value.zone.get());
 }
 
 std::size_t estimated_size(const upstream_load& /*value*/)
@@ -95,8 +95,8 @@
 {
     constexpr std::size_t scalars = 24;
     std::size_t total = table_bytes + scalars + 2 * vector_bytes + string_bytes(value.region.get());
-    for (const core::address& entry_point : value.entry_points)
-        total += string_bytes(entry_point.get());
+    for (const entry_point& item : value.entry_points)
+        total += table_bytes + string_bytes(item.peer.get()) + string_bytes(item.caller.get());
     return total + value.services.size() * service_load_bytes;
 }
 
