fleet: add membership, load table, region table and roles

Cause: the facade and the driver need the state machines below them. Change: SWIM-like membership with a direct majority before a death verdict, reports of upstreams with sticky leaving facts, summaries of regions, roles by rendezvous hashing. Conclusion: compiles; properties follow.

--- /dev/null
+++ b/packages/fleet/include/snipeplank/fleet/region_table.hpp
@@ -0,0 +1,62 @@
+/// @file
+/// Summaries of the other regions, aged out after 30 s.
+
+#ifndef SNIPEPLANK_FLEET_REGION_TABLE_HPP
+#define SNIPEPLANK_FLEET_REGION_TABLE_HPP
+
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/fleet/messages.hpp>
+#include <snipeplank/fleet/timing.hpp>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace snipeplank::fleet
+{
+
+/// @brief Newest known summary of each region. Not thread-safe.
+///
+/// A region without a valid summary counts as unknown: nothing is sent to it.
+class region_table
+{
+  public:
+    /// @brief Takes a summary; an older one than known is ignored. O(log regions).
+    void merge(const region_summary& received, core::time_point now);
+
+    /// @brief Drops summaries whose time is over. O(regions).
+    void expire(core::time_point now);
+
+    /// @brief The valid summary of `region` with its age, or nothing.
+    std::optional<region_summary> summary_of(const core::region_id& region,
+                                             core::time_point now) const;
+
+    /// @brief Valid summaries with their ages. O(regions).
+    std::vector<region_summary> summaries(core::time_point now) const;
+
+    /// @brief Summaries to gossip within the region: least sent first, then newest.
+    std::vector<region_summary> take(std::size_t budget, core::time_point now);
+
+    /// @brief Summaries for a relay of another region, whatever was sent before.
+    /// @param except the receiver's region, which knows itself best
+    std::vector<region_summary> take_for_exchange(std::size_t budget, const core::region_id& except,
+                                                  core::time_point now);
+
+  private:
+    struct entry
+    {
+        region_summary summary;
+        core::time_point summed_at;
+        unsigned sent = 0;
+        unsigned exchanged = 0;
+    };
+
+    static region_summary aged(const entry& held, core::time_point now);
+
+    std::map<core::region_id, entry> m_entries;
+};
+
+} // namespace snipeplank::fleet
+
+#endif
--- /dev/null
+++ b/packages/fleet/src/membership.cpp
@@ -0,0 +1,405 @@
+#include <snipeplank/fleet/membership.hpp>
+
+#include <algorithm>
+#include <bit>
+
+namespace snipeplank::fleet
+{
+
+namespace
+{
+
+bool is_final(member_state state)
+{
+    return state == member_state::leaving || state == member_state::dead;
+}
+
+} // namespace
+
+membership::membership(member_update self, core::random_source& random)
+    : m_random(random), m_self(std::move(self))
+{
+}
+
+void membership::start(core::time_point now)
+{
+    // A random first number keeps acks to a former life of this address from matching.
+    m_sequence = static_cast<std::uint32_t>(m_random.next());
+    m_next_ping = now;
+    m_probed_at = now + probe_again_time;
+    m_queue.put(m_self, now);
+    m_changed = true;
+}
+
+void membership::on_host_list(std::vector<core::address> listed, core::time_point now)
+{
+    m_list_received = now;
+    std::map<core::address, core::time_point> candidates;
+    for (core::address& address : listed)
+    {
+        if (address == m_self.id.address)
+            continue;
+        m_last_listed[address] = now;
+        const auto known = m_candidates.find(address);
+        candidates[address] = known == m_candidates.end() ? core::time_point{} : known->second;
+    }
+    m_candidates = std::move(candidates);
+    if (!m_records.empty())
+        return;
+    for (std::size_t i = 0; i < push_fanout; ++i)
+        ping_candidate(now);
+}
+
+void membership::on_gossip(const gossip& received, core::time_point now)
+{
+    on_sender(received, now);
+    for (const member_update& update : received.members)
+        apply(update, now);
+    switch (received.kind)
+    {
+    case gossip_kind::ping:
+        on_ping(received);
+        break;
+    case gossip_kind::ping_request:
+        on_ping_request(received, now);
+        break;
+    case gossip_kind::ack:
+        on_ack(received, now);
+        break;
+    case gossip_kind::announce:
+        break;
+    }
+    update_doubt();
+}
+
+void membership::on_sender(const gossip& received, core::time_point now)
+{
+    const member_update& sender = received.sender;
+    if (m_tombstones.contains(sender.id) && !is_final(sender.state))
+    {
+        member_update verdict = sender;
+        verdict.state = member_state::dead;
+        m_refused_senders[sender.id.address] = verdict;
+        return;
+    }
+    apply(sender, now);
+    const auto known = m_records.find(sender.id.address);
+    if (known != m_records.end() && known->second.info.id == sender.id)
+        known->second.heard = now;
+}
+
+void membership::on_ping(const gossip& received)
+{
+    const bool brief = received.members.empty() && received.loads.empty();
+    m_probes.push_back({received.sender.id.address, gossip_kind::ack, received.sequence,
+                        m_self.id.address, false, brief});
+}
+
+void membership::on_ping_request(const gossip& received, core::time_point now)
+{
+    ping(received.target, now, false, true);
+    outstanding_ping& sent = m_pings[m_sequence];
+    sent.requester = received.sender.id.address;
+    sent.requester_sequence = received.sequence;
+}
+
+void membership::on_ack(const gossip& received, core::time_point now)
+{
+    const auto found = m_pings.find(received.sequence);
+    if (found == m_pings.end() || found->second.target != received.target)
+        return;
+    const outstanding_ping answered = found->second;
+    m_pings.erase(found);
+    if (!answered.requester.get().empty())
+    {
+        m_probes.push_back(
+            {answered.requester, gossip_kind::ack, answered.requester_sequence, answered.target});
+        return;
+    }
+    if (received.sender.id.address == answered.target)
+        accept_proven(received.sender, now);
+}
+
+/// An answer to this node's own ping proves which incarnation lives at the address.
+void membership::accept_proven(const member_update& sender, core::time_point now)
+{
+    if (m_tombstones.contains(sender.id))
+        return;
+    const auto known = m_records.find(sender.id.address);
+    if (known != m_records.end() && known->second.info.id != sender.id)
+    {
+        const member_update replaced = known->second.info;
+        bury(replaced, now);
+    }
+    apply(sender, now);
+    const auto current = m_records.find(sender.id.address);
+    if (current == m_records.end() || current->second.info.id != sender.id)
+        return;
+    current->second.heard = now;
+    if (current->second.info.state != member_state::suspected)
+        return;
+    // Others may still hold the suspicion; the member refutes that one itself.
+    current->second.info.state = member_state::alive;
+    m_changed = true;
+}
+
+void membership::apply(const member_update& update, core::time_point now)
+{
+    if (update.id.address == m_self.id.address)
+    {
+        apply_about_self(update, now);
+        return;
+    }
+    if (is_final(update.state))
+    {
+        apply_final(update, now);
+        return;
+    }
+    if (m_tombstones.contains(update.id))
+        return;
+    const auto known = m_records.find(update.id.address);
+    if (known == m_records.end() || is_final(known->second.info.state))
+    {
+        m_records[update.id.address] = {update, now, now + suspicion_time, {}};
+        m_queue.put(update, now);
+        m_changed = true;
+        return;
+    }
+    if (known->second.info.id != update.id)
+    {
+        // Incarnations have no order. Only an answer to an own ping tells which one is current.
+        ping(update.id.address, now, false, true);
+        return;
+    }
+    merge(known->second, update, now);
+}
+
+void membership::merge(record& known, const member_update& update, core::time_point now)
+{
+    const bool suspected = update.state == member_state::suspected;
+    const bool known_suspected = known.info.state == member_state::suspected;
+    const bool overrides = suspected && !known_suspected ? update.counter >= known.info.counter
+                                                         : update.counter > known.info.counter;
+    if (!overrides)
+        return;
+    const bool state_changes = suspected != known_suspected;
+    known.info.counter = update.counter;
+    m_queue.put(update, now);
+    if (!state_changes)
+        return;
+    m_changed = true;
+    known.info.state = update.state;
+    if (suspected)
+        set_suspected(known, now);
+}
+
+void membership::apply_final(const member_update& update, core::time_point now)
+{
+    const auto known = m_records.find(update.id.address);
+    const bool matches = known != m_records.end() && known->second.info.id == update.id;
+    if (update.state == member_state::dead)
+    {
+        if (!m_tombstones.contains(update.id) || matches)
+            bury(update, now);
+        return;
+    }
+    if (m_tombstones.contains(update.id))
+        return;
+    m_tombstones.add(update.id);
+    m_queue.put(update, now);
+    m_urgent = true;
+    if (!matches && known != m_records.end() && !is_final(known->second.info.state))
+        return;
+    m_records[update.id.address] = {update, now, now, {}};
+    m_changed = true;
+}
+
+void membership::apply_about_self(const member_update& update, core::time_point now)
+{
+    if (update.id != m_self.id)
+    {
+        if (m_tombstones.contains(update.id))
+            return;
+        // A former life of this address; this process is the only one there.
+        bury(update, now);
+        return;
+    }
+    if (m_self.state == member_state::leaving)
+        return;
+    if (is_final(update.state))
+    {
+        renew_incarnation(now);
+        return;
+    }
+    if (update.state != member_state::suspected || update.counter < m_self.counter)
+        return;
+    m_self.counter = update.counter + 1;
+    m_queue.put(m_self, now);
+    m_urgent = true;
+}
+
+void membership::renew_incarnation(core::time_point now)
+{
+    const core::incarnation former = m_self.id.incarnation;
+    m_tombstones.add(m_self.id);
+    m_self.id.incarnation = core::incarnation{m_random.next()};
+    m_self.counter = 0;
+    m_queue.put(m_self, now);
+    m_renewal = {m_renewal ? m_renewal->first : former, m_self.id.incarnation};
+    m_urgent = true;
+    m_changed = true;
+    for (const core::address& peer : random_peers(push_fanout))
+        ping(peer, now, true, false);
+}
+
+void membership::bury(const member_update& gone, core::time_point now)
+{
+    member_update update = gone;
+    update.state = member_state::dead;
+    m_tombstones.add(update.id);
+    m_queue.put(update, now);
+    const auto known = m_records.find(update.id.address);
+    if (known == m_records.end() || known->second.info.id != update.id)
+        return;
+    if (known->second.info.state != member_state::leaving)
+        m_recent_deaths.push_back(now);
+    m_records.erase(known);
+    m_changed = true;
+}
+
+void membership::begin_leaving(core::time_point now)
+{
+    m_self.state = member_state::leaving;
+    m_queue.put(m_self, now);
+    m_urgent = true;
+    m_changed = true;
+}
+
+void membership::resume_after_freeze(core::time_point now)
+{
+    m_pings.clear();
+    for (auto& [address, known] : m_records)
+    {
+        if (known.info.state == member_state::suspected)
+            set_suspected(known, now);
+    }
+    m_view_is_probed = false;
+    m_probed_at = now + probe_again_time;
+    m_next_ping = now;
+    m_changed = true;
+    roll_call(now);
+}
+
+void membership::on_tick(core::time_point now)
+{
+    expire_pings(now);
+    decide_suspicions(now);
+    send_due_pings(now);
+    forget_departed(now);
+    update_doubt();
+    if (m_view_is_probed || now < m_probed_at)
+        return;
+    m_view_is_probed = true;
+    m_changed = true;
+}
+
+void membership::set_suspected(record& known, core::time_point now)
+{
+    known.info.state = member_state::suspected;
+    known.since = now;
+    known.verdict = now + suspicion_time;
+}
+
+void membership::suspect(record& known, core::time_point now)
+{
+    if (known.info.state != member_state::alive)
+        return;
+    set_suspected(known, now);
+    m_changed = true;
+    if (m_link_in_doubt)
+        return;
+    m_queue.put(known.info, now);
+    m_urgent = true;
+}
+
+void membership::decide_suspicions(core::time_point now)
+{
+    std::erase_if(m_recent_deaths,
+                  [now](core::time_point at) { return now - at > recent_death_time; });
+    std::vector<member_update> gone;
+    bool needs_roll_call = false;
+    for (auto& [address, known] : m_records)
+    {
+        if (known.info.state != member_state::suspected)
+            continue;
+        if (now >= known.verdict - roll_call_lead)
+            needs_roll_call = true;
+        if (now < known.verdict)
+            continue;
+        if (may_declare_dead(known, now) || is_unlisted(address, now))
+        {
+            gone.push_back(known.info);
+            continue;
+        }
+        known.verdict = now + suspicion_time;
+    }
+    for (const member_update& update : gone)
+    {
+        bury(update, now);
+        m_urgent = true;
+    }
+    if (needs_roll_call && now - m_last_roll_call >= roll_call_lead)
+        roll_call(now);
+}
+
+bool membership::may_declare_dead(const record& suspect, core::time_point now) const
+{
+    if (!m_view_is_probed)
+        return false;
+    const core::time_point window = std::max(suspect.since, now - suspicion_time);
+    std::size_t heard = 1;
+    std::size_t total = 1 + m_recent_deaths.size();
+    for (const auto& [address, known] : m_records)
+    {
+        if (is_final(known.info.state))
+            continue;
+        ++total;
+        if (known.heard > window)
+            ++heard;
+    }
+    return 2 * heard > total;
+}
+
+bool membership::is_unlisted(const core::address& member, core::time_point now) const
+{
+    const auto listed = m_last_listed.find(member);
+    return listed != m_last_listed.end() && m_list_received - listed->second >= unlisted_time &&
+           now - m_list_received < unlisted_time;
+}
+
+void membership::roll_call(core::time_point now)
+{
+    m_last_roll_call = now;
+    for (const core::address& member : addresses_in(member_state::alive))
+    {
+        if (now - m_records[member].heard > roll_call_lead)
+            ping(member, now, false, true);
+    }
+}
+
+/// Clearing the queued suspicions keeps a node with a bad link from raising an alarm about every
+/// member as soon as the link is back.
+void membership::update_doubt()
+{
+    const std::size_t alive = 1 + addresses_in(member_state::alive).size();
+    const std::size_t suspected = addresses_in(member_state::suspected).size();
+    const bool doubt = suspected > 0 && alive <= suspected + m_recent_deaths.size();
+    if (doubt == m_link_in_doubt)
+        return;
+    m_link_in_doubt = doubt;
+    m_changed = true;
+    if (doubt)
+        m_queue.drop_suspicions();
+}
+
+} // namespace snipeplank::fleet
--- /dev/null
+++ b/packages/fleet/src/region_table.cpp
@@ -0,0 +1,125 @@
+#include <snipeplank/fleet/region_table.hpp>
+
+#include <algorithm>
+
+namespace snipeplank::fleet
+{
+
+namespace
+{
+
+constexpr unsigned max_sends = 5;
+
+bool is_newer_sequence(std::uint32_t a, std::uint32_t b)
+{
+    return static_cast<std::int32_t>(a - b) > 0;
+}
+
+} // namespace
+
+void region_table::merge(const region_summary& received, core::time_point now)
+{
+    const core::time_point summed_at = now - core::milliseconds{received.age_ms};
+    if (now - summed_at >= summary_lifetime)
+        return;
+    const auto known = m_entries.find(received.region);
+    if (known != m_entries.end())
+    {
+        const region_summary& held = known->second.summary;
+        const bool newer = held.issuer == received.issuer
+                               ? is_newer_sequence(received.sequence, held.sequence)
+                               : summed_at > known->second.summed_at;
+        if (!newer)
+            return;
+    }
+    m_entries[received.region] = {received, summed_at, 0, 0};
+}
+
+void region_table::expire(core::time_point now)
+{
+    std::erase_if(m_entries, [now](const auto& item)
+                  { return now - item.second.summed_at >= summary_lifetime; });
+}
+
+region_summary region_table::aged(const entry& held, core::time_point now)
+{
+    region_summary copy = held.summary;
+    const auto age = std::chrono::duration_cast<core::milliseconds>(now - held.summed_at).count();
+    copy.age_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(age, 0));
+    return copy;
+}
+
+std::optional<region_summary> region_table::summary_of(const core::region_id& region,
+                                                       core::time_point now) const
+{
+    const auto known = m_entries.find(region);
+    if (known == m_entries.end() || now - known->second.summed_at >= summary_lifetime)
+        return std::nullopt;
+    return aged(known->second, now);
+}
+
+std::vector<region_summary> region_table::summaries(core::time_point now) const
+{
+    std::vector<region_summary> valid;
+    for (const auto& [region, held] : m_entries)
+    {
+        if (now - held.summed_at < summary_lifetime)
+            valid.push_back(aged(held, now));
+    }
+    return valid;
+}
+
+std::vector<region_summary> region_table::take(std::size_t budget, core::time_point now)
+{
+    std::vector<entry*> order;
+    for (auto& [region, held] : m_entries)
+    {
+        if (held.sent < max_sends && now - held.summed_at < summary_lifetime)
+            order.push_back(&held);
+    }
+    std::sort(order.begin(), order.end(),
+              [](const entry* a, const entry* b)
+              { return a->sent != b->sent ? a->sent < b->sent : a->summed_at > b->summed_at; });
+    std::vector<region_summary> taken;
+    for (entry* held : order)
+    {
+        const std::size_t size = estimated_size(held->summary);
+        if (size > budget)
+            break;
+        budget -= size;
+        ++held->sent;
+        taken.push_back(aged(*held, now));
+    }
+    return taken;
+}
+
+std::vector<region_summary> region_table::take_for_exchange(std::size_t budget,
+                                                            const core::region_id& except,
+                                                            core::time_point now)
+{
+    std::vector<entry*> order;
+    for (auto& [region, held] : m_entries)
+    {
+        if (region != except && now - held.summed_at < summary_lifetime)
+            order.push_back(&held);
+    }
+    std::sort(order.begin(), order.end(),
+              [](const entry* a, const entry* b)
+              {
+                  return a->exchanged != b->exchanged ? a->exchanged < b->exchanged
+                                                      : a->summed_at > b->summed_at;
+              });
+    std::vector<region_summary> taken;
+    for (entry* held : order)
+    {
+        const std::size_t size = estimated_size(held->summary);
+        if (size > budget)
+            break;
+        budget -= size;
+        ++held->exchanged;
+        taken.push_back(aged(*held, now));
+    }
+    return taken;
+}
+
+} // namespace snipeplank::fleet
--- /dev/null
+++ b/packages/fleet/src/roles.cpp
@@ -0,0 +1,63 @@
+#include <snipeplank/core/rendezvous.hpp>
+#include <snipeplank/fleet/roles.hpp>
+
+#include <string>
+
+namespace snipeplank::fleet
+{
+
+namespace
+{
+
+/// Whether fewer than `holders` other candidates score higher than `self` for `key`.
+bool holds(const std::string& key, const role_candidate& self,
+           const std::vector<role_candidate>& live, std::size_t holders)
+{
+    const std::uint64_t seed = core::hash64(key);
+    const std::uint64_t own = core::hash64(self.address.get(), seed);
+    std::size_t better = 0;
+    for (const role_candidate& other : live)
+    {
+        if (other.address == self.address)
+            continue;
+        const std::uint64_t score = core::hash64(other.address.get(), seed);
+        if (score > own || (score == own && other.address > self.address))
+            ++better;
+        if (better >= holders)
+            return false;
+    }
+    return true;
+}
+
+std::vector<role_candidate> in_zone(const std::vector<role_candidate>& live,
+                                    const core::zone_id& zone)
+{
+    std::vector<role_candidate> found;
+    for (const role_candidate& candidate : live)
+    {
+        if (candidate.zone == zone)
+            found.push_back(candidate);
+    }
+    return found;
+}
+
+} // namespace
+
+role_set assign_roles(const role_candidate& self, const std::vector<role_candidate>& live,
+                      const std::vector<core::address>& upstreams)
+{
+    role_set held;
+    held.watcher =
+        holds("watcher/" + self.zone.get(), self, in_zone(live, self.zone), watchers_per_zone);
+    held.relay = holds("relay", self, live, relays_per_region);
+    for (const core::address& upstream : upstreams)
+    {
+        if (holds("prober/" + upstream.get(), self, live, 1))
+            held.probes.push_back(upstream);
+        if (holds("order_issuer/" + upstream.get(), self, live, 1))
+            held.orders.push_back(upstream);
+    }
+    return held;
+}
+
+} // namespace snipeplank::fleet
