--- a/packages/fleet/include/snipeplank/fleet/actions.hpp
+++ b/packages/fleet/include/snipeplank/fleet/actions.hpp
@@ -35,7 +35,7 @@
 
 /// @brief Read one section from the configuration service.
 ///
-/// The driver answers with `on_section` or `on_service_failure`.
+/// The driver answers with `on_section`; without an answer the text is asked for again.
 struct read_section
 {
     std::string hash; ///< SHA-256, hexadecimal; the key is `snipeplank/sections/<hash>`
--- a/packages/fleet/include/snipeplank/fleet/roles.hpp
+++ b/packages/fleet/include/snipeplank/fleet/roles.hpp
@@ -28,6 +28,7 @@
 {
     bool watcher = false;              ///< keeps a blocking read at the configuration service
     bool relay = false;                ///< exchanges summaries with other regions
+    unsigned relay_rank = 0;           ///< 0 or 1 among the relays of the region
     std::vector<core::address> probes; ///< upstreams whose load this node reads
     std::vector<core::address> orders; ///< upstreams to which this node issues orders
 
--- /dev/null
+++ b/packages/fleet/src/node_fleet_gossip.cpp
@@ -0,0 +1,209 @@
+#include <snipeplank/fleet/node_fleet.hpp>
+
+#include <algorithm>
+
+namespace snipeplank::fleet
+{
+
+namespace
+{
+
+/// Parts of a gossip message, in bytes; what one part leaves unused goes to the next.
+constexpr std::size_t member_budget = 360;
+constexpr std::size_t leaving_budget = 128;
+/// Part of the rest that summaries may take, in percent; loads take what is left.
+constexpr std::size_t summary_percent = 40;
+constexpr std::size_t all_percent = 100;
+/// Shortest time between two pushes of urgent facts, which caps their traffic during a storm.
+constexpr core::milliseconds push_interval{250};
+/// Each other region is sent a summary in one of this many rounds.
+constexpr unsigned exchange_slots = 3;
+static_assert(exchange_slots * exchange_interval == summary_interval);
+
+std::size_t room_in(const gossip& body)
+{
+    const std::size_t used = estimated_size(message{body});
+    return used < max_gossip_bytes ? max_gossip_bytes - used : 0;
+}
+
+} // namespace
+
+gossip node_fleet::compose(gossip_kind kind) const
+{
+    gossip body;
+    body.kind = kind;
+    body.sender = self();
+    body.sender_region = m_settings.region;
+    body.digest = m_config.digest();
+    return body;
+}
+
+void node_fleet::fill_urgent(gossip& body, std::size_t& budget, core::time_point now)
+{
+    const std::size_t before = body.members.size();
+    for (member_update& update : m_members.take_updates(std::min(budget, member_budget)))
+        body.members.push_back(std::move(update));
+    for (std::size_t i = before; i < body.members.size(); ++i)
+        budget -= estimated_size(body.members[i]);
+    body.leaving = m_loads.take_leaving(std::min(budget, leaving_budget), now);
+    budget -= body.leaving.size() * estimated_size(upstream_leaving{});
+}
+
+void node_fleet::fill(gossip& body, core::time_point now)
+{
+    std::size_t budget = room_in(body);
+    fill_urgent(body, budget, now);
+    body.regions = m_regions.take(budget * summary_percent / all_percent, now);
+    for (const region_summary& summary : body.regions)
+        budget -= estimated_size(summary);
+    body.loads = m_loads.take_loads(budget, now);
+}
+
+void node_fleet::send_probes(core::time_point now)
+{
+    for (const probe& next : m_members.take_probes())
+    {
+        gossip body = compose(next.kind);
+        body.sequence = next.sequence;
+        body.target = next.target;
+        body.wants_members = next.wants_members;
+        body.members = m_members.take_urgent_updates(next.to);
+        if (!next.brief)
+            fill(body, now);
+        m_actions.emplace_back(send_message{next.to, std::move(body)});
+    }
+}
+
+void node_fleet::push_urgent(core::time_point now)
+{
+    if (!m_push_wanted || now < m_next_push)
+        return;
+    m_push_wanted = false;
+    m_next_push = now + push_interval;
+    for (const core::address& peer : m_members.random_peers(push_fanout))
+    {
+        gossip body = compose(gossip_kind::announce);
+        std::size_t budget = room_in(body);
+        fill_urgent(body, budget, now);
+        m_actions.emplace_back(send_message{peer, std::move(body)});
+    }
+}
+
+void node_fleet::send_members(const core::address& to)
+{
+    gossip body = compose(gossip_kind::announce);
+    std::size_t budget = room_in(body);
+    for (member_update& member : m_members.members())
+    {
+        const std::size_t size = estimated_size(member);
+        if (size > budget)
+        {
+            m_actions.emplace_back(send_message{to, std::move(body)});
+            body = compose(gossip_kind::announce);
+            budget = room_in(body);
+        }
+        budget -= std::min(size, budget);
+        body.members.push_back(std::move(member));
+    }
+    if (!body.members.empty())
+        m_actions.emplace_back(send_message{to, std::move(body)});
+}
+
+std::vector<core::region_id> node_fleet::other_regions() const
+{
+    std::vector<core::region_id> regions;
+    for (const auto& [region, hosts] : m_listed_entry_hosts)
+    {
+        if (region != m_settings.region && !hosts.empty())
+            regions.push_back(region);
+    }
+    return regions;
+}
+
+/// The two relays share the other regions and swap shares every cycle, so that a relay that fails
+/// delays each summary by one cycle at most.
+void node_fleet::exchange_summaries(core::time_point now)
+{
+    if (now < m_next_exchange)
+        return;
+    m_next_exchange = std::max(m_next_exchange + exchange_interval, now);
+    const unsigned slot = m_exchange_slot++;
+    if (!m_roles.relay)
+        return;
+    const bool alone = live_members().empty();
+    const unsigned cycle = slot / exchange_slots;
+    const std::vector<core::region_id> regions = other_regions();
+    for (std::size_t i = slot % exchange_slots; i < regions.size(); i += exchange_slots)
+    {
+        const std::size_t turn = (i / exchange_slots + cycle) % relays_per_region;
+        if (alone || turn == m_roles.relay_rank)
+            send_summary(regions[i], now);
+    }
+}
+
+void node_fleet::send_summary(const core::region_id& region, core::time_point now)
+{
+    const core::address contact = contact_in(region, now);
+    if (contact.get().empty())
+        return;
+    gossip body = compose(gossip_kind::announce);
+    body.regions.push_back(own_summary(now));
+    m_actions.emplace_back(send_message{contact, std::move(body)});
+}
+
+core::address node_fleet::contact_in(const core::region_id& region, core::time_point now)
+{
+    if (const auto summary = m_regions.summary_of(region, now);
+        summary && !summary->entry_points.empty())
+        return summary->entry_points[m_random.below(summary->entry_points.size())].peer;
+    const auto listed = m_listed_entry_hosts.find(region);
+    if (listed == m_listed_entry_hosts.end() || listed->second.empty())
+        return {};
+    return listed->second[m_random.below(listed->second.size())];
+}
+
+region_summary node_fleet::own_summary(core::time_point now)
+{
+    region_summary summary;
+    summary.region = m_settings.region;
+    summary.issuer = self().id.incarnation.get();
+    summary.sequence = ++m_summary_sequence;
+    std::vector<member_update> live = live_members();
+    summary.live_nodes = static_cast<std::uint16_t>(live.size() + 1);
+    live.push_back(self());
+    while (!live.empty() && summary.entry_points.size() < max_summary_entry_points)
+    {
+        std::swap(live[m_random.below(live.size())], live.back());
+        summary.entry_points.push_back({live.back().id.address, live.back().caller_address});
+        live.pop_back();
+    }
+    summary.services = service_loads(now);
+    return summary;
+}
+
+std::vector<service_load> node_fleet::service_loads(core::time_point now) const
+{
+    std::map<std::uint32_t, service_load> sums;
+    for (const upstream_info& upstream : m_upstreams)
+    {
+        if (is_upstream_leaving(upstream.address, now))
+            continue;
+        const std::uint32_t key = service_key(upstream.service);
+        if (!sums.contains(key) && sums.size() == max_summary_services)
+            continue;
+        service_load& sum = sums[key];
+        sum.service_key = key;
+        ++sum.upstreams;
+        if (const auto load = load_of(upstream.address, now))
+        {
+            sum.running += load->running;
+            sum.waiting += load->waiting;
+        }
+    }
+    std::vector<service_load> loads;
+    for (const auto& [key, sum] : sums)
+        loads.push_back(sum);
+    return loads;
+}
+
+} // namespace snipeplank::fleet
--- a/packages/fleet/src/roles.cpp
+++ b/packages/fleet/src/roles.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-/// Whether fewer than `holders` other candidates score higher than `self` for `key`.
-bool holds(const std::string& key, const role_candidate& self,
-           const std::vector<role_candidate>& live, std::size_t holders)
+/// Number of candidates that score higher than `self` for `key`; stops counting at `limit`.
+std::size_t rank_of(const std::string& key, const role_candidate& self,
+                    const std::vector<role_candidate>& live, std::size_t limit)
 {
     const std::uint64_t seed = core::hash64(key);
     const std::uint64_t own = core::hash64(self.address.get(), seed);
@@ -23,10 +23,16 @@
         const std::uint64_t score = core::hash64(other.address.get(), seed);
         if (score > own || (score == own && other.address > self.address))
             ++better;
-        if (better >= holders)
-            return false;
+        if (better >= limit)
+            break;
     }
-    return true;
+    return better;
+}
+
+bool holds(const std::string& key, const role_candidate& self,
+           const std::vector<role_candidate>& live, std::size_t holders)
+{
+    return rank_of(key, self, live, holders) < holders;
 }
 
 std::vector<role_candidate> in_zone(const std::vector<role_candidate>& live,
@@ -49,7 +55,9 @@
     role_set held;
     held.watcher =
         holds("watcher/" + self.zone.get(), self, in_zone(live, self.zone), watchers_per_zone);
-    held.relay = holds("relay", self, live, relays_per_region);
+    const std::size_t rank = rank_of("relay", self, live, relays_per_region);
+    held.relay = rank < relays_per_region;
+    held.relay_rank = held.relay ? static_cast<unsigned>(rank) : 0;
     for (const core::address& upstream : upstreams)
     {
         if (holds("prober/" + upstream.get(), self, live, 1))
