Implement the request decisions as pure state machines

Cause: the gateway needs admission, routing and limits behind policy::dispatcher. Change: one small module each for the concurrency limit, routing score, leaving list, ejection, slow start, link budget, account limit, extra-work budget, call path, residency and retry time; the dispatcher joins them.

--- /dev/null
+++ b/packages/policy/include/snipeplank/policy/latency_estimate.hpp
@@ -0,0 +1,65 @@
+/// @file
+/// Smoothed delays of one upstream, and the spread of delays over a service.
+
+#ifndef SNIPEPLANK_POLICY_LATENCY_ESTIMATE_HPP
+#define SNIPEPLANK_POLICY_LATENCY_ESTIMATE_HPP
+
+#include <snipeplank/core/units.hpp>
+
+#include <array>
+#include <cstddef>
+
+namespace snipeplank::policy
+{
+
+/// @brief Exponentially weighted mean that fades without samples.
+///
+/// An upstream that looks slow gets no calls and so no new samples. Halving the estimate for each
+/// ten seconds of silence brings it back to be measured again.
+class latency_estimate
+{
+  public:
+    static constexpr double weight_of_sample = 0.2;
+    static constexpr core::seconds half_life{10};
+
+    /// @brief Adds a sample. O(1).
+    void add(double ms, core::time_point now);
+
+    /// @brief The estimate in ms; 0 when there is no sample. O(1).
+    double value(core::time_point now) const;
+
+    /// @brief Number of samples since the start or the last `forget`.
+    std::size_t samples() const { return m_samples; }
+
+    /// @brief Drops all samples.
+    void forget() { *this = latency_estimate{}; }
+
+  private:
+    double m_mean = 0;
+    std::size_t m_samples = 0;
+    core::time_point m_last{};
+};
+
+/// @brief Quantiles of the latest samples. O(1) to add, O(window) to read.
+class latency_window
+{
+  public:
+    static constexpr std::size_t window = 128;
+
+    /// @brief Adds a sample; the oldest one is dropped.
+    void add(double ms);
+
+    /// @brief The `fraction` quantile in ms; 0 without samples.
+    double quantile(double fraction) const;
+
+    std::size_t size() const { return m_size; }
+
+  private:
+    std::array<double, window> m_samples{};
+    std::size_t m_size = 0;
+    std::size_t m_next = 0;
+};
+
+} // namespace snipeplank::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/adaptive_policy.cpp
@@ -0,0 +1,121 @@
+#include <snipeplank/core/hash.hpp>
+#include <snipeplank/policy/adaptive_policy.hpp>
+
+#include <algorithm>
+
+namespace snipeplank::policy
+{
+
+namespace
+{
+
+/// Load of an upstream may exceed the mean by this factor before its prefixes move on.
+constexpr double load_bound = 1.25;
+/// Part of the predicted time that a warm prefix cache saves.
+constexpr double warm_saving = 0.5;
+/// Scores closer than this are equal: nodes with the same lagged reports would otherwise all
+/// choose the same upstream.
+constexpr double tie_band = 0.1;
+constexpr double ms_per_second = 1'000;
+
+double load_of(const upstream_view& upstream)
+{
+    return std::max<double>(upstream.in_flight, upstream.reported_load);
+}
+
+/// Mean load of the upstreams that take work in this region.
+double mean_load(std::span<const upstream_view> upstreams)
+{
+    double sum = 0;
+    double count = 0;
+    for (const upstream_view& upstream : upstreams)
+    {
+        if (upstream.is_away || upstream.is_leaving)
+            continue;
+        sum += load_of(upstream);
+        count += 1;
+    }
+    return count == 0 ? 0 : sum / count;
+}
+
+class adaptive final : public routing_policy
+{
+  public:
+    explicit adaptive(const settings::routing_weights& weights) : m_weights(weights) {}
+
+    std::vector<std::size_t> rank(const call_view& call, std::span<const upstream_view> upstreams,
+                                  core::random_source& random) override
+    {
+        struct scored
+        {
+            double score;
+            std::size_t index;
+        };
+        const std::size_t owner = owner_of(call.prefix_hash, upstreams);
+        std::vector<scored> order;
+        for (std::size_t i = 0; i < upstreams.size(); ++i)
+        {
+            if (upstreams[i].is_leaving)
+                continue;
+            double score = routing_score(m_weights, upstreams[i]);
+            const double delay = m_weights.latency * upstreams[i].predicted_ms / ms_per_second;
+            if (i == owner)
+                score -= warm_saving * delay;
+            else
+                score += tie_band * delay * random.unit();
+            order.push_back({score, i});
+        }
+        std::sort(order.begin(), order.end(),
+                  [](const scored& a, const scored& b) { return a.score < b.score; });
+        std::vector<std::size_t> indices;
+        indices.reserve(order.size());
+        for (const scored& entry : order)
+        {
+            indices.push_back(entry.index);
+        }
+        return indices;
+    }
+
+  private:
+    /// Index of the prefix's owner, or the number of upstreams when there is none.
+    static std::size_t owner_of(std::uint64_t prefix, std::span<const upstream_view> upstreams)
+    {
+        std::size_t owner = upstreams.size();
+        if (prefix == 0)
+            return owner;
+        const double bound = load_bound * mean_load(upstreams) + 1;
+        std::uint64_t best = 0;
+        for (std::size_t i = 0; i < upstreams.size(); ++i)
+        {
+            const upstream_view& upstream = upstreams[i];
+            if (upstream.is_away || upstream.is_leaving || upstream.is_ejected)
+                continue;
+            if (load_of(upstream) > bound || upstream.in_flight >= upstream.limit)
+                continue;
+            const std::uint64_t score = core::hash64(upstream.address.get(), prefix);
+            if (owner != upstreams.size() && score <= best)
+                continue;
+            best = score;
+            owner = i;
+        }
+        return owner;
+    }
+
+    settings::routing_weights m_weights;
+};
+
+} // namespace
+
+double routing_score(const settings::routing_weights& weights, const upstream_view& upstream)
+{
+    const double away = upstream.is_away ? weights.away : 0;
+    return weights.latency * upstream.predicted_ms / ms_per_second + weights.cost * upstream.cost +
+           away;
+}
+
+std::unique_ptr<routing_policy> make_adaptive(const settings::routing_weights& weights)
+{
+    return std::make_unique<adaptive>(weights);
+}
+
+} // namespace snipeplank::policy
--- /dev/null
+++ b/packages/policy/src/concurrency_limit.cpp
@@ -0,0 +1,92 @@
+#include <snipeplank/policy/concurrency_limit.hpp>
+
+#include <algorithm>
+
+namespace snipeplank::policy
+{
+
+namespace
+{
+
+/// Calls kept waiting at the upstream per running one, so that a slot never stands empty between
+/// the end of one call and the arrival of the next.
+constexpr double queue_per_slot = 0.25;
+/// An upstream is searched for more slots when this part of the known ones is running.
+constexpr double busy_part = 0.8;
+constexpr double slot_growth = 1.25;
+/// With less KV cache than this left, more calls at once would evict each other.
+constexpr double kv_nearly_full = 0.95;
+/// A first byte this many times later than predicted is a sign of overload.
+constexpr double late_factor = 3;
+constexpr double late_slack_ms = 100;
+constexpr double decrease_factor = 0.8;
+/// One overload reaches the node as many late answers; it is answered once.
+constexpr core::milliseconds decrease_interval{500};
+constexpr double largest_limit = 1'024;
+
+} // namespace
+
+concurrency_limit::concurrency_limit(unsigned start)
+    : m_slots(std::max(start, 1U)), m_by_latency(m_slots), m_by_report(m_slots)
+{
+}
+
+void concurrency_limit::on_report(unsigned running, unsigned waiting, double kv_use, unsigned own,
+                                  std::size_t live_nodes, core::time_point now)
+{
+    if (waiting > 0)
+        m_slots = std::max(1.0, (m_slots + running) / 2);
+    else if (running >= busy_part * m_slots && kv_use < kv_nearly_full)
+        m_slots = std::min(std::max<double>(m_slots, running) * slot_growth + 1, largest_limit);
+    m_reported = running + waiting;
+    m_last_report = now;
+    const double total = std::max(m_reported, 1U);
+    const double target = m_slots * (1 + queue_per_slot) + 1;
+    m_others = std::max(0.0, static_cast<double>(m_reported) - own);
+    if (m_reported > target)
+    {
+        m_by_report = own * target / total;
+        return;
+    }
+    const double equal_part = 1.0 / static_cast<double>(std::max<std::size_t>(live_nodes, 1));
+    const double part = std::clamp(own / total, equal_part, 1.0);
+    m_by_report = own + part * (target - m_reported);
+}
+
+void concurrency_limit::on_first_byte(double ms, double expected_ms, unsigned in_flight,
+                                      core::time_point now)
+{
+    if (expected_ms > 0 && ms > late_factor * expected_ms + late_slack_ms)
+    {
+        decrease(in_flight, now);
+        return;
+    }
+    const bool is_used = 2 * in_flight >= m_by_latency;
+    if (is_used)
+        m_by_latency = std::min(m_by_latency + 1, largest_limit);
+}
+
+void concurrency_limit::on_pushback(unsigned in_flight, core::time_point now)
+{
+    decrease(in_flight, now);
+}
+
+unsigned concurrency_limit::limit(core::time_point now) const
+{
+    const bool is_fresh =
+        m_last_report != core::time_point{} && now - m_last_report <= report_lifetime;
+    const double limit = is_fresh ? std::min(m_by_report, m_by_latency) : m_by_latency;
+    return static_cast<unsigned>(std::max(limit, 1.0));
+}
+
+void concurrency_limit::decrease(unsigned in_flight, core::time_point now)
+{
+    const bool is_first = m_last_decrease == core::time_point{};
+    if (!is_first && now - m_last_decrease < decrease_interval)
+        return;
+    m_last_decrease = now;
+    const double used = std::min<double>(m_by_latency, std::max(in_flight, 1U));
+    m_by_latency = std::max(1.0, used * decrease_factor);
+}
+
+} // namespace snipeplank::policy
--- /dev/null
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -0,0 +1,166 @@
+/// @file
+/// State behind the dispatcher facade.
+
+#ifndef SNIPEPLANK_POLICY_DETAIL_DISPATCHER_STATE_HPP
+#define SNIPEPLANK_POLICY_DETAIL_DISPATCHER_STATE_HPP
+
+#include <snipeplank/policy/account_limit.hpp>
+#include <snipeplank/policy/concurrency_limit.hpp>
+#include <snipeplank/policy/dispatcher.hpp>
+#include <snipeplank/policy/latency_estimate.hpp>
+#include <snipeplank/policy/leaving_list.hpp>
+#include <snipeplank/policy/link_budget.hpp>
+#include <snipeplank/policy/outlier_ejection.hpp>
+#include <snipeplank/policy/slow_start.hpp>
+#include <snipeplank/policy/work_budget.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace snipeplank::policy::detail
+{
+
+/// @brief What the node has learned of one upstream.
+struct upstream_state
+{
+    upstream_facts facts;
+    concurrency_limit limit;
+    slow_start ramp;
+    latency_estimate base; ///< time to first byte without the predicted queueing
+    latency_estimate hold; ///< from the first byte to the end
+    unsigned in_flight = 0;
+    bool is_listed = true; ///< an unlisted upstream is kept until its last attempt ends
+    bool has_report = false;
+    std::map<std::uint64_t, core::time_point> waiting; ///< attempts without a first byte
+};
+
+/// @brief Spill of one service to one region.
+struct spill_state
+{
+    unsigned sent_since_summary = 0;
+    core::time_point refused_until{};
+};
+
+/// @brief Everything kept per service.
+struct service_state
+{
+    settings::service_config config;
+    bool is_configured = false;
+    bool has_list = false;
+    std::map<core::address, upstream_state> upstreams;
+    outlier_ejection ejection;
+    latency_window first_bytes;
+    latency_estimate base;
+    latency_estimate hold;
+    std::map<core::region_id, spill_state> spill;
+};
+
+/// @brief One attempt between its start and its end.
+struct attempt_state
+{
+    core::service_id service;
+    core::address upstream; ///< empty when sent to a region
+    core::region_id region;
+    core::time_point start;
+    double predicted_ms = 0;
+    double wait_ms = 0;
+    std::optional<core::time_point> first_byte;
+};
+
+/// @brief Prediction for one more call at an upstream.
+struct prediction
+{
+    double wait_ms = 0;  ///< queueing
+    double total_ms = 0; ///< to the first byte, queueing included
+    double hold_ms = 0;  ///< from the first byte to the end
+};
+
+/// @brief A candidate during one routing decision.
+struct option
+{
+    upstream_view view;
+    prediction expected;
+    std::vector<core::zone_id> zones;   ///< of a region, those the call may enter
+    std::string_view obstacle;          ///< why it cannot be used; empty when it can
+    const region_facts* away = nullptr; ///< set for a region
+};
+
+} // namespace snipeplank::policy::detail
+
+namespace snipeplank::policy
+{
+
+class dispatcher::state
+{
+  public:
+    explicit state(dispatcher_self identity) : self(std::move(identity)) {}
+
+    // Views (dispatcher_route.cpp).
+    decision route(const call_view& call, core::time_point now, core::random_source& random);
+    bool has_alternative(const detail::service_state& service, const call_view& call,
+                         core::time_point now, bool needs_spare) const;
+    detail::prediction predict(const detail::service_state& service,
+                               const detail::upstream_state& upstream, core::time_point now) const;
+    bool is_leaving(const detail::upstream_state& upstream, core::time_point now) const;
+    bool came_from_other_region(const call_view& call) const;
+    core::region_id home_of(const call_view& call) const;
+
+    // Events (dispatcher_events.cpp).
+    void set_upstreams(const core::service_id& name, const std::vector<upstream_facts>& upstreams,
+                       core::time_point now);
+    void on_load_report(const core::address& address, unsigned running, unsigned waiting,
+                        double kv_use, core::time_point now);
+    void on_first_byte(attempt_id id, core::time_point now);
+    void on_finished(attempt_id id, attempt_outcome outcome, core::time_point now);
+    void on_abandoned(attempt_id id, core::time_point now);
+    void resize_links();
+
+    dispatcher_self self;
+    bool has_config = false;
+    settings::routing_weights weights;
+    std::unique_ptr<routing_policy> policy;
+    std::vector<core::address> nodes;
+    double link_share = 1;
+    std::map<core::service_id, detail::service_state> services;
+    std::map<core::region_id, settings::link_config> links;
+    std::map<core::region_id, link_budget> budgets;
+    std::vector<region_facts> regions;
+    core::time_point regions_at{};
+    leaving_list leaving;
+    work_budget extra;
+    extra_work counts;
+    account_limit accounts;
+    std::uint64_t next_attempt = 1;
+    std::unordered_map<std::uint64_t, detail::attempt_state> attempts;
+
+  private:
+    using options = std::vector<detail::option>;
+
+    std::optional<refusal> refuse_before_ranking(const call_view& call,
+                                                 core::random_source& random) const;
+    options local_options(detail::service_state& service, const call_view& call,
+                          core::time_point now) const;
+    void add_away_options(detail::service_state& service, const call_view& call,
+                          core::time_point now, options& found);
+    void mark_ejected(detail::service_state& service, core::time_point now, options& found) const;
+    std::string_view obstacle_to_local(const call_view& call,
+                                       const detail::option& candidate) const;
+    std::string_view obstacle_to_region(const detail::service_state& service, const call_view& call,
+                                        const detail::option& candidate, core::time_point now);
+    void commit(detail::service_state& service, const call_view& call, const detail::option& chosen,
+                core::time_point now, decision& result);
+    refusal refuse_all(const detail::service_state& service, const options& found,
+                       core::random_source& random) const;
+    detail::upstream_state* find_upstream(const detail::attempt_state& attempt);
+    void close(attempt_id id);
+    void check_delay(detail::service_state& service, detail::upstream_state& upstream,
+                     core::time_point now);
+};
+
+} // namespace snipeplank::policy
+
+#endif
