--- a/packages/policy/include/snipeplank/policy/call_outcome.hpp
+++ b/packages/policy/include/snipeplank/policy/call_outcome.hpp
@@ -14,6 +14,13 @@
 namespace snipeplank::policy
 {
 
+/// @brief Memberwise comparison, for the outcomes that hold a refusal.
+inline bool operator==(const refusal& a, const refusal& b)
+{
+    return a.reason == b.reason && a.executed == b.executed && a.remedy == b.remedy &&
+           a.retry_after == b.retry_after;
+}
+
 using header_list = std::vector<std::pair<std::string, std::string>>;
 
 /// @brief One attempt of a call: the node where the caller sent it, and that node's number for it.
@@ -50,6 +57,8 @@
     outcome_kind kind = outcome_kind::unknown;
     refusal why;            ///< what to tell the caller, unless `kind` is `answered`
     upstream_answer answer; ///< see `kind`
+
+    friend bool operator==(const call_outcome&, const call_outcome&) = default;
 };
 
 /// @brief An outcome as it is handed to the successor of a stopping node.
@@ -58,6 +67,8 @@
     std::string ticket_id; ///< the ticket's signature
     std::string body_hash; ///< SHA-256 of the body it ran with
     call_outcome outcome;
+
+    friend bool operator==(const outcome_record&, const outcome_record&) = default;
 };
 
 } // namespace snipeplank::policy
--- a/packages/wire/include/snipeplank/wire/messages.hpp
+++ b/packages/wire/include/snipeplank/wire/messages.hpp
@@ -6,6 +6,7 @@
 
 #include <snipeplank/core/ids.hpp>
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/fleet/messages.hpp>
 #include <snipeplank/policy/call_outcome.hpp>
 #include <snipeplank/policy/refusal.hpp>
 #include <snipeplank/policy/ticket_table.hpp>
@@ -31,11 +32,14 @@
     core::zone_id zone;
     std::string nonce; ///< 32 random bytes
     std::string proof; ///< HMAC-SHA256 over both nonces and the identity; empty in the first frame
+
+    friend bool operator==(const hello&, const hello&) = default;
 };
 
 /// @brief Keeps a connection known to be alive; never reaches the handler.
 struct heartbeat
 {
+    friend bool operator==(const heartbeat&, const heartbeat&) = default;
 };
 
 /// @brief A node that a call has passed.
@@ -44,6 +48,8 @@
     core::region_id region;
     core::zone_id zone;
     core::node_id node;
+
+    friend bool operator==(const hop&, const hop&) = default;
 };
 
 /// @brief A caller's request as it travels between nodes.
@@ -61,6 +67,8 @@
     std::string target; ///< path and query for the upstream
     policy::header_list headers;
     std::string body;
+
+    friend bool operator==(const call_request&, const call_request&) = default;
 };
 
 /// @brief An idempotent call, or one without a ticket that nothing resends.
@@ -68,6 +76,8 @@
 {
     core::call_number number;
     call_request request;
+
+    friend bool operator==(const call&, const call&) = default;
 };
 
 /// @brief Start of an answer.
@@ -76,6 +86,8 @@
     core::call_number number;
     int status = 0;
     policy::header_list headers;
+
+    friend bool operator==(const call_head&, const call_head&) = default;
 };
 
 /// @brief Bytes of an answer.
@@ -84,6 +96,8 @@
     core::call_number number;
     std::uint64_t offset = 0;
     std::string data;
+
+    friend bool operator==(const call_chunk&, const call_chunk&) = default;
 };
 
 /// @brief End of a whole answer.
@@ -92,6 +106,8 @@
     core::call_number number;
     std::uint64_t length = 0;
     std::uint64_t checksum = 0; ///< XXH64 of all bytes
+
+    friend bool operator==(const call_end&, const call_end&) = default;
 };
 
 /// @brief The call is not served, or its answer broke off.
@@ -99,6 +115,8 @@
 {
     core::call_number number;
     policy::refusal why;
+
+    friend bool operator==(const call_refused&, const call_refused&) = default;
 };
 
 /// @brief The sender no longer wants the answer.
@@ -106,6 +124,8 @@
 {
     core::call_number number;
     std::string ticket; ///< empty for a call without a ticket
+
+    friend bool operator==(const cancel&, const cancel&) = default;
 };
 
 /// @brief Asks the issuing node to reserve a ticket.
@@ -115,6 +135,8 @@
     std::string ticket;
     std::string body_hash; ///< SHA-256, hexadecimal
     core::milliseconds remaining{0};
+
+    friend bool operator==(const reserve&, const reserve&) = default;
 };
 
 /// @brief The reservation is granted. Anything else is answered with `outcome`.
@@ -122,6 +144,8 @@
 {
     core::call_number number;
     policy::reservation_number reservation;
+
+    friend bool operator==(const reserved&, const reserved&) = default;
 };
 
 /// @brief Authorises the issuing node to run the call.
@@ -131,6 +155,8 @@
     policy::reservation_number reservation;
     std::string ticket;
     call_request request;
+
+    friend bool operator==(const commit&, const commit&) = default;
 };
 
 /// @brief Asks what became of a call. For a call without a ticket, `ticket` is empty.
@@ -139,6 +165,8 @@
     core::call_number number;
     core::incarnation issuer; ///< the incarnation that was asked to run the call
     std::string ticket;
+
+    friend bool operator==(const outcome_request&, const outcome_request&) = default;
 };
 
 /// @brief What became of a call.
@@ -146,6 +174,8 @@
 {
     core::call_number number;
     policy::call_outcome result;
+
+    friend bool operator==(const outcome&, const outcome&) = default;
 };
 
 /// @brief Part of the outcomes of a stopping node, for its successor.
@@ -156,6 +186,8 @@
     std::uint32_t part = 0;          ///< from 0
     std::uint32_t parts = 1;
     std::vector<policy::outcome_record> records;
+
+    friend bool operator==(const handover&, const handover&) = default;
 };
 
 /// @brief The successor keeps this part.
@@ -163,12 +195,15 @@
 {
     core::node_id former;
     std::uint32_t part = 0;
+
+    friend bool operator==(const handover_ack&, const handover_ack&) = default;
 };
 
-/// @brief Any message. Fleet messages join the list with `fleet/messages.hpp`.
+/// @brief Any message. The fleet's messages are carried by the same frames.
 using message =
-    std::variant<hello, heartbeat, call, call_head, call_chunk, call_end, call_refused, cancel,
-                 reserve, reserved, commit, outcome_request, outcome, handover, handover_ack>;
+    std::variant<hello, heartbeat, fleet::gossip, fleet::config_request, fleet::config_reply, call,
+                 call_head, call_chunk, call_end, call_refused, cancel, reserve, reserved, commit,
+                 outcome_request, outcome, handover, handover_ack>;
 
 } // namespace snipeplank::wire
 
--- /dev/null
+++ b/packages/wire/src/decoder_fleet.cpp
@@ -0,0 +1,107 @@
+#include "decoder.hpp"
+#include "sha256_text.hpp"
+
+namespace snipeplank::wire
+{
+
+fleet::member_update decoder::member(const fb::MemberUpdate* from)
+{
+    if (from == nullptr)
+    {
+        m_is_valid = false;
+        return {};
+    }
+    fleet::member_update to;
+    to.id.address = core::address{text(from->address())};
+    to.id.incarnation = core::incarnation{from->incarnation()};
+    to.caller_address = core::address{text(from->caller_address())};
+    to.zone = core::zone_id{text(from->zone())};
+    to.state = enumerator(from->state(), fleet::member_state::dead);
+    to.counter = from->counter();
+    return to;
+}
+
+fleet::region_summary decoder::region(const fb::RegionSummary* from)
+{
+    fleet::region_summary to;
+    to.region = core::region_id{text(from->region())};
+    to.issuer = from->issuer();
+    to.sequence = from->sequence();
+    to.age_ms = from->age_ms();
+    to.live_nodes = from->live_nodes();
+    each(from->entry_points(), table_bytes,
+         [&](const fb::EntryPoint* item)
+         {
+             to.entry_points.push_back(
+                 {core::address{text(item->peer())}, core::address{text(item->caller())}});
+         });
+    each(from->services(), sizeof(fb::ServiceLoad),
+         [&](const fb::ServiceLoad* item)
+         {
+             to.services.push_back(
+                 {item->service_key(), item->upstreams(), item->running(), item->waiting()});
+         });
+    return to;
+}
+
+fleet::gossip decoder::decode(const fb::Gossip& from)
+{
+    fleet::gossip to;
+    to.kind = enumerator(from.kind(), fleet::gossip_kind::announce);
+    to.sequence = from.sequence();
+    to.target = core::address{text(from.target())};
+    to.sender = member(from.sender());
+    to.sender_region = core::region_id{text(from.sender_region())};
+    to.digest.version = core::config_version{from.config_version()};
+    to.digest.manifest_hash = text(from.manifest_hash());
+    if (from.manifest_sha256() != nullptr)
+    {
+        const auto* raw = from.manifest_sha256()->bytes();
+        to.digest.manifest_hash =
+            hex_from_bytes({reinterpret_cast<const char*>(raw->data()), raw->size()});
+    }
+    to.digest.in_force = from.config_in_force();
+    to.wants_members = from.wants_members();
+    each(from.members(), table_bytes,
+         [&](const fb::MemberUpdate* item) { to.members.push_back(member(item)); });
+    each(from.loads(), sizeof(fb::UpstreamLoad),
+         [&](const fb::UpstreamLoad* item)
+         {
+             to.loads.push_back({item->upstream_key(), item->prober(), item->sequence(),
+                                 item->running(), item->waiting(), item->cache_permille(),
+                                 item->age_centis()});
+         });
+    each(from.leaving(), sizeof(fb::UpstreamLeaving),
+         [&](const fb::UpstreamLeaving* item) {
+             to.leaving.push_back({item->upstream_key(), item->age_ms()});
+         });
+    each(from.regions(), table_bytes,
+         [&](const fb::RegionSummary* item) { to.regions.push_back(region(item)); });
+    return to;
+}
+
+fleet::config_request decoder::decode(const fb::ConfigRequest& from)
+{
+    fleet::config_request to;
+    each(from.items(), table_bytes,
+         [&](const fb::ConfigItem* item) {
+             to.items.push_back({text(item->hash()), text(item->base_hash())});
+         });
+    return to;
+}
+
+fleet::config_reply decoder::decode(const fb::ConfigReply& from)
+{
+    fleet::config_reply to;
+    to.hash = text(from.hash());
+    to.found = from.found();
+    to.text = text(from.text());
+    to.base_hash = text(from.base_hash());
+    each(from.delta(), table_bytes,
+         [&](const fb::DeltaStep* step) {
+             to.delta.push_back({step->copy_from(), step->copy_count(), text(step->append())});
+         });
+    return to;
+}
+
+} // namespace snipeplank::wire
