--- /dev/null
+++ b/standins/relay/carrier.cpp
@@ -0,0 +1,281 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <standins/relay/carrier.hpp>
+#include <sys/socket.h>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <stdexcept>
+#include <utility>
+
+namespace snipeplank::standins
+{
+namespace
+{
+
+using steady = std::chrono::steady_clock;
+
+constexpr int slice_ms = 10;
+
+sockaddr_in socket_address(const host_port& where)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(where.port));
+    ::inet_pton(AF_INET, where.host.c_str(), &address.sin_addr);
+    return address;
+}
+
+void send_without_delay(int socket)
+{
+    const int yes = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+}
+
+int connect_to(const host_port& target)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = socket_address(target);
+    if (::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
+    {
+        ::close(socket);
+        return -1;
+    }
+    send_without_delay(socket);
+    return socket;
+}
+
+/// One direction of one connection.
+class pump
+{
+  public:
+    pump(link_state& link, direction way, int from, int to, std::uint64_t number)
+        : m_link(link), m_way(way), m_from(from), m_to(to), m_number(number)
+    {
+    }
+
+    void run()
+    {
+        while (!m_link.ending && m_number >= m_link.cut_before && (m_reading || !m_pieces.empty()))
+        {
+            if (m_number < m_link.mute_before)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds(slice_ms));
+                continue;
+            }
+            read_some();
+            if (!write_due())
+            {
+                break;
+            }
+        }
+        // A clean end of one direction is passed on; the other direction may still carry bytes.
+        const bool ended_cleanly = !m_reading && m_pieces.empty();
+        ::shutdown(m_to, ended_cleanly ? SHUT_WR : SHUT_RDWR);
+        if (!ended_cleanly)
+        {
+            ::shutdown(m_from, SHUT_RDWR);
+        }
+    }
+
+  private:
+    struct piece
+    {
+        steady::time_point due;
+        std::string bytes;
+    };
+
+    void read_some()
+    {
+        constexpr std::size_t most_pieces = 64;
+        if (!m_reading || m_pieces.size() >= most_pieces)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            return;
+        }
+        pollfd entry{m_from, POLLIN, 0};
+        if (::poll(&entry, 1, m_pieces.empty() ? slice_ms : 1) <= 0)
+        {
+            return;
+        }
+        std::array<char, 16'384> buffer;
+        const ssize_t count = ::recv(m_from, buffer.data(), buffer.size(), 0);
+        if (count <= 0)
+        {
+            m_reading = false;
+            return;
+        }
+        if (m_number >= m_link.mute_before)
+        {
+            take({buffer.data(), static_cast<std::size_t>(count)});
+        }
+    }
+
+    void take(std::string bytes)
+    {
+        m_link.markers.search(m_tail, bytes);
+        const bool to_target = m_way == direction::to_target;
+        (to_target ? m_link.bytes_to_target : m_link.bytes_to_client) += bytes.size();
+        if (to_target ? m_link.drop_to_target : m_link.drop_to_client)
+        {
+            return;
+        }
+        auto due = steady::now() + std::chrono::milliseconds(m_link.delay_ms);
+        if (const std::uint64_t rate = m_link.rate; rate > 0)
+        {
+            constexpr std::uint64_t us_per_second = 1'000'000;
+            due = std::max(due, m_last_due) +
+                  std::chrono::microseconds(bytes.size() * us_per_second / rate);
+        }
+        // A delay that was just lowered must not let bytes overtake each other.
+        m_last_due = std::max(due, m_last_due);
+        m_pieces.push_back({m_last_due, std::move(bytes)});
+    }
+
+    bool write_due()
+    {
+        while (!m_pieces.empty() && m_pieces.front().due <= steady::now())
+        {
+            std::string& bytes = m_pieces.front().bytes;
+            pollfd entry{m_to, POLLOUT, 0};
+            if (::poll(&entry, 1, slice_ms) == 0)
+            {
+                return true;
+            }
+            const ssize_t sent =
+                ::send(m_to, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (sent < 0)
+            {
+                return errno == EAGAIN;
+            }
+            bytes.erase(0, static_cast<std::size_t>(sent));
+            if (!bytes.empty())
+            {
+                return true;
+            }
+            m_pieces.pop_front();
+        }
+        return true;
+    }
+
+    link_state& m_link;
+    const direction m_way;
+    const int m_from;
+    const int m_to;
+    const std::uint64_t m_number;
+    bool m_reading = true;
+    std::deque<piece> m_pieces;
+    steady::time_point m_last_due;
+    std::string m_tail;
+};
+
+} // namespace
+
+carrier::carrier(const host_port& listen, host_port target)
+    : m_listen(listen), m_target(std::move(target))
+{
+    open_listener();
+    if (m_listener < 0)
+    {
+        throw std::runtime_error("cannot listen on " + listen.host + ":" +
+                                 std::to_string(listen.port) + "; choose a free port");
+    }
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &length);
+    m_listen.port = ntohs(address.sin_port);
+    m_acceptor = std::thread([this] { accept_loop(); });
+}
+
+carrier::~carrier()
+{
+    m_link.ending = true;
+    m_acceptor.join();
+    for (auto& connection : m_connections)
+    {
+        connection.join();
+    }
+    if (m_listener >= 0)
+    {
+        ::close(m_listener);
+    }
+}
+
+void carrier::open_listener()
+{
+    constexpr int backlog = 128;
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int yes = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    const sockaddr_in address = socket_address(m_listen);
+    if (::bind(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
+        ::listen(socket, backlog) != 0)
+    {
+        ::close(socket);
+        return;
+    }
+    m_listener = socket;
+}
+
+void carrier::accept_loop()
+{
+    while (!m_link.ending)
+    {
+        if (m_link.refuse && m_listener >= 0)
+        {
+            ::close(m_listener);
+            m_listener = -1;
+        }
+        if (!m_link.refuse && m_listener < 0)
+        {
+            open_listener();
+        }
+        if (m_listener < 0)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(slice_ms));
+            continue;
+        }
+        pollfd entry{m_listener, POLLIN, 0};
+        if (::poll(&entry, 1, slice_ms) > 0 && !m_link.refuse)
+        {
+            accept_one();
+        }
+    }
+}
+
+void carrier::accept_one()
+{
+    const int client = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+    if (client < 0)
+    {
+        return;
+    }
+    send_without_delay(client);
+    const std::uint64_t number = m_link.connections++;
+    m_connections.emplace_back([this, client, number] { carry(client, number); });
+}
+
+void carrier::carry(int client, std::uint64_t number)
+{
+    const int target = connect_to(m_target);
+    if (target < 0)
+    {
+        ++m_link.refused;
+        ::close(client);
+        return;
+    }
+    ++m_link.open;
+    std::thread back([&] { pump(m_link, direction::to_client, target, client, number).run(); });
+    pump(m_link, direction::to_target, client, target, number).run();
+    back.join();
+    --m_link.open;
+    ::close(client);
+    ::close(target);
+}
+
+} // namespace snipeplank::standins
