Assemble the node: fleet driver, graceful shutdown, main

Cause: the parts need one process. Change: control thread for the fleet state, reader threads for the platform, node with drain and handover, main with gflags and signals.

--- a/packages/gateway/include/snipeplank/gateway/metrics.hpp
+++ b/packages/gateway/include/snipeplank/gateway/metrics.hpp
@@ -39,9 +39,10 @@
     host_list_reads,
     load_reports,
     view_expired,
+    own_link_suspected,
 };
 
-constexpr std::size_t counter_count = static_cast<std::size_t>(counter::view_expired) + 1;
+constexpr std::size_t counter_count = static_cast<std::size_t>(counter::own_link_suspected) + 1;
 
 /// @brief Latencies that are summarised.
 enum class latency
--- /dev/null
+++ b/packages/gateway/include/snipeplank/gateway/node.hpp
@@ -0,0 +1,51 @@
+/// @file
+/// One node: its parts, its start and its graceful shutdown.
+
+#ifndef SNIPEPLANK_GATEWAY_NODE_HPP
+#define SNIPEPLANK_GATEWAY_NODE_HPP
+
+#include <snipeplank/core/error.hpp>
+#include <snipeplank/settings/node_settings.hpp>
+
+#include <memory>
+
+namespace snipeplank::gateway
+{
+
+/// @brief A running node.
+///
+/// @code
+/// node running(settings);
+/// if (auto started = running.start(); !started)
+///     return report(started.error());
+/// running.wait_for_drain();
+/// @endcode
+class node
+{
+  public:
+    explicit node(const settings::node_settings& settings);
+    ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    /// @brief Binds all addresses and starts to serve.
+    core::result<void> start();
+
+    /// @brief Begins the graceful shutdown. Safe to call from any thread, more than once.
+    void begin_drain();
+
+    /// @brief Blocks until a drain has begun and nothing is in flight; then hands outcomes over.
+    void wait_for_drain();
+
+    /// @brief Stops all threads.
+    void stop();
+
+  private:
+    struct parts;
+
+    std::unique_ptr<parts> m_parts;
+};
+
+} // namespace snipeplank::gateway
+
+#endif
--- a/packages/gateway/include/snipeplank/gateway/platform_client.hpp
+++ b/packages/gateway/include/snipeplank/gateway/platform_client.hpp
@@ -26,9 +26,8 @@
 /// @brief One entry of the platform's list of hosts.
 struct listed_host
 {
-    core::address address;      ///< of an entry host: where callers reach it
-    core::address peer_address; ///< of an entry host: where other nodes reach it
-    core::service_id service;   ///< of an upstream
+    core::address address;    ///< of an entry host: where other nodes reach it
+    core::service_id service; ///< of an upstream
     core::region_id region;
     core::zone_id zone;
     bool is_entry = false;
--- a/packages/gateway/src/metrics.cpp
+++ b/packages/gateway/src/metrics.cpp
@@ -30,7 +30,7 @@
     "stream_resumes",  "forwarded_out",     "forwarded_in",
     "tickets_issued",  "frames_dropped",    "config_service_reads",
     "config_rejected", "config_conflicts",  "host_list_reads",
-    "load_reports",    "view_expired",
+    "load_reports",    "view_expired",      "own_link_suspected",
 };
 
 constexpr std::array<std::string_view, retry_reason_count> retry_names{
--- /dev/null
+++ b/packages/gateway/src/node.cpp
@@ -0,0 +1,236 @@
+#include <snipeplank/gateway/admin_front.hpp>
+#include <snipeplank/gateway/caller_front.hpp>
+#include <snipeplank/gateway/fleet_driver.hpp>
+#include <snipeplank/gateway/node.hpp>
+#include <snipeplank/gateway/peer_calls.hpp>
+#include <snipeplank/gateway/peer_server.hpp>
+
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <thread>
+#include <utility>
+
+namespace snipeplank::gateway
+{
+
+namespace
+{
+
+/// Each connection may have an attempt and its hedge; peers' calls use the same workers.
+constexpr std::size_t workers_per_connection = 3;
+
+constexpr core::milliseconds drain_check{20};
+
+/// A leaving node answers for this long, so that callers and peers learn of it before it is gone.
+constexpr core::milliseconds shortest_drain{1'000};
+constexpr core::milliseconds handover_limit{3'000};
+constexpr core::milliseconds expiry_interval{1'000};
+
+} // namespace
+
+/// Everything a node consists of, in the order of construction.
+struct node::parts final : wire::peer_handler
+{
+    explicit parts(const settings::node_settings& with)
+        : settings(with), incarnation(core::system_seed()), self{{with.peer_address, incarnation},
+                                                                 with.region,
+                                                                 with.zone},
+          dispatch({with.caller_address, with.region, with.zone}),
+          workers(with.max_connections * workers_per_connection),
+          upstreams(make_http_upstream_client(counters)), network(wire::make_peer_network()),
+          regions(self, *network, view, numbers, counters),
+          calls({dispatch, *upstreams, regions, workers, counters}),
+          runner(dispatch, *upstreams, counters),
+          tickets({self, *network, config, view, numbers, runner, workers, log, counters}),
+          served({self, *network, config, calls, workers, log, counters}),
+          fleet({settings, self.node, *network, config, view, dispatch, counters}),
+          callers(make_caller_front({settings,
+                                     {with.admin_address, incarnation},
+                                     config,
+                                     view,
+                                     is_draining,
+                                     dispatch,
+                                     calls,
+                                     tickets,
+                                     numbers,
+                                     log,
+                                     counters})),
+          admin(make_admin_front({with.admin_address, log, counters,
+                                  [this] { return fleet.status_json(); },
+                                  [this] { return view.get()->is_ready && !is_draining; },
+                                  [this] { begin_drain(); }, [this] { fleet.refresh_gauges(); }}))
+    {
+    }
+
+    void on_message(const wire::peer_identity& from, wire::message received) override
+    {
+        if (auto* gossip = std::get_if<fleet::gossip>(&received))
+            fleet.on_message(from.node.address, std::move(*gossip));
+        else if (auto* request = std::get_if<fleet::config_request>(&received))
+            fleet.on_message(from.node.address, std::move(*request));
+        else if (auto* reply = std::get_if<fleet::config_reply>(&received))
+            fleet.on_message(from.node.address, std::move(*reply));
+        else if (auto* call = std::get_if<wire::call>(&received))
+            served.on_call(from, std::move(*call));
+        else if (!tickets.on_message(from, received) && !on_call_frame(from, received))
+            counters.count(counter::frames_dropped);
+    }
+
+    /// Frames of calls without a ticket. False for a call that is unknown or finished.
+    bool on_call_frame(const wire::peer_identity& from, const wire::message& received)
+    {
+        if (const auto* head = std::get_if<wire::call_head>(&received))
+            return regions.on_head(from, *head);
+        if (const auto* chunk = std::get_if<wire::call_chunk>(&received))
+            return regions.on_chunk(from, *chunk);
+        if (const auto* end = std::get_if<wire::call_end>(&received))
+            return regions.on_end(from, *end);
+        if (const auto* refused = std::get_if<wire::call_refused>(&received))
+            return regions.on_refused(from, *refused);
+        if (const auto* cancel = std::get_if<wire::cancel>(&received))
+        {
+            served.on_cancel(from.node, cancel->number);
+            return true;
+        }
+        return false;
+    }
+
+    void on_connection_lost(const wire::peer_identity& peer) override
+    {
+        regions.on_connection_lost(peer.node.address);
+        served.on_connection_lost(peer.node);
+        tickets.on_connection_lost(peer.node.address);
+    }
+
+    void on_unreachable(const core::address& peer) override
+    {
+        regions.on_unreachable(peer);
+        tickets.on_unreachable(peer);
+    }
+
+    wire::peer_settings peer_settings() const
+    {
+        wire::peer_settings peers;
+        peers.self = self.node;
+        peers.region = settings.region;
+        peers.zone = settings.zone;
+        peers.listen = settings.peer_address;
+        peers.fleet_keys = settings.fleet_keys;
+        return peers;
+    }
+
+    void begin_drain()
+    {
+        if (is_draining.exchange(true))
+            return;
+        spdlog::info("graceful shutdown: new requests are refused, those in flight go on");
+        fleet.begin_leaving();
+        const std::lock_guard lock(drain_mutex);
+        drain_begun.notify_all();
+    }
+
+    std::size_t in_flight() const
+    {
+        return callers->in_flight() + tickets.in_flight() + served.in_flight();
+    }
+
+    void run_expiry()
+    {
+        std::unique_lock lock(drain_mutex);
+        while (!is_stopping)
+        {
+            drain_begun.wait_for(lock, expiry_interval, [&] { return is_stopping; });
+            tickets.expire();
+        }
+    }
+
+    const settings::node_settings settings;
+    core::incarnation incarnation;
+    own_place self;
+    metrics counters;
+    decision_log log;
+    config_cell config;
+    fleet_view_cell view;
+    call_numbers numbers;
+    std::atomic<bool> is_draining{false};
+    dispatch_guard dispatch;
+    worker_pool workers;
+    std::unique_ptr<upstream_client> upstreams;
+    std::unique_ptr<wire::peer_network> network;
+    peer_calls regions;
+    call_service calls;
+    ticket_runner runner;
+    ticket_service tickets;
+    peer_server served;
+    fleet_driver fleet;
+    std::unique_ptr<caller_front> callers;
+    std::unique_ptr<admin_front> admin;
+
+    std::mutex drain_mutex;
+    std::condition_variable drain_begun;
+    bool is_stopping = false;
+    std::thread expiry;
+};
+
+node::node(const settings::node_settings& settings) : m_parts(std::make_unique<parts>(settings)) {}
+
+node::~node()
+{
+    stop();
+}
+
+core::result<void> node::start()
+{
+    auto bound = m_parts->network->start(m_parts->peer_settings(), *m_parts);
+    if (!bound)
+        return boost::outcome_v2::failure(bound.error());
+    m_parts->fleet.start();
+    m_parts->expiry = std::thread([this] { m_parts->run_expiry(); });
+    if (auto started = m_parts->admin->start(); !started)
+        return started;
+    return m_parts->callers->start();
+}
+
+void node::begin_drain()
+{
+    m_parts->begin_drain();
+}
+
+void node::wait_for_drain()
+{
+    {
+        std::unique_lock lock(m_parts->drain_mutex);
+        m_parts->drain_begun.wait(lock, [&] { return m_parts->is_draining.load(); });
+    }
+    std::this_thread::sleep_for(shortest_drain);
+    for (;;)
+    {
+        while (m_parts->in_flight() > 0)
+        {
+            std::this_thread::sleep_for(drain_check);
+        }
+        if (m_parts->tickets.hand_over(handover_limit) || m_parts->in_flight() == 0)
+            break;
+    }
+}
+
+void node::stop()
+{
+    if (!m_parts->expiry.joinable())
+        return;
+    m_parts->callers->stop();
+    m_parts->fleet.stop();
+    m_parts->network->stop();
+    m_parts->workers.shutdown();
+    m_parts->admin->stop();
+    {
+        const std::lock_guard lock(m_parts->drain_mutex);
+        m_parts->is_stopping = true;
+        m_parts->drain_begun.notify_all();
+    }
+    m_parts->expiry.join();
+}
+
+} // namespace snipeplank::gateway
--- a/packages/gateway/src/platform_formats.cpp
+++ b/packages/gateway/src/platform_formats.cpp
@@ -25,7 +25,6 @@
 {
     listed_host entry;
     entry.address = core::address{text_of(host, "address")};
-    entry.peer_address = core::address{text_of(host, "peer_address")};
     entry.service = core::service_id{text_of(host, "service")};
     entry.region = core::region_id{text_of(host, "region")};
     entry.zone = core::zone_id{text_of(host, "zone")};
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,4 +1,103 @@
-int main()
+/// The node: reads its settings, serves until SIGTERM, then shuts down gracefully.
+
+#include <snipeplank/gateway/node.hpp>
+#include <snipeplank/settings/node_settings.hpp>
+
+#include <gflags/gflags.h>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <thread>
+
+DEFINE_string(settings, "", "YAML file with the settings of this node (required)");
+DEFINE_bool(check, false, "check the settings and exit without serving");
+
+namespace
 {
-    return 0;
+
+constexpr int exit_bad_settings = 2;
+constexpr int exit_cannot_start = 1;
+
+void set_up_log(const snipeplank::settings::node_settings& settings)
+{
+    if (settings.format == snipeplank::settings::log_format::json)
+        spdlog::set_pattern(
+            R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","thread":%t,"message":"%v"})");
+    else
+        spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %^%l%$ %v");
+    spdlog::set_level(spdlog::level::from_str(settings.log_level));
+    spdlog::flush_on(spdlog::level::info);
+}
+
+/// Blocks the signals in every thread that starts after this call.
+sigset_t block_stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+/// The first signal begins the graceful shutdown, the second one ends the process.
+void wait_for_signals(const sigset_t& signals, snipeplank::gateway::node& node)
+{
+    int received = 0;
+    sigwait(&signals, &received);
+    node.begin_drain();
+    sigwait(&signals, &received);
+    spdlog::warn("second signal: ending without waiting for requests in flight");
+    std::_Exit(exit_cannot_start);
+}
+
+int serve(const snipeplank::settings::node_settings& settings)
+{
+    const sigset_t signals = block_stop_signals();
+    snipeplank::gateway::node node(settings);
+    if (const auto started = node.start(); !started)
+    {
+        spdlog::error("{}", started.error().to_string());
+        return exit_cannot_start;
+    }
+    spdlog::info("serving callers on {}, peers on {}, operators on {}",
+                 settings.caller_address.get(), settings.peer_address.get(),
+                 settings.admin_address.get());
+    std::thread([&] { wait_for_signals(signals, node); }).detach();
+    node.wait_for_drain();
+    node.stop();
+    spdlog::info("stopped");
+    spdlog::shutdown();
+    std::_Exit(0); // the signal thread still waits for a second signal
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("the snipeplank node: serves callers in front of upstreams\n\n"
+                            "  snipeplank --settings node.yaml          serve until SIGTERM\n"
+                            "  snipeplank --settings node.yaml --check  check the settings only\n\n"
+                            "SIGTERM begins a graceful shutdown; a second one ends at once.\n"
+                            "snipeplankctl questionnaire writes settings and configuration.");
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty())
+    {
+        std::fprintf(stderr, "no settings file is given; start with --settings FILE\n");
+        return exit_bad_settings;
+    }
+    const auto settings = snipeplank::settings::load_node_settings(FLAGS_settings);
+    if (!settings)
+    {
+        std::fprintf(stderr, "%s\n", settings.error().to_string().c_str());
+        return exit_bad_settings;
+    }
+    if (FLAGS_check)
+        return 0;
+    set_up_log(settings.value());
+    return serve(settings.value());
 }
