--- a/packages/gateway/include/snipeplank/gateway/peer_calls.hpp
+++ b/packages/gateway/include/snipeplank/gateway/peer_calls.hpp
@@ -7,7 +7,6 @@
 #include <snipeplank/core/random.hpp>
 #include <snipeplank/gateway/call_numbers.hpp>
 #include <snipeplank/gateway/fleet_view.hpp>
-#include <snipeplank/gateway/metrics.hpp>
 #include <snipeplank/gateway/region_calls.hpp>
 #include <snipeplank/gateway/wire_call.hpp>
 #include <snipeplank/policy/answer_assembly.hpp>
@@ -27,7 +26,7 @@
 {
   public:
     peer_calls(own_place self, wire::peer_network& network, const fleet_view_cell& view,
-               call_numbers& numbers, metrics& counters);
+               call_numbers& numbers);
 
     void start(const call& request, const core::region_id& region,
                const std::vector<core::zone_id>& zones,
@@ -69,7 +68,6 @@
     wire::peer_network& m_network;
     const fleet_view_cell& m_view;
     call_numbers& m_numbers;
-    metrics& m_metrics;
     std::mutex m_mutex;
     call_map m_calls;
     core::seeded_random m_random;
--- a/packages/gateway/src/caller_front.cpp
+++ b/packages/gateway/src/caller_front.cpp
@@ -37,7 +37,6 @@
 constexpr int http_ok = 200;
 constexpr int http_continue = 100;
 constexpr int http_too_large = 413;
-constexpr int http_client_error = 400;
 
 refusal refuse(refusal_reason reason, std::string remedy)
 {
@@ -129,7 +128,7 @@
         server.set_error_handler([this](const request_t&, response_t& response)
                                  { protocol_error(response); });
         server.set_exception_handler(
-            [this](const request_t&, response_t& response, std::exception_ptr)
+            [this](const request_t&, response_t& response, const std::exception_ptr&)
             {
                 give(response, refuse(refusal_reason::internal, "report this with the request id"),
                      m_parts.numbers.next_request_id(m_parts.admin));
--- a/packages/gateway/src/node.cpp
+++ b/packages/gateway/src/node.cpp
@@ -40,7 +40,7 @@
           dispatch({with.caller_address, with.region, with.zone}),
           workers(with.max_connections * workers_per_connection),
           upstreams(make_http_upstream_client(counters)), network(wire::make_peer_network()),
-          regions(self, *network, view, numbers, counters),
+          regions(self, *network, view, numbers),
           calls({dispatch, *upstreams, regions, workers, counters}),
           runner(dispatch, *upstreams, counters),
           tickets({self, *network, config, view, numbers, runner, workers, log, counters}),
--- a/packages/gateway/src/peer_calls.cpp
+++ b/packages/gateway/src/peer_calls.cpp
@@ -27,9 +27,9 @@
 } // namespace
 
 peer_calls::peer_calls(own_place self, wire::peer_network& network, const fleet_view_cell& view,
-                       call_numbers& numbers, metrics& counters)
+                       call_numbers& numbers)
     : m_self(std::move(self)), m_network(network), m_view(view), m_numbers(numbers),
-      m_metrics(counters), m_random(core::system_seed())
+      m_random(core::system_seed())
 {
 }
 
