--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -22,7 +22,8 @@
 function(snipeplank_test name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
   add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/test_main.cpp)
-  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests/support)
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests/support
+                             ${CMAKE_CURRENT_SOURCE_DIR}/tests)
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} PkgConfig::CPPUTEST rapidcheck)
   # CppUTest's leak detection redefines `new`, which breaks placement new in other headers.
   target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
--- a/packages/fleet/include/snipeplank/fleet/membership.hpp
+++ b/packages/fleet/include/snipeplank/fleet/membership.hpp
@@ -4,10 +4,12 @@
 /// The host list says who could exist; probes say who answers. `leaving` and `dead` are final for
 /// an incarnation. A node that learns of its own death takes a new incarnation.
 ///
-/// A node needs to have heard directly from more than half of the members, itself included, since
-/// a suspicion began before it declares the suspect dead. Otherwise its own link is in doubt: it
-/// keeps the silent members as suspected and does not spread these suspicions. So of two halves
-/// of a partition at most one evicts the other.
+/// Before a node declares a suspect dead it pings the suspect and all others once more (a roll
+/// call), and more than half of the members, itself included, must answer it directly while the
+/// suspect has been silent since the suspicion began. Otherwise its own link is in doubt: it keeps
+/// the silent members as suspected and does not spread these suspicions. So of two halves of a
+/// partition at most one evicts the other, and a link that comes back late in a suspicion does no
+/// harm.
 
 #ifndef SNIPEPLANK_FLEET_MEMBERSHIP_HPP
 #define SNIPEPLANK_FLEET_MEMBERSHIP_HPP
@@ -108,9 +110,11 @@
     struct record
     {
         member_update info;
-        core::time_point since;   ///< start of the suspicion or of leaving
-        core::time_point verdict; ///< when the suspicion is decided
-        core::time_point heard;   ///< last message from the member itself
+        core::time_point since;    ///< start of the suspicion or of leaving
+        core::time_point verdict;  ///< when the suspicion is decided
+        core::time_point called;   ///< the roll call that asked the suspect once more
+        core::time_point heard;    ///< last message from the member itself
+        core::time_point answered; ///< the last roll call that the member answered
     };
 
     struct outstanding_ping
@@ -132,7 +136,7 @@
     void on_ping(const gossip& received);
     void on_ping_request(const gossip& received, core::time_point now);
     void on_ack(const gossip& received, core::time_point now);
-    void accept_proven(const member_update& sender, core::time_point now);
+    void accept_proven(const member_update& sender, core::time_point sent, core::time_point now);
     void renew_incarnation(core::time_point now);
     void suspect(record& known, core::time_point now);
     void set_suspected(record& known, core::time_point now);
@@ -142,8 +146,9 @@
     void decide_suspicions(core::time_point now);
     bool may_declare_dead(const record& suspect, core::time_point now) const;
     bool is_unlisted(const core::address& member, core::time_point now) const;
+    void call_suspects(core::time_point now);
     void roll_call(core::time_point now);
-    void update_doubt();
+    void update_doubt(core::time_point now);
     void send_due_pings(core::time_point now);
     void ping_next_member(core::time_point now);
     void ping_candidate(core::time_point now);
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -69,7 +69,7 @@
     case gossip_kind::announce:
         break;
     }
-    update_doubt();
+    update_doubt(now);
 }
 
 void membership::on_sender(const gossip& received, core::time_point now)
@@ -117,11 +117,18 @@
         return;
     }
     if (received.sender.id.address == answered.target)
-        accept_proven(received.sender, now);
+    {
+        accept_proven(received.sender, answered.sent, now);
+        return;
+    }
+    // Another member reached it. That does not tell the incarnation, but it postpones a verdict.
+    if (const auto reached = m_records.find(answered.target); reached != m_records.end())
+        reached->second.heard = now;
 }
 
 /// An answer to this node's own ping proves which incarnation lives at the address.
-void membership::accept_proven(const member_update& sender, core::time_point now)
+void membership::accept_proven(const member_update& sender, core::time_point sent,
+                               core::time_point now)
 {
     if (m_tombstones.contains(sender.id))
         return;
@@ -136,6 +143,8 @@
     if (current == m_records.end() || current->second.info.id != sender.id)
         return;
     current->second.heard = now;
+    if (sent == m_last_roll_call)
+        current->second.answered = sent;
     if (current->second.info.state != member_state::suspected)
         return;
     // Others may still hold the suspicion; the member refutes that one itself.
@@ -160,7 +169,7 @@
     const auto known = m_records.find(update.id.address);
     if (known == m_records.end() || is_final(known->second.info.state))
     {
-        m_records[update.id.address] = {update, now, now + suspicion_time, {}};
+        m_records[update.id.address] = {update, now, now + suspicion_time, {}, {}, {}};
         m_queue.put(update, now);
         m_changed = true;
         return;
@@ -210,7 +219,7 @@
     m_urgent = true;
     if (!matches && known != m_records.end() && !is_final(known->second.info.state))
         return;
-    m_records[update.id.address] = {update, now, now, {}};
+    m_records[update.id.address] = {update, now, now, {}, {}, {}};
     m_changed = true;
 }
 
@@ -296,7 +305,7 @@
     decide_suspicions(now);
     send_due_pings(now);
     forget_departed(now);
-    update_doubt();
+    update_doubt(now);
     if (m_view_is_probed || now < m_probed_at)
         return;
     m_view_is_probed = true;
@@ -308,6 +317,7 @@
     known.info.state = member_state::suspected;
     known.since = now;
     known.verdict = now + suspicion_time;
+    known.called = {};
 }
 
 void membership::suspect(record& known, core::time_point now)
@@ -327,36 +337,54 @@
     std::erase_if(m_recent_deaths,
                   [now](core::time_point at) { return now - at > recent_death_time; });
     std::vector<member_update> gone;
-    bool needs_roll_call = false;
     for (auto& [address, known] : m_records)
     {
-        if (known.info.state != member_state::suspected)
-            continue;
-        if (now >= known.verdict - roll_call_lead)
-            needs_roll_call = true;
-        if (now < known.verdict)
+        if (known.info.state != member_state::suspected || now < known.verdict)
             continue;
         if (may_declare_dead(known, now) || is_unlisted(address, now))
         {
             gone.push_back(known.info);
             continue;
         }
-        known.verdict = now + suspicion_time;
+        set_suspected(known, now);
     }
     for (const member_update& update : gone)
     {
         bury(update, now);
         m_urgent = true;
     }
-    if (needs_roll_call && now - m_last_roll_call >= roll_call_lead)
-        roll_call(now);
+    call_suspects(now);
+}
+
+void membership::call_suspects(core::time_point now)
+{
+    // One roll call a second serves all suspects of that second, which bounds its traffic.
+    if (now - m_last_roll_call < roll_call_lead)
+        return;
+    std::vector<core::address> due;
+    for (auto& [address, known] : m_records)
+    {
+        const bool is_due = known.info.state == member_state::suspected &&
+                            known.called == core::time_point{} &&
+                            now >= known.verdict - roll_call_lead;
+        if (!is_due)
+            continue;
+        known.called = now;
+        known.verdict = std::max(known.verdict, now + roll_call_lead);
+        due.push_back(address);
+    }
+    if (due.empty())
+        return;
+    roll_call(now);
+    for (const core::address& suspect : due)
+        ping(suspect, now, false, true);
 }
 
 bool membership::may_declare_dead(const record& suspect, core::time_point now) const
 {
-    if (!m_view_is_probed)
+    const bool silent = suspect.heard <= suspect.since;
+    if (!m_view_is_probed || !silent || now - suspect.called < roll_call_lead)
         return false;
-    const core::time_point window = std::max(suspect.since, now - suspicion_time);
     std::size_t heard = 1;
     std::size_t total = 1 + m_recent_deaths.size();
     for (const auto& [address, known] : m_records)
@@ -364,7 +392,8 @@
         if (is_final(known.info.state))
             continue;
         ++total;
-        if (known.heard > window)
+        // Only answers to the same roll call prove that the link worked when the suspect was asked.
+        if (known.answered == suspect.called)
             ++heard;
     }
     return 2 * heard > total;
@@ -381,15 +410,12 @@
 {
     m_last_roll_call = now;
     for (const core::address& member : addresses_in(member_state::alive))
-    {
-        if (now - m_records[member].heard > roll_call_lead)
-            ping(member, now, false, true);
-    }
+        ping(member, now, false, true);
 }
 
 /// Clearing the queued suspicions keeps a node with a bad link from raising an alarm about every
 /// member as soon as the link is back.
-void membership::update_doubt()
+void membership::update_doubt(core::time_point now)
 {
     const std::size_t alive = 1 + addresses_in(member_state::alive).size();
     const std::size_t suspected = addresses_in(member_state::suspected).size();
@@ -399,7 +425,16 @@
     m_link_in_doubt = doubt;
     m_changed = true;
     if (doubt)
+    {
         m_queue.drop_suspicions();
+        return;
+    }
+    // What was silent while the link was in doubt gets the whole time to answer over a good link.
+    for (auto& [address, known] : m_records)
+    {
+        if (known.info.state == member_state::suspected)
+            set_suspected(known, now);
+    }
 }
 
 } // namespace snipeplank::fleet
--- a/packages/fleet/src/membership_probing.cpp
+++ b/packages/fleet/src/membership_probing.cpp
@@ -40,7 +40,7 @@
 void membership::ask_others(std::uint32_t sequence, const core::address& target)
 {
     const auto known = m_records.find(target);
-    if (known == m_records.end() || known->second.info.state != member_state::alive)
+    if (known == m_records.end() || known->second.info.state == member_state::leaving)
         return;
     for (const core::address& helper : random_peers(indirect_pings + 1))
     {
