Test the request decisions and let a stalled upstream be probed again

While testing, one attempt abandoned after 60 s made the estimate so long that an idle upstream refused every call with deadline_too_short for tens of seconds. Change: tables and RapidCheck properties, one file a feature. An idle upstream without a sample for 1 s takes one call whatever was predicted, and a sample far below the estimate weighs half.

--- a/packages/policy/include/snipeplank/policy/latency_estimate.hpp
+++ b/packages/policy/include/snipeplank/policy/latency_estimate.hpp
@@ -15,11 +15,14 @@
 /// @brief Exponentially weighted mean that fades without samples.
 ///
 /// An upstream that looks slow gets no calls and so no new samples. Halving the estimate for each
-/// ten seconds of silence brings it back to be measured again.
+/// ten seconds of silence brings it back to be measured again. A sample far below the estimate
+/// shows that a stall is over and weighs half.
 class latency_estimate
 {
   public:
     static constexpr double weight_of_sample = 0.2;
+    static constexpr double weight_after_stall = 0.5;
+    static constexpr double stall_factor = 4;
     static constexpr core::seconds half_life{10};
 
     /// @brief Adds a sample. O(1).
@@ -31,6 +34,9 @@
     /// @brief Number of samples since the start or the last `forget`.
     std::size_t samples() const { return m_samples; }
 
+    /// @brief When the latest sample was added.
+    core::time_point last_sample() const { return m_last; }
+
     /// @brief Drops all samples.
     void forget() { *this = latency_estimate{}; }
 
--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -87,6 +87,7 @@
     std::vector<core::zone_id> zones;   ///< of a region, those the call may enter
     std::string_view obstacle;          ///< why it cannot be used; empty when it can
     const region_facts* away = nullptr; ///< set for a region
+    bool is_probe = false; ///< idle and not measured lately, so the prediction is not trusted
 };
 
 } // namespace snipeplank::policy::detail
--- a/packages/policy/src/dispatcher_route.cpp
+++ b/packages/policy/src/dispatcher_route.cpp
@@ -31,6 +31,9 @@
 /// A call that does not state its size still costs headers and an answer.
 constexpr core::bytes least_call_size{2'048};
 constexpr core::milliseconds default_retry_after{500};
+/// An idle upstream whose latest sample is older than this takes one call whatever was predicted:
+/// after a stall, no other sample would ever correct the estimate.
+constexpr core::seconds probe_interval{1};
 
 constexpr std::string_view obstacle_leaving = "leaving";
 constexpr std::string_view obstacle_tried = "tried";
@@ -68,8 +71,11 @@
 
 /// Refusals for time: the answer must fit into what is left. Without queueing only the first byte
 /// is compared, because the length of the answer is a guess.
-std::string_view deadline_obstacle(const call_view& call, const prediction& expected)
+std::string_view deadline_obstacle(const call_view& call, const option& candidate)
 {
+    if (candidate.is_probe)
+        return {};
+    const prediction& expected = candidate.expected;
     const double left = remaining_ms(call);
     if (expected.total_ms - expected.wait_ms > left)
         return obstacle_deadline;
@@ -210,6 +216,8 @@
         entry.view.one_way_delay_ms = upstream.facts.one_way_delay_ms;
         entry.view.cost = upstream.facts.cost;
         entry.view.predicted_ms = entry.expected.total_ms;
+        entry.is_probe =
+            upstream.in_flight == 0 && now - upstream.base.last_sample() > probe_interval;
         found.push_back(std::move(entry));
     }
     mark_ejected(service, now, found);
@@ -264,7 +272,7 @@
         return obstacle_ejected;
     if (candidate.view.in_flight >= limit_for(call, candidate.view.limit))
         return obstacle_concurrency;
-    return deadline_obstacle(call, candidate.expected);
+    return deadline_obstacle(call, candidate);
 }
 
 void dispatcher::state::add_away_options(service_state& service, const call_view& call,
@@ -321,7 +329,7 @@
     const auto budget = budgets.find(region);
     if (budget == budgets.end() || !budget->second.has_for_spill(link_size(call), now))
         return obstacle_link;
-    return deadline_obstacle(call, candidate.expected);
+    return deadline_obstacle(call, candidate);
 }
 
 void dispatcher::state::commit(service_state& service, const call_view& call, const option& chosen,
--- a/packages/policy/src/latency_estimate.cpp
+++ b/packages/policy/src/latency_estimate.cpp
@@ -9,7 +9,9 @@
 
 void latency_estimate::add(double ms, core::time_point now)
 {
-    m_mean = m_samples == 0 ? ms : m_mean + weight_of_sample * (ms - m_mean);
+    const double mean = value(now);
+    const double weight = stall_factor * ms < mean ? weight_after_stall : weight_of_sample;
+    m_mean = m_samples == 0 ? ms : mean + weight * (ms - mean);
     ++m_samples;
     m_last = std::max(m_last, now);
 }
--- /dev/null
+++ b/packages/policy/tests/residency_test.cpp
@@ -0,0 +1,101 @@
+/// Guards requirement 1: a bound call never gets a decision to another region.
+
+#include <snipeplank/policy/residency.hpp>
+
+#include "policy_fixture.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::policy;
+using namespace snipeplank::policy::tests;
+using settings::residency;
+
+TEST_GROUP(residency_rules){};
+
+TEST(residency_rules, the_stricter_of_service_and_header_holds_and_unknown_text_is_bound)
+{
+    struct row
+    {
+        residency service;
+        std::optional<std::string_view> header;
+        residency expected;
+    };
+    const row rows[] = {
+        {residency::free, std::nullopt, residency::free},
+        {residency::free, "free", residency::free},
+        {residency::free, "bound", residency::bound},
+        {residency::free, "Free", residency::bound},
+        {residency::free, "", residency::bound},
+        {residency::free, "anywhere", residency::bound},
+        {residency::bound, std::nullopt, residency::bound},
+        {residency::bound, "free", residency::bound},
+        {residency::bound, "bound", residency::bound},
+    };
+    for (const row& test : rows)
+    {
+        CHECK_TRUE(effective_residency(test.service, test.header) == test.expected);
+    }
+}
+
+TEST(residency_rules, a_bound_call_may_be_served_at_home_only)
+{
+    const core::region_id home = region_name(0);
+    const core::region_id none;
+    CHECK_TRUE(may_be_served_in(residency::bound, home, home));
+    CHECK_FALSE(may_be_served_in(residency::bound, home, region_name(1)));
+    CHECK_FALSE(may_be_served_in(residency::bound, none, home));
+    CHECK_TRUE(may_be_served_in(residency::free, none, home));
+}
+
+// Fails when spill, a retry or a hedge of a bound call may leave the region.
+TEST(residency_rules, bound_calls_retries_and_hedges_never_leave)
+{
+    snipeplank::tests::check_property(
+        "no attempt of a bound call is sent to a region",
+        []
+        {
+            const auto upstreams = *rc::gen::inRange<std::size_t>(0, 4);
+            one_node node(upstreams);
+            node.subject.set_regions({free_region(1), free_region(2)}, at(0));
+            const int calls = *rc::gen::inRange(1, 40);
+            for (int i = 0; i < calls; ++i)
+            {
+                // An empty home means the region of the entry node.
+                call_view call =
+                    bound_call(*rc::gen::arbitrary<bool>() ? region_name(0) : core::region_id{});
+                decision made = node.route(call, i);
+                for (int attempt = 0; attempt < 4; ++attempt)
+                {
+                    RC_ASSERT(sent_away(made) == nullptr);
+                    const use_upstream* target = sent_here(made);
+                    if (target == nullptr)
+                        break;
+                    call.tried.push_back(target->address);
+                    const bool is_hedge = *rc::gen::arbitrary<bool>();
+                    call.kind = is_hedge ? attempt_kind::hedge : attempt_kind::retry;
+                    if (!is_hedge)
+                        node.subject.on_finished(target->attempt, attempt_outcome::failed, at(i));
+                    made = node.route(call, i);
+                }
+            }
+        });
+}
+
+// Fails when a bound call from elsewhere is served because its home is not compared.
+TEST(residency_rules, a_bound_call_of_another_home_is_refused_with_wrong_region)
+{
+    one_node node(2);
+    const decision made = node.route(bound_call(region_name(1)), 0);
+    CHECK_TRUE(refused(made) != nullptr);
+    CHECK_TRUE(refused(made)->reason == refusal_reason::wrong_region);
+    CHECK_TRUE(refused(made)->executed == execution::no);
+}
+
+// Fails when the receiver trusts the sender with residency.
+TEST(residency_rules, the_receiver_refuses_a_bound_call_without_home_from_another_region)
+{
+    one_node node(2);
+    call_view call = bound_call(core::region_id{});
+    call.path =
+        call.path.with({region_name(1), core::zone_id{"r1-a"}, core::address{"127.0.0.1:9"}});
+    CHECK_TRUE(refused(node.route(call, 0)) != nullptr);
+}
--- /dev/null
+++ b/packages/policy/tests/routing_test.cpp
@@ -0,0 +1,186 @@
+/// Guards the routing policies: weights, prefix affinity with bounded load, baselines.
+
+#include <snipeplank/policy/adaptive_policy.hpp>
+#include <snipeplank/policy/baselines.hpp>
+#include <snipeplank/policy/concurrency_limit.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "policy_fixture.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::policy;
+using namespace snipeplank::policy::tests;
+
+namespace
+{
+
+std::vector<upstream_view> equal_views(std::size_t count)
+{
+    std::vector<upstream_view> views(count);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        views[i].address = upstream_name(i);
+        views[i].limit = 10;
+        views[i].predicted_ms = 100;
+    }
+    return views;
+}
+
+} // namespace
+
+TEST_GROUP(routing){};
+
+// Fails when calls with one prefix are spread, so that each upstream computes it again.
+TEST(routing, calls_with_one_prefix_meet_at_one_upstream)
+{
+    const auto subject = make_adaptive({});
+    core::seeded_random random{1};
+    const std::vector<upstream_view> views = equal_views(8);
+    std::set<std::size_t> owners;
+    for (std::uint64_t prefix = 1; prefix <= 64; ++prefix)
+    {
+        call_view call = free_call();
+        call.prefix_hash = prefix;
+        const std::size_t owner = subject->rank(call, views, random).front();
+        for (int i = 0; i < 5; ++i)
+        {
+            UNSIGNED_LONGS_EQUAL(owner, subject->rank(call, views, random).front());
+        }
+        owners.insert(owner);
+    }
+    UNSIGNED_LONGS_EQUAL(8, owners.size());
+}
+
+// Fails when a popular prefix overloads its owner while the others idle.
+TEST(routing, a_loaded_owner_passes_its_prefix_on)
+{
+    const auto subject = make_adaptive({});
+    core::seeded_random random{1};
+    std::vector<upstream_view> views = equal_views(4);
+    call_view call = free_call();
+    call.prefix_hash = 42;
+    const std::size_t owner = subject->rank(call, views, random).front();
+    views[owner].reported_load = 9;
+    views[owner].in_flight = 9;
+    CHECK_TRUE(subject->rank(call, views, random).front() != owner);
+}
+
+// Fails when a change of the list moves prefixes whose owner has stayed.
+TEST(routing, a_lost_upstream_moves_only_its_own_prefixes)
+{
+    const auto subject = make_adaptive({});
+    core::seeded_random random{1};
+    std::vector<upstream_view> views = equal_views(6);
+    std::map<std::uint64_t, std::size_t> before;
+    call_view call = free_call();
+    for (std::uint64_t prefix = 1; prefix <= 100; ++prefix)
+    {
+        call.prefix_hash = prefix;
+        before[prefix] = subject->rank(call, views, random).front();
+    }
+    views[5].is_leaving = true;
+    for (std::uint64_t prefix = 1; prefix <= 100; ++prefix)
+    {
+        call.prefix_hash = prefix;
+        const std::size_t after = subject->rank(call, views, random).front();
+        CHECK_TRUE(before[prefix] == 5 ? after != 5 : after == before[prefix]);
+    }
+}
+
+// Fails when the published weights do not decide between delay, cost and distance.
+TEST(routing, the_weights_decide)
+{
+    struct row
+    {
+        settings::routing_weights weights;
+        std::size_t expected; // 0 slow and near, 1 fast and dear, 2 fast and away
+    };
+    const row rows[] = {
+        {{1, 0, 10}, 1},
+        {{1, 10, 0}, 2},
+        {{1, 10, 10}, 0},
+    };
+    std::vector<upstream_view> views = equal_views(3);
+    views[0].predicted_ms = 2'000;
+    views[1].predicted_ms = 100;
+    views[1].cost = 2;
+    views[2].predicted_ms = 300;
+    views[2].is_away = true;
+    core::seeded_random random{1};
+    for (const row& test : rows)
+    {
+        UNSIGNED_LONGS_EQUAL(test.expected,
+                             make_adaptive(test.weights)->rank(free_call(), views, random).front());
+    }
+}
+
+// Fails when any policy names a leaving upstream.
+TEST(routing, no_policy_names_a_leaving_upstream)
+{
+    std::vector<std::unique_ptr<routing_policy>> policies;
+    policies.push_back(make_adaptive({}));
+    policies.push_back(make_round_robin());
+    policies.push_back(make_least_outstanding());
+    policies.push_back(make_random_of_two());
+    std::vector<upstream_view> views = equal_views(3);
+    views[1].is_leaving = true;
+    core::seeded_random random{1};
+    for (const auto& subject : policies)
+    {
+        for (int i = 0; i < 20; ++i)
+        {
+            for (const std::size_t index : subject->rank(free_call(), views, random))
+            {
+                CHECK_TRUE(index != 1);
+            }
+        }
+    }
+}
+
+// Fails when the limits of several nodes add up to far more than the upstream can run.
+TEST(routing, limits_of_several_nodes_add_up_to_the_room_at_the_upstream)
+{
+    snipeplank::tests::check_property(
+        "with a full upstream the limits sum to at most its slots, a quarter more, and the floors",
+        []
+        {
+            const auto nodes = *rc::gen::inRange<std::size_t>(1, 8);
+            const auto slots = *rc::gen::inRange(4U, 40U);
+            std::vector<concurrency_limit> limits(nodes, concurrency_limit(8));
+            std::vector<unsigned> own(nodes);
+            unsigned total = 0;
+            for (unsigned& calls : own)
+            {
+                calls = *rc::gen::inRange(0U, 30U);
+                total += calls;
+            }
+            RC_PRE(total > slots);
+            unsigned sum = 0;
+            for (std::size_t i = 0; i < nodes; ++i)
+            {
+                for (int report = 0; report < 10; ++report)
+                {
+                    limits[i].on_report(slots, total - slots, 0.5, own[i], nodes,
+                                        at(report * 500L));
+                }
+                sum += limits[i].limit(at(4'600));
+            }
+            RC_ASSERT(sum <= slots * 1.25 + 2 + static_cast<double>(nodes));
+        });
+}
+
+// Fails when frozen or missing reports leave the limit without any feedback.
+TEST(routing, without_fresh_reports_the_limit_follows_the_delay)
+{
+    concurrency_limit subject(16);
+    subject.on_report(4, 0, 0.1, 4, 1, at(0));
+    for (long ms = 5'000; ms < 15'000; ms += 500)
+    {
+        subject.on_first_byte(2'000, 100, 16, at(ms));
+    }
+    CHECK_TRUE(subject.limit(at(15'000)) < 16);
+    CHECK_TRUE(subject.limit(at(15'000)) >= 1);
+}
