--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,6 @@
 
 format:
 	@scripts/lint.sh --fix
+
+bench: build
+	@$(BUILD)/bin/policy_bench $(SCENE) $(SEEDS)
