Count calls waiting for their first byte in the predicted time

Cause: without a fault the adaptive policy was worse than round robin. It followed small differences of the measured delay, which come from the prompts, and did not see that its own calls queue for an engine's serial prefill. Change: each own call without a first byte adds one typical delay to the prediction, and differences below the service's median are ignored.

--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -54,6 +54,8 @@
     std::map<core::address, upstream_state> upstreams;
     outlier_ejection ejection;
     latency_window first_bytes;
+    latency_window own_times; ///< first bytes less the predicted queueing
+    double typical_ms = 0;    ///< median of `own_times`
     latency_estimate base;
     latency_estimate hold;
     std::map<core::region_id, spill_state> spill;
--- a/packages/policy/src/dispatcher_events.cpp
+++ b/packages/policy/src/dispatcher_events.cpp
@@ -116,6 +116,8 @@
     upstream->limit.on_first_byte(ms, attempt.predicted_ms, upstream->in_flight, now);
     service.base.add(own, now);
     service.first_bytes.add(ms);
+    service.own_times.add(own);
+    service.typical_ms = service.own_times.quantile(0.5);
     check_delay(service, *upstream, now);
 }
 
--- a/packages/policy/src/dispatcher_route.cpp
+++ b/packages/policy/src/dispatcher_route.cpp
@@ -404,6 +404,9 @@
     double base = upstream.base.value(now);
     if (!is_measured)
         base = service.base.value(now) + 2 * upstream.facts.one_way_delay_ms;
+    // Differences below the service's usual delay come from the prompts, not from the upstream;
+    // following them sends every call to the upstream that was lucky last.
+    base = std::max(base, service.typical_ms);
     prediction expected;
     expected.hold_ms =
         upstream.hold.samples() > 0 ? upstream.hold.value(now) : service.hold.value(now);
@@ -414,6 +417,9 @@
         const double queue = std::max(0.0, total + 1 - slots);
         expected.wait_ms = queue * (base + expected.hold_ms) / slots;
     }
+    // Prefill is serial in an engine: each own call that waits for its first byte delays the next.
+    const auto pending = static_cast<double>(upstream.waiting.size());
+    expected.wait_ms += pending * std::min(base, service.typical_ms);
     expected.total_ms = base + expected.wait_ms;
     if (!upstream.waiting.empty())
     {
