--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -54,6 +54,8 @@
     std::map<core::address, upstream_state> upstreams;
     outlier_ejection ejection;
     latency_window first_bytes;
+    latency_window own_times; ///< first bytes less the predicted queueing
+    double typical_ms = 0;    ///< median of `own_times`
     latency_estimate base;
     latency_estimate hold;
     std::map<core::region_id, spill_state> spill;
@@ -87,6 +89,7 @@
     std::vector<core::zone_id> zones;   ///< of a region, those the call may enter
     std::string_view obstacle;          ///< why it cannot be used; empty when it can
     const region_facts* away = nullptr; ///< set for a region
+    bool is_probe = false; ///< idle and not measured lately, so the prediction is not trusted
 };
 
 } // namespace snipeplank::policy::detail
