wire: frames, handshake and TCP connections between nodes

Cause: the gateway needs authenticated, bounded connections that notice silence.

The listener sends a nonce only and shows its identity after the dialer's proof.

--- a/packages/wire/include/snipeplank/wire/peer_network.hpp
+++ b/packages/wire/include/snipeplank/wire/peer_network.hpp
@@ -7,6 +7,7 @@
 #include <snipeplank/core/error.hpp>
 #include <snipeplank/core/ids.hpp>
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/wire/clock.hpp>
 #include <snipeplank/wire/messages.hpp>
 
 #include <cstddef>
@@ -46,8 +47,8 @@
 
 /// @brief Receives what comes from peers.
 ///
-/// Called on the I/O thread, which serves all peers: return quickly and do not block. `send` and
-/// `reply` may be called from here.
+/// Called on the I/O thread, which serves all peers: return quickly, do not block and do not throw.
+/// `send` and `reply` may be called from here, `stop` may not.
 class peer_handler
 {
   public:
@@ -63,6 +64,13 @@
     /// @brief No connection could be made and the messages queued for the address were dropped;
     /// none of their bytes reached a socket.
     virtual void on_unreachable(const core::address& peer) = 0;
+
+    /// @brief A connection was closed because of an error, for the log; it is counted already.
+    /// @param remote the address as the socket has it, which for an incoming connection is not the
+    /// peer's own
+    virtual void on_connection_error(const core::address& /*remote*/, const core::error& /*cause*/)
+    {
+    }
 };
 
 /// @brief One counter per kind of error, and totals.
@@ -75,6 +83,7 @@
     std::uint64_t connections_accepted = 0;
     std::uint64_t connections_dialed = 0;
     std::uint64_t connections_closed = 0;
+    std::uint64_t closed_by_peer = 0;  ///< between two frames
     std::uint64_t frame_truncated = 0; ///< the peer closed inside a frame
     std::uint64_t frame_too_large = 0;
     std::uint64_t frame_unverified = 0;
@@ -87,6 +96,7 @@
     std::uint64_t write_queue_full = 0;
     std::uint64_t connect_failed = 0;
     std::uint64_t connection_limit = 0;
+    std::uint64_t mailbox_full = 0;              ///< refused: the I/O thread lags behind
     std::uint64_t message_undeliverable = 0;     ///< dropped: no connection to the address
     std::uint64_t message_too_large = 0;         ///< dropped before it was sent
     std::uint64_t message_wrong_incarnation = 0; ///< reply to a life of a node that has ended
@@ -125,10 +135,15 @@
     virtual peer_counters counters() const = 0;
 
     /// @brief Sends what is queued for a short bound, closes all connections, joins the thread.
+    /// A stopped network is not started again.
     virtual void stop() = 0;
 };
 
 /// @brief A peer network over TCP with one poll-based I/O thread.
+/// @param time drives heartbeats, silence and backoff; outlives the network
+std::unique_ptr<peer_network> make_peer_network(const clock& time);
+
+/// @brief As above, with the system's monotonic clock.
 std::unique_ptr<peer_network> make_peer_network();
 
 } // namespace snipeplank::wire
--- /dev/null
+++ b/packages/wire/src/peer_loop.cpp
@@ -0,0 +1,487 @@
+#include "peer_loop.hpp"
+
+#include <snipeplank/core/hash.hpp>
+
+#include <poll.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace snipeplank::wire
+{
+
+namespace
+{
+
+constexpr std::size_t nonce_bytes = 32;
+
+/// Longest wait for events: bounds the delay after a test moved its clock.
+constexpr core::milliseconds longest_wait{100};
+
+/// How long queued frames are still written after `stop`.
+constexpr core::milliseconds stop_bound{500};
+
+/// Address state is kept this long after its last dial, so that the backoff is remembered.
+constexpr core::seconds peer_memory{60};
+
+/// Incoming connections without proof; more would let a stranger use up the descriptors.
+constexpr std::size_t most_strangers = 128;
+
+constexpr int most_accepts_in_a_row = 64;
+
+core::milliseconds round_up(core::duration wait)
+{
+    return std::chrono::ceil<core::milliseconds>(wait);
+}
+
+} // namespace
+
+peer_loop::peer_loop(peer_settings settings, unique_fd listener, peer_handler& handler,
+                     mailbox& box, counter_set& counters, const clock& time)
+    : m_settings(std::move(settings)), m_listener(std::move(listener)), m_handler(handler),
+      m_mailbox(box), m_counters(counters), m_time(time), m_random(core::system_seed())
+{
+}
+
+void peer_loop::run()
+{
+    while (!m_is_stopping)
+    {
+        step();
+    }
+    finish_writing();
+    m_connections.clear();
+    publish_connected();
+}
+
+void peer_loop::step()
+{
+    std::vector<pollfd> sockets;
+    std::vector<connection_id> ids;
+    wait_for_events(sockets, ids);
+    take_mail();
+    const std::size_t fixed_sockets = sockets.size() - ids.size();
+    m_is_accept_paused = false;
+    if (sockets[1].revents != 0)
+    {
+        accept_all();
+    }
+    for (std::size_t i = 0; i < ids.size(); ++i)
+    {
+        on_events(ids[i], sockets[fixed_sockets + i].revents);
+    }
+    check_times();
+    dial_where_needed();
+    write_all();
+}
+
+void peer_loop::wait_for_events(std::vector<pollfd>& sockets, std::vector<connection_id>& ids)
+{
+    sockets.push_back({m_mailbox.wake_fd(), POLLIN, 0});
+    sockets.push_back({m_listener.get(), static_cast<short>(m_is_accept_paused ? 0 : POLLIN), 0});
+    for (const auto& [id, connection] : m_connections)
+    {
+        const int events = connection.wants_write() ? POLLIN | POLLOUT : POLLIN;
+        sockets.push_back({connection.fd(), static_cast<short>(events), 0});
+        ids.push_back(id);
+    }
+    ::poll(sockets.data(), sockets.size(), poll_timeout());
+}
+
+int peer_loop::poll_timeout() const
+{
+    const core::time_point now = m_time.now();
+    core::milliseconds wait = longest_wait;
+    for (const auto& [id, connection] : m_connections)
+    {
+        wait = std::min(wait, round_up(connection.session().due_at() - now));
+    }
+    for (const auto& [address, peer] : m_peers)
+    {
+        if (!peer.pending.empty() && peer.dialing == 0)
+        {
+            wait = std::min(wait, round_up(peer.dial_after - now));
+        }
+    }
+    return static_cast<int>(std::max(wait, core::milliseconds(0)).count());
+}
+
+void peer_loop::take_mail()
+{
+    mail taken = m_mailbox.take();
+    m_is_stopping = taken.is_stopped;
+    if (taken.fleet_keys)
+    {
+        m_settings.fleet_keys = std::move(*taken.fleet_keys);
+    }
+    for (outgoing& one : taken.frames)
+    {
+        peer_state& peer = m_peers[one.to];
+        send_to(peer, std::move(one));
+    }
+}
+
+void peer_loop::send_to(peer_state& peer, outgoing mail)
+{
+    if (peer.current == 0)
+    {
+        if (peer.pending_bytes + mail.frame.size() > m_settings.write_queue.count)
+        {
+            m_counters.add(&peer_counters::write_queue_full);
+            return;
+        }
+        peer.pending_bytes += mail.frame.size();
+        peer.pending.push_back(std::move(mail));
+        return;
+    }
+    const peer_connection& connection = m_connections.at(peer.current);
+    if (mail.only && *mail.only != connection.session().peer().node.incarnation)
+    {
+        m_counters.add(&peer_counters::message_wrong_incarnation);
+        return;
+    }
+    if (connection.queued() + mail.frame.size() > m_settings.write_queue.count)
+    {
+        m_counters.add(&peer_counters::write_queue_full);
+        m_handler.on_connection_error(connection.remote(),
+                                      {core::error_code::connection_closed,
+                                       "the write queue of a connection is full",
+                                       "check whether the peer or the link is overloaded"});
+        close(peer.current, nullptr);
+        return;
+    }
+    write_frame(peer.current, mail.frame);
+}
+
+void peer_loop::write_frame(connection_id id, const std::string& frame)
+{
+    peer_connection& connection = m_connections.at(id);
+    connection.queue(frame);
+    connection.session().on_sent(m_time.now());
+    m_counters.add(&peer_counters::frames_sent);
+}
+
+void peer_loop::flush_pending(peer_state& peer)
+{
+    std::deque<outgoing> pending = std::exchange(peer.pending, {});
+    peer.pending_bytes = 0;
+    for (outgoing& one : pending)
+    {
+        send_to(peer, std::move(one));
+    }
+}
+
+void peer_loop::dial_where_needed()
+{
+    const core::time_point now = m_time.now();
+    for (auto at = m_peers.begin(); at != m_peers.end();)
+    {
+        auto& [address, peer] = *at;
+        const bool is_unconnected = peer.current == 0 && peer.dialing == 0;
+        if (is_unconnected && !peer.pending.empty() && now >= peer.dial_after)
+        {
+            start_dialing(address, peer);
+        }
+        const bool is_idle = is_unconnected && peer.pending.empty();
+        at = is_idle && now > peer.dial_after + peer_memory ? m_peers.erase(at) : std::next(at);
+    }
+}
+
+void peer_loop::start_dialing(const core::address& to, peer_state& peer)
+{
+    core::result<unique_fd> socket = dial(to);
+    if (!socket)
+    {
+        on_dial_failed(to, peer, socket.error());
+        return;
+    }
+    m_counters.add(&peer_counters::connections_dialed);
+    peer.dialing = add_connection(std::move(socket).value(), session_role::dialer, to);
+}
+
+void peer_loop::on_dial_failed(const core::address& to, peer_state& peer, const core::error& cause)
+{
+    m_counters.add(&peer_counters::connect_failed);
+    m_handler.on_connection_error(to, cause);
+    peer.dialing = 0;
+    peer.backoff = std::clamp(peer.backoff * 2, m_settings.reconnect_first,
+                              std::max(m_settings.reconnect_first, m_settings.reconnect_most));
+    // Jitter over the upper half keeps many nodes from dialing a restarted peer at one moment.
+    const auto half = static_cast<std::uint64_t>(peer.backoff.count()) / 2;
+    const core::milliseconds wait = peer.backoff - core::milliseconds(m_random.below(half + 1));
+    peer.dial_after = m_time.now() + wait;
+    if (peer.pending.empty())
+    {
+        return;
+    }
+    m_counters.add(&peer_counters::message_undeliverable, peer.pending.size());
+    peer.pending.clear();
+    peer.pending_bytes = 0;
+    m_handler.on_unreachable(to);
+}
+
+void peer_loop::accept_all()
+{
+    for (int i = 0; i < most_accepts_in_a_row; ++i)
+    {
+        auto [socket, remote] = accept_from(m_listener.get());
+        if (socket.get() < 0)
+        {
+            // Out of descriptors the listener stays readable; without a pause the loop would spin.
+            m_is_accept_paused = i == 0;
+            return;
+        }
+        make_room_for_stranger();
+        if (m_connections.size() >= m_settings.max_connections)
+        {
+            m_counters.add(&peer_counters::connection_limit);
+            continue;
+        }
+        m_counters.add(&peer_counters::connections_accepted);
+        add_connection(std::move(socket), session_role::listener, remote);
+    }
+}
+
+void peer_loop::make_room_for_stranger()
+{
+    const auto is_stranger = [](const auto& item)
+    { return item.second.role() == session_role::listener && !item.second.session().is_open(); };
+    const auto strangers = std::count_if(m_connections.begin(), m_connections.end(), is_stranger);
+    const bool is_full = m_connections.size() >= m_settings.max_connections;
+    if (strangers == 0 || (static_cast<std::size_t>(strangers) < most_strangers && !is_full))
+    {
+        return;
+    }
+    // The oldest has had the longest time to prove itself.
+    m_counters.add(&peer_counters::connection_limit);
+    close(std::find_if(m_connections.begin(), m_connections.end(), is_stranger)->first, nullptr);
+}
+
+peer_loop::connection_id peer_loop::add_connection(unique_fd fd, session_role role,
+                                                   core::address remote)
+{
+    const connection_id id = ++m_last_id;
+    const core::address dialed = role == session_role::dialer ? remote : core::address();
+    peer_session session(role, m_settings, dialed, core::random_bytes(nonce_bytes), m_time.now());
+    const session_output first = session.start();
+    const auto added = m_connections
+                           .emplace(id, peer_connection(std::move(fd), role, std::move(remote),
+                                                        std::move(session), m_counters))
+                           .first;
+    added->second.queue(first.bytes);
+    return id;
+}
+
+void peer_loop::on_events(connection_id id, short events)
+{
+    const auto found = m_connections.find(id);
+    if (events == 0 || found == m_connections.end())
+    {
+        return;
+    }
+    if (!found->second.finish_connecting())
+    {
+        close(id, nullptr);
+        return;
+    }
+    if ((events & (POLLIN | POLLHUP | POLLERR)) != 0)
+    {
+        apply(id, found->second.read_some(m_time));
+    }
+}
+
+void peer_loop::apply(connection_id id, session_output output)
+{
+    m_connections.at(id).queue(output.bytes);
+    const peer_identity peer = m_connections.at(id).session().peer();
+    if (output.has_opened)
+    {
+        on_opened(id);
+    }
+    m_counters.add(&peer_counters::frames_received, output.received.size());
+    for (message& received : output.received)
+    {
+        m_handler.on_message(peer, std::move(received));
+    }
+    // What was queued for the opened connection may have overfilled and closed it already.
+    if (output.failure && m_connections.contains(id))
+    {
+        close(id, &*output.failure);
+    }
+}
+
+void peer_loop::on_opened(connection_id id)
+{
+    const core::node_id node = m_connections.at(id).session().peer().node;
+    close_superseded(id);
+    peer_state& peer = m_peers[node.address];
+    peer.backoff = core::milliseconds(0);
+    if (peer.dialing == id)
+    {
+        peer.dialing = 0;
+    }
+    if (peer.current == 0)
+    {
+        // A connection stays the one that sends while it lives, which keeps messages in order.
+        peer.current = id;
+    }
+    publish_connected();
+    flush_pending(peer);
+}
+
+void peer_loop::close_superseded(connection_id newest)
+{
+    const peer_connection& opened = m_connections.at(newest);
+    const core::node_id node = opened.session().peer().node;
+    std::vector<connection_id> superseded;
+    for (const auto& [id, other] : m_connections)
+    {
+        const core::node_id& other_node = other.session().peer().node;
+        if (id == newest || !other.session().is_open() || other_node.address != node.address)
+        {
+            continue;
+        }
+        // A peer dials again only when it has given up its former connection.
+        const bool is_dialed_again =
+            other.role() == session_role::listener && opened.role() == session_role::listener;
+        if (is_dialed_again || other_node.incarnation != node.incarnation)
+        {
+            superseded.push_back(id);
+        }
+    }
+    for (const connection_id id : superseded)
+    {
+        close(id, nullptr);
+    }
+}
+
+void peer_loop::check_times()
+{
+    const core::time_point now = m_time.now();
+    for (const connection_id id : connection_ids())
+    {
+        const auto found = m_connections.find(id);
+        if (found != m_connections.end() && found->second.session().due_at() <= now)
+        {
+            apply(id, found->second.session().on_time(now));
+        }
+    }
+}
+
+void peer_loop::write_all()
+{
+    for (const connection_id id : connection_ids())
+    {
+        const auto found = m_connections.find(id);
+        if (found != m_connections.end() && !found->second.write_some())
+        {
+            const session_output ended = found->second.session().on_closed();
+            close(id, &*ended.failure);
+        }
+    }
+}
+
+std::vector<peer_loop::connection_id> peer_loop::connection_ids() const
+{
+    std::vector<connection_id> ids;
+    ids.reserve(m_connections.size());
+    for (const auto& [id, connection] : m_connections)
+    {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+void peer_loop::close(connection_id id, const session_failure* failure)
+{
+    const session_failure cause = failure == nullptr ? session_failure{} : *failure;
+    const auto node = m_connections.extract(id);
+    const peer_connection& closed = node.mapped();
+    m_counters.add(&peer_counters::connections_closed);
+    if (failure != nullptr)
+    {
+        m_counters.add(counter_of(cause.fault));
+    }
+    if (cause.fault != session_fault::closed)
+    {
+        m_handler.on_connection_error(closed.remote(), cause.cause);
+    }
+    if (closed.session().is_open())
+    {
+        on_lost(id, closed.session().peer());
+        return;
+    }
+    if (closed.role() == session_role::dialer)
+    {
+        on_dial_failed(closed.remote(), m_peers[closed.remote()],
+                       {core::error_code::connection_failed,
+                        "no connection to " + closed.remote().get() + " could be opened",
+                        "check that the node runs and that the route is open"});
+    }
+}
+
+void peer_loop::on_lost(connection_id id, const peer_identity& lost)
+{
+    peer_state& peer = m_peers[lost.node.address];
+    if (peer.current == id)
+    {
+        peer.current = 0;
+        for (const auto& [other_id, other] : m_connections)
+        {
+            if (other.session().is_open() && other.session().peer().node == lost.node)
+            {
+                peer.current = other_id;
+            }
+        }
+    }
+    publish_connected();
+    m_handler.on_connection_lost(lost);
+}
+
+void peer_loop::publish_connected()
+{
+    std::map<core::node_id, peer_identity> open;
+    for (const auto& [id, connection] : m_connections)
+    {
+        if (connection.session().is_open())
+        {
+            open.emplace(connection.session().peer().node, connection.session().peer());
+        }
+    }
+    std::vector<peer_identity> peers;
+    peers.reserve(open.size());
+    for (const auto& [node, peer] : open)
+    {
+        peers.push_back(peer);
+    }
+    m_mailbox.set_connected(std::move(peers));
+}
+
+void peer_loop::finish_writing()
+{
+    // Real time, since a test's clock may stand still.
+    const auto until = std::chrono::steady_clock::now() + stop_bound;
+    while (std::chrono::steady_clock::now() < until)
+    {
+        std::vector<pollfd> sockets;
+        for (const auto& [id, connection] : m_connections)
+        {
+            if (connection.session().is_open() && connection.queued() > 0)
+            {
+                sockets.push_back({connection.fd(), POLLOUT, 0});
+            }
+        }
+        if (sockets.empty())
+        {
+            return;
+        }
+        ::poll(sockets.data(), sockets.size(), static_cast<int>(longest_wait.count()));
+        for (auto& [id, connection] : m_connections)
+        {
+            connection.write_some();
+        }
+    }
+}
+
+} // namespace snipeplank::wire
--- /dev/null
+++ b/packages/wire/src/peer_loop.hpp
@@ -0,0 +1,93 @@
+/// @file
+/// The I/O thread's state: connections, and what is queued for each address.
+
+#ifndef SNIPEPLANK_WIRE_SRC_PEER_LOOP_HPP
+#define SNIPEPLANK_WIRE_SRC_PEER_LOOP_HPP
+
+#include <snipeplank/core/random.hpp>
+#include <snipeplank/wire/clock.hpp>
+#include <snipeplank/wire/peer_network.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "counter_set.hpp"
+#include "mailbox.hpp"
+#include "peer_connection.hpp"
+
+struct pollfd;
+
+namespace snipeplank::wire
+{
+
+/// @brief Drives all sockets; used by one thread only.
+class peer_loop
+{
+  public:
+    peer_loop(peer_settings settings, unique_fd listener, peer_handler& handler, mailbox& box,
+              counter_set& counters, const clock& time);
+
+    /// @brief Runs until the mailbox is stopped, then writes what is queued for a short bound.
+    void run();
+
+  private:
+    using connection_id = std::uint64_t;
+    using connection_map = std::map<connection_id, peer_connection>;
+
+    /// What is known of one address.
+    struct peer_state
+    {
+        std::deque<outgoing> pending; ///< until a connection opens
+        std::size_t pending_bytes = 0;
+        connection_id current = 0; ///< open connection that sends; 0 when there is none
+        connection_id dialing = 0; ///< connection whose handshake is under way; 0 when none
+        core::time_point dial_after;
+        core::milliseconds backoff{0};
+    };
+
+    void step();
+    void wait_for_events(std::vector<pollfd>& sockets, std::vector<connection_id>& ids);
+    int poll_timeout() const;
+    void take_mail();
+    void send_to(peer_state& peer, outgoing mail);
+    void write_frame(connection_id id, const std::string& frame);
+    void flush_pending(peer_state& peer);
+    void dial_where_needed();
+    void start_dialing(const core::address& to, peer_state& peer);
+    void on_dial_failed(const core::address& to, peer_state& peer, const core::error& cause);
+    void accept_all();
+    void make_room_for_stranger();
+    void on_events(connection_id id, short events);
+    void apply(connection_id id, session_output output);
+    void on_opened(connection_id id);
+    void close_superseded(connection_id newest);
+    void check_times();
+    void write_all();
+    void close(connection_id id, const session_failure* failure);
+    void on_lost(connection_id id, const peer_identity& lost);
+    std::vector<connection_id> connection_ids() const;
+    void publish_connected();
+    void finish_writing();
+    connection_id add_connection(unique_fd fd, session_role role, core::address remote);
+
+    peer_settings m_settings;
+    unique_fd m_listener;
+    peer_handler& m_handler;
+    mailbox& m_mailbox;
+    counter_set& m_counters;
+    const clock& m_time;
+    core::seeded_random m_random;
+    connection_map m_connections;
+    std::unordered_map<core::address, peer_state> m_peers;
+    connection_id m_last_id = 0;
+    bool m_is_stopping = false;
+    bool m_is_accept_paused = false;
+};
+
+} // namespace snipeplank::wire
+
+#endif
--- /dev/null
+++ b/packages/wire/src/peer_session.cpp
@@ -0,0 +1,282 @@
+#include <snipeplank/core/hash.hpp>
+#include <snipeplank/wire/codec.hpp>
+#include <snipeplank/wire/peer_session.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace snipeplank::wire
+{
+
+namespace
+{
+
+/// Largest hello: a stranger cannot make a node hold more than this for it.
+constexpr std::size_t max_hello_bytes = 4'096;
+constexpr std::size_t nonce_bytes = 32;
+
+constexpr const char* remedy_keys = "give both nodes a common entry in fleet_keys";
+constexpr const char* remedy_release = "run the same release on both nodes";
+constexpr const char* remedy_retry = "the node connects again by itself; check the peer and link";
+
+void fail(session_output& out, session_fault fault, core::error cause)
+{
+    out.failure = session_failure{fault, std::move(cause)};
+}
+
+session_fault fault_of(core::error_code code)
+{
+    switch (code)
+    {
+    case core::error_code::frame_too_large:
+        return session_fault::too_large;
+    case core::error_code::frame_wrong_version:
+        return session_fault::wrong_version;
+    case core::error_code::frame_unknown_message:
+        return session_fault::unknown_message;
+    default:
+        return session_fault::unverified;
+    }
+}
+
+/// Appends a field with its length, so that two lists of fields never give the same text.
+void append_field(std::string& text, const std::string& field)
+{
+    text += std::to_string(field.size());
+    text += ':';
+    text += field;
+}
+
+} // namespace
+
+peer_session::peer_session(session_role role, const peer_settings& settings, core::address dialed,
+                           std::string nonce, core::time_point now)
+    : m_role(role), m_settings(settings), m_dialed(std::move(dialed)), m_nonce(std::move(nonce)),
+      m_reader(max_hello_bytes),
+      m_phase(role == session_role::dialer ? phase::awaiting_challenge : phase::awaiting_proof),
+      m_started(now), m_last_sent(now), m_last_received(now)
+{
+}
+
+session_output peer_session::start()
+{
+    session_output out;
+    if (m_role == session_role::listener)
+    {
+        hello challenge;
+        challenge.nonce = m_nonce;
+        out.bytes = encode(challenge).value();
+    }
+    return out;
+}
+
+session_output peer_session::on_bytes(std::string_view bytes, core::time_point now)
+{
+    session_output out;
+    m_last_received = now;
+    m_reader.append(bytes);
+    while (!out.failure)
+    {
+        auto payload = m_reader.next();
+        if (!payload)
+        {
+            fail(out, fault_of(payload.error().code), payload.error());
+            break;
+        }
+        if (!payload.value())
+        {
+            break;
+        }
+        on_frame(*payload.value(), out);
+    }
+    if (!out.bytes.empty())
+    {
+        on_sent(now);
+    }
+    return out;
+}
+
+void peer_session::on_frame(const std::string& payload, session_output& out)
+{
+    auto decoded = decode(payload);
+    if (!decoded)
+    {
+        fail(out, fault_of(decoded.error().code), decoded.error());
+        return;
+    }
+    message& received = decoded.value();
+    const bool is_hello = std::holds_alternative<hello>(received);
+    if (is_hello == is_open())
+    {
+        fail(out, session_fault::unexpected,
+             {core::error_code::frame_unknown_message,
+              std::string("a frame of kind ") + std::string(kind_name(received)) +
+                  (is_open() ? " came after the handshake" : " came before the handshake"),
+              remedy_release});
+        return;
+    }
+    if (is_hello)
+    {
+        on_hello(std::get<hello>(received), out);
+        return;
+    }
+    if (!std::holds_alternative<heartbeat>(received))
+    {
+        out.received.push_back(std::move(received));
+    }
+}
+
+void peer_session::on_hello(const hello& received, session_output& out)
+{
+    if (received.nonce.size() != nonce_bytes)
+    {
+        fail(out, session_fault::unauthenticated,
+             {core::error_code::peer_unauthenticated, "a hello has no nonce of 32 bytes",
+              remedy_release});
+        return;
+    }
+    if (m_phase == phase::awaiting_challenge)
+    {
+        answer_challenge(received, out);
+        return;
+    }
+    check_proof(received, out);
+}
+
+void peer_session::answer_challenge(const hello& received, session_output& out)
+{
+    m_peer_nonce = received.nonce;
+    m_phase = phase::awaiting_proof;
+    out.bytes += encode(own_hello(m_settings.fleet_keys.front())).value();
+}
+
+void peer_session::check_proof(const hello& received, session_output& out)
+{
+    if (m_role == session_role::listener)
+    {
+        m_peer_nonce = received.nonce;
+    }
+    const bool is_same_nonce = received.nonce == m_peer_nonce;
+    const std::optional<std::string> key = key_of_proof(received);
+    if (!key || !is_same_nonce)
+    {
+        fail(out, session_fault::unauthenticated,
+             {core::error_code::peer_unauthenticated,
+              "a peer's proof fits none of this node's fleet keys", remedy_keys});
+        return;
+    }
+    const bool is_expected = m_dialed.get().empty() || received.node.address == m_dialed;
+    if (!is_expected || received.node == m_settings.self)
+    {
+        fail(out, session_fault::unauthenticated,
+             {core::error_code::peer_unauthenticated,
+              "the node at " + m_dialed.get() + " calls itself " + received.node.address.get(),
+              "set peer_address to the address that peers dial"});
+        return;
+    }
+    m_peer = {received.node, received.region, received.zone};
+    m_phase = phase::open;
+    m_reader.set_limit(max_frame_bytes);
+    out.has_opened = true;
+    if (m_role == session_role::listener)
+    {
+        // The key that the dialer holds for certain, which matters while keys are rotated.
+        out.bytes += encode(own_hello(*key)).value();
+    }
+}
+
+hello peer_session::own_hello(const std::string& key) const
+{
+    hello own;
+    own.node = m_settings.self;
+    own.region = m_settings.region;
+    own.zone = m_settings.zone;
+    own.nonce = m_nonce;
+    own.proof = proof(key, m_role, own);
+    return own;
+}
+
+std::string peer_session::proof(const std::string& key, session_role prover,
+                                const hello& claims) const
+{
+    // The role keeps a node's own proof from being sent back to it as the peer's.
+    std::string text = prover == session_role::dialer ? "dialer" : "listener";
+    append_field(text, m_role == session_role::dialer ? m_nonce : m_peer_nonce);
+    append_field(text, m_role == session_role::dialer ? m_peer_nonce : m_nonce);
+    append_field(text, std::to_string(claims.protocol));
+    append_field(text, claims.node.address.get());
+    append_field(text, std::to_string(claims.node.incarnation.get()));
+    append_field(text, claims.region.get());
+    append_field(text, claims.zone.get());
+    return core::hmac_sha256_hex(key, text);
+}
+
+std::optional<std::string> peer_session::key_of_proof(const hello& received) const
+{
+    const session_role prover =
+        m_role == session_role::dialer ? session_role::listener : session_role::dialer;
+    for (const std::string& key : m_settings.fleet_keys)
+    {
+        if (core::equal_constant_time(proof(key, prover, received), received.proof))
+        {
+            return key;
+        }
+    }
+    return std::nullopt;
+}
+
+session_output peer_session::on_closed() const
+{
+    session_output out;
+    if (m_reader.is_inside_frame())
+    {
+        fail(out, session_fault::truncated,
+             {core::error_code::connection_closed, "the peer closed the connection inside a frame",
+              remedy_retry});
+        return out;
+    }
+    fail(out, session_fault::closed,
+         {core::error_code::connection_closed, "the peer closed the connection", remedy_retry});
+    return out;
+}
+
+session_output peer_session::on_time(core::time_point now)
+{
+    session_output out;
+    if (!is_open())
+    {
+        if (now - m_started >= m_settings.handshake_bound)
+        {
+            fail(out, session_fault::handshake_timeout,
+                 {core::error_code::connection_failed, "the handshake was not finished in time",
+                  remedy_retry});
+        }
+        return out;
+    }
+    if (now - m_last_received >= m_settings.silence_bound)
+    {
+        fail(out, session_fault::silent,
+             {core::error_code::peer_silent,
+              "nothing came from " + m_peer.node.address.get() + " within the silence bound",
+              remedy_retry});
+        return out;
+    }
+    if (now - m_last_sent >= m_settings.heartbeat_interval)
+    {
+        out.bytes = encode(heartbeat{}).value();
+        on_sent(now);
+    }
+    return out;
+}
+
+core::time_point peer_session::due_at() const
+{
+    if (!is_open())
+    {
+        return m_started + m_settings.handshake_bound;
+    }
+    return std::min(m_last_sent + m_settings.heartbeat_interval,
+                    m_last_received + m_settings.silence_bound);
+}
+
+} // namespace snipeplank::wire
--- /dev/null
+++ b/packages/wire/src/socket.hpp
@@ -0,0 +1,55 @@
+/// @file
+/// Non-blocking TCP sockets.
+
+#ifndef SNIPEPLANK_WIRE_SRC_SOCKET_HPP
+#define SNIPEPLANK_WIRE_SRC_SOCKET_HPP
+
+#include <snipeplank/core/error.hpp>
+#include <snipeplank/core/ids.hpp>
+
+#include <utility>
+
+namespace snipeplank::wire
+{
+
+/// @brief Owns a file descriptor.
+class unique_fd
+{
+  public:
+    explicit unique_fd(int fd = -1) : m_fd(fd) {}
+    ~unique_fd() { reset(); }
+    unique_fd(unique_fd&& other) noexcept : m_fd(std::exchange(other.m_fd, -1)) {}
+    unique_fd& operator=(unique_fd&& other) noexcept
+    {
+        std::swap(m_fd, other.m_fd);
+        return *this;
+    }
+    unique_fd(const unique_fd&) = delete;
+    unique_fd& operator=(const unique_fd&) = delete;
+
+    int get() const { return m_fd; }
+    void reset();
+
+  private:
+    int m_fd;
+};
+
+/// @brief A listening socket, or `invalid_address` or `connection_failed`.
+core::result<unique_fd> listen_on(const core::address& where);
+
+/// @brief A socket whose connection is under way, or `invalid_address` or `connection_failed`.
+core::result<unique_fd> dial(const core::address& where);
+
+/// @brief The next incoming connection and its remote address; an invalid descriptor when there is
+/// none.
+std::pair<unique_fd, core::address> accept_from(int listener);
+
+/// @brief Whether a connection that was under way is made. Call when the socket is writable.
+bool is_connected(int fd);
+
+/// @brief The address that a socket is bound to.
+core::address bound_address(int fd);
+
+} // namespace snipeplank::wire
+
+#endif
--- /dev/null
+++ b/packages/wire/src/tcp_peer_network.cpp
@@ -0,0 +1,124 @@
+#include <snipeplank/wire/codec.hpp>
+#include <snipeplank/wire/peer_network.hpp>
+
+#include <boost/outcome/try.hpp>
+
+#include <optional>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "counter_set.hpp"
+#include "mailbox.hpp"
+#include "peer_loop.hpp"
+#include "socket.hpp"
+
+namespace snipeplank::wire
+{
+
+namespace
+{
+
+class tcp_peer_network final : public peer_network
+{
+  public:
+    explicit tcp_peer_network(const clock& time) : m_time(time) {}
+    ~tcp_peer_network() override { tcp_peer_network::stop(); }
+    tcp_peer_network(const tcp_peer_network&) = delete;
+    tcp_peer_network& operator=(const tcp_peer_network&) = delete;
+
+    core::result<core::node_id> start(peer_settings settings, peer_handler& handler) override
+    {
+        if (settings.fleet_keys.empty())
+        {
+            return core::fail(core::error_code::peer_unauthenticated, "there is no fleet key",
+                              "set fleet_keys to one key, or two while keys are rotated");
+        }
+        BOOST_OUTCOME_TRY(listener, listen_on(settings.listen));
+        if (settings.self.address.get().ends_with(":0"))
+        {
+            settings.self.address = bound_address(listener.get());
+        }
+        const core::node_id self = settings.self;
+        m_self = self.address;
+        m_loop.emplace(std::move(settings), std::move(listener), handler, m_mailbox, m_counters,
+                       m_time);
+        m_thread = std::thread([this] { m_loop->run(); });
+        return self;
+    }
+
+    bool send(const core::address& to, const message& what) override
+    {
+        return put(to, std::nullopt, what);
+    }
+
+    bool reply(const core::node_id& to, const message& what) override
+    {
+        return put(to.address, to.incarnation, what);
+    }
+
+    void set_fleet_keys(std::vector<std::string> keys) override
+    {
+        if (!keys.empty())
+        {
+            m_mailbox.put_keys(std::move(keys));
+        }
+    }
+
+    std::vector<peer_identity> connected() const override { return m_mailbox.connected(); }
+
+    peer_counters counters() const override { return m_counters.read(); }
+
+    void stop() override
+    {
+        m_mailbox.stop();
+        if (m_thread.joinable())
+        {
+            m_thread.join();
+        }
+    }
+
+  private:
+    bool put(const core::address& to, std::optional<core::incarnation> only, const message& what)
+    {
+        if (to == m_self)
+        {
+            m_counters.add(&peer_counters::message_undeliverable);
+            return false;
+        }
+        core::result<std::string> frame = encode(what);
+        if (!frame)
+        {
+            m_counters.add(&peer_counters::message_too_large);
+            return false;
+        }
+        if (!m_mailbox.put({to, only, std::move(frame).value()}))
+        {
+            m_counters.add(&peer_counters::mailbox_full);
+            return false;
+        }
+        return true;
+    }
+
+    const clock& m_time;
+    core::address m_self;
+    mailbox m_mailbox;
+    counter_set m_counters;
+    std::optional<peer_loop> m_loop;
+    std::thread m_thread;
+};
+
+} // namespace
+
+std::unique_ptr<peer_network> make_peer_network(const clock& time)
+{
+    return std::make_unique<tcp_peer_network>(time);
+}
+
+std::unique_ptr<peer_network> make_peer_network()
+{
+    static const system_clock time;
+    return make_peer_network(time);
+}
+
+} // namespace snipeplank::wire
--- a/packages/wire/tests/arbitrary_message.hpp
+++ b/packages/wire/tests/arbitrary_message.hpp
@@ -4,6 +4,7 @@
 #ifndef SNIPEPLANK_WIRE_TESTS_ARBITRARY_MESSAGE_HPP
 #define SNIPEPLANK_WIRE_TESTS_ARBITRARY_MESSAGE_HPP
 
+#include <snipeplank/core/hash.hpp>
 #include <snipeplank/wire/codec.hpp>
 #include <snipeplank/wire/messages.hpp>
 
--- a/packages/wire/tests/codec_test.cpp
+++ b/packages/wire/tests/codec_test.cpp
@@ -2,7 +2,6 @@
 
 #include <snipeplank/core/hash.hpp>
 #include <snipeplank/wire/codec.hpp>
-#include <snipeplank/wire/generated/frame_generated.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -12,6 +11,7 @@
 #include <string>
 
 #include "arbitrary_message.hpp"
+#include "raw_frame.hpp"
 
 using namespace snipeplank;
 using namespace snipeplank::wire;
@@ -26,15 +26,6 @@
     return encode(what).value().substr(length_bytes);
 }
 
-template <typename Build>
-std::string build_payload(std::uint16_t version, Build build)
-{
-    flatbuffers::FlatBufferBuilder builder;
-    const auto [kind, table] = build(builder);
-    fb::FinishFrameBuffer(builder, fb::CreateFrame(builder, version, kind, table));
-    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
-}
-
 } // namespace
 
 TEST_GROUP(codec){};
--- /dev/null
+++ b/packages/wire/tests/network_fixture.hpp
@@ -0,0 +1,178 @@
+/// @file
+/// Real nodes on loopback with a clock that the test moves, a raw client and a silent relay.
+
+#ifndef SNIPEPLANK_WIRE_TESTS_NETWORK_FIXTURE_HPP
+#define SNIPEPLANK_WIRE_TESTS_NETWORK_FIXTURE_HPP
+
+#include <snipeplank/wire/peer_network.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace snipeplank::wire::tests
+{
+
+/// @brief Stands still until the test moves it.
+class manual_clock final : public clock
+{
+  public:
+    core::time_point now() const override { return core::time_point(core::duration(m_ticks)); }
+    void advance(core::duration by) { m_ticks += by.count(); }
+
+  private:
+    std::atomic<core::duration::rep> m_ticks{0};
+};
+
+/// @brief Polls a condition. The bound only ends a hung test; no check depends on elapsed time.
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    constexpr int most_polls = 2'000;
+    constexpr std::chrono::milliseconds pause{5};
+    for (int i = 0; i < most_polls; ++i)
+    {
+        if (condition())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    return false;
+}
+
+/// @brief Keeps what a node was told.
+class recording_handler final : public peer_handler
+{
+  public:
+    void on_message(const peer_identity& from, message received) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_messages.emplace_back(from, std::move(received));
+    }
+
+    void on_connection_lost(const peer_identity& peer) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lost.push_back(peer.node);
+    }
+
+    void on_unreachable(const core::address& peer) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_unreachable.push_back(peer);
+    }
+
+    void on_connection_error(const core::address&, const core::error& cause) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_errors.push_back(cause);
+    }
+
+    std::vector<std::pair<peer_identity, message>> messages() const { return read(m_messages); }
+    std::vector<core::node_id> lost() const { return read(m_lost); }
+    std::vector<core::address> unreachable() const { return read(m_unreachable); }
+    std::vector<core::error> errors() const { return read(m_errors); }
+
+  private:
+    template <typename List>
+    List read(const List& list) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return list;
+    }
+
+    mutable std::mutex m_mutex;
+    std::vector<std::pair<peer_identity, message>> m_messages;
+    std::vector<core::node_id> m_lost;
+    std::vector<core::address> m_unreachable;
+    std::vector<core::error> m_errors;
+};
+
+/// @brief A node: network and handler.
+struct test_node
+{
+    explicit test_node(const clock& time, std::vector<std::string> keys = {"key"},
+                       std::uint64_t incarnation = 1)
+    {
+        settings.self = {core::address{"127.0.0.1:0"}, core::incarnation{incarnation}};
+        settings.listen = settings.self.address;
+        settings.region = core::region_id{"murtal"};
+        settings.zone = core::zone_id{"murtal-a"};
+        settings.fleet_keys = std::move(keys);
+        network = make_peer_network(time);
+    }
+    ~test_node() { network->stop(); }
+    test_node(const test_node&) = delete;
+    test_node& operator=(const test_node&) = delete;
+
+    test_node& start()
+    {
+        id = network->start(settings, handler).value();
+        return *this;
+    }
+
+    const core::address& address() const { return id.address; }
+
+    peer_settings settings;
+    recording_handler handler;
+    std::unique_ptr<peer_network> network;
+    core::node_id id;
+};
+
+/// @brief A plain TCP client that speaks as the test wants.
+class raw_client
+{
+  public:
+    explicit raw_client(const core::address& to);
+    ~raw_client();
+    raw_client(const raw_client&) = delete;
+    raw_client& operator=(const raw_client&) = delete;
+
+    void write(const std::string& bytes) const;
+    void close_writing() const;
+
+    /// @brief Reads `count` bytes, or what came before the peer closed.
+    std::string read(std::size_t count) const;
+
+    /// @brief Reads until the peer closes.
+    std::string read_all() const { return read(std::string().max_size()); }
+
+  private:
+    int m_fd;
+};
+
+/// @brief Forwards connections to a target. Connections made before `silence` go silent for good
+/// in both directions without an error; later ones work.
+class silent_relay
+{
+  public:
+    /// Listens on a free port of 127.0.0.1 and forwards to the same port of 127.0.0.2.
+    silent_relay();
+    ~silent_relay();
+    silent_relay(const silent_relay&) = delete;
+    silent_relay& operator=(const silent_relay&) = delete;
+
+    core::address address() const { return core::address{"127.0.0.1:" + m_port}; }
+    core::address target() const { return core::address{"127.0.0.2:" + m_port}; }
+    void silence() { ++m_silenced; }
+
+  private:
+    struct pipe;
+    void run();
+
+    int m_listener;
+    std::string m_port;
+    std::atomic<int> m_silenced{0};
+    std::atomic<bool> m_is_stopping{false};
+    std::thread m_thread;
+};
+
+} // namespace snipeplank::wire::tests
+
+#endif
--- /dev/null
+++ b/packages/wire/tests/peer_network_test.cpp
@@ -0,0 +1,360 @@
+/// Guards the connections between real nodes: bad input, wrong keys, silence, restarts, full
+/// queues.
+
+#include <snipeplank/wire/codec.hpp>
+#include <snipeplank/wire/peer_network.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "network_fixture.hpp"
+#include "raw_frame.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::wire;
+using namespace snipeplank::wire::tests;
+
+namespace
+{
+
+cancel numbered(std::uint64_t number)
+{
+    return {core::call_number{number}, ""};
+}
+
+bool has_message(const test_node& node, const message& what)
+{
+    const auto all = node.handler.messages();
+    return std::any_of(all.begin(), all.end(),
+                       [&](const auto& item) { return item.second == what; });
+}
+
+/// Both nodes still talk to each other.
+void check_served(test_node& a, test_node& b)
+{
+    static std::uint64_t last_number = 1'000'000;
+    const cancel probe = numbered(++last_number);
+    CHECK_TRUE(a.network->send(b.address(), probe));
+    CHECK_TRUE(eventually([&] { return has_message(b, probe); }));
+}
+
+} // namespace
+
+TEST_GROUP(peer_network)
+{
+    manual_clock time;
+};
+
+TEST(peer_network, messages_arrive_in_order_with_the_identity_of_the_sender)
+{
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.start();
+    b.start();
+    constexpr std::uint64_t count = 500;
+    for (std::uint64_t i = 0; i < count; ++i)
+    {
+        CHECK_TRUE(a.network->send(b.address(), numbered(i)));
+    }
+    CHECK_TRUE(eventually([&] { return b.handler.messages().size() == count; }));
+    const auto messages = b.handler.messages();
+    for (std::uint64_t i = 0; i < count; ++i)
+    {
+        CHECK_TRUE(messages[i].second == message(numbered(i)));
+        CHECK_TRUE(messages[i].first.node == a.id);
+    }
+    // The answer takes the connection that is there.
+    CHECK_TRUE(b.network->reply(a.id, numbered(7)));
+    CHECK_TRUE(eventually([&] { return has_message(a, numbered(7)); }));
+    LONGS_EQUAL(0, b.network->counters().connections_dialed);
+}
+
+TEST(peer_network, a_message_of_the_largest_size_arrives_and_a_larger_one_is_refused)
+{
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.start();
+    b.start();
+    constexpr std::size_t body_bytes = 1'048'576;
+    const call_chunk large{core::call_number{1}, 0, std::string(body_bytes, 'x')};
+    CHECK_TRUE(a.network->send(b.address(), large));
+    CHECK_TRUE(eventually([&] { return has_message(b, large); }));
+    const call_chunk too_large{core::call_number{1}, 0, std::string(max_frame_bytes, 'x')};
+    CHECK_FALSE(a.network->send(b.address(), too_large));
+    LONGS_EQUAL(1, a.network->counters().message_too_large);
+}
+
+TEST(peer_network, bad_input_is_counted_closes_the_connection_and_changes_nothing_else)
+{
+    struct row
+    {
+        const char* name;
+        std::string bytes;
+        std::uint64_t peer_counters::*counter;
+    };
+    const std::string hello_frame = encode(hello{}).value();
+    const auto empty_hello = [](flatbuffers::FlatBufferBuilder& builder) {
+        return std::pair{fb::Body::Hello, fb::CreateHello(builder).Union()};
+    };
+    const auto unknown_kind = [](flatbuffers::FlatBufferBuilder& builder)
+    {
+        constexpr std::uint8_t beyond_the_last = 200;
+        return std::pair{fb::Body{beyond_the_last}, fb::CreateHello(builder).Union()};
+    };
+    const row rows[] = {
+        {"truncated length", "\x10", &peer_counters::frame_truncated},
+        {"truncated frame", hello_frame.substr(0, hello_frame.size() - 3),
+         &peer_counters::frame_truncated},
+        {"oversized", "\xff\xff\xff\x7f", &peer_counters::frame_too_large},
+        {"HTTP", "GET / HTTP/1.1\r\n\r\n", &peer_counters::frame_too_large},
+        {"unverified", with_length("no flatbuffer at all"), &peer_counters::frame_unverified},
+        {"empty frame", with_length(""), &peer_counters::frame_unverified},
+        {"next version", with_length(build_payload(protocol_version + 1, empty_hello)),
+         &peer_counters::frame_wrong_version},
+        {"unknown message", with_length(build_payload(protocol_version, unknown_kind)),
+         &peer_counters::frame_unknown_message},
+        {"message before the hello", encode(numbered(1)).value(), &peer_counters::frame_unexpected},
+        {"hello without a nonce", hello_frame, &peer_counters::peer_unauthenticated},
+        {"closed at once", "", &peer_counters::closed_by_peer},
+    };
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.start();
+    b.start();
+    std::size_t errors = 0;
+    for (const row& bad : rows)
+    {
+        const std::uint64_t before = b.network->counters().*bad.counter;
+        const raw_client stranger(b.address());
+        stranger.write(bad.bytes);
+        stranger.close_writing();
+        stranger.read_all();
+        CHECK_TRUE_TEXT(
+            eventually([&] { return b.network->counters().*bad.counter == before + 1; }), bad.name);
+        errors += bad.counter == &peer_counters::closed_by_peer ? 0 : 1;
+        check_served(a, b);
+    }
+    const auto reported = b.handler.errors();
+    LONGS_EQUAL(errors, reported.size());
+    for (const core::error& cause : reported)
+    {
+        CHECK_FALSE(cause.remedy.empty());
+    }
+    CHECK_TRUE(b.handler.lost().empty());
+}
+
+TEST(peer_network, a_stranger_is_shown_a_random_number_only)
+{
+    test_node b(time, {"key"}, 2);
+    b.start();
+    const raw_client stranger(b.address());
+    stranger.close_writing();
+    const std::string seen = stranger.read_all();
+    CHECK_TRUE(seen.find("murtal") == std::string::npos);
+    CHECK_TRUE(seen.find("127.0.0.1") == std::string::npos);
+    CHECK_TRUE(b.network->connected().empty());
+}
+
+TEST(peer_network, a_node_with_a_wrong_key_is_refused_until_it_has_the_right_one)
+{
+    test_node a(time, {"wrong"});
+    test_node b(time, {"right"}, 2);
+    a.start();
+    b.start();
+    CHECK_TRUE(a.network->send(b.address(), numbered(1)));
+    CHECK_TRUE(eventually([&] { return !a.handler.unreachable().empty(); }));
+    CHECK_TRUE(b.handler.messages().empty());
+    LONGS_EQUAL(1, b.network->counters().peer_unauthenticated);
+    LONGS_EQUAL(1, a.network->counters().message_undeliverable);
+    a.network->set_fleet_keys({"right"});
+    time.advance(core::seconds(1));
+    check_served(a, b);
+}
+
+TEST(peer_network, keys_are_rotated_without_losing_the_connection)
+{
+    test_node a(time, {"old"});
+    test_node b(time, {"old"}, 2);
+    a.start();
+    b.start();
+    check_served(a, b);
+    for (test_node* node : {&a, &b})
+    {
+        node->network->set_fleet_keys({"old", "new"});
+        check_served(a, b);
+        node->network->set_fleet_keys({"new", "old"});
+        check_served(a, b);
+    }
+    CHECK_TRUE(a.handler.lost().empty());
+    test_node c(time, {"new"}, 3);
+    c.start();
+    check_served(c, a);
+}
+
+TEST(peer_network, a_connection_that_goes_silent_is_replaced)
+{
+    silent_relay relay;
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    b.settings.listen = relay.target();
+    b.settings.self.address = relay.address();
+    a.start();
+    b.start();
+    check_served(a, b);
+    relay.silence();
+    CHECK_TRUE(a.network->send(b.address(), numbered(1)));
+    time.advance(core::seconds(3));
+    CHECK_TRUE(eventually([&] { return a.handler.lost().size() == 1; }));
+    CHECK_TRUE(eventually([&] { return b.handler.lost().size() == 1; }));
+    CHECK_FALSE(has_message(b, numbered(1)));
+    LONGS_EQUAL(1, a.network->counters().peer_silent);
+    check_served(a, b);
+    LONGS_EQUAL(2, a.network->counters().connections_dialed);
+}
+
+TEST(peer_network, heartbeats_keep_a_quiet_connection)
+{
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.start();
+    b.start();
+    check_served(a, b);
+    for (int i = 0; i < 5; ++i)
+    {
+        const std::uint64_t received = a.network->counters().bytes_received;
+        const std::uint64_t received_by_b = b.network->counters().bytes_received;
+        time.advance(core::seconds(1));
+        CHECK_TRUE(eventually(
+            [&]
+            {
+                return a.network->counters().bytes_received > received &&
+                       b.network->counters().bytes_received > received_by_b;
+            }));
+    }
+    CHECK_TRUE(a.handler.lost().empty());
+    CHECK_TRUE(b.handler.lost().empty());
+    LONGS_EQUAL(0, a.network->counters().peer_silent);
+}
+
+TEST(peer_network, a_reply_to_a_former_incarnation_is_dropped)
+{
+    test_node a(time);
+    a.start();
+    const core::address where = [&]
+    {
+        test_node former(time, {"key"}, 2);
+        former.start();
+        check_served(a, former);
+        return former.address();
+    }();
+    CHECK_TRUE(eventually([&] { return a.handler.lost().size() == 1; }));
+    test_node restarted(time, {"key"}, 3);
+    restarted.settings.self.address = where;
+    restarted.settings.listen = where;
+    restarted.start();
+    CHECK_TRUE(a.network->reply({where, core::incarnation{2}}, numbered(9)));
+    check_served(a, restarted);
+    CHECK_FALSE(has_message(restarted, numbered(9)));
+    LONGS_EQUAL(1, a.network->counters().message_wrong_incarnation);
+}
+
+TEST(peer_network, an_unreachable_address_is_reported_and_dialed_again_after_the_backoff)
+{
+    test_node a(time);
+    a.start();
+    const core::address where = [&]
+    {
+        test_node gone(time, {"key"}, 2);
+        return gone.start().address();
+    }();
+    CHECK_TRUE(a.network->send(where, numbered(1)));
+    CHECK_TRUE(eventually([&] { return a.handler.unreachable().size() == 1; }));
+    // Within the backoff the message waits; the clock does not move by itself.
+    CHECK_TRUE(a.network->send(where, numbered(2)));
+    LONGS_EQUAL(1, a.network->counters().connections_dialed);
+    test_node back(time, {"key"}, 3);
+    back.settings.self.address = where;
+    back.settings.listen = where;
+    back.start();
+    time.advance(core::seconds(2));
+    CHECK_TRUE(eventually([&] { return has_message(back, numbered(2)); }));
+    CHECK_FALSE(has_message(back, numbered(1)));
+}
+
+TEST(peer_network, a_full_write_queue_closes_the_connection)
+{
+    silent_relay relay;
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.settings.write_queue = core::bytes{262'144};
+    b.settings.listen = relay.target();
+    b.settings.self.address = relay.address();
+    a.start();
+    b.start();
+    check_served(a, b);
+    relay.silence();
+    // The sockets' own buffers take a few megabytes first.
+    constexpr std::size_t chunk_bytes = 131'072;
+    const call_chunk chunk{core::call_number{1}, 0, std::string(chunk_bytes, 'x')};
+    CHECK_TRUE(eventually(
+        [&]
+        {
+            a.network->send(b.address(), chunk);
+            return a.network->counters().write_queue_full > 0;
+        }));
+    CHECK_TRUE(eventually([&] { return a.handler.lost().size() == 1; }));
+    check_served(a, b);
+}
+
+TEST(peer_network, strangers_cannot_use_up_the_connections)
+{
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.start();
+    b.start();
+    std::vector<std::unique_ptr<raw_client>> strangers;
+    constexpr std::size_t count = 140;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        strangers.push_back(std::make_unique<raw_client>(b.address()));
+    }
+    check_served(a, b);
+    CHECK_TRUE(eventually([&] { return b.network->counters().connection_limit >= 12; }));
+    time.advance(core::seconds(3));
+    CHECK_TRUE(eventually([&] { return b.network->counters().handshake_timeout >= 120; }));
+}
+
+TEST(peer_network, what_was_sent_before_the_stop_is_written)
+{
+    test_node b(time, {"key"}, 2);
+    b.start();
+    constexpr std::uint64_t last = 200;
+    {
+        test_node a(time);
+        a.start();
+        check_served(a, b);
+        for (std::uint64_t i = 0; i <= last; ++i)
+        {
+            CHECK_TRUE(a.network->send(b.address(), numbered(i)));
+        }
+    }
+    CHECK_TRUE(eventually([&] { return has_message(b, numbered(last)); }));
+    CHECK_TRUE(eventually([&] { return b.handler.lost().size() == 1; }));
+}
+
+TEST(peer_network, an_address_that_cannot_be_bound_and_missing_keys_are_errors)
+{
+    test_node a(time);
+    a.settings.listen = core::address{"localhost:1"};
+    auto started = a.network->start(a.settings, a.handler);
+    LONGS_EQUAL(static_cast<int>(core::error_code::invalid_address),
+                static_cast<int>(started.error().code));
+    test_node b(time, {});
+    started = b.network->start(b.settings, b.handler);
+    LONGS_EQUAL(static_cast<int>(core::error_code::peer_unauthenticated),
+                static_cast<int>(started.error().code));
+}
