--- /dev/null
+++ b/tests/support/child_process.cpp
@@ -0,0 +1,214 @@
+#include "child_process.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <sstream>
+
+#include "fail_test.hpp"
+
+namespace snipeplank::tests
+{
+namespace
+{
+
+constexpr std::chrono::seconds ready_limit{30};
+
+[[noreturn]] void run_program(const std::vector<char*>& arguments, int output)
+{
+    // A test that crashes must not leave processes behind.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::dup2(output, STDOUT_FILENO);
+    ::dup2(output, STDERR_FILENO);
+    ::execv(arguments.front(), arguments.data());
+    constexpr int not_found = 127;
+    ::_exit(not_found);
+}
+
+int describe_status(int status)
+{
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+} // namespace
+
+std::string program_path(const std::string& name)
+{
+    return std::string(SNIPEPLANK_BIN_DIR) + "/" + name;
+}
+
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
+    : m_program(program)
+{
+    std::vector<std::string> words{program_path(program)};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
+    for (auto& word : words)
+    {
+        pointers.push_back(word.data());
+    }
+    pointers.push_back(nullptr);
+    std::array<int, 2> ends{};
+    if (::pipe2(ends.data(), O_CLOEXEC) != 0)
+    {
+        fail_test("no pipe for the output of " + program);
+    }
+    m_id = ::fork();
+    if (m_id == 0)
+    {
+        run_program(pointers, ends[1]);
+    }
+    ::close(ends[1]);
+    if (m_id < 0)
+    {
+        ::close(ends[0]);
+        fail_test("cannot start " + program);
+    }
+    m_reader = std::thread([this, pipe = ends[0]] { read_output(pipe); });
+}
+
+child_process::~child_process()
+{
+    kill();
+    m_reader.join();
+}
+
+std::vector<std::string> child_process::wait_ready_words()
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, ready_limit,
+                       [this] { return m_output_ended || find_line("ready ").has_value(); });
+    const auto line = find_line("ready ");
+    if (!line)
+    {
+        fail_test(m_program + " did not become ready; its output:\n" + m_output);
+    }
+    std::istringstream rest(line->substr(std::string("ready ").size()));
+    std::vector<std::string> words;
+    for (std::string word; rest >> word;)
+    {
+        words.push_back(word);
+    }
+    if (words.empty())
+    {
+        fail_test(m_program + " named no address in its ready line");
+    }
+    return words;
+}
+
+void child_process::send_signal(int signal)
+{
+    if (is_running())
+    {
+        ::kill(m_id, signal);
+    }
+}
+
+void child_process::freeze()
+{
+    send_signal(SIGSTOP);
+}
+
+void child_process::resume()
+{
+    send_signal(SIGCONT);
+}
+
+void child_process::kill()
+{
+    send_signal(SIGKILL);
+    wait();
+}
+
+int child_process::terminate()
+{
+    send_signal(SIGTERM);
+    return wait();
+}
+
+int child_process::wait()
+{
+    if (!m_status)
+    {
+        int status = 0;
+        ::waitpid(m_id, &status, 0);
+        m_status = describe_status(status);
+    }
+    return *m_status;
+}
+
+bool child_process::is_running()
+{
+    int status = 0;
+    if (!m_status && ::waitpid(m_id, &status, WNOHANG) == m_id)
+    {
+        m_status = describe_status(status);
+    }
+    return !m_status;
+}
+
+std::string child_process::output() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_output;
+}
+
+void child_process::read_output(int pipe)
+{
+    std::array<char, 4096> buffer;
+    ssize_t count = 0;
+    while ((count = ::read(pipe, buffer.data(), buffer.size())) > 0)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_output.append(buffer.data(), static_cast<std::size_t>(count));
+        m_changed.notify_all();
+    }
+    ::close(pipe);
+    const std::lock_guard lock(m_mutex);
+    m_output_ended = true;
+    m_changed.notify_all();
+}
+
+std::optional<std::string> child_process::find_line(const std::string& prefix) const
+{
+    std::size_t start = 0;
+    for (auto end = m_output.find('\n'); end != std::string::npos; end = m_output.find('\n', start))
+    {
+        if (m_output.compare(start, prefix.size(), prefix) == 0)
+        {
+            return m_output.substr(start, end - start);
+        }
+        start = end + 1;
+    }
+    return std::nullopt;
+}
+
+std::string free_address()
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    const bool bound =
+        ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
+        ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length) == 0;
+    ::close(socket);
+    if (!bound)
+    {
+        fail_test("no free port on loopback");
+    }
+    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+} // namespace snipeplank::tests
