--- a/packages/gateway/src/ticket_issuer.cpp
+++ b/packages/gateway/src/ticket_issuer.cpp
@@ -113,7 +113,7 @@
         m_parts.log.add(std::move(record));
     std::unique_lock lock(m_issuer_mutex);
     const policy::issuer_actions actions =
-        m_issuer.on_result(what.id, what.attempt, outcome, is_streamed);
+        m_issuer.on_result(what.id, std::move(outcome), is_streamed);
     lock.unlock();
     perform(actions);
 }
--- a/packages/gateway/src/ticket_service.cpp
+++ b/packages/gateway/src/ticket_service.cpp
@@ -133,7 +133,7 @@
         if (entry->give_up_successors_at && now >= *entry->give_up_successors_at)
         {
             entry->give_up_successors_at.reset();
-            actions = entry->machine.on_issuer_gone();
+            actions = entry->machine.on_issuer_gone(steady_clock::now());
         }
         else
         {
@@ -290,8 +290,11 @@
     {
         if (cancel->ticket.empty())
             return false;
-        const std::lock_guard lock(m_issuer_mutex);
-        m_issuer.on_cancel({from.node, cancel->number}, cancel->ticket, steady_clock::now());
+        std::unique_lock lock(m_issuer_mutex);
+        const policy::issuer_actions actions =
+            m_issuer.on_cancel({from.node, cancel->number}, cancel->ticket, steady_clock::now());
+        lock.unlock();
+        perform(actions);
         return true;
     }
     if (const auto* reserved = std::get_if<wire::reserved>(&received))
@@ -337,7 +340,7 @@
         entry->changed.notify_all();
         return;
     }
-    const policy::entry_actions actions = entry->machine.on_outcome(outcome, steady_clock::now());
+    const policy::entry_actions actions = entry->machine.on_outcome(outcome);
     lock.unlock();
     perform(number, entry, actions);
 }
@@ -381,9 +384,9 @@
     if (!entry->request)
         entry->looked_up = outcome;
     else if (is_answer)
-        actions = entry->machine.on_outcome(outcome, steady_clock::now());
+        actions = entry->machine.on_outcome(outcome);
     else
-        actions = entry->machine.on_issuer_gone();
+        actions = entry->machine.on_issuer_gone(steady_clock::now());
     entry->changed.notify_all();
     lock.unlock();
     perform(number, entry, actions);
@@ -483,9 +486,11 @@
 void ticket_service::expire()
 {
     const core::time_point now = steady_clock::now();
-    const std::lock_guard lock(m_issuer_mutex);
-    m_table.expire(now);
+    std::unique_lock lock(m_issuer_mutex);
+    const policy::issuer_actions actions = m_issuer.on_time(now);
     m_successor.expire(now);
+    lock.unlock();
+    perform(actions);
 }
 
 std::size_t ticket_service::in_flight() const
