--- a/packages/policy/include/snipeplank/policy/call_outcome.hpp
+++ b/packages/policy/include/snipeplank/policy/call_outcome.hpp
@@ -7,6 +7,7 @@
 #include <snipeplank/core/ids.hpp>
 #include <snipeplank/policy/refusal.hpp>
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -51,10 +52,19 @@
     unknown,         ///< neither proof nor answer
 };
 
+/// Number of one reservation of an issuing node: rising, never reused, so that a late commit
+/// cannot match a newer reservation.
+using reservation_number = core::strong_type<std::uint64_t, struct reservation_number_tag>;
+
 /// @brief Outcome of a ticketed call.
 struct call_outcome
 {
     outcome_kind kind = outcome_kind::unknown;
+
+    /// With `not_run`: no reservation up to this number will run. An attempt that has committed a
+    /// newer one received the statement late and must not pass it on.
+    reservation_number settled_through;
+
     refusal why;            ///< what to tell the caller, unless `kind` is `answered`
     upstream_answer answer; ///< see `kind`
 
--- a/packages/policy/include/snipeplank/policy/reserved_call.hpp
+++ b/packages/policy/include/snipeplank/policy/reserved_call.hpp
@@ -5,8 +5,9 @@
 /// commits. Each event returns the actions to take; nothing here reads a clock or a socket.
 ///
 /// `executed: no` states that the ticket had not been run at some moment after the attempt came
-/// in, and that this attempt never runs. It is not told on the entry's word alone, because an
-/// earlier attempt through another entry node may have run.
+/// in, and that this attempt never runs. The entry node does not state it on its own word, because
+/// an earlier attempt through another entry node may have run: it needs a statement of the issuing
+/// node or a reservation that still holds.
 
 #ifndef SNIPEPLANK_POLICY_RESERVED_CALL_HPP
 #define SNIPEPLANK_POLICY_RESERVED_CALL_HPP
@@ -80,10 +81,10 @@
 
     entry_actions start(core::time_point now);
     entry_actions on_reserved(reservation_number number, core::time_point now);
-    entry_actions on_outcome(const call_outcome& outcome, core::time_point now);
+    entry_actions on_outcome(const call_outcome& outcome);
 
-    /// @brief `call_refused` from the issuing node.
-    entry_actions on_refused(const refusal& why, core::time_point now);
+    /// @brief `call_refused` from the issuing node: final before the commit, no proof after it.
+    entry_actions on_refused(const refusal& why);
 
     /// @brief The first frame of a streamed answer: the call has run.
     void on_answer_begun();
@@ -98,7 +99,7 @@
     entry_actions on_connection_lost(core::time_point now);
 
     /// @brief The issuing incarnation is gone for good and no successor answers for it.
-    entry_actions on_issuer_gone();
+    entry_actions on_issuer_gone(core::time_point now);
 
     /// @brief Time has passed: gives up at the deadline and asks again after silence.
     entry_actions on_time(core::time_point now);
@@ -120,13 +121,17 @@
         finished,
     };
 
+    entry_actions ask(core::time_point now);
+    entry_actions give_up(refusal_reason reason, core::time_point now);
     entry_actions finish(entry_action last);
+    core::milliseconds remaining(core::time_point now) const;
+    bool holds_reservation(core::time_point now) const;
 
     core::time_point m_deadline;
-    core::time_point m_ask_again_at;
+    core::time_point m_asked_at;
     phase m_phase = phase::created;
+    reservation_number m_granted; ///< newest; 0 when none
     bool m_has_run = false;
-    bool m_was_reserved = false;
 };
 
 // Actions of the issuing node.
@@ -173,16 +178,22 @@
 
     issuer_actions on_outcome_request(const call_key& from, const std::string& ticket_text,
                                       core::time_point now);
-    void on_cancel(const call_key& from, const std::string& ticket_text, core::time_point now);
+    issuer_actions on_cancel(const call_key& from, const std::string& ticket_text,
+                             core::time_point now);
 
     /// @brief Right before the first byte: true allows it, false has ended the call (`actions`).
     bool may_send(const ticket_id& id, core::time_point now, issuer_actions& actions);
 
-    /// @brief The call ended. `streamed` means the running attempt has had the answer already.
-    issuer_actions on_result(const ticket_id& id, const call_key& ran, const call_outcome& result,
-                             bool streamed);
+    /// @brief The call ended.
+    /// @param is_streamed whether the running attempt has been sent the whole answer already
+    issuer_actions on_result(const ticket_id& id, call_outcome result, bool is_streamed);
+
+    /// @brief Ends lapsed reservations and forgets expired tickets. Call at least once a second.
+    issuer_actions on_time(core::time_point now);
 
   private:
+    issuer_actions collect(issuer_actions actions, bool is_streamed = false);
+
     ticket_table& m_table;
 };
 
--- a/packages/policy/include/snipeplank/policy/ticket_table.hpp
+++ b/packages/policy/include/snipeplank/policy/ticket_table.hpp
@@ -33,9 +33,6 @@
     std::size_t tickets = 32'768;        ///< issued and not expired
 };
 
-/// Number of one reservation, never reused, so that a late commit cannot match a newer one.
-using reservation_number = core::strong_type<std::uint64_t, struct reservation_number_tag>;
-
 /// @brief A new ticket.
 struct issued_ticket
 {
@@ -59,6 +56,15 @@
 {
 };
 
+/// @brief Something that an attempt is told without having asked just now.
+struct ticket_notice
+{
+    call_key attempt;
+    std::optional<reservation_number> granted; ///< a reservation, or else `outcome`
+    call_outcome outcome;
+    bool is_holder = false; ///< the attempt that ran
+};
+
 using issue_result = std::variant<issued_ticket, refusal>;
 using check_result = std::variant<ticket, refusal>;
 using reserve_result = std::variant<reservation_granted, must_wait, call_outcome>;
@@ -69,6 +75,7 @@
 ///
 /// A ticket without an entry is unused: only issued tickets carry a valid signature. Not
 /// thread-safe; the owner holds one mutex, since at-most-once needs one winner per ticket.
+/// Each command may leave notices for other attempts; fetch them with `take_notices`.
 class ticket_table
 {
   public:
@@ -80,18 +87,20 @@
     issue_result issue(const core::service_id& service, core::time_point now,
                        core::random_source& random);
 
-    /// @brief Parses and checks a caller's ticket: issuer, signature, expiry.
-    /// @return the ticket; or `ticket_invalid`, `ticket_issuer_gone` or `ticket_expired`
-    check_result check(std::string_view text, core::time_point now) const;
+    /// @brief Parses and checks a caller's ticket: issuer and signature.
+    /// @return the ticket; or `ticket_invalid` or `ticket_issuer_gone`
+    check_result check(std::string_view text) const;
 
     /// @brief Reserves a checked ticket for one attempt. Reservations end after 2 s.
     ///
-    /// A running ticket makes the attempt wait. A ticket reserved for another attempt is refused
-    /// with `ticket_in_use`, as is another body than that of an earlier run.
+    /// While another attempt holds or runs the ticket, the attempt waits: it is granted the
+    /// reservation when the other one lapses, or told the outcome. Another body than that of the
+    /// first run is refused with `ticket_in_use`.
     reserve_result reserve(const ticket& which, const call_key& attempt,
                            const std::string& body_hash, core::time_point now);
 
-    /// @brief Turns a reservation that has not ended into a running call.
+    /// @brief Turns a reservation that has not lapsed into a running call.
+    /// @param body_hash of the body that came with the commit
     /// @param deadline of the attempt, on this node's clock
     commit_result commit(const ticket& which, const call_key& attempt, reservation_number number,
                          const std::string& body_hash, core::time_point deadline,
@@ -107,26 +116,23 @@
     lookup_result look_up(const ticket& which, core::time_point now) const;
 
     /// @brief Right before the first byte goes upstream: whether the deadline still allows it.
-    ///
-    /// After `true` only `finish` with an answer or an outcome of kind `unknown`, or the
-    /// upstream's refusal before execution, ends the call.
-    bool begin_sending(const ticket_id& id, core::time_point now);
+    bool may_send(const ticket_id& id, core::time_point now) const;
 
-    /// @brief Ends a running call and returns the attempts to tell, the running one included.
+    /// @brief Ends a running call and leaves a notice for each attempt to tell.
     ///
-    /// `not_run` makes the ticket unused again. An answer above the bounds is not kept, but it is
-    /// still returned whole to the attempt that ran.
-    std::vector<call_key> finish(const ticket_id& id, call_outcome result);
-
-    /// @brief What a waiting or repeated attempt is told about a ticket that has ended.
-    std::optional<call_outcome> stored(const ticket_id& id) const;
+    /// `not_run` makes the ticket unused again; use it only with a proof. The running attempt is
+    /// told the answer whole; an answer above the bounds is not kept for others.
+    void finish(const ticket_id& id, call_outcome result);
 
-    /// @brief Ends the wait of one attempt, or withdraws its reservation.
-    void forget_attempt(const ticket_id& id, const call_key& attempt);
+    /// @brief Ends the wait of one attempt, or withdraws its reservation. A running call goes on.
+    void forget_attempt(const ticket_id& id, const call_key& attempt, core::time_point now);
 
-    /// @brief Forgets expired tickets and ended reservations. O(expired).
+    /// @brief Forgets expired tickets and lapsed reservations. O(expired).
     void expire(core::time_point now);
 
+    /// @brief Notices left since the last time.
+    std::vector<ticket_notice> take_notices();
+
     /// @brief Stops issuing and running for good, when nothing is running or reserved.
     /// @return whether the table is frozen
     bool freeze(core::time_point now);
@@ -142,6 +148,9 @@
     core::bytes stored_bytes() const { return m_stored; }
     const core::node_id& self() const { return m_self; }
 
+    /// @brief A statement that the ticket has not been run so far.
+    call_outcome not_run(refusal why) const;
+
   private:
     enum class phase
     {
@@ -158,17 +167,33 @@
         reservation_number reservation;
         core::time_point reserved_until;
         core::time_point deadline;
-        std::string body_hash;
-        bool is_body_bound = false; ///< true from the first run on
-        std::set<call_key> waiting;
+        std::string body_hash;                   ///< of the holder
+        std::map<call_key, std::string> waiting; ///< body hash; empty when the attempt only asks
         call_outcome result;
+        core::bytes stored;
     };
 
+    using entry_map = std::unordered_map<ticket_id, entry>;
+
+    entry& add_entry(const ticket& which);
+    reservation_number grant(entry_map::iterator to, const call_key& attempt,
+                             const std::string& body_hash, core::time_point now);
+    void lapse(entry_map::iterator which, core::time_point now);
+    void settle_lapsed(const ticket_id& id, core::time_point now);
+    call_outcome for_body(const entry& ended, const std::string& body_hash) const;
+    call_outcome without_entry(const ticket& which, core::time_point now) const;
+    void keep(entry& ended, const call_outcome& result);
+    void notify(const call_key& attempt, call_outcome outcome, bool is_holder);
+    void forget_expired(core::milliseconds now);
+
     core::node_id m_self;
     ticket_signer m_signer;
     ticket_limits m_limits;
-    std::unordered_map<ticket_id, entry> m_entries;
+    entry_map m_entries;
     std::deque<core::milliseconds> m_issued; ///< expiries, ascending
+    std::set<std::pair<core::time_point, ticket_id>> m_lapses;
+    std::multimap<core::milliseconds, ticket_id> m_expiries;
+    std::vector<ticket_notice> m_notices;
     std::uint64_t m_last_reservation = 0;
     std::size_t m_running = 0;
     core::bytes m_stored;
@@ -186,7 +211,7 @@
     explicit successor_table(ticket_limits limits = {}) : m_limits(limits) {}
 
     /// @brief Adds one part; a repeated part changes nothing.
-    /// @return whether the part was taken and may be acknowledged
+    /// @return whether the part is kept and may be acknowledged; false above the bound of memory
     bool add_part(const core::node_id& former, core::milliseconds frozen_at, std::uint32_t part,
                   std::uint32_t parts, std::vector<outcome_record> records, core::time_point now);
 
@@ -205,10 +230,12 @@
         std::uint32_t parts = 0;
         std::set<std::uint32_t> received;
         std::unordered_map<std::string, outcome_record> records;
+        core::bytes stored;
     };
 
     ticket_limits m_limits;
     std::map<core::node_id, former_node> m_former;
+    core::bytes m_stored;
 };
 
 } // namespace snipeplank::policy
--- a/packages/wire/src/decoder.cpp
+++ b/packages/wire/src/decoder.cpp
@@ -46,6 +46,7 @@
     }
     policy::call_outcome to;
     to.kind = enumerator(from->kind(), policy::outcome_kind::unknown);
+    to.settled_through = policy::reservation_number{from->settled_through()};
     to.why = refusal(from->why());
     to.answer.status = from->answer()->status();
     to.answer.headers = headers(from->answer()->headers());
--- a/packages/wire/src/encoder.cpp
+++ b/packages/wire/src/encoder.cpp
@@ -48,7 +48,8 @@
     const auto body = text(value.answer.body);
     const auto answer =
         fb::CreateAnswer(m_builder, value.answer.status, headers(value.answer.headers), body);
-    return fb::CreateCallOutcome(m_builder, static_cast<std::uint8_t>(value.kind), why, answer);
+    return fb::CreateCallOutcome(m_builder, static_cast<std::uint8_t>(value.kind),
+                                 value.settled_through.get(), why, answer);
 }
 
 flatbuffers::Offset<fb::CallRequest> encoder::request(const call_request& value)
--- a/packages/wire/tests/arbitrary_message.hpp
+++ b/packages/wire/tests/arbitrary_message.hpp
@@ -81,6 +81,7 @@
 inline policy::call_outcome any_outcome()
 {
     return {any_enumerator(policy::outcome_kind::unknown),
+            any_strong<policy::reservation_number>(),
             any_refusal(),
             {any<std::int32_t>(), any_headers(), any<std::string>()}};
 }
