Hedge only calls that are far later than usual

Cause: hedging from the 0.95 quantile and twice the median on sent 7% more calls without a fault, and the extra prefill delayed other calls. Change: a hedge waits for the 0.99 quantile and eight times the median.

--- a/packages/policy/src/dispatcher.cpp
+++ b/packages/policy/src/dispatcher.cpp
@@ -14,10 +14,11 @@
 
 /// First bytes seen before a hedge is considered.
 constexpr std::size_t samples_to_hedge = 20;
-/// A call is an outlier when it is later than this quantile of the service's first bytes
-constexpr double hedge_quantile = 0.95;
-/// and than this many times their median; the quantile alone hedges 1 in 20 healthy calls.
-constexpr double hedge_median_factor = 2;
+/// A call is an outlier when it is later than this quantile of the service's first bytes and than
+/// this many times their median. Hedging from the 0.95 quantile on sent 7% more calls without a
+/// fault and made the tail longer, because the extra prefill delays other calls.
+constexpr double hedge_quantile = 0.99;
+constexpr double hedge_median_factor = 8;
 constexpr double shortest_hedge_ms = 20;
 
 std::unique_ptr<routing_policy> make_policy(const settings::published_config& config)
--- a/tools/policy_bench/scenes.cpp
+++ b/tools/policy_bench/scenes.cpp
@@ -45,11 +45,31 @@
     return plan;
 }
 
+constexpr double step_from_ms = 20'000;
+constexpr double step_to_ms = 40'000;
+
+/// All regions at a multiple of their capacity for 20 s.
+scene load_step(const std::string& name, double times_capacity)
+{
+    scene plan;
+    plan.name = name;
+    plan.weights = hallstein;
+    plan.rate = [times_capacity](std::size_t, double now)
+    {
+        const bool is_step = now >= step_from_ms && now < step_to_ms;
+        return is_step ? times_capacity * region_capacity : usual_load;
+    };
+    plan.measure_from_ms = step_from_ms;
+    plan.measure_to_ms = step_to_ms;
+    return plan;
+}
+
 } // namespace
 
 std::vector<scene> make_scenes()
 {
-    return {steady(), slow_engine()};
+    constexpr double burst = 5;
+    return {steady(), slow_engine(), load_step("capacity", 1), load_step("burst", burst)};
 }
 
 } // namespace snipeplank::bench
