--- a/packages/policy/tests/routing_test.cpp
+++ b/packages/policy/tests/routing_test.cpp
@@ -154,10 +154,12 @@
             unsigned total = 0;
             for (unsigned& calls : own)
             {
-                calls = *rc::gen::inRange(0U, 30U);
+                calls = *rc::gen::inRange(0U, 60U);
                 total += calls;
             }
-            RC_PRE(total > 2 * slots);
+            // Overfull: more than twice the slots are running and waiting.
+            own[0] += 2 * slots + 1;
+            total += 2 * slots + 1;
             unsigned sum = 0;
             for (std::size_t i = 0; i < nodes; ++i)
             {
--- a/tools/policy_bench/scenes.cpp
+++ b/tools/policy_bench/scenes.cpp
@@ -64,12 +64,45 @@
     return plan;
 }
 
+/// Region 0 is cut off for 20 s and returns with empty caches; its callers, who were kept waiting,
+/// bring it to its capacity for 10 s.
+scene cold_return()
+{
+    scene plan;
+    plan.name = "cold_return";
+    plan.weights = hallstein;
+    plan.rate = [](std::size_t region, double now)
+    {
+        constexpr double crowd_ms = 10'000;
+        const bool is_crowd = region == 0 && now >= step_to_ms && now < step_to_ms + crowd_ms;
+        return is_crowd ? region_capacity : usual_load;
+    };
+    plan.end_ms = 70'000;
+    plan.measure_from_ms = step_to_ms;
+    plan.measure_to_ms = 60'000;
+    plan.script = [](run& state)
+    {
+        state.time.after(step_from_ms, [&state] { state.is_cut_off[0] = true; });
+        state.time.after(step_to_ms,
+                         [&state]
+                         {
+                             state.is_cut_off[0] = false;
+                             for (std::size_t i = 0; i < state.shape.engines_per_region; ++i)
+                             {
+                                 state.engines[i].drop_cache();
+                             }
+                         });
+    };
+    return plan;
+}
+
 } // namespace
 
 std::vector<scene> make_scenes()
 {
     constexpr double burst = 5;
-    return {steady(), slow_engine(), load_step("capacity", 1), load_step("burst", burst)};
+    return {steady(), slow_engine(), load_step("capacity", 1), load_step("burst", burst),
+            cold_return()};
 }
 
 } // namespace snipeplank::bench
