--- a/packages/policy/src/adaptive_policy.cpp
+++ b/packages/policy/src/adaptive_policy.cpp
@@ -13,6 +13,9 @@
 constexpr double load_bound = 1.25;
 /// Part of the predicted time that a warm prefix cache saves.
 constexpr double warm_saving = 0.5;
+/// A warm cache saves prefill, not queueing: the saving is counted on at most this many times the
+/// owner's own delay, so that a queue at the owner outweighs it.
+constexpr double most_delays_saved = 3;
 /// Scores closer than this are equal: nodes with the same lagged reports would otherwise all
 /// choose the same upstream.
 constexpr double tie_band = 0.1;
@@ -60,7 +63,7 @@
             double score = routing_score(m_weights, upstreams[i]);
             const double delay = m_weights.latency * upstreams[i].predicted_ms / ms_per_second;
             if (i == owner)
-                score -= warm_saving * delay;
+                score -= warm_saving * std::min(delay, most_delays_saved * own_delay(upstreams[i]));
             else
                 score += tie_band * delay * random.unit();
             order.push_back({score, i});
@@ -77,6 +80,12 @@
     }
 
   private:
+    /// Weighted delay of an upstream without queueing.
+    double own_delay(const upstream_view& upstream) const
+    {
+        return m_weights.latency * upstream.latency_ms / ms_per_second;
+    }
+
     /// Index of the prefix's owner, or the number of upstreams when there is none.
     static std::size_t owner_of(std::uint64_t prefix, std::span<const upstream_view> upstreams)
     {
--- a/packages/policy/src/dispatcher_route.cpp
+++ b/packages/policy/src/dispatcher_route.cpp
@@ -417,9 +417,10 @@
         const double queue = std::max(0.0, total + 1 - slots);
         expected.wait_ms = queue * (base + expected.hold_ms) / slots;
     }
-    // Prefill is serial in an engine: each own call that waits for its first byte delays the next.
-    const auto pending = static_cast<double>(upstream.waiting.size());
-    expected.wait_ms += pending * std::min(base, service.typical_ms);
+    // Prefill is serial in an engine: each call that waits for its first byte delays the next. The
+    // other nodes are taken to have as many such calls there as this one.
+    const auto pending = static_cast<double>(upstream.waiting.size() * nodes.size());
+    expected.wait_ms += pending * base;
     expected.total_ms = base + expected.wait_ms;
     if (!upstream.waiting.empty())
     {
--- a/tools/policy_bench/scenes.cpp
+++ b/tools/policy_bench/scenes.cpp
@@ -8,7 +8,7 @@
 
 /// Weights in the spirit of the two users of the design page: tail latency, and cost and share
 /// sent to another region.
-constexpr settings::routing_weights hallstein{1.0, 0.1, 0.2};
+constexpr settings::routing_weights hallstein{1.0, 0.1, 0.05};
 
 /// Calls per second at which the six engines of a region are about full with warm caches.
 constexpr double region_capacity = 60;
