--- a/tools/policy_bench/scenes.cpp
+++ b/tools/policy_bench/scenes.cpp
@@ -96,13 +96,36 @@
     return plan;
 }
 
+/// Load reports repeat their last values for 10 s while the load doubles.
+scene frozen_reports()
+{
+    constexpr double frozen_from_ms = 20'000;
+    constexpr double frozen_to_ms = 30'000;
+    scene plan;
+    plan.name = "frozen_reports";
+    plan.weights = hallstein;
+    plan.rate = [](std::size_t, double now)
+    {
+        const bool is_step = now >= frozen_from_ms && now < frozen_to_ms;
+        return is_step ? 2 * usual_load : usual_load;
+    };
+    plan.measure_from_ms = frozen_from_ms;
+    plan.measure_to_ms = step_to_ms;
+    plan.script = [](run& state)
+    {
+        state.time.after(frozen_from_ms, [&state] { state.are_reports_frozen = true; });
+        state.time.after(frozen_to_ms, [&state] { state.are_reports_frozen = false; });
+    };
+    return plan;
+}
+
 } // namespace
 
 std::vector<scene> make_scenes()
 {
     constexpr double burst = 5;
-    return {steady(), slow_engine(), load_step("capacity", 1), load_step("burst", burst),
-            cold_return()};
+    return {steady(),      slow_engine(),   load_step("capacity", 1), load_step("burst", burst),
+            cold_return(), frozen_reports()};
 }
 
 } // namespace snipeplank::bench
