--- a/packages/policy/include/snipeplank/policy/concurrency_limit.hpp
+++ b/packages/policy/include/snipeplank/policy/concurrency_limit.hpp
@@ -59,8 +59,6 @@
     double m_by_report;
     double m_others = 0;
     unsigned m_reported = 0;
-    unsigned m_last_running = 0;
-    unsigned m_repeats = 0;
     core::time_point m_last_report{};
     core::time_point m_last_decrease{};
 };
--- a/packages/policy/src/concurrency_limit.cpp
+++ b/packages/policy/src/concurrency_limit.cpp
@@ -23,9 +23,6 @@
 /// One overload reaches the node as many late answers; it is answered once.
 constexpr core::milliseconds decrease_interval{500};
 constexpr double largest_limit = 1'024;
-/// A busy upstream whose numbers stay the same for this many reports has stopped counting. A full
-/// one, with calls waiting, is trusted: its numbers may well stand still.
-constexpr unsigned repeats_to_distrust = 3;
 
 } // namespace
 
@@ -37,11 +34,6 @@
 void concurrency_limit::on_report(unsigned running, unsigned waiting, double kv_use, unsigned own,
                                   std::size_t live_nodes, core::time_point now)
 {
-    const bool is_repeated = running == m_last_running && waiting == 0 && own > 0;
-    m_repeats = is_repeated ? m_repeats + 1 : 0;
-    m_last_running = running;
-    if (m_repeats >= repeats_to_distrust)
-        return;
     if (waiting > 0)
         m_slots = std::max(1.0, (m_slots + running) / 2);
     else if (running >= busy_part * m_slots && kv_use < kv_nearly_full)
