Add the scene with callers that retry eagerly

Change: scene `eager_callers`: 1.5 times the capacity, callers ask again 100 ms after a refusal and after 3 s of silence.

--- a/tools/policy_bench/scenes.cpp
+++ b/tools/policy_bench/scenes.cpp
@@ -119,13 +119,22 @@
     return plan;
 }
 
+/// Callers ask again 100 ms after a refusal and after 3 s of silence, at 1.5 times the capacity.
+scene eager_callers()
+{
+    constexpr double times_capacity = 1.5;
+    scene plan = load_step("eager_callers", times_capacity);
+    plan.callers_retry_eagerly = true;
+    return plan;
+}
+
 } // namespace
 
 std::vector<scene> make_scenes()
 {
     constexpr double burst = 5;
-    return {steady(),      slow_engine(),   load_step("capacity", 1), load_step("burst", burst),
-            cold_return(), frozen_reports()};
+    return {steady(),      slow_engine(),    load_step("capacity", 1), load_step("burst", burst),
+            cold_return(), frozen_reports(), eager_callers()};
 }
 
 } // namespace snipeplank::bench
