--- a/tools/policy_bench/scenes.cpp
+++ b/tools/policy_bench/scenes.cpp
@@ -128,13 +128,36 @@
     return plan;
 }
 
+/// Two of six engines of region 0 die; the host list says so 5 s later.
+scene third_lost()
+{
+    constexpr double list_lag_ms = 5'000;
+    scene plan;
+    plan.name = "third_lost";
+    plan.weights = hallstein;
+    plan.rate = usual_rate;
+    plan.measure_from_ms = step_from_ms;
+    plan.measure_to_ms = step_to_ms;
+    plan.script = [](run& state)
+    {
+        state.time.after(step_from_ms,
+                         [&state]
+                         {
+                             state.engines[0].fail();
+                             state.engines[1].fail();
+                         });
+        state.time.after(step_from_ms + list_lag_ms, [&state] { state.publish_engines(); });
+    };
+    return plan;
+}
+
 } // namespace
 
 std::vector<scene> make_scenes()
 {
     constexpr double burst = 5;
     return {steady(),      slow_engine(),    load_step("capacity", 1), load_step("burst", burst),
-            cold_return(), frozen_reports(), eager_callers()};
+            cold_return(), frozen_reports(), eager_callers(),          third_lost()};
 }
 
 } // namespace snipeplank::bench
