--- a/packages/fleet/include/snipeplank/fleet/membership.hpp
+++ b/packages/fleet/include/snipeplank/fleet/membership.hpp
@@ -59,7 +59,7 @@
     void start(core::time_point now);
 
     /// @brief Takes the peer addresses of the region's entry hosts that the platform lists.
-    void on_host_list(std::vector<core::address> listed, core::time_point now);
+    void on_host_list(const std::vector<core::address>& listed, core::time_point now);
 
     /// @brief Takes a message of a node of the same region. O(items log members).
     void on_gossip(const gossip& received, core::time_point now);
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -31,11 +31,11 @@
     m_changed = true;
 }
 
-void membership::on_host_list(std::vector<core::address> listed, core::time_point now)
+void membership::on_host_list(const std::vector<core::address>& listed, core::time_point now)
 {
     m_list_received = now;
     std::map<core::address, core::time_point> candidates;
-    for (core::address& address : listed)
+    for (const core::address& address : listed)
     {
         if (address == m_self.id.address)
             continue;
@@ -417,8 +417,13 @@
 /// member as soon as the link is back.
 void membership::update_doubt(core::time_point now)
 {
-    const std::size_t alive = 1 + addresses_in(member_state::alive).size();
-    const std::size_t suspected = addresses_in(member_state::suspected).size();
+    std::size_t alive = 1;
+    std::size_t suspected = 0;
+    for (const auto& [address, known] : m_records)
+    {
+        alive += known.info.state == member_state::alive ? 1 : 0;
+        suspected += known.info.state == member_state::suspected ? 1 : 0;
+    }
     const bool doubt = suspected > 0 && alive <= suspected + m_recent_deaths.size();
     if (doubt == m_link_in_doubt)
         return;
--- a/packages/fleet/tests/test_world.cpp
+++ b/packages/fleet/tests/test_world.cpp
@@ -62,7 +62,7 @@
         const std::string section = name + " " + (i == 0 ? salt : "") + "\n";
         const std::string hash = core::sha256_hex(section);
         made.sections[hash] = section;
-        text += name + " " + hash + "\n";
+        text.append(name).append(" ").append(hash).append("\n");
     }
     return made;
 }
