--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,6 @@
 
 bench: build
 	@$(BUILD)/bin/policy_bench $(SCENE) $(SEEDS)
+
+demo:
+	@BUILD=$(BUILD) scripts/demo.sh
--- /dev/null
+++ b/tests/concurrent_calls_test.cpp
@@ -0,0 +1,126 @@
+/// Requirement 4: each of many concurrent callers receives its own answer, every byte of it.
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+#include "test_fleet.hpp"
+
+using namespace snipeplank::tests;
+
+namespace
+{
+
+constexpr std::size_t threads = 24;
+constexpr std::size_t calls_per_thread = 12;
+
+/// Outcomes of all callers; failures are kept as text because only the main thread may fail a test.
+class tally
+{
+  public:
+    void add(const http_answer& answer, const http_request& request)
+    {
+        if (answer.is(200))
+        {
+            ++m_answered;
+            const std::string difference =
+                first_difference(answer.body, test_fleet::expected_draft(request));
+            if (!difference.empty())
+            {
+                fail(difference);
+            }
+            return;
+        }
+        const bool refused =
+            answer.end == answer_end::clean && answer.body.find("\"reason\"") != std::string::npos;
+        if (!refused)
+        {
+            fail("neither answered nor refused: " + answer.describe());
+        }
+        ++m_refused;
+    }
+
+    std::size_t answered() const { return m_answered; }
+    std::size_t refused() const { return m_refused; }
+
+    std::string failures() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_failures;
+    }
+
+  private:
+    void fail(const std::string& text)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_failures += text + "\n";
+    }
+
+    std::atomic<std::size_t> m_answered{0};
+    std::atomic<std::size_t> m_refused{0};
+    mutable std::mutex m_mutex;
+    std::string m_failures;
+};
+
+} // namespace
+
+TEST_GROUP(concurrent_calls)
+{
+    std::unique_ptr<test_fleet> fleet;
+    std::vector<std::string> entries;
+    tally outcome;
+
+    void setup() override
+    {
+        fleet_shape shape;
+        shape.engines_per_region = 2;
+        shape.engine_arguments = {"--token_ms", "1", "--slots", "16"};
+        fleet = std::make_unique<test_fleet>(shape);
+        for (const char* region : {"salzkammer", "ennstal"})
+        {
+            for (const std::size_t index : {0, 1})
+            {
+                entries.push_back(fleet->node(region, index).caller_address);
+            }
+        }
+    }
+
+    /// Calls of one caller. Every fourth call is given up in the middle, which frees a connection
+    /// whose remaining bytes belong to nobody.
+    void run_caller(std::size_t number)
+    {
+        for (std::size_t i = 0; i < calls_per_thread; ++i)
+        {
+            constexpr std::size_t given_up = 4;
+            const std::string text =
+                "caller " + std::to_string(number) + " call " + std::to_string(i);
+            const http_request request =
+                test_fleet::drafting(text, 5 + (number * 7 + i) % 40, i % 2 == 0);
+            http_exchange call(entries[(number + i) % entries.size()], request);
+            if (i % given_up == given_up - 1)
+            {
+                call.read_body(1);
+                continue;
+            }
+            outcome.add(call.finish(), request);
+        }
+    }
+};
+
+// Guards against answers that are mixed up, shortened or sent to another caller.
+TEST(concurrent_calls, receive_their_own_answers)
+{
+    std::vector<std::jthread> callers;
+    for (std::size_t number = 0; number < threads; ++number)
+    {
+        callers.emplace_back([this, number] { run_caller(number); });
+    }
+    callers.clear();
+    STRCMP_EQUAL("", outcome.failures().c_str());
+    constexpr std::size_t completed_calls = threads * calls_per_thread * 3 / 4;
+    LONGS_EQUAL(completed_calls, outcome.answered() + outcome.refused());
+    // The engines' 64 slots exceed the 24 callers, so nothing has a reason to be refused.
+    LONGS_EQUAL(0, outcome.refused());
+}
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <random>
 #include <sstream>
 
 #include "fail_test.hpp"
@@ -34,6 +35,18 @@
     ::_exit(not_found);
 }
 
+bool is_free(int port)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const bool bound = ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(socket);
+    return bound;
+}
+
 int describe_status(int status)
 {
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
@@ -195,20 +208,21 @@
 
 std::string free_address()
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
-    const bool bound =
-        ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0 &&
-        ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &length) == 0;
-    ::close(socket);
-    if (!bound)
+    // Below the range of ports that the kernel gives to outgoing connections.
+    constexpr int first_port = 15'000;
+    constexpr int last_port = 31'999;
+    constexpr int attempts = 1'000;
+    static std::mt19937 random{std::random_device{}()};
+    std::uniform_int_distribution<int> draw(first_port, last_port);
+    for (int attempt = 0; attempt < attempts; ++attempt)
     {
-        fail_test("no free port on loopback");
+        const int port = draw(random);
+        if (is_free(port))
+        {
+            return "127.0.0.1:" + std::to_string(port);
+        }
     }
-    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    fail_test("no free port on loopback");
 }
 
 } // namespace snipeplank::tests
--- a/tests/support/test_fleet.hpp
+++ b/tests/support/test_fleet.hpp
@@ -49,6 +49,7 @@
     std::size_t engines_per_region = 1;
     std::size_t services_per_region = 1;
     std::string model_residency = "free";
+    bool engine_resumes = true; ///< what the published configuration says of the engines
     std::vector<std::string> engine_arguments;
 };
 
