fleet: exchange summaries of all regions in each round of a small fleet

Cause: with two regions a summary took up to 18 s to arrive, so spill was impossible after a start. Change: as many rounds as the regions need, at most three.

--- a/packages/fleet/src/node_fleet_gossip.cpp
+++ b/packages/fleet/src/node_fleet_gossip.cpp
@@ -16,9 +16,18 @@
 constexpr std::size_t all_percent = 100;
 /// Shortest time between two pushes of urgent facts, which caps their traffic during a storm.
 constexpr core::milliseconds push_interval{250};
-/// Each other region is sent a summary in one of this many rounds.
-constexpr unsigned exchange_slots = 3;
+/// At the most, each other region is sent a summary in one of this many rounds.
+constexpr std::size_t exchange_slots = 3;
 static_assert(exchange_slots * exchange_interval == summary_interval);
+/// Summaries that one round may send. A small fleet sends all of them in each round, so that spill
+/// is possible a few seconds after a start.
+constexpr std::size_t summaries_per_round = 7;
+
+std::size_t slots_for(std::size_t regions)
+{
+    const std::size_t rounds = (regions + summaries_per_round - 1) / summaries_per_round;
+    return std::clamp<std::size_t>(rounds, 1, exchange_slots);
+}
 
 std::size_t room_in(const gossip& body)
 {
@@ -131,11 +140,12 @@
     if (!m_roles.relay)
         return;
     const bool alone = live_members().empty();
-    const unsigned cycle = slot / exchange_slots;
     const std::vector<core::region_id> regions = other_regions();
-    for (std::size_t i = slot % exchange_slots; i < regions.size(); i += exchange_slots)
+    const std::size_t slots = slots_for(regions.size());
+    const std::size_t cycle = slot / slots;
+    for (std::size_t i = slot % slots; i < regions.size(); i += slots)
     {
-        const std::size_t turn = (i / exchange_slots + cycle) % relays_per_region;
+        const std::size_t turn = (i / slots + cycle) % relays_per_region;
         if (alone || turn == m_roles.relay_rank)
             send_summary(regions[i], now);
     }
