--- a/tools/policy_bench/scenes.cpp
+++ b/tools/policy_bench/scenes.cpp
@@ -1,5 +1,8 @@
 #include "scenes.hpp"
 
+#include <cmath>
+#include <numbers>
+
 namespace snipeplank::bench
 {
 
@@ -10,6 +13,8 @@
 /// sent to another region.
 constexpr settings::routing_weights hallstein{1.0, 0.1, 0.05};
 
+constexpr settings::routing_weights tamarack{1.0, 1.0, 0.3};
+
 /// Calls per second at which the six engines of a region are about full with warm caches.
 constexpr double region_capacity = 60;
 constexpr double usual_load = 0.5 * region_capacity;
@@ -151,13 +156,33 @@
     return plan;
 }
 
+/// A day of two minutes whose peaks, above capacity, come one region after the other.
+scene daily_peak()
+{
+    constexpr double day_ms = 120'000;
+    constexpr double mean_load = 0.65 * region_capacity;
+    constexpr double swing = 0.6;
+    scene plan;
+    plan.name = "daily_peak";
+    plan.weights = tamarack;
+    plan.end_ms = 10'000 + day_ms;
+    plan.measure_to_ms = plan.end_ms;
+    plan.rate = [](std::size_t region, double now)
+    {
+        const double phase = now / day_ms + static_cast<double>(region) / 3;
+        return mean_load * (1 + swing * std::sin(2 * std::numbers::pi * phase));
+    };
+    return plan;
+}
+
 } // namespace
 
 std::vector<scene> make_scenes()
 {
     constexpr double burst = 5;
     return {steady(),      slow_engine(),    load_step("capacity", 1), load_step("burst", burst),
-            cold_return(), frozen_reports(), eager_callers(),          third_lost()};
+            cold_return(), frozen_reports(), eager_callers(),          third_lost(),
+            daily_peak()};
 }
 
 } // namespace snipeplank::bench
