policy: a retry may go to another region when no local upstream is left

Cause: with both local upstreams down a free call was refused although another region had room. Change: may_retry also counts a region that could take the call now. Conclusion: the retry budget still bounds the extra work.

--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -106,6 +106,9 @@
     decision route(const call_view& call, core::time_point now, core::random_source& random);
     bool has_alternative(const detail::service_state& service, const call_view& call,
                          core::time_point now, bool needs_spare) const;
+
+    /// Whether another region could take the call now.
+    bool has_away_alternative(detail::service_state& service, const call_view& call, core::time_point now);
     detail::prediction predict(const detail::service_state& service,
                                const detail::upstream_state& upstream, core::time_point now) const;
     bool is_leaving(const detail::upstream_state& upstream, core::time_point now) const;
--- a/packages/policy/src/dispatcher.cpp
+++ b/packages/policy/src/dispatcher.cpp
@@ -151,7 +151,8 @@
     if (m_state->came_from_other_region(call))
         return false;
     constexpr bool needs_spare = false;
-    if (!m_state->has_alternative(service->second, call, now, needs_spare))
+    if (!m_state->has_alternative(service->second, call, now, needs_spare) &&
+        !m_state->has_away_alternative(service->second, call, now))
         return false;
     return m_state->extra.take_extra();
 }
--- a/packages/policy/src/dispatcher_route.cpp
+++ b/packages/policy/src/dispatcher_route.cpp
@@ -450,6 +450,15 @@
     return false;
 }
 
+bool dispatcher::state::has_away_alternative(service_state& service, const call_view& call,
+                                             core::time_point now)
+{
+    options found;
+    add_away_options(service, call, now, found);
+    return std::any_of(found.begin(), found.end(),
+                       [](const option& entry) { return entry.obstacle.empty(); });
+}
+
 bool dispatcher::state::is_leaving(const upstream_state& upstream, core::time_point now) const
 {
     // The list may be published once only, so its last word holds beyond the mark.
