gateway: split the callers' front and the ticket service by job; escape JSON log lines

Change: handlers for calls, tickets and routes in files of their own; recovery of tickets apart; JSON formatter. Conclusion: no change in behaviour besides the log format.

--- /dev/null
+++ b/packages/gateway/include/snipeplank/gateway/log_format.hpp
@@ -0,0 +1,23 @@
+/// @file
+/// Format of log lines.
+
+#ifndef SNIPEPLANK_GATEWAY_LOG_FORMAT_HPP
+#define SNIPEPLANK_GATEWAY_LOG_FORMAT_HPP
+
+#include <snipeplank/settings/node_settings.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace snipeplank::gateway
+{
+
+/// @brief Sets format and level of the process's log.
+void set_up_log(const settings::node_settings& settings);
+
+/// @brief A text as the inside of a JSON string. O(n).
+std::string escape_json(std::string_view text);
+
+} // namespace snipeplank::gateway
+
+#endif
--- a/packages/gateway/include/snipeplank/gateway/ticket_service.hpp
+++ b/packages/gateway/include/snipeplank/gateway/ticket_service.hpp
@@ -32,6 +32,9 @@
 
 using ticketed_result = std::variant<policy::upstream_answer, policy::refusal>;
 
+/// @brief Whether the outcome says only that the issuing incarnation is gone.
+bool is_issuer_gone(const policy::call_outcome& outcome);
+
 /// @brief Issues tickets, runs ticketed calls and answers for their outcomes.
 ///
 /// An attempt whose ticket this node issued takes the same steps as one of a peer, without the
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,5 +1,6 @@
 /// The node: reads its settings, serves until SIGTERM, then shuts down gracefully.
 
+#include <snipeplank/gateway/log_format.hpp>
 #include <snipeplank/gateway/node.hpp>
 #include <snipeplank/settings/node_settings.hpp>
 
@@ -20,17 +21,6 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cannot_start = 1;
 
-void set_up_log(const snipeplank::settings::node_settings& settings)
-{
-    if (settings.format == snipeplank::settings::log_format::json)
-        spdlog::set_pattern(
-            R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","thread":%t,"message":"%v"})");
-    else
-        spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %^%l%$ %v");
-    spdlog::set_level(spdlog::level::from_str(settings.log_level));
-    spdlog::flush_on(spdlog::level::info);
-}
-
 /// Blocks the signals in every thread that starts after this call.
 sigset_t block_stop_signals()
 {
@@ -98,6 +88,6 @@
     }
     if (FLAGS_check)
         return 0;
-    set_up_log(settings.value());
+    snipeplank::gateway::set_up_log(settings.value());
     return serve(settings.value());
 }
--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -108,7 +108,8 @@
                          core::time_point now, bool needs_spare) const;
 
     /// Whether another region could take the call now.
-    bool has_away_alternative(detail::service_state& service, const call_view& call, core::time_point now);
+    bool has_away_alternative(detail::service_state& service, const call_view& call,
+                              core::time_point now);
     detail::prediction predict(const detail::service_state& service,
                                const detail::upstream_state& upstream, core::time_point now) const;
     bool is_leaving(const detail::upstream_state& upstream, core::time_point now) const;
