--- a/tests/whole_path_test.cpp
+++ b/tests/whole_path_test.cpp
@@ -40,7 +40,8 @@
         {"home elsewhere", with_header(no_ticket, "Snipeplank-Home", "ennstal"), "wrong_region"},
         {"unknown service", unknown, "unknown_service"},
         {"unknown control header", with_header(draft, "Snipeplank-Path", "x"), "header_forbidden"},
-        {"no time left", with_header(draft, "Snipeplank-Deadline-Ms", "0"), "bad_request"},
+        {"no time left", with_header(draft, "Snipeplank-Deadline-Ms", "0"), "deadline_passed"},
+        {"no number", with_header(draft, "Snipeplank-Deadline-Ms", "soon"), "bad_request"},
     };
 }
 
