--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,9 @@
 
 format:
 	@scripts/lint.sh --fix
+
+bench: build
+	@$(BUILD)/bin/policy_bench $(SCENE) $(SEEDS)
+
+demo:
+	@BUILD=$(BUILD) scripts/demo.sh
