fleet: fit control traffic into its budget; measure it with make slopes

Cause: at the two-year size the busiest node used 7.0 KB/s of 6, summaries reached 8% of the nodes' regions, a partition of two zones cost 61 KB/s per node, and one node served 29 MB to a restarting zone. A watcher without the service and with two lost replies never asked a peer again (found by the 11 s property). Change: tighter size estimates (checked against the codec), watchers take changed sections as deltas from the first one to read them, smaller gossip of nodes with reading roles, loads spread every 8 s, verdicts on silent members back off to 60 s, random first contacts, peers and the service in turn. tools/slopes runs one region of real state machines with the real codec and documents.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,8 @@
 
 bench: build
 	@$(BUILD)/bin/policy_bench $(SCENE) $(SEEDS)
+
+# `make slopes` measures every dimension; ARGS=base only the two-year size, ARGS=faults the
+# traffic of faults. Not part of CI.
+slopes: build
+	@$(BUILD)/bin/slopes $(ARGS)
--- a/packages/fleet/include/snipeplank/fleet/config_store.hpp
+++ b/packages/fleet/include/snipeplank/fleet/config_store.hpp
@@ -117,6 +117,7 @@
         std::shared_ptr<const settings::published_config> config; ///< set when complete
         std::vector<source> sources;                              ///< nearest first
         bool in_force_at_peer = false;
+        core::time_point service_after; ///< a watcher reads sections from the service from then
     };
 
     struct fetch
--- a/packages/fleet/include/snipeplank/fleet/detail/service_reads.hpp
+++ b/packages/fleet/include/snipeplank/fleet/detail/service_reads.hpp
@@ -41,12 +41,13 @@
 
     bool is_watcher() const { return m_watcher; }
 
+    /// @brief A random time below `bound`.
+    core::duration spread(core::duration bound);
+
     /// @brief Whether the service has answered since the start.
     bool answered() const { return m_answered; }
 
   private:
-    core::duration spread(core::duration bound);
-
     core::random_source& m_random;
     core::time_point m_next_read;
     core::time_point m_last_read;
--- a/packages/fleet/include/snipeplank/fleet/load_table.hpp
+++ b/packages/fleet/include/snipeplank/fleet/load_table.hpp
@@ -75,6 +75,8 @@
     {
         upstream_load report;
         core::time_point read_at;
+        upstream_load spread; ///< what gossip carries; a prober's own readings are newer
+        core::time_point spread_read_at;
         unsigned sent = 0;
     };
 
--- a/packages/fleet/include/snipeplank/fleet/membership.hpp
+++ b/packages/fleet/include/snipeplank/fleet/membership.hpp
@@ -110,11 +110,12 @@
     struct record
     {
         member_update info;
-        core::time_point since;    ///< start of the suspicion or of leaving
-        core::time_point verdict;  ///< when the suspicion is decided
-        core::time_point called;   ///< the roll call that asked the suspect once more
-        core::time_point heard;    ///< last message from the member itself
-        core::time_point answered; ///< the last roll call that the member answered
+        core::time_point since;                  ///< start of the suspicion or of leaving
+        core::time_point verdict;                ///< when the suspicion is decided
+        core::time_point called{};               ///< the roll call that asked the suspect once more
+        core::time_point heard{};                ///< last message from the member itself
+        core::duration patience{suspicion_time}; ///< until the next verdict; doubles each time
+        core::time_point answered{};             ///< the last roll call that the member answered
     };
 
     struct outstanding_ping
@@ -146,6 +147,7 @@
     void decide_suspicions(core::time_point now);
     bool may_declare_dead(const record& suspect, core::time_point now) const;
     bool is_unlisted(const core::address& member, core::time_point now) const;
+    static bool is_suspected(const record& known);
     void call_suspects(core::time_point now);
     void roll_call(core::time_point now);
     void update_doubt(core::time_point now);
--- a/packages/fleet/include/snipeplank/fleet/node_fleet.hpp
+++ b/packages/fleet/include/snipeplank/fleet/node_fleet.hpp
@@ -137,6 +137,7 @@
     region_table m_regions;
     config_store m_config;
     role_set m_roles;
+    std::vector<core::address> m_fellow_watchers;
     std::vector<upstream_info> m_upstreams; ///< of the own region
     std::vector<core::address> m_upstream_addresses;
     std::map<core::region_id, std::vector<core::address>> m_listed_entry_hosts;
@@ -148,6 +149,7 @@
     unsigned m_exchange_slot = 0;
     bool m_started = false;
     bool m_push_wanted = false;
+    bool m_config_push = false;
     bool m_roles_stale = false;
     bool m_doubt_reported = false;
 };
--- a/packages/fleet/include/snipeplank/fleet/roles.hpp
+++ b/packages/fleet/include/snipeplank/fleet/roles.hpp
@@ -44,6 +44,9 @@
 role_set assign_roles(const role_candidate& self, const std::vector<role_candidate>& live,
                       const std::vector<core::address>& upstreams);
 
+/// @brief The watchers of all zones. O(members x members of a zone).
+std::vector<core::address> watchers_among(const std::vector<role_candidate>& live);
+
 } // namespace snipeplank::fleet
 
 #endif
--- a/packages/fleet/include/snipeplank/fleet/timing.hpp
+++ b/packages/fleet/include/snipeplank/fleet/timing.hpp
@@ -24,6 +24,9 @@
 constexpr core::milliseconds roll_call_lead{1'000};
 /// A longer gap between two events means that the process did not run.
 constexpr core::milliseconds frozen_gap{2'000};
+/// Longest wait between two verdicts on the same suspect. A partition lasts an hour, and a roll
+/// call to the whole region every few seconds would cost ten times the budget.
+constexpr core::milliseconds verdict_wait_max{60'000};
 /// After a start or a freeze, time for probes to answer before roles are taken.
 constexpr core::milliseconds probe_again_time{1'000};
 /// A listed host that does not answer is tried again after this long.
@@ -38,8 +41,9 @@
 constexpr std::size_t push_fanout = 3;
 
 constexpr core::milliseconds load_lifetime{10'000};
-/// A load changes slowly against this, so one message per upstream in this time is enough.
-constexpr core::milliseconds load_report_interval{4'000};
+/// A prober's readings are spread this often. With 162 upstreams in a region of 38 nodes, shorter
+/// intervals do not fit into the gossip and only displace each other.
+constexpr core::milliseconds load_report_interval{8'000};
 /// An upstream called leaving gets no new work for at least this long.
 constexpr core::milliseconds leaving_hold{60'000};
 /// A source that repeats that an upstream is leaving renews the fact this often.
@@ -47,9 +51,9 @@
 
 constexpr core::milliseconds summary_lifetime{30'000};
 constexpr core::milliseconds exchange_interval{3'000};
-/// A region's own summary is renewed this often: three times in a lifetime, and seldom enough that
-/// the summaries of 20 regions leave room for loads in the gossip of each region.
-constexpr core::milliseconds summary_interval{9'000};
+/// A region's own summary is renewed this often: twice in a lifetime, and seldom enough that the
+/// summaries of 20 regions leave room for loads in the gossip of each region.
+constexpr core::milliseconds summary_interval{12'000};
 
 constexpr core::milliseconds settle_time{2'000};
 /// Longest extra wait for the content of a lower hash that was seen while a version settled.
@@ -62,6 +66,9 @@
 constexpr core::milliseconds candidate_lifetime{30'000};
 /// Wait of a watcher's blocking read at the configuration service.
 constexpr core::milliseconds watch_wait{30'000};
+/// Watchers wait a random time up to this before they read a changed section, so that the first
+/// one's peers take a delta from it instead of the whole section from the service.
+constexpr core::milliseconds section_read_spread{800};
 /// A blocking read that has not returned by then is given up and started anew.
 constexpr core::milliseconds watch_timeout{35'000};
 constexpr core::milliseconds service_retry_min{1'000};
--- a/packages/fleet/src/config_store.cpp
+++ b/packages/fleet/src/config_store.cpp
@@ -51,6 +51,8 @@
     candidate& added = m_candidates[key];
     added.first_seen = now;
     added.progress = now;
+    const core::milliseconds most = m_config ? section_read_spread : core::milliseconds{1};
+    added.service_after = now + m_reads.spread(most);
     return &added;
 }
 
--- a/packages/fleet/src/config_store_settle.cpp
+++ b/packages/fleet/src/config_store_settle.cpp
@@ -200,8 +200,11 @@
 bool config_store::may_read_service(const candidate& wanted, const fetch& state,
                                     core::time_point now)
 {
-    const bool peers_tried = wanted.sources.empty() || state.tries >= peer_tries;
-    const bool waited = m_reads.is_watcher() || now - wanted.first_seen >= service_fallback;
+    // Peers and the service take turns from then on, because either may stay out of reach.
+    const bool peers_tried =
+        wanted.sources.empty() || (state.tries >= peer_tries && state.tries % 2 == 0);
+    const bool waited = m_reads.is_watcher() ? now >= wanted.service_after
+                                             : now - wanted.first_seen >= service_fallback;
     return peers_tried && waited && m_reads.take_section_read(now);
 }
 
--- a/packages/fleet/src/load_table.cpp
+++ b/packages/fleet/src/load_table.cpp
@@ -47,7 +47,15 @@
     report.running = saturate(reading.running);
     report.waiting = saturate(reading.waiting);
     report.cache_permille = static_cast<std::uint16_t>(cache);
-    m_loads[upstream] = {report, now, 0};
+    load_entry& entry = m_loads[upstream];
+    entry.report = report;
+    entry.read_at = now;
+    const bool due = now - entry.spread_read_at >= load_report_interval;
+    if (!due && entry.spread.prober == prober)
+        return;
+    entry.spread = report;
+    entry.spread_read_at = now;
+    entry.sent = 0;
 }
 
 void load_table::merge(const upstream_load& received, core::time_point now)
@@ -65,7 +73,7 @@
         if (!newer)
             return;
     }
-    m_loads[received.upstream_key] = {received, read_at, 0};
+    m_loads[received.upstream_key] = {received, read_at, received, read_at, 0};
 }
 
 bool load_table::report_leaving(std::uint64_t upstream, core::time_point now)
@@ -139,20 +147,21 @@
     std::vector<load_entry*> order;
     for (auto& [key, entry] : m_loads)
     {
-        if (entry.sent < max_load_sends && now - entry.read_at < load_lifetime)
+        if (entry.sent < max_load_sends && now - entry.spread_read_at < load_lifetime)
             order.push_back(&entry);
     }
     const std::size_t count = std::min(order.size(), budget / estimated_size(upstream_load{}));
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
-                      order.end(),
-                      [](const load_entry* a, const load_entry* b)
-                      { return a->sent != b->sent ? a->sent < b->sent : a->read_at > b->read_at; });
+    std::partial_sort(
+        order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end(),
+        [](const load_entry* a, const load_entry* b)
+        { return a->sent != b->sent ? a->sent < b->sent : a->spread_read_at > b->spread_read_at; });
     std::vector<upstream_load> taken;
     for (std::size_t i = 0; i < count; ++i)
     {
         ++order[i]->sent;
-        taken.push_back(order[i]->report);
-        taken.back().age_centis = saturate(age_in_ms(order[i]->read_at, now) / ms_in_centis);
+        taken.push_back(order[i]->spread);
+        const core::time_point read_at = order[i]->spread_read_at;
+        taken.back().age_centis = saturate(age_in_ms(read_at, now) / ms_in_centis);
     }
     return taken;
 }
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -41,7 +41,10 @@
             continue;
         m_last_listed[address] = now;
         const auto known = m_candidates.find(address);
-        candidates[address] = known == m_candidates.end() ? core::time_point{} : known->second;
+        // Random first turns keep the starting nodes of a zone from all asking the same peers.
+        const core::duration turn{m_random.below(core::duration{candidate_interval}.count())};
+        const core::time_point untried = now - candidate_interval - turn;
+        candidates[address] = known == m_candidates.end() ? untried : known->second;
     }
     m_candidates = std::move(candidates);
     if (!m_records.empty())
@@ -169,7 +172,8 @@
     const auto known = m_records.find(update.id.address);
     if (known == m_records.end() || is_final(known->second.info.state))
     {
-        m_records[update.id.address] = {update, now, now + suspicion_time, {}, {}, {}};
+        m_records[update.id.address] = {
+            .info = update, .since = now, .verdict = now + suspicion_time};
         m_queue.put(update, now);
         m_changed = true;
         return;
@@ -219,7 +223,7 @@
     m_urgent = true;
     if (!matches && known != m_records.end() && !is_final(known->second.info.state))
         return;
-    m_records[update.id.address] = {update, now, now, {}, {}, {}};
+    m_records[update.id.address] = {.info = update, .since = now, .verdict = now};
     m_changed = true;
 }
 
@@ -316,6 +320,7 @@
 {
     known.info.state = member_state::suspected;
     known.since = now;
+    known.patience = suspicion_time;
     known.verdict = now + suspicion_time;
     known.called = {};
 }
@@ -346,7 +351,10 @@
             gone.push_back(known.info);
             continue;
         }
-        set_suspected(known, now);
+        known.since = now;
+        known.patience = std::min<core::duration>(2 * known.patience, verdict_wait_max);
+        known.verdict = now + known.patience;
+        known.called = {};
     }
     for (const member_update& update : gone)
     {
@@ -356,25 +364,35 @@
     call_suspects(now);
 }
 
+bool membership::is_suspected(const record& known)
+{
+    return known.info.state == member_state::suspected;
+}
+
 void membership::call_suspects(core::time_point now)
 {
     // One roll call a second serves all suspects of that second, which bounds its traffic.
     if (now - m_last_roll_call < roll_call_lead)
         return;
+    const auto is_due = [now](const record& known)
+    { return known.called == core::time_point{} && now >= known.verdict - roll_call_lead; };
+    const bool any = std::any_of(m_records.begin(), m_records.end(),
+                                 [&](const auto& entry)
+                                 { return is_suspected(entry.second) && is_due(entry.second); });
+    if (!any)
+        return;
     std::vector<core::address> due;
     for (auto& [address, known] : m_records)
     {
-        const bool is_due = known.info.state == member_state::suspected &&
-                            known.called == core::time_point{} &&
-                            now >= known.verdict - roll_call_lead;
-        if (!is_due)
+        // A suspect that has had a verdict before joins early, so that later ones coincide.
+        const bool repeated = known.patience > suspicion_time;
+        if (!is_suspected(known) || !(repeated || is_due(known)))
             continue;
         known.called = now;
-        known.verdict = std::max(known.verdict, now + roll_call_lead);
+        known.verdict =
+            repeated ? now + roll_call_lead : std::max(known.verdict, now + roll_call_lead);
         due.push_back(address);
     }
-    if (due.empty())
-        return;
     roll_call(now);
     for (const core::address& suspect : due)
         ping(suspect, now, false, true);
--- a/packages/fleet/src/membership_probing.cpp
+++ b/packages/fleet/src/membership_probing.cpp
@@ -42,6 +42,9 @@
     const auto known = m_records.find(target);
     if (known == m_records.end() || known->second.info.state == member_state::leaving)
         return;
+    // While the own link is in doubt, asking for every silent member would multiply the traffic.
+    if (m_link_in_doubt && is_suspected(known->second))
+        return;
     for (const core::address& helper : random_peers(indirect_pings + 1))
     {
         if (helper != target)
@@ -180,7 +183,7 @@
 
 std::vector<member_update> membership::take_updates(std::size_t budget)
 {
-    constexpr std::size_t refill_count = 2;
+    constexpr std::size_t refill_count = 1;
     std::vector<member_update> taken = m_queue.take(budget, max_sends());
     for (const member_update& update : taken)
         budget -= estimated_size(update);
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t frame_bytes = 96;
 /// Offset in the owner's vector or table, vtable offset and alignment of one table.
 constexpr std::size_t table_bytes = 12;
+constexpr std::size_t small_table_bytes = 8;
 constexpr std::size_t vector_bytes = 8;
 constexpr std::size_t load_bytes = 24;
 constexpr std::size_t leaving_bytes = 16;
@@ -25,8 +26,12 @@
 
 std::size_t size_of(const config_digest& digest)
 {
-    constexpr std::size_t scalars = 12;
-    return table_bytes + scalars + string_bytes(digest.manifest_hash);
+    // A hash of 64 digits travels as 32 bytes; anything else as a string.
+    constexpr std::size_t packed = 44;
+    constexpr std::size_t sha256_digits = 64;
+    if (digest.manifest_hash.size() == sha256_digits)
+        return packed;
+    return packed + string_bytes(digest.manifest_hash);
 }
 
 std::size_t size_of(const gossip& value)
@@ -76,8 +81,8 @@
 
 std::size_t estimated_size(const member_update& value)
 {
-    constexpr std::size_t scalars = 24;
-    return 2 * table_bytes + scalars + string_bytes(value.id.address.get()) +
+    constexpr std::size_t scalars = 16;
+    return table_bytes + scalars + string_bytes(value.id.address.get()) +
            string_bytes(value.caller_address.get()) + string_bytes(value.zone.get());
 }
 
@@ -96,7 +101,8 @@
     constexpr std::size_t scalars = 24;
     std::size_t total = table_bytes + scalars + 2 * vector_bytes + string_bytes(value.region.get());
     for (const entry_point& item : value.entry_points)
-        total += table_bytes + string_bytes(item.peer.get()) + string_bytes(item.caller.get());
+        total +=
+            small_table_bytes + string_bytes(item.peer.get()) + string_bytes(item.caller.get());
     return total + value.services.size() * service_load_bytes;
 }
 
--- a/packages/fleet/src/node_fleet.cpp
+++ b/packages/fleet/src/node_fleet.cpp
@@ -191,8 +191,8 @@
 action_list node_fleet::finish(core::time_point now)
 {
     send_probes(now);
-    if (m_members.take_urgent() || m_config.take_urgent())
-        m_push_wanted = true;
+    m_config_push = m_config.take_urgent() || m_config_push;
+    m_push_wanted = m_members.take_urgent() || m_config_push || m_push_wanted;
     if (const auto renewal = m_members.take_renewal())
         m_actions.emplace_back(incarnation_renewed{renewal->first, renewal->second});
     if (m_members.take_changed())
@@ -220,6 +220,8 @@
         for (const member_update& member : live_members())
             live.push_back({member.id.address, member.zone});
         held = assign_roles(me, live, m_upstream_addresses);
+        m_fellow_watchers = watchers_among(live);
+        std::erase(m_fellow_watchers, me.address);
     }
     // An isolated node sees itself as the only issuer, and orders are not harmless when doubled.
     if (link_in_doubt())
--- a/packages/fleet/src/node_fleet_gossip.cpp
+++ b/packages/fleet/src/node_fleet_gossip.cpp
@@ -1,6 +1,7 @@
 #include <snipeplank/fleet/node_fleet.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace snipeplank::fleet
 {
@@ -11,19 +12,24 @@
 /// Parts of a gossip message, in bytes; what one part leaves unused goes to the next.
 constexpr std::size_t member_budget = 360;
 constexpr std::size_t leaving_budget = 128;
+/// Room for one summary with a few services, so that the share below never shuts them out.
+constexpr std::size_t one_summary = 240;
+/// Cap for a node that also reads the configuration service or sends summaries to other regions,
+/// so that both together stay under its bytes per second.
+constexpr std::size_t role_gossip_bytes = 700;
 /// Part of the rest that summaries may take, in percent; loads take what is left.
 constexpr std::size_t summary_percent = 40;
 constexpr std::size_t all_percent = 100;
 /// Shortest time between two pushes of urgent facts, which caps their traffic during a storm.
 constexpr core::milliseconds push_interval{250};
 /// Each other region is sent a summary in one of this many rounds.
-constexpr unsigned exchange_slots = 3;
+constexpr unsigned exchange_slots = 4;
 static_assert(exchange_slots * exchange_interval == summary_interval);
 
-std::size_t room_in(const gossip& body)
+std::size_t room_in(const gossip& body, std::size_t cap = max_gossip_bytes)
 {
     const std::size_t used = estimated_size(message{body});
-    return used < max_gossip_bytes ? max_gossip_bytes - used : 0;
+    return used < cap ? cap - used : 0;
 }
 
 } // namespace
@@ -51,9 +57,11 @@
 
 void node_fleet::fill(gossip& body, core::time_point now)
 {
-    std::size_t budget = room_in(body);
+    const bool reads_for_others = m_roles.watcher || m_roles.relay;
+    std::size_t budget = room_in(body, reads_for_others ? role_gossip_bytes : max_gossip_bytes);
     fill_urgent(body, budget, now);
-    body.regions = m_regions.take(budget * summary_percent / all_percent, now);
+    const std::size_t share = budget * summary_percent / all_percent;
+    body.regions = m_regions.take(std::max(share, std::min(budget, one_summary)), now);
     for (const region_summary& summary : body.regions)
         budget -= estimated_size(summary);
     body.loads = m_loads.take_loads(budget, now);
@@ -80,7 +88,17 @@
         return;
     m_push_wanted = false;
     m_next_push = now + push_interval;
-    for (const core::address& peer : m_members.random_peers(push_fanout))
+    std::vector<core::address> peers = m_members.random_peers(push_fanout);
+    if (std::exchange(m_config_push, false) && m_roles.watcher)
+    {
+        // Other watchers then take the change as a delta instead of reading it from the service.
+        for (const core::address& watcher : m_fellow_watchers)
+        {
+            if (std::find(peers.begin(), peers.end(), watcher) == peers.end())
+                peers.push_back(watcher);
+        }
+    }
+    for (const core::address& peer : peers)
     {
         gossip body = compose(gossip_kind::announce);
         std::size_t budget = room_in(body);
--- a/packages/fleet/src/roles.cpp
+++ b/packages/fleet/src/roles.cpp
@@ -47,14 +47,29 @@
     return found;
 }
 
+bool holds_watch(const role_candidate& self, const std::vector<role_candidate>& live)
+{
+    return holds("watcher/" + self.zone.get(), self, in_zone(live, self.zone), watchers_per_zone);
+}
+
 } // namespace
 
+std::vector<core::address> watchers_among(const std::vector<role_candidate>& live)
+{
+    std::vector<core::address> watchers;
+    for (const role_candidate& candidate : live)
+    {
+        if (holds_watch(candidate, live))
+            watchers.push_back(candidate.address);
+    }
+    return watchers;
+}
+
 role_set assign_roles(const role_candidate& self, const std::vector<role_candidate>& live,
                       const std::vector<core::address>& upstreams)
 {
     role_set held;
-    held.watcher =
-        holds("watcher/" + self.zone.get(), self, in_zone(live, self.zone), watchers_per_zone);
+    held.watcher = holds_watch(self, live);
     const std::size_t rank = rank_of("relay", self, live, relays_per_region);
     held.relay = rank < relays_per_region;
     held.relay_rank = held.relay ? static_cast<unsigned>(rank) : 0;
