--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,8 @@
 
 demo:
 	@BUILD=$(BUILD) scripts/demo.sh
+
+# `make slopes` measures every dimension; ARGS=base only the two-year size, ARGS=faults the
+# traffic of faults. Not part of CI.
+slopes: build
+	@$(BUILD)/bin/slopes $(ARGS)
