Value a warm cache in time, and hedge only to upstreams without a queue

Cause: the bonus of a prefix's owner shrank with its delay, so that under load, when a warm cache matters most, prefixes were spread again.

--- a/packages/policy/include/snipeplank/policy/routing_policy.hpp
+++ b/packages/policy/include/snipeplank/policy/routing_policy.hpp
@@ -34,6 +34,7 @@
     double one_way_delay_ms = 0; ///< of the path to it
     double cost = 1;             ///< relative cost of a call
     double predicted_ms = 0;     ///< predicted time to first byte, queueing and path included
+    double warm_saving_ms = 0;   ///< what a warm prefix cache saves of it
 };
 
 /// @brief Batch work is refused before interactive work.
--- a/packages/policy/src/adaptive_policy.cpp
+++ b/packages/policy/src/adaptive_policy.cpp
@@ -11,11 +11,9 @@
 
 /// Load of an upstream may exceed the mean by this factor before its prefixes move on.
 constexpr double load_bound = 1.25;
-/// Part of the predicted time that a warm prefix cache saves.
-constexpr double warm_saving = 0.5;
-/// A warm cache saves prefill, not queueing: the saving is counted on at most this many times the
-/// owner's own delay, so that a queue at the owner outweighs it.
-constexpr double most_delays_saved = 3;
+/// A cold call also delays the calls behind it, so a warm cache counts for more than its own
+/// saving.
+constexpr double warm_factor = 1.5;
 /// Scores closer than this are equal: nodes with the same lagged reports would otherwise all
 /// choose the same upstream.
 constexpr double tie_band = 0.1;
@@ -63,7 +61,8 @@
             double score = routing_score(m_weights, upstreams[i]);
             const double delay = m_weights.latency * upstreams[i].predicted_ms / ms_per_second;
             if (i == owner)
-                score -= warm_saving * std::min(delay, most_delays_saved * own_delay(upstreams[i]));
+                score -=
+                    warm_factor * m_weights.latency * upstreams[i].warm_saving_ms / ms_per_second;
             else
                 score += tie_band * delay * random.unit();
             order.push_back({score, i});
@@ -80,12 +79,6 @@
     }
 
   private:
-    /// Weighted delay of an upstream without queueing.
-    double own_delay(const upstream_view& upstream) const
-    {
-        return m_weights.latency * upstream.latency_ms / ms_per_second;
-    }
-
     /// Index of the prefix's owner, or the number of upstreams when there is none.
     static std::size_t owner_of(std::uint64_t prefix, std::span<const upstream_view> upstreams)
     {
--- a/packages/policy/src/concurrency_limit.cpp
+++ b/packages/policy/src/concurrency_limit.cpp
@@ -16,9 +16,10 @@
 constexpr double slot_growth = 1.25;
 /// With less KV cache than this left, more calls at once would evict each other.
 constexpr double kv_nearly_full = 0.95;
-/// A first byte this many times later than predicted is a sign of overload.
+/// A first byte this many times later than predicted is a sign of overload. The slack covers a few
+/// cold prompts in a row.
 constexpr double late_factor = 3;
-constexpr double late_slack_ms = 100;
+constexpr double late_slack_ms = 500;
 constexpr double decrease_factor = 0.8;
 /// One overload reaches the node as many late answers; it is answered once.
 constexpr core::milliseconds decrease_interval{500};
--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -56,6 +56,7 @@
     latency_window first_bytes;
     latency_window own_times; ///< first bytes less the predicted queueing
     double typical_ms = 0;    ///< median of `own_times`
+    double cold_ms = 0;       ///< a long one of `own_times`: of a call that found no warm cache
     latency_estimate base;
     latency_estimate hold;
     std::map<core::region_id, spill_state> spill;
--- a/packages/policy/src/dispatcher_events.cpp
+++ b/packages/policy/src/dispatcher_events.cpp
@@ -20,6 +20,10 @@
 constexpr double least_own_part = 0.1;
 /// A cancelled attempt that waited this many times its prediction counts as a slow one.
 constexpr double censored_factor = 2;
+/// Quantile of the delays without queueing that stands for a call with a cold prefix cache. It is
+/// held to a multiple of the median, because under overload the queueing is not all predicted.
+constexpr double cold_quantile = 0.9;
+constexpr double most_typical_in_cold = 4;
 /// A region that refused for load gets no spill for this long.
 constexpr core::seconds refused_pause{2};
 
@@ -118,6 +122,8 @@
     service.first_bytes.add(ms);
     service.own_times.add(own);
     service.typical_ms = service.own_times.quantile(0.5);
+    service.cold_ms = std::min(service.own_times.quantile(cold_quantile),
+                               most_typical_in_cold * service.typical_ms);
     check_delay(service, *upstream, now);
 }
 
--- a/packages/policy/src/dispatcher_route.cpp
+++ b/packages/policy/src/dispatcher_route.cpp
@@ -23,6 +23,8 @@
 constexpr double batch_part = 0.7;
 /// Batch work may use this part of its remaining time for queueing.
 constexpr double batch_wait_part = 0.5;
+/// A call that waits for its first byte is taken to cost this part of a cold one: some are warm.
+constexpr double pending_part = 0.5;
 /// An attempt without a first byte counts once it is this many times over its prediction.
 constexpr double overdue_factor = 2;
 constexpr double overdue_slack_ms = 50;
@@ -216,6 +218,7 @@
         entry.view.one_way_delay_ms = upstream.facts.one_way_delay_ms;
         entry.view.cost = upstream.facts.cost;
         entry.view.predicted_ms = entry.expected.total_ms;
+        entry.view.warm_saving_ms = service.cold_ms;
         entry.is_probe =
             upstream.in_flight == 0 && now - upstream.base.last_sample() > probe_interval;
         found.push_back(std::move(entry));
@@ -420,7 +423,7 @@
     // Prefill is serial in an engine: each call that waits for its first byte delays the next. The
     // other nodes are taken to have as many such calls there as this one.
     const auto pending = static_cast<double>(upstream.waiting.size() * nodes.size());
-    expected.wait_ms += pending * base;
+    expected.wait_ms += pending * std::max(base, pending_part * service.cold_ms);
     expected.total_ms = base + expected.wait_ms;
     if (!upstream.waiting.empty())
     {
@@ -444,7 +447,8 @@
         if (!upstream.is_listed || is_leaving(upstream, now) || contains(call.tried, address))
             continue;
         const unsigned limit = upstream.ramp.apply(upstream.limit.limit(now), now);
-        if (!needs_spare || 2 * upstream.in_flight < limit)
+        // A hedge to an upstream with calls waiting for their first byte delays them.
+        if (!needs_spare || (upstream.waiting.empty() && 2 * upstream.in_flight < limit))
             return true;
     }
     return false;
--- a/packages/policy/tests/extra_work_test.cpp
+++ b/packages/policy/tests/extra_work_test.cpp
@@ -123,10 +123,34 @@
     call.tried.push_back(upstream_name(0));
     const std::optional<core::milliseconds> delay = node.subject.hedge_delay(call, at(10'000));
     CHECK_TRUE(delay.has_value());
-    CHECK_TRUE(delay->count() > 8 * 40); // several times the median
+    CHECK_TRUE(delay->count() > 8 * 40L); // several times the median
     call.is_idempotent = false;
     CHECK_FALSE(node.subject.hedge_delay(call, at(10'000)).has_value());
     call.is_idempotent = true;
     call.remaining = core::milliseconds{50};
     CHECK_FALSE(node.subject.hedge_delay(call, at(10'000)).has_value());
 }
+
+// Fails when hedges are sent to upstreams that are busy with other calls, which made the tail of
+// a cold region twice as long.
+TEST(extra_work, no_hedge_while_every_alternative_has_a_call_without_a_first_byte)
+{
+    one_node node(3);
+    for (int i = 0; i < 100; ++i)
+    {
+        CHECK_TRUE(node.serve(free_call(), i * 100L, 40));
+    }
+    call_view call = free_call();
+    std::vector<use_upstream> open;
+    for (int i = 0; i < 3; ++i)
+    {
+        const decision made = node.route(call, 10'000);
+        CHECK_TRUE(sent_here(made) != nullptr);
+        open.push_back(*sent_here(made));
+        call.tried.push_back(open.back().address);
+    }
+    call.tried = {open[0].address};
+    CHECK_FALSE(node.subject.hedge_delay(call, at(10'001)).has_value());
+    node.subject.on_first_byte(open[2].attempt, at(10'040));
+    CHECK_TRUE(node.subject.hedge_delay(call, at(10'041)).has_value());
+}
