--- a/packages/policy/tests/answer_assembly_test.cpp
+++ b/packages/policy/tests/answer_assembly_test.cpp
@@ -153,6 +153,14 @@
     LONGS_EQUAL(0, all.ends);
 }
 
+TEST(answer_assembly, a_gap_is_found_at_the_chunk_after_it)
+{
+    answer_assembly assembly;
+    assembly.on_head(200);
+    assembly.on_chunk(0, "0123");
+    CHECK_TRUE(assembly.on_chunk(5, "5678").step == assembly_step::broken);
+}
+
 TEST(answer_assembly, a_second_answer_under_one_number_is_broken)
 {
     answer_assembly assembly;
--- a/packages/policy/tests/ticket_table_test.cpp
+++ b/packages/policy/tests/ticket_table_test.cpp
@@ -66,7 +66,7 @@
         CHECK_TRUE(std::holds_alternative<may_run>(result));
     }
 
-    void run(const ticket& which, const std::string& answer, std::int64_t ms = 0)
+    void run_whole(const ticket& which, const std::string& answer, std::int64_t ms = 0)
     {
         start(which, 1, ms);
         table.finish(which.id, answered(answer));
@@ -225,7 +225,7 @@
     int issued = 0;
     while (std::holds_alternative<issued_ticket>(table.issue(service, at(0), random)))
     {
-        run(issue(), std::string(1'000, 'x'));
+        run_whole(issue(), std::string(1'000, 'x'));
         CHECK_TRUE(table.stored_bytes() <= limits.all_answers);
         ++issued;
     }
@@ -254,7 +254,7 @@
 TEST(ticket_table, an_expired_ticket_is_not_run_and_its_past_is_unknown)
 {
     const ticket which = issue();
-    run(which, "done");
+    run_whole(which, "done");
     check_kind(outcome_kind::answered, which, lifetime_ms - 1);
     table.expire(at(lifetime_ms));
     const auto result =
@@ -296,7 +296,7 @@
 TEST(ticket_table, a_frozen_table_forgets_nothing)
 {
     const ticket which = issue();
-    run(which, "done");
+    run_whole(which, "done");
     CHECK_TRUE(table.freeze(at(1)));
     table.expire(at(lifetime_ms + 1));
     LONGS_EQUAL(1, table.outcomes().size());
@@ -307,7 +307,7 @@
 {
     const ticket used = issue();
     const ticket unused = issue();
-    run(used, "done");
+    run_whole(used, "done");
     CHECK_TRUE(table.freeze(at(1)));
     successor_table taken;
     CHECK_FALSE(taken.look_up(unused, body).has_value());
@@ -329,7 +329,7 @@
 {
     // The former node had forgotten them, so a missing record does not prove "not run".
     const ticket early = issue();
-    run(early, "done");
+    run_whole(early, "done");
     table.expire(at(lifetime_ms));
     CHECK_TRUE(table.freeze(at(lifetime_ms)));
     successor_table taken;
