--- a/tests/graceful_shutdown_test.cpp
+++ b/tests/graceful_shutdown_test.cpp
@@ -54,6 +54,7 @@
         requests.push_back(test_fleet::drafting("text " + std::to_string(i), 150));
         calls.push_back(std::make_unique<http_exchange>(node.caller_address, requests.back()));
         CHECK_TRUE(calls.back()->read_body(1));
+        if (calls.back()->status() != 200) printf("%s\n", test_fleet::explain(node, calls.back()->finish()).c_str());
     }
     stop(node);
     for (std::size_t i = 0; i < streams; ++i)
--- a/tests/support/http_exchange.hpp
+++ b/tests/support/http_exchange.hpp
@@ -66,6 +66,9 @@
     /// @return whether the bytes are there
     bool read_body(std::size_t size);
 
+    /// @brief Status of the answer, 0 until its head has arrived.
+    int status() const { return m_answer.status; }
+
     /// @brief Reads to the end.
     http_answer finish();
 
--- a/tests/support/test_fleet.cpp
+++ b/tests/support/test_fleet.cpp
@@ -181,9 +181,9 @@
     const std::string services =
         "services:\n  drafting:\n    kind: model\n    residency: " + m_shape.model_residency +
         "\n    deadline_ms: 60000\n    calls_per_upstream: 64\n"
-        "    engine:\n      checks_fencing: true\n"
-        "      resumes_streams: true\n"
-        "  booking:\n    kind: plain\n    residency: bound\n"
+        "    engine:\n      checks_fencing: true\n      resumes_streams: " +
+        (m_shape.engine_resumes ? "true" : "false") +
+        "\n  booking:\n    kind: plain\n    residency: bound\n"
         "    non_idempotent_methods: [POST]\n    ticket: required\n"
         "    deadline_ms: 10000\n    not_run_statuses: [429, 503]\n";
     return {{"fleet", fleet}, {"services", services}};
@@ -219,6 +219,14 @@
     }
 }
 
+std::string test_fleet::explain(const test_node& node, const http_answer& answer)
+{
+    const auto id = answer.headers.find("snipeplank-request-id");
+    return id == answer.headers.end()
+               ? "no request id"
+               : http_get(node.admin_address, "/v1/explain/" + id->second).body;
+}
+
 std::string test_fleet::take_ticket(const test_node& node)
 {
     const http_answer answer =
--- a/tests/support/test_fleet.hpp
+++ b/tests/support/test_fleet.hpp
@@ -90,6 +90,9 @@
     /// @brief Waits until the node says it is ready.
     static void wait_ready(const test_node& node);
 
+    /// @brief The node's record of how an answer came about, for messages of failed checks.
+    static std::string explain(const test_node& node, const http_answer& answer);
+
     /// @brief Reserves a ticket for `booking` at a node.
     /// Fails the test when it is refused
     static std::string take_ticket(const test_node& node);
