--- a/packages/gateway/src/node.cpp
+++ b/packages/gateway/src/node.cpp
@@ -116,7 +116,7 @@
         peers.self = self.node;
         peers.region = settings.region;
         peers.zone = settings.zone;
-        peers.listen = settings.peer_address;
+        peers.listen = settings.peer_listen;
         peers.fleet_keys = settings.fleet_keys;
         return peers;
     }
--- a/packages/settings/include/snipeplank/settings/node_settings.hpp
+++ b/packages/settings/include/snipeplank/settings/node_settings.hpp
@@ -26,6 +26,7 @@
 {
     core::address caller_address; ///< callers' HTTP
     core::address peer_address;   ///< other nodes' frames
+    core::address peer_listen;    ///< where they arrive; differs behind address translation
     core::address admin_address;  ///< operators' HTTP
     core::region_id region;
     core::zone_id zone;
--- a/packages/settings/src/node_settings.cpp
+++ b/packages/settings/src/node_settings.cpp
@@ -25,9 +25,12 @@
 
 void read_node(const yaml_field& group, node_settings& settings)
 {
-    group.expect_keys({"caller_address", "peer_address", "admin_address", "region", "zone"});
+    group.expect_keys({"caller_address", "peer_address", "admin_address", "region", "zone"},
+                      {"peer_listen"});
     settings.caller_address = group["caller_address"].address();
     settings.peer_address = group["peer_address"].address();
+    const yaml_field listen = group["peer_listen"];
+    settings.peer_listen = listen.is_present() ? listen.address() : settings.peer_address;
     settings.admin_address = group["admin_address"].address();
     settings.region = core::region_id{group["region"].name()};
     settings.zone = core::zone_id{group["zone"].name()};
--- a/packages/settings/tests/node_settings_test.cpp
+++ b/packages/settings/tests/node_settings_test.cpp
@@ -59,6 +59,18 @@
     STRCMP_EQUAL("warning", settings.log_level.c_str());
 }
 
+// Guards against a node behind address translation that listens where its peers dial.
+TEST(node_settings, peers_may_arrive_at_another_address)
+{
+    const auto same = parse_node_settings(valid_node, "node.yaml");
+    STRCMP_EQUAL("127.0.0.1:9001", same.value().peer_listen.get().c_str());
+    const std::string text =
+        replaced(valid_node, "  admin_address", "  peer_listen: 127.0.0.1:9003\n  admin_address");
+    const auto parsed = parse_node_settings(text, "node.yaml");
+    STRCMP_EQUAL("127.0.0.1:9001", parsed.value().peer_address.get().c_str());
+    STRCMP_EQUAL("127.0.0.1:9003", parsed.value().peer_listen.get().c_str());
+}
+
 TEST(node_settings, limits_and_log_may_be_left_out)
 {
     const std::string text = valid_node.substr(0, valid_node.find("limits:"));
