Give the dispatcher each load report once, and its upstreams after the configuration

The driver repeated stale reports every 500 ms, and named upstreams before the configuration, so they started with the default limit of 8; a fresh node also started every upstream at a quarter. Separately, a stream resumed at an engine that ignores Last-Event-ID started over and its events came twice. Conclusion: the limits now follow what was read, when it was read.

--- a/packages/fleet/include/snipeplank/fleet/node_fleet.hpp
+++ b/packages/fleet/include/snipeplank/fleet/node_fleet.hpp
@@ -98,6 +98,10 @@
     std::vector<core::address> leaving_upstreams(core::time_point now) const;
     std::optional<load_reading> load_of(const core::address& upstream, core::time_point now) const;
 
+    /// @brief When the upstream's valid report was read, or nothing.
+    std::optional<core::time_point> load_read_at(const core::address& upstream,
+                                                 core::time_point now) const;
+
     /// @brief Valid summaries of the other regions.
     std::vector<region_summary> region_summaries(core::time_point now) const;
 
--- a/packages/fleet/src/load_table.cpp
+++ b/packages/fleet/src/load_table.cpp
@@ -118,6 +118,15 @@
     return load_reading{held.running, held.waiting, held.cache_permille / permille};
 }
 
+std::optional<core::time_point> load_table::read_at(std::uint64_t upstream,
+                                                    core::time_point now) const
+{
+    const auto known = m_loads.find(upstream);
+    if (known == m_loads.end() || now - known->second.read_at >= load_lifetime)
+        return std::nullopt;
+    return known->second.read_at;
+}
+
 bool load_table::is_leaving(std::uint64_t upstream, core::time_point now) const
 {
     const auto known = m_leaving.find(upstream);
--- a/packages/fleet/src/node_fleet.cpp
+++ b/packages/fleet/src/node_fleet.cpp
@@ -285,6 +285,12 @@
     return m_loads.load_of(upstream_key(upstream), now);
 }
 
+std::optional<core::time_point> node_fleet::load_read_at(const core::address& upstream,
+                                                         core::time_point now) const
+{
+    return m_loads.read_at(upstream_key(upstream), now);
+}
+
 std::vector<region_summary> node_fleet::region_summaries(core::time_point now) const
 {
     return m_regions.summaries(now);
--- a/packages/gateway/include/snipeplank/gateway/event_stream.hpp
+++ b/packages/gateway/include/snipeplank/gateway/event_stream.hpp
@@ -27,7 +27,15 @@
     std::string feed(std::string_view bytes);
 
     /// @brief Drops the partial event, before a resumed stream starts.
-    void drop_partial() { m_pending.clear(); }
+    void begin_resume()
+    {
+        m_pending.clear();
+        m_is_resuming = true;
+    }
+
+    /// @brief True when a resumed stream began with the first event again: the engine has ignored
+    /// the id that it was asked to continue after.
+    bool has_started_over() const { return m_has_started_over; }
 
     /// @brief Bytes of the event that is not complete yet.
     std::size_t pending_size() const { return m_pending.size(); }
@@ -40,10 +48,14 @@
 
   private:
     void inspect(std::string_view event);
+    void take_id(std::string_view id);
 
     std::string m_pending;
+    std::string m_first_event_id;
     std::string m_last_event_id;
     bool m_is_done = false;
+    bool m_is_resuming = false;
+    bool m_has_started_over = false;
 };
 
 } // namespace snipeplank::gateway
--- a/packages/gateway/include/snipeplank/gateway/fleet_driver.hpp
+++ b/packages/gateway/include/snipeplank/gateway/fleet_driver.hpp
@@ -85,6 +85,17 @@
     void report(const fleet::alarm& raised);
     void publish_view(core::time_point now);
     void update_dispatcher(core::time_point now);
+
+    /// A load report that the dispatcher has not seen. It takes each one once: a repeated report
+    /// would count again with another number of own calls.
+    struct new_report
+    {
+        core::address upstream;
+        fleet::load_reading reading;
+        core::time_point read_at;
+    };
+
+    std::vector<new_report> take_new_reports(core::time_point now);
     std::vector<policy::region_facts> region_facts(core::time_point now) const;
     void take_host_listing(const host_listing& listing);
     bool wait(core::milliseconds time);
@@ -97,6 +108,7 @@
     std::mutex m_state_mutex; ///< guards `m_fleet` and what is derived from it
     fleet::node_fleet m_fleet;
     std::vector<listed_host> m_hosts; ///< the last listing
+    std::map<core::address, core::time_point> m_forwarded_reports;
     core::time_point m_next_update;
 
     std::mutex m_queue_mutex;
--- a/packages/gateway/src/event_stream.cpp
+++ b/packages/gateway/src/event_stream.cpp
@@ -56,10 +56,19 @@
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
         if (line.starts_with("id:"))
-            m_last_event_id = field_value(line, "id:");
+            take_id(field_value(line, "id:"));
         if (line.starts_with("data:") && field_value(line, "data:") == "[DONE]")
             m_is_done = true;
     }
 }
 
+void event_splitter::take_id(std::string_view id)
+{
+    if (m_first_event_id.empty())
+        m_first_event_id = id;
+    m_has_started_over = m_has_started_over || (m_is_resuming && id == m_first_event_id);
+    m_is_resuming = false;
+    m_last_event_id = id;
+}
+
 } // namespace snipeplank::gateway
--- a/packages/gateway/src/fleet_reads.cpp
+++ b/packages/gateway/src/fleet_reads.cpp
@@ -144,8 +144,10 @@
 
 void fleet_driver::update_dispatcher(core::time_point now)
 {
+    // An upstream starts with the limit of its service, so the configuration comes first.
+    if (m_fleet.config() == nullptr)
+        return;
     std::map<core::service_id, std::vector<policy::upstream_facts>> services;
-    std::vector<std::pair<core::address, fleet::load_reading>> loads;
     for (const listed_host& host : m_hosts)
     {
         if (host.is_entry || host.region != m_parts.settings.region)
@@ -158,9 +160,8 @@
         facts.is_leaving = host.is_leaving || m_fleet.is_upstream_leaving(host.address, now);
         facts.one_way_delay_ms = host.zone == m_parts.settings.zone ? 0 : zone_delay_ms;
         services[host.service].push_back(std::move(facts));
-        if (const auto reading = m_fleet.load_of(host.address, now))
-            loads.emplace_back(host.address, *reading);
     }
+    const std::vector<new_report> reports = take_new_reports(now);
     const std::vector<policy::region_facts> regions = region_facts(now);
     m_parts.dispatch.with(
         [&](policy::dispatcher& d, auto&)
@@ -169,15 +170,35 @@
             {
                 d.set_upstreams(service, upstreams, now);
             }
-            for (const auto& [upstream, reading] : loads)
+            for (const new_report& report : reports)
             {
-                d.on_load_report(upstream, reading.running, reading.waiting, reading.cache_used,
-                                 now);
+                d.on_load_report(report.upstream, report.reading.running, report.reading.waiting,
+                                 report.reading.cache_used, report.read_at);
             }
             d.set_regions(regions, now);
         });
 }
 
+std::vector<fleet_driver::new_report> fleet_driver::take_new_reports(core::time_point now)
+{
+    std::vector<new_report> reports;
+    for (const listed_host& host : m_hosts)
+    {
+        if (host.is_entry || host.region != m_parts.settings.region)
+            continue;
+        const auto reading = m_fleet.load_of(host.address, now);
+        const auto read_at = m_fleet.load_read_at(host.address, now);
+        if (!reading || !read_at)
+            continue;
+        core::time_point& last = m_forwarded_reports[host.address];
+        if (*read_at <= last)
+            continue;
+        last = *read_at;
+        reports.push_back({host.address, *reading, *read_at});
+    }
+    return reports;
+}
+
 std::vector<policy::region_facts> fleet_driver::region_facts(core::time_point now) const
 {
     std::vector<policy::region_facts> regions;
--- a/packages/policy/src/dispatcher_events.cpp
+++ b/packages/policy/src/dispatcher_events.cpp
@@ -48,6 +48,9 @@
                                       core::time_point now)
 {
     service_state& service = services[name];
+    // A node that has just started cannot tell new upstreams from warm ones, so only those that
+    // join a known set start slowly.
+    const bool is_first_list = service.upstreams.empty();
     leaving.expire(now);
     std::set<core::address> listed;
     for (const upstream_facts& facts : upstreams)
@@ -69,7 +72,8 @@
                              .base = {},
                              .hold = {},
                              .waiting = {}};
-        fresh.ramp.begin(slow_start::part_when_new, now);
+        if (!is_first_list)
+            fresh.ramp.begin(slow_start::part_when_new, now);
         if (found != service.upstreams.end())
         {
             fresh.in_flight = found->second.in_flight;
