gateway: refuse a resumed stream that starts over

The published configuration may say that an engine resumes streams when it does not. After a cut the node asked to resume, the engine sent its answer from the start, and the caller received 4 events twice in a stream that ended cleanly (3,397 bytes, 2,551 expected). The event splitter now notices the first event's id in a resumed stream; the answer is then broken off and never ends cleanly.

truncated_answer_tests: failed before in streams_of_an_engine_wrongly_said_to_resume, 5 of 5 tests pass now (56 s).

--- a/packages/gateway/include/snipeplank/gateway/event_stream.hpp
+++ b/packages/gateway/include/snipeplank/gateway/event_stream.hpp
@@ -27,7 +27,17 @@
     std::string feed(std::string_view bytes);
 
     /// @brief Drops the partial event, before a resumed stream starts.
-    void drop_partial() { m_pending.clear(); }
+    void begin_resume()
+    {
+        m_pending.clear();
+        m_is_resumed = true;
+    }
+
+    /// @brief True once a resumed stream has sent its first event again.
+    ///
+    /// An engine that ignores `Last-Event-ID` does so. Its events are not handed out, because the
+    /// caller would receive the start of the answer twice.
+    bool starts_over() const { return m_starts_over; }
 
     /// @brief Bytes of the event that is not complete yet.
     std::size_t pending_size() const { return m_pending.size(); }
@@ -40,9 +50,13 @@
 
   private:
     void inspect(std::string_view event);
+    void take_id(std::string_view id);
 
     std::string m_pending;
+    std::string m_first_event_id;
     std::string m_last_event_id;
+    bool m_is_resumed = false;
+    bool m_starts_over = false;
     bool m_is_done = false;
 };
 
--- a/packages/gateway/src/event_stream.cpp
+++ b/packages/gateway/src/event_stream.cpp
@@ -41,7 +41,7 @@
         inspect(std::string_view(m_pending).substr(taken, end - taken));
         taken = end;
     }
-    std::string whole = m_pending.substr(0, taken);
+    std::string whole = m_starts_over ? std::string() : m_pending.substr(0, taken);
     m_pending.erase(0, taken);
     return whole;
 }
@@ -56,10 +56,19 @@
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
         if (line.starts_with("id:"))
-            m_last_event_id = field_value(line, "id:");
+            take_id(field_value(line, "id:"));
         if (line.starts_with("data:") && field_value(line, "data:") == "[DONE]")
             m_is_done = true;
     }
 }
 
+void event_splitter::take_id(std::string_view id)
+{
+    if (m_first_event_id.empty())
+        m_first_event_id = id;
+    else if (m_is_resumed && id == m_first_event_id)
+        m_starts_over = true;
+    m_last_event_id = id;
+}
+
 } // namespace snipeplank::gateway
--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -102,7 +102,7 @@
                 return;
             }
             m_metrics.count(counter::stream_resumes);
-            state.events.drop_partial();
+            state.events.begin_resume();
         }
     }
 
@@ -112,7 +112,7 @@
     {
         return request.may_resume && state.is_event_stream && !state.is_cancelled &&
                !state.is_past_deadline && !state.events.last_event_id().empty() &&
-               resumes < max_resumes;
+               !state.events.starts_over() && resumes < max_resumes;
     }
 
     std::optional<attempt_failure> send_once(const upstream_request& request, answer_sink& answer,
@@ -194,7 +194,7 @@
             return false;
         }
         std::string chunk = state.is_event_stream ? state.events.feed(data) : std::string(data);
-        if (state.events.pending_size() > max_event_size)
+        if (state.events.pending_size() > max_event_size || state.events.starts_over())
             return false;
         if (chunk.empty() || answer.put_chunk(std::move(chunk)))
             return true;
--- a/tests/truncated_answer_test.cpp
+++ b/tests/truncated_answer_test.cpp
@@ -17,13 +17,13 @@
 /// In the first event, on an event boundary's neighbourhood, in the middle and near the end.
 constexpr std::size_t byte_counts[] = {0, 1, 150, 195, 1'000, 2'300};
 
-fleet_shape one_node(bool resumes)
+fleet_shape one_node(bool resumes, bool configured_to_resume)
 {
     fleet_shape shape;
     shape.regions = {home};
     shape.nodes_per_region = 1;
     shape.services_per_region = 0;
-    shape.engine_resumes = resumes;
+    shape.engine_resumes = configured_to_resume;
     shape.engine_arguments = {"--token_ms", "1", resumes ? "--resumes" : "--noresumes"};
     return shape;
 }
@@ -86,7 +86,7 @@
 // Guards against a cut stream that ends cleanly, for an engine that cannot resume.
 TEST(truncated_answer, streams_of_an_engine_without_resume)
 {
-    fleet = std::make_unique<test_fleet>(one_node(false));
+    fleet = std::make_unique<test_fleet>(one_node(false, false));
     check_all_faults(true, 100);
     check_serves_again();
 }
@@ -94,7 +94,7 @@
 // Guards against a resumed stream that repeats or skips bytes.
 TEST(truncated_answer, streams_of_an_engine_with_resume)
 {
-    fleet = std::make_unique<test_fleet>(one_node(true));
+    fleet = std::make_unique<test_fleet>(one_node(true, true));
     check_all_faults(true, 1);
     check_serves_again();
 }
@@ -102,7 +102,7 @@
 // Guards against a stream that is resumed without end or cut without a trace.
 TEST(truncated_answer, streams_of_an_engine_that_fails_each_resume)
 {
-    fleet = std::make_unique<test_fleet>(one_node(true));
+    fleet = std::make_unique<test_fleet>(one_node(true, true));
     check_all_faults(true, 100);
     check_serves_again();
 }
@@ -110,7 +110,16 @@
 // Guards against a cut whole answer that is passed on with a shorter length.
 TEST(truncated_answer, whole_answers)
 {
-    fleet = std::make_unique<test_fleet>(one_node(false));
+    fleet = std::make_unique<test_fleet>(one_node(false, false));
     check_all_faults(false, 100);
     check_serves_again();
 }
+
+// Guards against a stream that starts over and is passed on as if it went on, when an operator has
+// published that an engine resumes and it does not.
+TEST(truncated_answer, streams_of_an_engine_wrongly_said_to_resume)
+{
+    fleet = std::make_unique<test_fleet>(one_node(false, true));
+    check_all_faults(true, 1);
+    check_serves_again();
+}
