Test tickets of a stopping node and silent connections between nodes

A stopping node must honour the tickets it issued, and a booking must run at most once when the connections between entry node and issuer go silent.

--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -272,3 +272,28 @@
     CHECK_TRUE_TEXT(answer.is(201), answer.describe().c_str());
     LONGS_EQUAL(1, fleet->executions(booking_id));
 }
+
+// Guards against a second run when the connections between two nodes go silent while new ones work.
+TEST(at_most_once, silent_connections_between_nodes)
+{
+    for (const step& where : steps())
+    {
+        const std::string what = std::string("silent peers, ") + where.name;
+        fleet_shape shape = bookings_only();
+        shape.has_relays = true;
+        fleet = std::make_unique<test_fleet>(shape);
+        caller buyer(*fleet);
+        fleet->upstream(home, "booking").program->set_faults(where.fault);
+        const auto call = buyer.send(1);
+        wait_for_step(*fleet, where);
+        for (const std::size_t index : {0, 1})
+        {
+            fleet->node(home, index).relay->set_faults({{"silence_existing", true}});
+        }
+        repeat_at_running_nodes(buyer, what);
+        buyer.take(call->finish(), what + ", first call");
+        let_late_messages_arrive();
+        repeat_at_running_nodes(buyer, what);
+        buyer.check_settled(what);
+    }
+}
--- a/tests/graceful_shutdown_test.cpp
+++ b/tests/graceful_shutdown_test.cpp
@@ -145,3 +145,24 @@
     STRCMP_EQUAL_TEXT("no", problem.value("executed", "").c_str(), answer.describe().c_str());
     LONGS_EQUAL(0, fleet->executions("order-1"));
 }
+
+// Guards against a ticket that is refused while its issuer still has work, whatever the case of
+// the header's name.
+TEST(graceful_shutdown, honours_issued_tickets_while_stopping)
+{
+    test_node& node = fleet->node(home, 0);
+    const std::string first = test_fleet::take_ticket(node);
+    const std::string second = test_fleet::take_ticket(node);
+    const auto call = start_stream(node, test_fleet::drafting("long", 150));
+    stop(node);
+    const http_answer booked =
+        http_call(node.caller_address, test_fleet::booking(first, "order-1"));
+    CHECK_TRUE_TEXT(booked.is(201), booked.describe().c_str());
+    http_request lower_case = test_fleet::booking(second, "order-2");
+    lower_case.headers.erase("Idempotency-Key");
+    lower_case.headers["idempotency-key"] = second;
+    const http_answer also_booked = http_call(node.caller_address, lower_case);
+    CHECK_TRUE_TEXT(also_booked.is(201), also_booked.describe().c_str());
+    CHECK_TRUE(call->finish().is(200));
+    LONGS_EQUAL(0, node.process->wait());
+}
