gateway: find the ticket of a stopping node's caller whatever the header's case

A stopping node honours its tickets, but compared the name Idempotency-Key with regard to case, so a caller that sends idempotency-key was refused with draining.

--- a/packages/gateway/src/caller_front.cpp
+++ b/packages/gateway/src/caller_front.cpp
@@ -2,6 +2,8 @@
 
 #include <snipeplank/gateway/problem.hpp>
 
+#include <strings.h>
+
 #include <chrono>
 #include <utility>
 
@@ -153,7 +155,8 @@
 {
     for (const header_field& field : head.headers)
     {
-        if (field.name != "Idempotency-Key")
+        // Header names are compared without regard to case (RFC 9110, section 5.1).
+        if (::strcasecmp(field.name.c_str(), "Idempotency-Key") != 0)
             continue;
         const core::result<policy::ticket> parsed = policy::parse_ticket(field.value);
         return parsed && parsed.value().issuer.address == m_parts.settings.peer_address;
