--- a/packages/gateway/include/snipeplank/gateway/event_stream.hpp
+++ b/packages/gateway/include/snipeplank/gateway/event_stream.hpp
@@ -30,12 +30,14 @@
     void begin_resume()
     {
         m_pending.clear();
-        m_is_resuming = true;
+        m_is_resumed = true;
     }
 
-    /// @brief True when a resumed stream began with the first event again: the engine has ignored
-    /// the id that it was asked to continue after.
-    bool has_started_over() const { return m_has_started_over; }
+    /// @brief True once a resumed stream has sent its first event again.
+    ///
+    /// An engine that ignores `Last-Event-ID` does so. Its events are not handed out, because the
+    /// caller would receive the start of the answer twice.
+    bool starts_over() const { return m_starts_over; }
 
     /// @brief Bytes of the event that is not complete yet.
     std::size_t pending_size() const { return m_pending.size(); }
@@ -53,9 +55,9 @@
     std::string m_pending;
     std::string m_first_event_id;
     std::string m_last_event_id;
+    bool m_is_resumed = false;
+    bool m_starts_over = false;
     bool m_is_done = false;
-    bool m_is_resuming = false;
-    bool m_has_started_over = false;
 };
 
 } // namespace snipeplank::gateway
--- a/packages/gateway/src/event_stream.cpp
+++ b/packages/gateway/src/event_stream.cpp
@@ -41,7 +41,7 @@
         inspect(std::string_view(m_pending).substr(taken, end - taken));
         taken = end;
     }
-    std::string whole = m_pending.substr(0, taken);
+    std::string whole = m_starts_over ? std::string() : m_pending.substr(0, taken);
     m_pending.erase(0, taken);
     return whole;
 }
@@ -66,8 +66,8 @@
 {
     if (m_first_event_id.empty())
         m_first_event_id = id;
-    m_has_started_over = m_has_started_over || (m_is_resuming && id == m_first_event_id);
-    m_is_resuming = false;
+    else if (m_is_resumed && id == m_first_event_id)
+        m_starts_over = true;
     m_last_event_id = id;
 }
 
--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -111,9 +111,8 @@
                            unsigned resumes)
     {
         return request.may_resume && state.is_event_stream && !state.is_cancelled &&
-               !state.is_past_deadline && !state.events.has_started_over() &&
-               !state.events.last_event_id().empty() &&
-               resumes < max_resumes;
+               !state.is_past_deadline && !state.events.last_event_id().empty() &&
+               !state.events.starts_over() && resumes < max_resumes;
     }
 
     std::optional<attempt_failure> send_once(const upstream_request& request, answer_sink& answer,
@@ -195,7 +194,7 @@
             return false;
         }
         std::string chunk = state.is_event_stream ? state.events.feed(data) : std::string(data);
-        if (state.events.pending_size() > max_event_size || state.events.has_started_over())
+        if (state.events.pending_size() > max_event_size || state.events.starts_over())
             return false;
         if (chunk.empty() || answer.put_chunk(std::move(chunk)))
             return true;
