Count goodput by answers that end in the measured time

Cause: counting by arrivals credits the burst with the queue that is left at its end, about 14 answers a second. Change: `goodput_per_s` counts whole answers within the deadline that end in the measured time.

--- a/tools/policy_bench/main.cpp
+++ b/tools/policy_bench/main.cpp
@@ -50,7 +50,7 @@
         plan.name.c_str(), policy.c_str(), static_cast<unsigned long long>(seed),
         static_cast<unsigned long long>(seen.offered), quantile(seen.first_token_ms, 0.5),
         quantile(seen.first_token_ms, 0.95), quantile(seen.first_token_ms, 0.99),
-        static_cast<double>(seen.good) / seconds,
+        static_cast<double>(seen.good_in_time) / seconds,
         ratio(static_cast<double>(seen.good), static_cast<double>(seen.offered)),
         static_cast<unsigned long long>(seen.late), static_cast<unsigned long long>(seen.failed),
         refused.c_str(), ratio(static_cast<double>(seen.sent_away), firsts), seen.link_bytes / 1e6,
--- a/tools/policy_bench/run.cpp
+++ b/tools/policy_bench/run.cpp
@@ -280,6 +280,9 @@
     close(call, sent, attempt_outcome::answered);
     call->is_over = true;
     ++m_figures.answered_in_run;
+    const bool is_in_window =
+        time.now() >= m_plan.measure_from_ms && time.now() < m_plan.measure_to_ms;
+    m_figures.good_in_time += is_in_window && time.now() <= call->deadline ? 1 : 0;
     if (!call->is_measured)
         return;
     if (time.now() <= call->deadline)
--- a/tools/policy_bench/scenes.hpp
+++ b/tools/policy_bench/scenes.hpp
@@ -35,7 +35,9 @@
 struct figures
 {
     std::uint64_t offered = 0;
-    std::uint64_t good = 0; ///< whole answer within the deadline
+    std::uint64_t good = 0;         ///< whole answer within the deadline
+    std::uint64_t good_in_time = 0; ///< whole answers within the deadline that ended in the
+                                    ///< measured time, whenever they arrived
     std::uint64_t late = 0;
     std::uint64_t failed = 0;
     std::map<std::string, std::uint64_t> refused;
