Keep the last quarter of each limit for the prefixes an upstream owns

Change: above three quarters of its limit an upstream takes only calls whose prefix it owns, and calls without a prefix.

--- a/packages/policy/include/snipeplank/policy/adaptive_policy.hpp
+++ b/packages/policy/include/snipeplank/policy/adaptive_policy.hpp
@@ -17,6 +17,9 @@
 /// latency weight x predicted seconds + cost weight x cost + away weight when in another region.
 double routing_score(const settings::routing_weights& weights, const upstream_view& upstream);
 
+/// @brief Rendezvous score of an upstream for a prompt prefix; the highest one owns it. O(1).
+std::uint64_t prefix_score(std::uint64_t prefix, const core::address& upstream);
+
 /// @brief Lowest score first; the prefix's owner gets a bonus for its warm cache.
 ///
 /// The owner is the first upstream in rendezvous order of the prefix whose load is within the
--- a/packages/policy/src/adaptive_policy.cpp
+++ b/packages/policy/src/adaptive_policy.cpp
@@ -94,7 +94,7 @@
                 continue;
             if (load_of(upstream) > bound || upstream.in_flight >= upstream.limit)
                 continue;
-            const std::uint64_t score = core::hash64(upstream.address.get(), prefix);
+            const std::uint64_t score = prefix_score(prefix, upstream.address);
             if (owner != upstreams.size() && score <= best)
                 continue;
             best = score;
@@ -108,6 +108,11 @@
 
 } // namespace
 
+std::uint64_t prefix_score(std::uint64_t prefix, const core::address& upstream)
+{
+    return core::hash64(upstream.get(), prefix);
+}
+
 double routing_score(const settings::routing_weights& weights, const upstream_view& upstream)
 {
     const double away = upstream.is_away ? weights.away : 0;
--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -103,8 +103,10 @@
   public:
     explicit state(dispatcher_self identity) : self(std::move(identity)) {}
 
-    // Views (dispatcher_route.cpp).
+    // Decisions (dispatcher_route.cpp).
     decision route(const call_view& call, core::time_point now, core::random_source& random);
+
+    // Queries (dispatcher_predict.cpp).
     bool has_alternative(const detail::service_state& service, const call_view& call,
                          core::time_point now, bool needs_spare) const;
     detail::prediction predict(const detail::service_state& service,
@@ -150,6 +152,7 @@
                           core::time_point now) const;
     void add_away_options(detail::service_state& service, const call_view& call,
                           core::time_point now, options& found);
+    static void reserve_for_owner(const call_view& call, options& found);
     void mark_ejected(detail::service_state& service, core::time_point now, options& found) const;
     std::string_view obstacle_to_local(const call_view& call,
                                        const detail::option& candidate) const;
--- a/packages/policy/src/dispatcher_route.cpp
+++ b/packages/policy/src/dispatcher_route.cpp
@@ -23,11 +23,9 @@
 constexpr double batch_part = 0.7;
 /// Batch work may use this part of its remaining time for queueing.
 constexpr double batch_wait_part = 0.5;
-/// A call that waits for its first byte is taken to cost this part of a cold one: some are warm.
-constexpr double pending_part = 0.5;
-/// An attempt without a first byte counts once it is this many times over its prediction.
-constexpr double overdue_factor = 2;
-constexpr double overdue_slack_ms = 50;
+/// Above this part of its limit an upstream takes only calls whose prefix it owns. Under overload
+/// some calls are refused anyway; those that find a warm cache use less of the engine.
+constexpr double open_part = 0.75;
 /// Summaries of other regions are aged out like the region table's (design page, section 3).
 constexpr core::seconds summary_lifetime{30};
 /// A call that does not state its size still costs headers and an answer.
@@ -137,6 +135,32 @@
 
 } // namespace
 
+void dispatcher::state::reserve_for_owner(const call_view& call, options& found)
+{
+    if (call.prefix_hash == 0)
+        return;
+    const option* owner = nullptr;
+    std::uint64_t best = 0;
+    for (const option& entry : found)
+    {
+        const bool is_out = entry.view.is_away || entry.view.is_leaving || entry.view.is_ejected;
+        if (is_out || contains(call.tried, entry.view.address))
+            continue;
+        const std::uint64_t score = prefix_score(call.prefix_hash, entry.view.address);
+        if (owner != nullptr && score <= best)
+            continue;
+        best = score;
+        owner = &entry;
+    }
+    for (option& entry : found)
+    {
+        const bool is_open = entry.view.in_flight < open_part * entry.view.limit;
+        if (entry.view.is_away || &entry == owner || is_open || !entry.obstacle.empty())
+            continue;
+        entry.obstacle = obstacle_concurrency;
+    }
+}
+
 decision dispatcher::state::route(const call_view& call, core::time_point now,
                                   core::random_source& random)
 {
@@ -148,6 +172,7 @@
     }
     service_state& service = services[call.service];
     options found = local_options(service, call, now);
+    reserve_for_owner(call, found);
     add_away_options(service, call, now, found);
     std::vector<upstream_view> views;
     views.reserve(found.size());
@@ -400,77 +425,4 @@
                         std::max(wait, default_retry_after), random);
 }
 
-prediction dispatcher::state::predict(const service_state& service, const upstream_state& upstream,
-                                      core::time_point now) const
-{
-    const bool is_measured = upstream.base.samples() > 0;
-    double base = upstream.base.value(now);
-    if (!is_measured)
-        base = service.base.value(now) + 2 * upstream.facts.one_way_delay_ms;
-    // Differences below the service's usual delay come from the prompts, not from the upstream;
-    // following them sends every call to the upstream that was lucky last.
-    base = std::max(base, service.typical_ms);
-    prediction expected;
-    expected.hold_ms =
-        upstream.hold.samples() > 0 ? upstream.hold.value(now) : service.hold.value(now);
-    if (upstream.has_report)
-    {
-        const double slots = std::max(upstream.limit.slots(), 1.0);
-        const double total = upstream.limit.others() + upstream.in_flight;
-        const double queue = std::max(0.0, total + 1 - slots);
-        expected.wait_ms = queue * (base + expected.hold_ms) / slots;
-    }
-    // Prefill is serial in an engine: each call that waits for its first byte delays the next. The
-    // other nodes are taken to have as many such calls there as this one.
-    const auto pending = static_cast<double>(upstream.waiting.size() * nodes.size());
-    expected.wait_ms += pending * std::max(base, pending_part * service.cold_ms);
-    expected.total_ms = base + expected.wait_ms;
-    if (!upstream.waiting.empty())
-    {
-        const auto age = now - upstream.waiting.begin()->second;
-        const double age_ms = std::chrono::duration<double, std::milli>(age).count();
-        // A hung upstream sends no samples; the oldest unanswered call shows it.
-        if (age_ms > overdue_factor * expected.total_ms + overdue_slack_ms)
-        {
-            expected.wait_ms += age_ms - expected.total_ms;
-            expected.total_ms = age_ms;
-        }
-    }
-    return expected;
-}
-
-bool dispatcher::state::has_alternative(const service_state& service, const call_view& call,
-                                        core::time_point now, bool needs_spare) const
-{
-    for (const auto& [address, upstream] : service.upstreams)
-    {
-        if (!upstream.is_listed || is_leaving(upstream, now) || contains(call.tried, address))
-            continue;
-        const unsigned limit = upstream.ramp.apply(upstream.limit.limit(now), now);
-        // A hedge to an upstream with calls waiting for their first byte delays them.
-        if (!needs_spare || (upstream.waiting.empty() && 2 * upstream.in_flight < limit))
-            return true;
-    }
-    return false;
-}
-
-bool dispatcher::state::is_leaving(const upstream_state& upstream, core::time_point now) const
-{
-    // The list may be published once only, so its last word holds beyond the mark.
-    return upstream.facts.is_leaving || leaving.is_leaving(upstream.facts.address, now);
-}
-
-bool dispatcher::state::came_from_other_region(const call_view& call) const
-{
-    return !call.path.empty() && call.path.hops().front().region != self.region;
-}
-
-core::region_id dispatcher::state::home_of(const call_view& call) const
-{
-    if (!call.home.get().empty())
-        return call.home;
-    // A call without a home belongs to the region where it entered.
-    return call.path.empty() ? self.region : call.path.hops().front().region;
-}
-
 } // namespace snipeplank::policy
--- a/packages/policy/tests/routing_test.cpp
+++ b/packages/policy/tests/routing_test.cpp
@@ -186,3 +186,28 @@
     CHECK_TRUE(subject.limit(at(15'000)) < 16);
     CHECK_TRUE(subject.limit(at(15'000)) >= 1);
 }
+
+// Fails when calls with foreign prefixes take the last places under overload, which wastes the
+// engine's time on cold prompts.
+TEST(routing, a_nearly_full_upstream_takes_only_the_prefixes_it_owns)
+{
+    one_node node(2);
+    for (std::uint64_t prefix = 1; prefix <= 100; ++prefix)
+    {
+        call_view call = free_call();
+        call.prefix_hash = prefix;
+        const decision made = node.route(call, 0);
+        const use_upstream* target = sent_here(made);
+        if (target == nullptr)
+            continue;
+        const std::uint64_t first = prefix_score(prefix, upstream_name(0));
+        const std::uint64_t second = prefix_score(prefix, upstream_name(1));
+        const core::address owner = upstream_name(first > second ? 0 : 1);
+        for (const candidate& seen : made.candidates)
+        {
+            const bool is_chosen = seen.address == target->address;
+            if (is_chosen && 4 * seen.in_flight >= 3 * seen.limit)
+                CHECK_TRUE(target->address == owner);
+        }
+    }
+}
