--- a/Makefile
+++ b/Makefile
@@ -20,4 +20,4 @@
 	@scripts/lint.sh --fix
 
 bench: build
-	@$(BUILD)/bin/policy_bench $(SCENE) $(SEEDS)
+	@$(BUILD)/bin/policy_bench $(or $(SCENE),all) $(SEEDS)
