--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	@scripts/lint.sh --fix
 
 bench: build
-	@$(BUILD)/bin/policy_bench $(SCENE) $(SEEDS)
+	@$(BUILD)/bin/policy_bench $(or $(SCENE),all) $(SEEDS)
 
 demo:
 	@BUILD=$(BUILD) scripts/demo.sh
