--- a/packages/fleet/src/node_fleet_gossip.cpp
+++ b/packages/fleet/src/node_fleet_gossip.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t one_summary = 240;
 /// Cap for a node that also reads the configuration service or sends summaries to other regions,
 /// so that both together stay under its bytes per second.
-constexpr std::size_t role_gossip_bytes = 700;
+constexpr std::size_t role_gossip_bytes = 600;
 /// Part of the rest that summaries may take, in percent; loads take what is left.
 constexpr std::size_t summary_percent = 40;
 constexpr std::size_t all_percent = 100;
--- a/tools/slopes/main.cpp
+++ b/tools/slopes/main.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "documents.hpp"
 #include "region_model.hpp"
 
 using namespace snipeplank;
@@ -158,6 +159,15 @@
     }
 }
 
+void print_documents()
+{
+    const fleet_size size;
+    const documents made = make_documents(1, size.regions, size.accounts);
+    std::printf("{\"kind\":\"documents\",\"manifest_bytes\":%zu,\"sections\":%zu,"
+                "\"section_bytes\":%zu}\n",
+                made.manifest.size(), made.sections.size(), made.section_bytes());
+}
+
 bool print_budgets(const measurement& base)
 {
     bool within = true;
@@ -183,6 +193,7 @@
         print_faults();
         return 0;
     }
+    print_documents();
     const bool only_base = mode == "base";
     const measurement base = measure(fleet_size{});
     print_point("two_year_size", 1, base);
