--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,9 @@
 bench: build
 	@$(BUILD)/bin/policy_bench $(SCENE) $(SEEDS)
 
+demo:
+	@BUILD=$(BUILD) scripts/demo.sh
+
 # `make slopes` measures every dimension; ARGS=base only the two-year size, ARGS=faults the
 # traffic of faults. Not part of CI.
 slopes: build
--- a/packages/policy/src/adaptive_policy.cpp
+++ b/packages/policy/src/adaptive_policy.cpp
@@ -11,8 +11,9 @@
 
 /// Load of an upstream may exceed the mean by this factor before its prefixes move on.
 constexpr double load_bound = 1.25;
-/// Part of the predicted time that a warm prefix cache saves.
-constexpr double warm_saving = 0.5;
+/// A cold call also delays the calls behind it, so a warm cache counts for more than its own
+/// saving.
+constexpr double warm_factor = 1.5;
 /// Scores closer than this are equal: nodes with the same lagged reports would otherwise all
 /// choose the same upstream.
 constexpr double tie_band = 0.1;
@@ -60,7 +61,8 @@
             double score = routing_score(m_weights, upstreams[i]);
             const double delay = m_weights.latency * upstreams[i].predicted_ms / ms_per_second;
             if (i == owner)
-                score -= warm_saving * delay;
+                score -=
+                    warm_factor * m_weights.latency * upstreams[i].warm_saving_ms / ms_per_second;
             else
                 score += tie_band * delay * random.unit();
             order.push_back({score, i});
--- a/packages/policy/src/concurrency_limit.cpp
+++ b/packages/policy/src/concurrency_limit.cpp
@@ -8,17 +8,18 @@
 namespace
 {
 
-/// Calls kept waiting at the upstream per running one, so that a slot never stands empty between
-/// the end of one call and the arrival of the next.
-constexpr double queue_per_slot = 0.25;
+/// Calls kept waiting at the upstream per running one. Less refuses calls that could still be
+/// answered (9% at capacity with 0.25); more lengthens the tail beyond that of the baselines.
+constexpr double queue_per_slot = 1.0;
 /// An upstream is searched for more slots when this part of the known ones is running.
 constexpr double busy_part = 0.8;
 constexpr double slot_growth = 1.25;
 /// With less KV cache than this left, more calls at once would evict each other.
 constexpr double kv_nearly_full = 0.95;
-/// A first byte this many times later than predicted is a sign of overload.
+/// A first byte this many times later than predicted is a sign of overload. The slack covers a few
+/// cold prompts in a row.
 constexpr double late_factor = 3;
-constexpr double late_slack_ms = 100;
+constexpr double late_slack_ms = 500;
 constexpr double decrease_factor = 0.8;
 /// One overload reaches the node as many late answers; it is answered once.
 constexpr core::milliseconds decrease_interval{500};
--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -56,6 +56,7 @@
     latency_window first_bytes;
     latency_window own_times; ///< first bytes less the predicted queueing
     double typical_ms = 0;    ///< median of `own_times`
+    double cold_ms = 0;       ///< a long one of `own_times`: of a call that found no warm cache
     latency_estimate base;
     latency_estimate hold;
     std::map<core::region_id, spill_state> spill;
@@ -106,6 +107,10 @@
     decision route(const call_view& call, core::time_point now, core::random_source& random);
     bool has_alternative(const detail::service_state& service, const call_view& call,
                          core::time_point now, bool needs_spare) const;
+
+    /// Whether another region could take the call now.
+    bool has_away_alternative(detail::service_state& service, const call_view& call,
+                              core::time_point now);
     detail::prediction predict(const detail::service_state& service,
                                const detail::upstream_state& upstream, core::time_point now) const;
     bool is_leaving(const detail::upstream_state& upstream, core::time_point now) const;
--- a/tools/policy_bench/scenes.cpp
+++ b/tools/policy_bench/scenes.cpp
@@ -1,5 +1,8 @@
 #include "scenes.hpp"
 
+#include <cmath>
+#include <numbers>
+
 namespace snipeplank::bench
 {
 
@@ -8,7 +11,9 @@
 
 /// Weights in the spirit of the two users of the design page: tail latency, and cost and share
 /// sent to another region.
-constexpr settings::routing_weights hallstein{1.0, 0.1, 0.2};
+constexpr settings::routing_weights hallstein{1.0, 0.1, 0.05};
+
+constexpr settings::routing_weights tamarack{1.0, 1.0, 0.3};
 
 /// Calls per second at which the six engines of a region are about full with warm caches.
 constexpr double region_capacity = 60;
@@ -45,11 +50,139 @@
     return plan;
 }
 
+constexpr double step_from_ms = 20'000;
+constexpr double step_to_ms = 40'000;
+
+/// All regions at a multiple of their capacity for 20 s.
+scene load_step(const std::string& name, double times_capacity)
+{
+    scene plan;
+    plan.name = name;
+    plan.weights = hallstein;
+    plan.rate = [times_capacity](std::size_t, double now)
+    {
+        const bool is_step = now >= step_from_ms && now < step_to_ms;
+        return is_step ? times_capacity * region_capacity : usual_load;
+    };
+    plan.measure_from_ms = step_from_ms;
+    plan.measure_to_ms = step_to_ms;
+    return plan;
+}
+
+/// Region 0 is cut off for 20 s and returns with empty caches; its callers, who were kept waiting,
+/// bring it to its capacity for 10 s.
+scene cold_return()
+{
+    scene plan;
+    plan.name = "cold_return";
+    plan.weights = hallstein;
+    plan.rate = [](std::size_t region, double now)
+    {
+        constexpr double crowd_ms = 10'000;
+        const bool is_crowd = region == 0 && now >= step_to_ms && now < step_to_ms + crowd_ms;
+        return is_crowd ? region_capacity : usual_load;
+    };
+    plan.end_ms = 70'000;
+    plan.measure_from_ms = step_to_ms;
+    plan.measure_to_ms = 60'000;
+    plan.script = [](run& state)
+    {
+        state.time.after(step_from_ms, [&state] { state.is_cut_off[0] = true; });
+        state.time.after(step_to_ms,
+                         [&state]
+                         {
+                             state.is_cut_off[0] = false;
+                             for (std::size_t i = 0; i < state.shape.engines_per_region; ++i)
+                             {
+                                 state.engines[i].drop_cache();
+                             }
+                         });
+    };
+    return plan;
+}
+
+/// Load reports repeat their last values for 10 s while the load doubles.
+scene frozen_reports()
+{
+    constexpr double frozen_from_ms = 20'000;
+    constexpr double frozen_to_ms = 30'000;
+    scene plan;
+    plan.name = "frozen_reports";
+    plan.weights = hallstein;
+    plan.rate = [](std::size_t, double now)
+    {
+        const bool is_step = now >= frozen_from_ms && now < frozen_to_ms;
+        return is_step ? 2 * usual_load : usual_load;
+    };
+    plan.measure_from_ms = frozen_from_ms;
+    plan.measure_to_ms = step_to_ms;
+    plan.script = [](run& state)
+    {
+        state.time.after(frozen_from_ms, [&state] { state.are_reports_frozen = true; });
+        state.time.after(frozen_to_ms, [&state] { state.are_reports_frozen = false; });
+    };
+    return plan;
+}
+
+/// Callers ask again 100 ms after a refusal and after 3 s of silence, at 1.5 times the capacity.
+scene eager_callers()
+{
+    constexpr double times_capacity = 1.5;
+    scene plan = load_step("eager_callers", times_capacity);
+    plan.callers_retry_eagerly = true;
+    return plan;
+}
+
+/// Two of six engines of region 0 die; the host list says so 5 s later.
+scene third_lost()
+{
+    constexpr double list_lag_ms = 5'000;
+    scene plan;
+    plan.name = "third_lost";
+    plan.weights = hallstein;
+    plan.rate = usual_rate;
+    plan.measure_from_ms = step_from_ms;
+    plan.measure_to_ms = step_to_ms;
+    plan.script = [](run& state)
+    {
+        state.time.after(step_from_ms,
+                         [&state]
+                         {
+                             state.engines[0].fail();
+                             state.engines[1].fail();
+                         });
+        state.time.after(step_from_ms + list_lag_ms, [&state] { state.publish_engines(); });
+    };
+    return plan;
+}
+
+/// A day of two minutes whose peaks, above capacity, come one region after the other.
+scene daily_peak()
+{
+    constexpr double day_ms = 120'000;
+    constexpr double mean_load = 0.65 * region_capacity;
+    constexpr double swing = 0.6;
+    scene plan;
+    plan.name = "daily_peak";
+    plan.weights = tamarack;
+    plan.end_ms = 10'000 + day_ms;
+    plan.measure_to_ms = plan.end_ms;
+    plan.rate = [](std::size_t region, double now)
+    {
+        const double phase = now / day_ms + static_cast<double>(region) / 3;
+        return mean_load * (1 + swing * std::sin(2 * std::numbers::pi * phase));
+    };
+    return plan;
+}
+
 } // namespace
 
 std::vector<scene> make_scenes()
 {
-    return {steady(), slow_engine()};
+    constexpr double burst = 5;
+    return {steady(),      slow_engine(),    load_step("capacity", 1), load_step("burst", burst),
+            cold_return(), frozen_reports(), eager_callers(),          third_lost(),
+            daily_peak()};
 }
 
 } // namespace snipeplank::bench
