wire: bind the handshake's proof to the dialed address

Cause: a stranger at a listed address could give a third node's nonce to a dialer and pass the dialer's proof on to that node. Change: both proofs cover the address that was dialed; a node dialed under another address than its own refuses, and the remedy names peer_address. Seen with the mechanism removed: another_node_at_the_dialed_address_is_refused fails.

The role in the proof is not seen: the check of the nonce alone stops a reflected proof too.

--- a/packages/wire/include/snipeplank/wire/peer_session.hpp
+++ b/packages/wire/include/snipeplank/wire/peer_session.hpp
@@ -3,7 +3,9 @@
 ///
 /// The handshake, with the listener's challenge first:
 /// 1. listener: hello with a nonce and nothing else
-/// 2. dialer: hello with its identity, its nonce and an HMAC over both nonces and the identity
+/// 2. dialer: hello with its identity, its nonce and an HMAC over both nonces, the dialed address
+/// and
+///    the identity
 /// 3. listener: the same for itself, only after the dialer's proof was accepted
 ///
 /// A stranger thus learns the protocol version and a random number, and a recorded proof is of no
--- a/packages/wire/src/peer_session.cpp
+++ b/packages/wire/src/peer_session.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t max_hello_bytes = 4'096;
 constexpr std::size_t nonce_bytes = 32;
 
-constexpr const char* remedy_keys = "give both nodes a common entry in fleet_keys";
+constexpr const char* remedy_keys = "give both nodes a common entry in fleet_keys, and set "
+                                    "peer_address to the address that peers dial";
 constexpr const char* remedy_release = "run the same release on both nodes";
 constexpr const char* remedy_retry = "the node connects again by itself; check the peer and link";
 
@@ -201,6 +202,8 @@
 {
     // The role keeps a node's own proof from being sent back to it as the peer's.
     std::string text = prover == session_role::dialer ? "dialer" : "listener";
+    // The dialed address keeps a proof from being passed on to a third node.
+    append_field(text, (m_role == session_role::dialer ? m_dialed : m_settings.self.address).get());
     append_field(text, m_role == session_role::dialer ? m_nonce : m_peer_nonce);
     append_field(text, m_role == session_role::dialer ? m_peer_nonce : m_nonce);
     append_field(text, std::to_string(claims.protocol));
--- a/packages/wire/tests/peer_session_test.cpp
+++ b/packages/wire/tests/peer_session_test.cpp
@@ -145,9 +145,11 @@
 
 TEST(peer_session, another_node_at_the_dialed_address_is_refused)
 {
+    // Otherwise a stranger at a listed address could pass the dialer's proof on to a third node.
     session_pair pair({"key"}, {"key"}, core::address{"127.0.0.1:7009"});
     pair.shake_hands();
-    check_fault(session_fault::unauthenticated, pair.at_dialer, "other node");
+    check_fault(session_fault::unauthenticated, pair.at_listener, "other node");
+    CHECK_FALSE(pair.dialer.is_open());
 }
 
 TEST(peer_session, every_changed_byte_of_a_proof_frame_keeps_the_session_closed)
