--- a/packages/gateway/src/fleet_driver.cpp
+++ b/packages/gateway/src/fleet_driver.cpp
@@ -1,4 +1,5 @@
 #include <snipeplank/gateway/fleet_driver.hpp>
+#include <snipeplank/settings/config_builder.hpp>
 
 #include <spdlog/spdlog.h>
 
@@ -22,11 +23,13 @@
     fleet::config_documents documents;
     documents.parse = [](const std::string& text) -> core::result<settings::manifest>
     { return settings::parse_manifest(text, "manifest"); };
-    documents.build = [](const settings::manifest& index,
-                         const std::map<std::string, std::string>& sections)
+    // The builder parses only what changed; it belongs to the one state machine that calls it.
+    documents.build = [builder = std::make_shared<settings::config_builder>()](
+                          const settings::manifest& index,
+                          const std::map<std::string, std::string>& sections)
         -> core::result<std::shared_ptr<const settings::published_config>>
     {
-        auto built = settings::build_config(index, sections);
+        auto built = builder->build(index, sections);
         if (!built)
             return boost::outcome_v2::failure(built.error());
         return std::make_shared<const settings::published_config>(std::move(built.value()));
