gateway: a stopping node does not refuse its own tickets as not ready

Readiness is now asked only while the node is not stopping; calls without such a ticket are refused with draining before.

--- a/packages/gateway/src/caller_front.cpp
+++ b/packages/gateway/src/caller_front.cpp
@@ -141,7 +141,8 @@
         return refusal{refusal_reason::draining, execution::no,
                        "use another entry point; GET /v1/entry-points names them",
                        core::milliseconds{100}};
-    if (m_parts.config.get()->version.get() == 0 || !m_parts.view.get()->is_ready)
+    if (m_parts.config.get()->version.get() == 0 ||
+        (!m_parts.is_draining && !m_parts.view.get()->is_ready))
         return refusal{refusal_reason::not_ready, execution::no,
                        "wait until the node has a configuration", core::milliseconds{1'000}};
     const auto limit = static_cast<double>(m_parts.settings.max_connections) * refuse_above;
