fleet: name up to three entry points of each other region in a small fleet

Change: 12 entry points are spread over the summaries, one to three each; a summary larger than its share still goes first when the message has room. The test harness gives no port twice, and the check that nothing is refused at idle engines stands again.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	@cmake --build $(BUILD)
 
 test: build
-	@ctest --test-dir $(BUILD) --output-on-failure
+	@ctest --test-dir $(BUILD) --output-on-failure -j4
 
 lint: build
 	@BUILD_DIR=$(BUILD) scripts/lint.sh
--- a/packages/fleet/include/snipeplank/fleet/load_table.hpp
+++ b/packages/fleet/include/snipeplank/fleet/load_table.hpp
@@ -56,7 +56,8 @@
     /// @brief The valid report of an upstream, or nothing. O(1).
     std::optional<load_reading> load_of(std::uint64_t upstream, core::time_point now) const;
 
-    /// @brief When the valid report of an upstream was read, on this node's clock, or nothing. O(1).
+    /// @brief When the valid report of an upstream was read, on this node's clock, or nothing.
+    /// O(1).
     std::optional<core::time_point> read_at(std::uint64_t upstream, core::time_point now) const;
 
     /// @brief Whether the upstream gets no new work. O(1).
--- a/packages/fleet/include/snipeplank/fleet/messages.hpp
+++ b/packages/fleet/include/snipeplank/fleet/messages.hpp
@@ -110,7 +110,7 @@
     friend bool operator==(const region_summary&, const region_summary&) = default;
 };
 
-constexpr std::size_t max_summary_entry_points = 1;
+constexpr std::size_t max_summary_entry_points = 3;
 constexpr std::size_t max_summary_services = 16;
 
 enum class gossip_kind : std::uint8_t
--- a/packages/fleet/include/snipeplank/fleet/region_table.hpp
+++ b/packages/fleet/include/snipeplank/fleet/region_table.hpp
@@ -36,7 +36,10 @@
     std::vector<region_summary> summaries(core::time_point now) const;
 
     /// @brief Summaries to gossip within the region: least sent first, then newest.
-    std::vector<region_summary> take(std::size_t budget, core::time_point now);
+    /// @param budget estimated bytes for all of them
+    /// @param room estimated bytes that the first one may take where it exceeds `budget`, so that
+    /// a large summary is never shut out
+    std::vector<region_summary> take(std::size_t budget, std::size_t room, core::time_point now);
 
     /// @brief Summaries for a relay of another region, whatever was sent before.
     /// @param except the receiver's region, which knows itself best
@@ -53,6 +56,9 @@
     };
 
     static region_summary aged(const entry& held, core::time_point now);
+    static std::vector<region_summary> pick(std::vector<entry*> from, unsigned entry::*count,
+                                            std::size_t budget, std::size_t room,
+                                            core::time_point now);
 
     std::map<core::region_id, entry> m_entries;
 };
--- a/packages/fleet/src/node_fleet_gossip.cpp
+++ b/packages/fleet/src/node_fleet_gossip.cpp
@@ -12,8 +12,6 @@
 /// Parts of a gossip message, in bytes; what one part leaves unused goes to the next.
 constexpr std::size_t member_budget = 360;
 constexpr std::size_t leaving_budget = 128;
-/// Room for one summary with a few services, so that the share below never shuts them out.
-constexpr std::size_t one_summary = 240;
 /// Cap for a node that also reads the configuration service or sends summaries to other regions,
 /// so that both together stay under its bytes per second.
 constexpr std::size_t role_gossip_bytes = 600;
@@ -29,6 +27,16 @@
 /// is possible a few seconds after a start.
 constexpr std::size_t summaries_per_round = 5;
 
+/// Entry points that the summaries to this many regions name. A large fleet names one, another
+/// each time, to stay under its bytes per second; a small one names more, so that a caller can
+/// choose.
+std::size_t entry_points_for(std::size_t regions)
+{
+    constexpr std::size_t points_in_all = 12;
+    return std::clamp<std::size_t>(points_in_all / std::max<std::size_t>(regions, 1), 1,
+                                   max_summary_entry_points);
+}
+
 std::size_t slots_for(std::size_t regions)
 {
     const std::size_t rounds = (regions + summaries_per_round - 1) / summaries_per_round;
@@ -70,7 +78,7 @@
     std::size_t budget = room_in(body, reads_for_others ? role_gossip_bytes : max_gossip_bytes);
     fill_urgent(body, budget, now);
     const std::size_t share = budget * summary_percent / all_percent;
-    body.regions = m_regions.take(std::max(share, std::min(budget, one_summary)), now);
+    body.regions = m_regions.take(share, budget, now);
     for (const region_summary& summary : body.regions)
         budget -= estimated_size(summary);
     body.loads = m_loads.take_loads(budget, now);
@@ -199,7 +207,8 @@
     std::vector<member_update> live = live_members();
     summary.live_nodes = static_cast<std::uint16_t>(live.size() + 1);
     live.push_back(self());
-    while (!live.empty() && summary.entry_points.size() < max_summary_entry_points)
+    const std::size_t most_points = entry_points_for(other_regions().size());
+    while (!live.empty() && summary.entry_points.size() < most_points)
     {
         std::swap(live[m_random.below(live.size())], live.back());
         summary.entry_points.push_back({live.back().id.address, live.back().caller_address});
--- a/packages/fleet/src/region_table.cpp
+++ b/packages/fleet/src/region_table.cpp
@@ -1,6 +1,7 @@
 #include <snipeplank/fleet/region_table.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace snipeplank::fleet
 {
@@ -69,54 +70,49 @@
     return valid;
 }
 
-std::vector<region_summary> region_table::take(std::size_t budget, core::time_point now)
+std::vector<region_summary> region_table::take(std::size_t budget, std::size_t room,
+                                               core::time_point now)
 {
-    std::vector<entry*> order;
+    std::vector<entry*> candidates;
     for (auto& [region, held] : m_entries)
     {
         if (held.sent < max_sends && now - held.summed_at < summary_lifetime)
-            order.push_back(&held);
+            candidates.push_back(&held);
     }
-    std::sort(order.begin(), order.end(),
-              [](const entry* a, const entry* b)
-              { return a->sent != b->sent ? a->sent < b->sent : a->summed_at > b->summed_at; });
-    std::vector<region_summary> taken;
-    for (entry* held : order)
-    {
-        const std::size_t size = estimated_size(held->summary);
-        if (size > budget)
-            break;
-        budget -= size;
-        ++held->sent;
-        taken.push_back(aged(*held, now));
-    }
-    return taken;
+    return pick(std::move(candidates), &entry::sent, budget, room, now);
 }
 
 std::vector<region_summary> region_table::take_for_exchange(std::size_t budget,
                                                             const core::region_id& except,
                                                             core::time_point now)
 {
-    std::vector<entry*> order;
+    std::vector<entry*> candidates;
     for (auto& [region, held] : m_entries)
     {
         if (region != except && now - held.summed_at < summary_lifetime)
-            order.push_back(&held);
+            candidates.push_back(&held);
     }
-    std::sort(order.begin(), order.end(),
-              [](const entry* a, const entry* b)
-              {
-                  return a->exchanged != b->exchanged ? a->exchanged < b->exchanged
-                                                      : a->summed_at > b->summed_at;
+    return pick(std::move(candidates), &entry::exchanged, budget, budget, now);
+}
+
+std::vector<region_summary> region_table::pick(std::vector<entry*> from, unsigned entry::*count,
+                                               std::size_t budget, std::size_t room,
+                                               core::time_point now)
+{
+    std::sort(from.begin(), from.end(),
+              [count](const entry* a, const entry* b) {
+                  return a->*count != b->*count ? a->*count < b->*count
+                                                : a->summed_at > b->summed_at;
               });
     std::vector<region_summary> taken;
-    for (entry* held : order)
+    for (entry* held : from)
     {
         const std::size_t size = estimated_size(held->summary);
-        if (size > budget)
+        const std::size_t limit = taken.empty() ? std::max(budget, room) : budget;
+        if (size > limit)
             break;
-        budget -= size;
-        ++held->exchanged;
+        budget -= std::min(size, budget);
+        ++(held->*count);
         taken.push_back(aged(*held, now));
     }
     return taken;
--- a/tests/concurrent_calls_test.cpp
+++ b/tests/concurrent_calls_test.cpp
@@ -138,6 +138,6 @@
     STRCMP_EQUAL("", outcome.failures().c_str());
     constexpr std::size_t completed_calls = threads * calls_per_thread * 3 / 4;
     LONGS_EQUAL(completed_calls, outcome.answered());
-    std::printf("\n%zu calls answered, %zu refusals on the way\n", outcome.answered(),
-                outcome.refused());
+    // The engines' 64 slots exceed the 24 callers, so nothing has a reason to be refused.
+    LONGS_EQUAL(0, outcome.refused());
 }
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <csignal>
 #include <random>
+#include <set>
 #include <sstream>
 
 #include "fail_test.hpp"
@@ -213,12 +214,15 @@
     constexpr int last_port = 31'999;
     constexpr int attempts = 1'000;
     static std::mt19937 random{std::random_device{}()};
+    // A port stays free until its process listens, so one that was given out is not given again.
+    static std::set<int> given;
     std::uniform_int_distribution<int> draw(first_port, last_port);
     for (int attempt = 0; attempt < attempts; ++attempt)
     {
         const int port = draw(random);
-        if (is_free(port))
+        if (!given.contains(port) && is_free(port))
         {
+            given.insert(port);
             return "127.0.0.1:" + std::to_string(port);
         }
     }
--- a/tools/slopes/region_model.cpp
+++ b/tools/slopes/region_model.cpp
@@ -1,5 +1,6 @@
 #include "region_model.hpp"
 
+#include <snipeplank/settings/config_builder.hpp>
 #include <snipeplank/settings/published_config.hpp>
 #include <snipeplank/wire/codec.hpp>
 
@@ -125,19 +126,19 @@
                     return std::shared_ptr<const settings::published_config>(std::move(config));
                 }};
     }
-    return {parse,
-            [this](const settings::manifest& manifest, const texts& sections) -> built
-            {
-                const double started = thread_cpu_seconds();
-                core::result<settings::published_config> config =
-                    settings::build_config(manifest, sections);
-                m_build_cpu_seconds += thread_cpu_seconds() - started;
-                ++m_builds;
-                if (!config)
-                    return config.error();
-                return std::make_shared<const settings::published_config>(
-                    std::move(config).value());
-            }};
+    return {
+        parse,
+        [this, builder = std::make_shared<settings::config_builder>()](
+            const settings::manifest& manifest, const texts& sections) -> built
+        {
+            const double started = thread_cpu_seconds();
+            core::result<settings::published_config> config = builder->build(manifest, sections);
+            m_build_cpu_seconds += thread_cpu_seconds() - started;
+            ++m_builds;
+            if (!config)
+                return config.error();
+            return std::make_shared<const settings::published_config>(std::move(config).value());
+        }};
 }
 
 void region_model::start_node(std::size_t index)
