--- a/packages/ctl/include/snipeplank/ctl/command.hpp
+++ b/packages/ctl/include/snipeplank/ctl/command.hpp
@@ -32,6 +32,11 @@
     std::string admin_port;
     std::string answers;
     std::string out;
+    std::string entry;
+    std::string service;
+    std::string callers;
+    std::string seconds;
+    std::string tokens;
     bool json = false;
     bool help = false;
     bool version = false;
@@ -72,6 +77,7 @@
 std::unique_ptr<command> make_status_command(admin_connector connect);
 std::unique_ptr<command> make_explain_command(admin_connector connect);
 std::unique_ptr<command> make_drain_command(admin_connector connect);
+std::unique_ptr<command> make_load_command();
 
 /// @brief All commands, in the order in which a newcomer needs them.
 command_list make_commands(const admin_connector& connect);
--- a/packages/ctl/src/command.cpp
+++ b/packages/ctl/src/command.cpp
@@ -87,6 +87,7 @@
     commands.push_back(make_status_command(connect));
     commands.push_back(make_explain_command(connect));
     commands.push_back(make_drain_command(connect));
+    commands.push_back(make_load_command());
     return commands;
 }
 
--- a/packages/ctl/src/command_line.cpp
+++ b/packages/ctl/src/command_line.cpp
@@ -11,6 +11,11 @@
 DEFINE_string(answers, "", "file with the answers of the questionnaire");
 DEFINE_string(out, "", "directory for the generated files");
 DEFINE_bool(json, false, "print the node's JSON unchanged");
+DEFINE_string(entry, "", "caller address of a node, IP:PORT");
+DEFINE_string(service, "", "model service to call");
+DEFINE_string(callers, "8", "callers that send one request after another");
+DEFINE_string(seconds, "10", "time to send for");
+DEFINE_string(tokens, "64", "tokens of each answer");
 
 namespace snipeplank::ctl
 {
@@ -18,7 +23,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 4> text_flags{"node", "admin_port", "answers", "out"};
+constexpr std::array<std::string_view, 9> text_flags{
+    "node", "admin_port", "answers", "out", "entry", "service", "callers", "seconds", "tokens"};
 constexpr std::array<std::string_view, 3> switches{"json", "help", "version"};
 
 template <std::size_t Count>
@@ -100,6 +106,11 @@
     line.admin_port = FLAGS_admin_port;
     line.answers = FLAGS_answers;
     line.out = FLAGS_out;
+    line.entry = FLAGS_entry;
+    line.service = FLAGS_service;
+    line.callers = FLAGS_callers;
+    line.seconds = FLAGS_seconds;
+    line.tokens = FLAGS_tokens;
     if (argc > 1)
     {
         line.command = argv[1];
--- a/packages/ctl/tests/command_line_test.cpp
+++ b/packages/ctl/tests/command_line_test.cpp
@@ -41,6 +41,10 @@
         {{"questionnaire"}, "takes --out"},
         {{"questionnaire", "--out", "d"}, "--answers is not given"},
         {{"questionnaire", "extra", "--out", "d"}, "no other argument; write"},
+        {{"load"}, "no service is named; give --service NAME"},
+        {{"load", "--service", "s", "--entry", "localhost:1"}, "is not IP:port"},
+        {{"load", "--service", "s", "--entry", "127.0.0.1:1", "--callers", "0"}, "out of range"},
+        {{"load", "--service", "s", "--entry", "127.0.0.1:1", "--seconds", "1s"}, "out of range"},
     };
     for (const row& each : rows)
     {
@@ -55,7 +59,7 @@
 {
     const outcome result = run_ctl({"--help"});
     LONGS_EQUAL(exit_ok, result.status);
-    for (const char* word : {"questionnaire", "check", "status", "explain", "drain", "First steps",
+    for (const char* word : {"questionnaire", "check", "status", "explain", "drain", "load", "First steps",
                              "Exit status", "Example"})
     {
         STRCMP_CONTAINS(word, result.out.c_str());
--- /dev/null
+++ b/packages/gateway/tests/event_stream_test.cpp
@@ -0,0 +1,92 @@
+/// Guards against partial and repeated events, whatever the boundaries of the received pieces.
+
+#include <snipeplank/gateway/event_stream.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <property.hpp>
+
+#include <algorithm>
+#include <string>
+
+using snipeplank::gateway::event_splitter;
+using snipeplank::tests::check_property;
+
+namespace
+{
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: t\n\n";
+}
+
+} // namespace
+
+TEST_GROUP(event_stream){};
+
+TEST(event_stream, pieces_of_any_size_give_whole_events_in_order)
+{
+    check_property("pieces give whole events",
+                   []
+                   {
+                       const int events = *rc::gen::inRange(1, 8);
+                       std::string sent;
+                       for (int id = 1; id <= events; ++id)
+                       {
+                           sent += event(id);
+                       }
+                       const std::string partial = *rc::gen::element<std::string>("", "id: 9", "d");
+                       const std::string bytes = sent + partial;
+                       event_splitter splitter;
+                       std::string received;
+                       for (std::size_t at = 0; at < bytes.size();)
+                       {
+                           const auto size = static_cast<std::size_t>(*rc::gen::inRange(1, 9));
+                           const std::string whole = splitter.feed(std::string_view(bytes).substr(
+                               at, std::min(size, bytes.size() - at)));
+                           RC_ASSERT(whole.empty() || whole.ends_with("\n\n"));
+                           received += whole;
+                           at += size;
+                       }
+                       RC_ASSERT(received == sent);
+                       RC_ASSERT(splitter.last_event_id() == std::to_string(events));
+                       RC_ASSERT(splitter.pending_size() == partial.size());
+                   });
+}
+
+TEST(event_stream, the_final_event_is_recognised)
+{
+    struct row
+    {
+        const char* bytes;
+        bool is_done;
+    };
+    const row rows[] = {
+        {"data: [DONE]\n\n", true},    {"data:[DONE]\r\n\r\n", true}, {"data: [DONE]", false},
+        {"data: x [DONE]\n\n", false}, {"event: [DONE]\n\n", false},
+    };
+    for (const row& each : rows)
+    {
+        event_splitter splitter;
+        splitter.feed(each.bytes);
+        CHECK_EQUAL_TEXT(each.is_done, splitter.is_done(), each.bytes);
+    }
+}
+
+TEST(event_stream, a_resumed_stream_that_starts_over_is_noticed_and_not_handed_out)
+{
+    event_splitter splitter;
+    splitter.feed(event(1) + event(2) + "id: 3");
+    splitter.begin_resume();
+    STRCMP_EQUAL("", splitter.feed(event(1) + event(2)).c_str());
+    CHECK_TRUE(splitter.starts_over());
+}
+
+TEST(event_stream, a_resumed_stream_continues_without_the_partial_event)
+{
+    event_splitter splitter;
+    splitter.feed(event(1) + "id: 2\nda");
+    splitter.begin_resume();
+    STRCMP_EQUAL(event(2).c_str(), splitter.feed(event(2)).c_str());
+    CHECK_FALSE(splitter.starts_over());
+}
