gateway: wait for a first byte until the deadline, and notice silence inside an answer apart

Cause: one read timeout of 5 s served both, so a call that waited in an engine's queue for more than 5 s was cut off and retried although its deadline allowed more. Change: the first byte may take what is left of the deadline, half of it on a kept connection; the consumer interrupts an answer that has been silent for 5 s, and the client resumes or fails it.

--- a/packages/ctl/tests/command_line_test.cpp
+++ b/packages/ctl/tests/command_line_test.cpp
@@ -59,8 +59,8 @@
 {
     const outcome result = run_ctl({"--help"});
     LONGS_EQUAL(exit_ok, result.status);
-    for (const char* word : {"questionnaire", "check", "status", "explain", "drain", "load", "First steps",
-                             "Exit status", "Example"})
+    for (const char* word : {"questionnaire", "check", "status", "explain", "drain", "load",
+                             "First steps", "Exit status", "Example"})
     {
         STRCMP_CONTAINS(word, result.out.c_str());
     }
--- a/packages/gateway/include/snipeplank/gateway/answer_stream.hpp
+++ b/packages/gateway/include/snipeplank/gateway/answer_stream.hpp
@@ -118,6 +118,9 @@
     /// @brief True when finished and every chunk has been taken.
     bool is_drained() const;
     void cancel();
+    /// @brief Interrupts a producer that waits for input on a silent connection. The producer fails
+    /// or goes on over another connection; the answer stays wanted.
+    void interrupt();
     /// @}
 
     const std::shared_ptr<stream_signal>& signal() const { return m_signal; }
--- a/packages/gateway/include/snipeplank/gateway/call_service.hpp
+++ b/packages/gateway/include/snipeplank/gateway/call_service.hpp
@@ -64,6 +64,8 @@
     std::optional<attempt_failure> failure() const;
 
   private:
+    void interrupt_if_silent(core::time_point now);
+
     attempt m_attempt;
     dispatch_guard& m_dispatch;
     metrics& m_metrics;
--- a/packages/gateway/include/snipeplank/gateway/upstream_client.hpp
+++ b/packages/gateway/include/snipeplank/gateway/upstream_client.hpp
@@ -24,9 +24,8 @@
     std::vector<header_field> headers;
     std::string body;
     core::time_point deadline;
-    core::milliseconds silence_limit{0}; ///< longest wait for the next byte once the answer runs
-    bool is_idempotent = false;          ///< may use a kept connection
-    bool may_resume = false;             ///< the engine honours Last-Event-ID
+    bool is_idempotent = false; ///< may use a kept connection
+    bool may_resume = false;    ///< the engine honours Last-Event-ID
 };
 
 /// @brief Access to upstreams.
--- a/packages/gateway/src/answer_stream.cpp
+++ b/packages/gateway/src/answer_stream.cpp
@@ -115,6 +115,13 @@
     return m_is_finished && m_chunks.empty();
 }
 
+void answer_stream::interrupt()
+{
+    const std::lock_guard lock(m_signal->mutex);
+    if (m_on_cancel)
+        m_on_cancel();
+}
+
 void answer_stream::cancel()
 {
     const std::lock_guard lock(m_signal->mutex);
--- a/packages/gateway/src/call_service.cpp
+++ b/packages/gateway/src/call_service.cpp
@@ -85,15 +85,28 @@
 std::optional<std::string> running_answer::next(core::duration limit)
 {
     std::optional<std::string> chunk = m_attempt.stream->next(limit);
+    const core::time_point now = steady_clock::now();
     if (!chunk)
+    {
+        interrupt_if_silent(now);
         return chunk;
-    const core::time_point now = steady_clock::now();
+    }
     if (head().is_event_stream)
         m_metrics.observe(latency::between_tokens, ms_between(m_last_chunk, now));
     m_last_chunk = now;
     return chunk;
 }
 
+void running_answer::interrupt_if_silent(core::time_point now)
+{
+    // A peer's silence is noticed by its heartbeats, and its upstream's silence by the peer.
+    const bool is_local = !m_attempt.upstream.get().empty();
+    if (!is_local || now - m_last_chunk < silence_limit)
+        return;
+    m_last_chunk = now;
+    m_attempt.stream->interrupt();
+}
+
 std::optional<attempt_failure> running_answer::failure() const
 {
     if (m_attempt.stream->current_state() != answer_stream::state::failed)
@@ -207,7 +220,6 @@
         message.headers = m_request.headers;
         message.body = m_request.body;
         message.deadline = m_request.deadline;
-        message.silence_limit = silence_limit;
         message.is_idempotent = m_request.is_idempotent;
         message.may_resume = m_request.service_config().engine_resumes_streams;
         m_parts.workers.submit([&client = m_parts.upstreams, message = std::move(message),
--- a/packages/gateway/src/caller_calls.cpp
+++ b/packages/gateway/src/caller_calls.cpp
@@ -239,7 +239,9 @@
     record.result = std::move(result);
     record.total_ms = elapsed_ms(received);
     m_parts.counters.observe(latency::whole_call, record.total_ms);
-    if (record.result == "answered")
+    const bool is_answered = record.result == "answered";
+    record.executed = policy::to_string(is_answered ? execution::yes : execution::unknown);
+    if (is_answered)
         m_parts.counters.count(counter::answered);
     m_parts.log.add(std::move(record));
 }
--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -123,7 +123,7 @@
             is_kept ? m_connections.take(request.address)
                     : kept_connection{connection_cache::fresh(request.address), {}, 0};
         httplib::Client& client = *connection.client;
-        set_timeouts(client, request);
+        set_timeouts(connection, request);
         answer.on_cancel([&client] { client.stop(); });
         if (steady_clock::now() >= request.deadline)
             return unsent(error_code::upstream_timeout,
@@ -138,16 +138,17 @@
         return failure;
     }
 
-    static void set_timeouts(httplib::Client& client, const upstream_request& request)
+    static void set_timeouts(const kept_connection& connection, const upstream_request& request)
     {
+        httplib::Client& client = *connection.client;
         const core::milliseconds left = remaining(request.deadline);
-        const core::milliseconds first_byte =
-            request.is_idempotent && request.silence_limit.count() > 0
-                ? std::min(left, request.silence_limit)
-                : left;
+        // A kept connection may have been lost by something between the two ends; half of the time
+        // is kept for an attempt on a new one.
+        const core::milliseconds limit =
+            connection.uses > 0 ? std::max(left / 2, shortest_timeout) : left;
         client.set_connection_timeout(std::min(left, connect_limit));
-        client.set_read_timeout(first_byte);
-        client.set_write_timeout(first_byte);
+        client.set_read_timeout(limit);
+        client.set_write_timeout(limit);
     }
 
     static httplib::Request make_request(const upstream_request& request, answer_sink& answer,
