gateway: tickets need an account where accounts are configured; one request id header

Cause: a stranger could fill a node's ticket table, and a refused request carried its id header twice. Change: POST /v1/tickets checks the account; each path sets the header once. Conclusion: found on reading.

--- a/packages/gateway/include/snipeplank/gateway/request_parser.hpp
+++ b/packages/gateway/include/snipeplank/gateway/request_parser.hpp
@@ -38,6 +38,10 @@
                                           const core::region_id& here, core::time_point now,
                                           call& parsed);
 
+/// @brief Checks the account alone, for a request that is no call, such as one for a ticket.
+/// @return a refusal, or nothing
+std::optional<policy::refusal> check_account(const request_head& head, config_ptr config);
+
 /// @brief Adds the body: for a model call the service, the prompt's prefix and the residency.
 /// @return a refusal, or nothing
 std::optional<policy::refusal> parse_body(std::string body, const core::region_id& here,
--- a/packages/gateway/src/caller_calls.cpp
+++ b/packages/gateway/src/caller_calls.cpp
@@ -53,10 +53,11 @@
     m_parts.counters.count(counter::calls);
     call request;
     request.request_id = m_parts.numbers.next_request_id(m_parts.admin);
-    response.set_header("Snipeplank-Request-Id", request.request_id);
     const request_head head = make_head(http);
     std::optional<refusal> refused = check_node(head);
-    if (!refused && !is_own_path(head.path))
+    if (!refused && is_own_path(head.path))
+        refused = check_account(head, m_parts.config.get());
+    else if (!refused)
         refused = parse_head(head, m_parts.config.get(), m_parts.settings.region,
                              steady_clock::now(), request);
     std::string body;
@@ -157,6 +158,7 @@
     }
     auto answer = std::move(std::get<std::unique_ptr<running_answer>>(result));
     const answer_head& head = answer->head();
+    response.set_header("Snipeplank-Request-Id", request.request_id);
     response.status = head.status;
     for (const header_field& field : head.headers)
     {
@@ -257,6 +259,7 @@
     }
     const auto& answer = std::get<policy::upstream_answer>(result);
     const answer_head head = make_answer_head(answer.status, answer.headers);
+    response.set_header("Snipeplank-Request-Id", request.request_id);
     response.status = head.status;
     for (const header_field& field : head.headers)
     {
--- a/packages/gateway/src/caller_tickets.cpp
+++ b/packages/gateway/src/caller_tickets.cpp
@@ -52,6 +52,7 @@
         return;
     }
     const auto& ticket = std::get<policy::issued_ticket>(issued);
+    response.set_header("Snipeplank-Request-Id", request_id);
     const json answer = {{"ticket", ticket.text},
                          {"expires_in_ms", ticket.expires_in.count()},
                          {"entry_point", m_parts.settings.caller_address.get()}};
--- a/packages/gateway/src/request_parser.cpp
+++ b/packages/gateway/src/request_parser.cpp
@@ -274,6 +274,16 @@
                         parsed);
 }
 
+std::optional<refusal> check_account(const request_head& head, config_ptr config)
+{
+    call checked;
+    checked.config = std::move(config);
+    control_headers control;
+    if (auto refused = read_control_headers(head, control))
+        return refused;
+    return read_account(control, checked);
+}
+
 std::optional<refusal> parse_body(std::string body, const core::region_id& here, call& parsed)
 {
     parsed.body = std::move(body);
--- a/packages/gateway/tests/request_parser_test.cpp
+++ b/packages/gateway/tests/request_parser_test.cpp
@@ -236,3 +236,14 @@
     CHECK_TRUE(hash_of(beginning + "one") == hash_of(beginning + "two"));
     CHECK_FALSE(hash_of("one") == hash_of("two"));
 }
+
+// A stranger who could have tickets issued would fill the table of every node.
+TEST(request_parser, tickets_need_an_account_where_accounts_are_configured)
+{
+    const request_head stranger{"POST", "/v1/tickets", "/v1/tickets", {}};
+    const request_head buyer{
+        "POST", "/v1/tickets", "/v1/tickets", {{"Authorization", "Bearer secret"}}};
+    CHECK_TRUE(check_account(stranger, make_config(true)).has_value());
+    CHECK_FALSE(check_account(buyer, make_config(true)).has_value());
+    CHECK_FALSE(check_account(stranger, make_config(false)).has_value());
+}
