--- a/packages/fleet/include/snipeplank/fleet/node_fleet.hpp
+++ b/packages/fleet/include/snipeplank/fleet/node_fleet.hpp
@@ -26,6 +26,12 @@
 namespace snipeplank::fleet
 {
 
+/// @brief Entry points that a summary names in a fleet with this many other regions.
+///
+/// A large fleet names one, another each time, to stay under its bytes per second; a small one
+/// names more, so that a caller can choose.
+std::size_t summary_entry_points(std::size_t other_regions);
+
 /// @brief Who this node is.
 struct node_fleet_settings
 {
--- a/packages/fleet/src/node_fleet_gossip.cpp
+++ b/packages/fleet/src/node_fleet_gossip.cpp
@@ -27,16 +27,6 @@
 /// is possible a few seconds after a start.
 constexpr std::size_t summaries_per_round = 5;
 
-/// Entry points that the summaries to this many regions name. A large fleet names one, another
-/// each time, to stay under its bytes per second; a small one names more, so that a caller can
-/// choose.
-std::size_t entry_points_for(std::size_t regions)
-{
-    constexpr std::size_t points_in_all = 12;
-    return std::clamp<std::size_t>(points_in_all / std::max<std::size_t>(regions, 1), 1,
-                                   max_summary_entry_points);
-}
-
 std::size_t slots_for(std::size_t regions)
 {
     const std::size_t rounds = (regions + summaries_per_round - 1) / summaries_per_round;
@@ -51,6 +41,13 @@
 
 } // namespace
 
+std::size_t summary_entry_points(std::size_t other_regions)
+{
+    constexpr std::size_t points_in_all = 12;
+    return std::clamp<std::size_t>(points_in_all / std::max<std::size_t>(other_regions, 1), 1,
+                                   max_summary_entry_points);
+}
+
 gossip node_fleet::compose(gossip_kind kind) const
 {
     gossip body;
@@ -207,7 +204,7 @@
     std::vector<member_update> live = live_members();
     summary.live_nodes = static_cast<std::uint16_t>(live.size() + 1);
     live.push_back(self());
-    const std::size_t most_points = entry_points_for(other_regions().size());
+    const std::size_t most_points = summary_entry_points(other_regions().size());
     while (!live.empty() && summary.entry_points.size() < most_points)
     {
         std::swap(live[m_random.below(live.size())], live.back());
--- a/standins/support/http_server.cpp
+++ b/standins/support/http_server.cpp
@@ -175,10 +175,11 @@
     set_keep_alive_timeout(idle_limit_ms / 1000);
     // The default allows two servers on one port, which would hide a port conflict in a test.
     set_socket_options(
-        [](socket_t socket)
+        [this](socket_t socket)
         {
             const int yes = 1;
             ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+            m_listener = socket;
         });
 }
 
@@ -199,6 +200,9 @@
         std::cerr << "cannot listen on " << address << "; choose a free port\n";
         return EXIT_FAILURE;
     }
+    // The library's backlog of 5 drops connections of a burst, which an engine would accept.
+    constexpr int backlog = 1'024;
+    ::listen(m_listener, backlog);
     std::thread listener([this] { listen_after_bind(); });
     while (!is_running())
     {
--- a/standins/support/http_server.hpp
+++ b/standins/support/http_server.hpp
@@ -72,6 +72,7 @@
     bool process_and_close_socket(socket_t socket) override;
 
     std::atomic<bool> m_stopping{false};
+    socket_t m_listener = INVALID_SOCKET;
 };
 
 } // namespace snipeplank::standins
--- a/tools/slopes/region_model.cpp
+++ b/tools/slopes/region_model.cpp
@@ -366,7 +366,7 @@
     summary.issuer = region;
     summary.sequence = ++m_foreign_sequence;
     summary.live_nodes = static_cast<std::uint16_t>(m_size.nodes);
-    for (std::size_t i = 0; i < fleet::max_summary_entry_points; ++i)
+    for (std::size_t i = 0; i < fleet::summary_entry_points(m_size.regions - 1); ++i)
         summary.entry_points.push_back({peer_address(region, i), peer_address(region, i)});
     for (std::uint32_t service = 1; service <= 5; ++service)
         summary.services.push_back({service, 40, 4'000, 100});
