gateway: name a body above the limit as such; show the peer network's counters

Cause: tried by hand, a body with a declared length above the limit was refused as bad_request, and frames refused on the internal port were counted but shown nowhere. Change: the refusal is body_too_large with status 413; /metrics shows each counter of the peer network. Figures: whole_path, refuses_with_the_reason holds with the two new rows; it was not run without the change. Conclusion: bad input on both ports has its counter.

--- a/packages/gateway/src/caller_calls.cpp
+++ b/packages/gateway/src/caller_calls.cpp
@@ -62,7 +62,7 @@
                              steady_clock::now(), request);
     std::string body;
     const std::optional<refusal> unread =
-        reader == nullptr ? std::nullopt : read_body(*reader, refused.has_value(), body);
+        reader == nullptr ? std::nullopt : read_body(*reader, response, refused.has_value(), body);
     if (!refused)
         refused = unread;
     if (!refused && is_own_path(head.path))
@@ -86,6 +86,7 @@
 }
 
 std::optional<refusal> caller_handlers::read_body(const httplib::ContentReader& reader,
+                                                  const httplib::Response& response,
                                                   bool is_refused, std::string& body)
 {
     const std::size_t limit = m_parts.settings.max_body.count;
@@ -98,7 +99,9 @@
                 body.append(data, size);
             return received <= limit;
         });
-    if (received > limit)
+    // The library compares a declared length itself and marks the response.
+    const int too_large = policy::http_status(refusal_reason::body_too_large);
+    if (received > limit || response.status == too_large)
         return refuse(refusal_reason::body_too_large,
                       "send a body of at most " + std::to_string(limit) + " bytes");
     if (!is_whole)
--- a/packages/gateway/src/caller_handlers.hpp
+++ b/packages/gateway/src/caller_handlers.hpp
@@ -78,7 +78,8 @@
 
     /// Reads the body; of a refused request it is read and dropped, so that the connection can
     /// carry the next request.
-    std::optional<policy::refusal> read_body(const httplib::ContentReader& reader, bool is_refused,
+    std::optional<policy::refusal> read_body(const httplib::ContentReader& reader,
+                                             const response_t& response, bool is_refused,
                                              std::string& body);
 
     std::optional<policy::refusal> admit_account(const call& request, const request_t& http);
--- a/packages/gateway/src/node.cpp
+++ b/packages/gateway/src/node.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -60,7 +61,7 @@
           admin(make_admin_front({with.admin_address, log, counters,
                                   [this] { return fleet.status_json(); },
                                   [this] { return view.get()->is_ready && !is_draining; },
-                                  [this] { begin_drain(); }, [this] { fleet.refresh_gauges(); }}))
+                                  [this] { begin_drain(); }, [this] { refresh_gauges(); }}))
     {
     }
 
@@ -121,6 +122,42 @@
         return peers;
     }
 
+    /// Counters of the peer network are kept there; they are copied when metrics are read.
+    void refresh_gauges()
+    {
+        fleet.refresh_gauges();
+        const wire::peer_counters peers = network->counters();
+        const std::pair<const char*, std::uint64_t> values[] = {
+            {"frames_sent", peers.frames_sent},
+            {"frames_received", peers.frames_received},
+            {"bytes_sent", peers.bytes_sent},
+            {"bytes_received", peers.bytes_received},
+            {"connections_accepted", peers.connections_accepted},
+            {"connections_dialed", peers.connections_dialed},
+            {"connections_closed", peers.connections_closed},
+            {"frame_truncated", peers.frame_truncated},
+            {"frame_too_large", peers.frame_too_large},
+            {"frame_unverified", peers.frame_unverified},
+            {"frame_wrong_version", peers.frame_wrong_version},
+            {"frame_unknown_message", peers.frame_unknown_message},
+            {"frame_unexpected", peers.frame_unexpected},
+            {"unauthenticated", peers.peer_unauthenticated},
+            {"silent", peers.peer_silent},
+            {"handshake_timeout", peers.handshake_timeout},
+            {"write_queue_full", peers.write_queue_full},
+            {"connect_failed", peers.connect_failed},
+            {"connection_limit", peers.connection_limit},
+            {"message_undeliverable", peers.message_undeliverable},
+            {"message_too_large", peers.message_too_large},
+            {"message_wrong_incarnation", peers.message_wrong_incarnation},
+        };
+        for (const auto& [name, value] : values)
+        {
+            counters.set_gauge("snipeplank_peer_" + std::string(name) + "_total",
+                               static_cast<double>(value));
+        }
+    }
+
     void begin_drain()
     {
         if (is_draining.exchange(true))
--- a/tests/whole_path_test.cpp
+++ b/tests/whole_path_test.cpp
@@ -34,6 +34,11 @@
     no_ticket.headers.erase("Idempotency-Key");
     http_request unknown = no_ticket;
     unknown.path = "/nothing/slots";
+    http_request too_large = draft;
+    constexpr std::size_t above_the_limit = 2'000'000;
+    too_large.body = std::string(above_the_limit, 'x');
+    http_request broken_json = draft;
+    broken_json.body = "{\"model\":";
     return {
         {"no ticket", no_ticket, "ticket_required"},
         {"not a ticket", test_fleet::booking("key-of-the-caller", "refused"), "ticket_invalid"},
@@ -41,6 +46,8 @@
         {"unknown service", unknown, "unknown_service"},
         {"unknown control header", with_header(draft, "Snipeplank-Path", "x"), "header_forbidden"},
         {"no time left", with_header(draft, "Snipeplank-Deadline-Ms", "0"), "deadline_passed"},
+        {"body above the limit", too_large, "body_too_large"},
+        {"broken JSON", broken_json, "bad_request"},
         {"no number", with_header(draft, "Snipeplank-Deadline-Ms", "soon"), "bad_request"},
     };
 }
