gateway: tell the dispatcher when a service has no upstream left

Cause: a service without a listed upstream was left out of the update, so the dispatcher kept its former upstreams and went on sending them work after the platform had removed them. Change: every configured service is updated, with an empty list if need be. Figures: leaving_upstream.gets_no_work_once_the_last_one_is_unlisted failed before (the call was answered by an unlisted engine) and passes after.

--- a/packages/gateway/src/fleet_reads.cpp
+++ b/packages/gateway/src/fleet_reads.cpp
@@ -147,7 +147,12 @@
     // An upstream starts with the limit of its service, so the configuration comes first.
     if (m_fleet.config() == nullptr)
         return;
+    // A service whose last upstream left the list gets an empty one, or it would keep the old one.
     std::map<core::service_id, std::vector<policy::upstream_facts>> services;
+    for (const auto& [name, service] : m_fleet.config()->services)
+    {
+        services[name];
+    }
     for (const listed_host& host : m_hosts)
     {
         if (host.is_entry || host.region != m_parts.settings.region)
--- a/tests/leaving_upstream_test.cpp
+++ b/tests/leaving_upstream_test.cpp
@@ -106,3 +106,18 @@
     const std::string expected = test_fleet::expected_draft(request);
     STRCMP_EQUAL("", first_difference(answer.body, expected).c_str());
 }
+
+// Guards against work for upstreams that the list no longer has, when none of the service is left.
+TEST(leaving_upstream, gets_no_work_once_the_last_one_is_unlisted)
+{
+    make_calls("before ");
+    test_upstream& first = fleet->upstream(home, "drafting", 0);
+    test_upstream& second = fleet->upstream(home, "drafting", 1);
+    first.region = "elsewhere";
+    second.region = "elsewhere";
+    fleet->publish_hosts();
+    wait_for_list_reads();
+    const http_answer answer =
+        http_call(fleet->node(home, 0).caller_address, test_fleet::drafting("after", 2));
+    STRCMP_CONTAINS("no_upstream", answer.body.c_str());
+}
