ctl: help of explain names the admin address in a request id

Cause: the example showed a peer port and a decimal incarnation; the gateway writes its admin address and 16 hexadecimal digits.

--- a/packages/ctl/src/explain.cpp
+++ b/packages/ctl/src/explain.cpp
@@ -35,9 +35,9 @@
     {
         return R"(  explain REQUEST_ID [--node IP:PORT | --admin_port PORT] [--json]
     Shows each decision about one request: why it was routed, retried or refused.
-    Without --node, the address in the request id is asked; --admin_port replaces its
-    port, for nodes whose admin_address has the same IP and another port.
-    Example: snipeplankctl explain 127.0.0.1:8081-81985529216486895-42 --admin_port 8082
+    A request id begins with the admin_address of its node, which is asked unless --node
+    names another. --admin_port replaces the port alone.
+    Example: snipeplankctl explain 127.0.0.1:8082-00000000deadbeef-42
 )";
     }
 
--- a/packages/ctl/src/request_id.cpp
+++ b/packages/ctl/src/request_id.cpp
@@ -47,7 +47,7 @@
     }
     return core::fail(core::error_code::settings_bad_value, "\"" + text + "\" is not a request id",
                       "copy the request_id of an answer or a log line, for example "
-                      "127.0.0.1:8081-81985529216486895-42");
+                      "127.0.0.1:8082-00000000deadbeef-42");
 }
 
 core::result<core::address> with_port(const core::address& address, const std::string& port)
