--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -21,6 +21,9 @@
 # snipeplank_test(NAME SOURCES ... DEPENDS ...): one CppUTest program and its ctest entry.
 function(snipeplank_test name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  if(NOT SNIPEPLANK_TESTS)
+    return()
+  endif()
   add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/test_main.cpp)
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests/support
                              ${CMAKE_CURRENT_SOURCE_DIR}/tests)
--- a/packages/ctl/src/load_run.cpp
+++ b/packages/ctl/src/load_run.cpp
@@ -1,6 +1,6 @@
 #include <snipeplank/ctl/load_run.hpp>
 #include <snipeplank/gateway/address.hpp>
-#include <snipeplank/gateway/event_stream.hpp>
+#include <snipeplank/http/event_stream.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -67,7 +67,7 @@
         request.path = "/v1/chat/completions";
         request.body = body(sent);
         request.headers.emplace("Content-Type", "application/json");
-        gateway::event_splitter events;
+        http::event_splitter events;
         std::string refusal;
         int status = 0;
         const auto start = steady_clock::now();
--- a/packages/fleet/include/snipeplank/fleet/timing.hpp
+++ b/packages/fleet/include/snipeplank/fleet/timing.hpp
@@ -31,6 +31,8 @@
 constexpr core::milliseconds probe_again_time{1'000};
 /// A listed host that does not answer is tried again after this long.
 constexpr core::milliseconds candidate_interval{5'000};
+/// The same for a node that knows no other node yet.
+constexpr core::milliseconds lone_candidate_interval{1'000};
 /// Deaths within this time count as part of the same event for the own-link rule.
 constexpr core::milliseconds recent_death_time{10'000};
 /// A suspected member that the host list has lacked for this long is declared dead.
--- a/packages/fleet/src/membership_probing.cpp
+++ b/packages/fleet/src/membership_probing.cpp
@@ -110,7 +110,8 @@
 void membership::ping_candidate(core::time_point now)
 {
     core::address oldest;
-    core::time_point oldest_try = now - candidate_interval;
+    core::time_point oldest_try =
+        now - (m_records.empty() ? lone_candidate_interval : candidate_interval);
     for (const auto& [address, tried] : m_candidates)
     {
         const auto known = m_records.find(address);
--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -1,4 +1,4 @@
-#include <snipeplank/gateway/event_stream.hpp>
+#include <snipeplank/http/event_stream.hpp>
 #include <snipeplank/gateway/metrics.hpp>
 #include <snipeplank/gateway/upstream_client.hpp>
 
@@ -72,7 +72,7 @@
 /// State of one answer across the connections that carry it.
 struct attempt_state
 {
-    event_splitter events;
+    http::event_splitter events;
     bool has_head = false;
     bool is_event_stream = false;
     bool has_provable_end = true;
--- a/packages/gateway/include/snipeplank/gateway/event_stream.hpp
+++ b/packages/http/include/snipeplank/http/event_stream.hpp
@@ -1,13 +1,13 @@
 /// @file
 /// Splits a stream of server-sent events into whole events.
 
-#ifndef SNIPEPLANK_GATEWAY_EVENT_STREAM_HPP
-#define SNIPEPLANK_GATEWAY_EVENT_STREAM_HPP
+#ifndef SNIPEPLANK_HTTP_EVENT_STREAM_HPP
+#define SNIPEPLANK_HTTP_EVENT_STREAM_HPP
 
 #include <string>
 #include <string_view>
 
-namespace snipeplank::gateway
+namespace snipeplank::http
 {
 
 /// @brief Collects bytes and hands out whole events only.
@@ -60,6 +60,6 @@
     bool m_is_done = false;
 };
 
-} // namespace snipeplank::gateway
+} // namespace snipeplank::http
 
 #endif
--- /dev/null
+++ b/packages/http/src/client.cpp
@@ -0,0 +1,328 @@
+#include <snipeplank/http/client.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <sys/socket.h>
+
+#include <array>
+#include <limits>
+#include <optional>
+
+#include "endpoint.hpp"
+
+namespace snipeplank::http
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t piece_size = 4'096;
+constexpr int first_final_status = 200;
+
+auto into(error_code& error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+} // namespace
+
+class client_connection::state : public std::enable_shared_from_this<client_connection::state>
+{
+  public:
+    state(asio::io_context& loop, core::address server)
+        : m_server(std::move(server)), m_socket(loop), m_timer(loop)
+    {
+    }
+
+    const core::address& server() const { return m_server; }
+
+    asio::awaitable<core::result<void>> connect(core::milliseconds limit)
+    {
+        const auto self = shared_from_this();
+        const auto endpoint = to_endpoint(m_server);
+        if (!endpoint)
+            co_return bad_address();
+        expire_after(limit);
+        error_code error;
+        co_await m_socket.async_connect(*endpoint, into(error));
+        stop_timer();
+        if (error || m_is_closed)
+            co_return boost::outcome_v2::failure(failure(error, "cannot connect to "));
+        set_connection_options(m_socket);
+        co_return boost::outcome_v2::success();
+    }
+
+    void send(const request_head& head, std::string body)
+    {
+        m_is_head_request = head.method == "HEAD";
+        m_text = to_text(head);
+        m_text += body;
+        m_has_written = true;
+        m_is_written = false;
+        m_is_whole = false;
+        asio::async_write(m_socket, asio::buffer(m_text),
+                          [self = shared_from_this()](const error_code& error, std::size_t)
+                          { self->m_is_written = !error; });
+    }
+
+    asio::awaitable<core::result<response_head>> read_head()
+    {
+        const auto self = shared_from_this();
+        response_head head;
+        while (head.status < first_final_status)
+        {
+            m_parser.emplace();
+            m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+            m_parser->skip(m_is_head_request);
+            m_is_whole = false;
+            error_code error;
+            co_await beast::http::async_read_header(m_socket, m_buffer, *m_parser, into(error));
+            if (error)
+                co_return boost::outcome_v2::failure(failure(error, "no answer from "));
+            head = take_head();
+        }
+        co_return head;
+    }
+
+    asio::awaitable<core::result<body_piece>> read_piece()
+    {
+        const auto self = shared_from_this();
+        body_piece piece;
+        if (!m_parser->is_done())
+        {
+            std::array<char, piece_size> space; // NOLINT: filled by the read
+            auto& target = m_parser->get().body();
+            target.data = space.data();
+            target.size = space.size();
+            error_code error;
+            co_await beast::http::async_read_some(m_socket, m_buffer, *m_parser, into(error));
+            if (error == beast::http::error::need_buffer)
+                error = {};
+            if (error == beast::http::error::end_of_stream && m_parser->need_eof())
+                error = {};
+            if (error)
+                co_return boost::outcome_v2::failure(failure(error, "answer broken off by "));
+            piece.data.assign(space.data(), space.size() - target.size);
+        }
+        piece.is_last = m_parser->is_done();
+        m_is_whole = piece.is_last;
+        co_return piece;
+    }
+
+    void expire_after(core::milliseconds limit)
+    {
+        m_timer.expires_after(limit);
+        m_timer.async_wait(
+            [weak = weak_from_this(), number = ++m_timer_number](const error_code& error)
+            {
+                const auto self = weak.lock();
+                if (error || !self || number != self->m_timer_number)
+                    return;
+                self->m_is_expired = true;
+                self->close();
+            });
+    }
+
+    bool has_written() const { return m_has_written; }
+
+    bool is_reusable() const
+    {
+        return !m_is_closed && m_is_whole && m_is_written && m_parser && m_parser->keep_alive() &&
+               m_buffer.size() == 0;
+    }
+
+    bool is_stale()
+    {
+        char byte = 0;
+        const auto count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return m_is_closed || count >= 0 || errno != EAGAIN;
+    }
+
+    void close()
+    {
+        m_is_closed = true;
+        stop_timer();
+        error_code ignored;
+        m_socket.close(ignored);
+    }
+
+    void stop_timer()
+    {
+        ++m_timer_number;
+        m_timer.cancel();
+    }
+
+  private:
+    using parser_type = beast::http::response_parser<beast::http::buffer_body>;
+
+    core::result<void> bad_address() const
+    {
+        return core::fail(core::error_code::invalid_address,
+                          "'" + m_server.get() + "' is no address", "publish upstreams as IP:PORT");
+    }
+
+    core::error failure(const error_code& error, const std::string& what) const
+    {
+        const std::string cause = m_is_expired ? "timed out" : error.message();
+        return {m_is_expired ? core::error_code::upstream_timeout
+                             : core::error_code::connection_closed,
+                what + m_server.get() + ": " + cause, "check that the server runs"};
+    }
+
+    response_head take_head()
+    {
+        response_head head;
+        const auto& message = m_parser->get();
+        head.status = static_cast<int>(message.result_int());
+        for (const auto& field : message)
+        {
+            head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        }
+        return head;
+    }
+
+    core::address m_server;
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    beast::flat_buffer m_buffer;
+    std::optional<parser_type> m_parser;
+    std::string m_text;
+    std::uint64_t m_timer_number = 0; ///< tells a former expiry from the current one
+    bool m_is_head_request = false;
+    bool m_has_written = false;
+    bool m_is_written = true;
+    bool m_is_whole = false;
+    bool m_is_closed = false;
+    bool m_is_expired = false;
+};
+
+client_connection::client_connection(asio::io_context& loop, core::address server)
+    : m_state(std::make_shared<state>(loop, std::move(server)))
+{
+}
+
+client_connection::~client_connection()
+{
+    m_state->close();
+}
+
+const core::address& client_connection::server() const
+{
+    return m_state->server();
+}
+
+asio::awaitable<core::result<void>> client_connection::connect(core::milliseconds limit)
+{
+    return m_state->connect(limit);
+}
+
+void client_connection::send(const request_head& head, std::string body)
+{
+    m_state->send(head, std::move(body));
+}
+
+asio::awaitable<core::result<response_head>> client_connection::read_head()
+{
+    return m_state->read_head();
+}
+
+asio::awaitable<core::result<body_piece>> client_connection::read_piece()
+{
+    return m_state->read_piece();
+}
+
+void client_connection::expire_after(core::milliseconds limit)
+{
+    m_state->expire_after(limit);
+}
+
+void client_connection::stop_timer()
+{
+    m_state->stop_timer();
+}
+
+bool client_connection::has_written() const
+{
+    return m_state->has_written();
+}
+
+bool client_connection::is_reusable() const
+{
+    return m_state->is_reusable();
+}
+
+bool client_connection::is_stale() const
+{
+    return m_state->is_stale();
+}
+
+void client_connection::close()
+{
+    m_state->close();
+}
+
+connection_pool::owned connection_pool::take(const core::address& server, core::time_point now)
+{
+    const auto found = m_idle.find(server);
+    if (found == m_idle.end())
+        return nullptr;
+    while (!found->second.empty())
+    {
+        idle_connection latest = std::move(found->second.back());
+        found->second.pop_back();
+        if (now < latest.good_until && !latest.link->is_stale())
+            return std::move(latest.link);
+    }
+    return nullptr;
+}
+
+connection_pool::owned connection_pool::create(const core::address& server)
+{
+    return std::make_unique<client_connection>(m_loop, server);
+}
+
+void connection_pool::put(owned used, core::milliseconds idle_time, core::time_point now)
+{
+    if (!used->is_reusable())
+        return;
+    used->stop_timer();
+    // The server's clock for the connection started earlier than this one.
+    const core::time_point good_until = now + idle_time / 2;
+    m_idle[used->server()].push_back({std::move(used), good_until});
+}
+
+void connection_pool::sweep(core::time_point now)
+{
+    for (auto& [server, links] : m_idle)
+    {
+        std::erase_if(links, [&](const idle_connection& each)
+                      { return now >= each.good_until || each.link->is_stale(); });
+    }
+    std::erase_if(m_idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+std::size_t connection_pool::size() const
+{
+    std::size_t count = 0;
+    for (const auto& [server, links] : m_idle)
+    {
+        count += links.size();
+    }
+    return count;
+}
+
+} // namespace snipeplank::http
--- /dev/null
+++ b/packages/http/src/connection.cpp
@@ -0,0 +1,324 @@
+#include "connection.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "endpoint.hpp"
+
+namespace snipeplank::http
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+constexpr int bad_request = 400;
+constexpr int request_timeout = 408;
+constexpr int payload_too_large = 413;
+constexpr int header_too_large = 431;
+constexpr int internal_error = 500;
+constexpr int not_implemented = 501;
+
+/// Waits for an operation and stores its error in `error`.
+auto into(error_code& error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+bool has_unknown_coding(const header_list& headers)
+{
+    const auto coding = find_header(headers, "Transfer-Encoding");
+    return coding && !same_name(*coding, "chunked");
+}
+
+} // namespace
+
+connection::connection(asio::ip::tcp::socket socket, request_handler& handler)
+    : m_socket(std::move(socket)), m_watchdog(m_socket.get_executor()), m_handler(handler)
+{
+    set_connection_options(m_socket);
+}
+
+asio::awaitable<void> connection::run()
+{
+    const auto self = shared_from_this();
+    while (!m_is_lost && !m_is_closing && m_keep_alive)
+    {
+        if (!co_await read_request())
+            break;
+        m_is_active = true;
+        co_await answer_request();
+        m_is_active = false;
+        if (!m_is_finished)
+            abort();
+    }
+    disarm();
+    close_socket();
+}
+
+void connection::close_when_idle()
+{
+    m_is_closing = true;
+    if (!m_is_active)
+        close_socket();
+}
+
+asio::awaitable<bool> connection::wait_first_byte(core::milliseconds idle_time)
+{
+    if (m_buffer.size() > 0)
+        co_return true;
+    error_code error;
+    arm(idle_time);
+    co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, into(error));
+    disarm();
+    co_return !error && !m_is_lost;
+}
+
+asio::awaitable<bool> connection::read_request()
+{
+    const server_limits limits = m_handler.limits();
+    if (!co_await wait_first_byte(limits.idle_time))
+        co_return false;
+    m_received = std::chrono::steady_clock::now();
+    m_has_begun = false;
+    m_is_finished = false;
+    m_client_gone = nullptr;
+    parser_type parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    error_code error;
+    arm(limits.header_time);
+    co_await beast::http::async_read_header(m_socket, m_buffer, parser, into(error));
+    const bool header_is_late = m_is_lost;
+    if (!error && !take_head(parser))
+        error = beast::http::error::bad_transfer_encoding;
+    if (!error && !parser.is_done())
+    {
+        arm(limits.idle_time);
+        if (find_header(m_head.headers, "Expect"))
+            co_await write_text("HTTP/1.1 100 Continue\r\n\r\n");
+        co_await beast::http::async_read(m_socket, m_buffer, parser, into(error));
+    }
+    disarm();
+    if (error)
+    {
+        if (!header_is_late)
+            co_await reject(error);
+        co_return false;
+    }
+    m_body = std::move(parser.get().body());
+    co_return true;
+}
+
+bool connection::take_head(const parser_type& parser)
+{
+    const auto& message = parser.get();
+    m_head.method = std::string(message.method_string());
+    m_head.target = std::string(message.target());
+    m_head.headers.clear();
+    for (const auto& field : message)
+    {
+        m_head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    constexpr unsigned version_1_1 = 11;
+    m_chunked = message.version() >= version_1_1;
+    m_keep_alive = message.keep_alive();
+    return !has_unknown_coding(m_head.headers);
+}
+
+asio::awaitable<void> connection::reject(const error_code& error)
+{
+    namespace http = beast::http;
+    if (error == http::error::end_of_stream || error == asio::error::eof ||
+        error.category() == asio::error::get_system_category() || m_is_lost)
+        co_return;
+    int status = bad_request;
+    if (error == http::error::header_limit)
+        status = header_too_large;
+    if (error == http::error::body_limit)
+        status = payload_too_large;
+    if (error == http::error::bad_transfer_encoding)
+        status = not_implemented;
+    if (error == http::error::partial_message)
+        status = request_timeout;
+    m_keep_alive = false;
+    m_head = {};
+    co_await send(m_handler.reject(status, error.message()));
+    // Unread bytes would reset the connection and destroy the answer on its way.
+    error_code ended;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ended);
+    constexpr core::milliseconds linger{500};
+    arm(linger);
+    std::array<char, 4096> sink{};
+    while (!ended)
+    {
+        co_await m_socket.async_read_some(asio::buffer(sink), into(ended));
+    }
+    disarm();
+}
+
+asio::awaitable<void> connection::answer_request()
+{
+    std::string failure;
+    try
+    {
+        co_await m_handler.handle(*this);
+    }
+    catch (const std::exception& thrown)
+    {
+        failure = thrown.what();
+    }
+    if (failure.empty())
+        co_return;
+    m_keep_alive = false;
+    if (!m_has_begun)
+        co_await send(m_handler.reject(internal_error, failure));
+}
+
+std::string connection::frame_head(response_head head, std::optional<std::size_t> length)
+{
+    if (m_close_after || m_is_closing)
+        m_keep_alive = false;
+    if (length)
+        head.headers.emplace_back("Content-Length", std::to_string(*length));
+    else if (m_chunked)
+        head.headers.emplace_back("Transfer-Encoding", "chunked");
+    else
+        m_keep_alive = false;
+    if (!m_keep_alive)
+        head.headers.emplace_back("Connection", "close");
+    return to_text(head);
+}
+
+asio::awaitable<bool> connection::write_text(std::string text)
+{
+    if (m_is_lost)
+        co_return false;
+    error_code error;
+    arm(m_handler.limits().write_time);
+    co_await asio::async_write(m_socket, asio::buffer(text), into(error));
+    disarm();
+    if (error)
+        notice_client_gone();
+    co_return !error;
+}
+
+asio::awaitable<bool> connection::send(response answer)
+{
+    m_has_begun = true;
+    m_is_finished = true;
+    std::string text = frame_head(std::move(answer.head), answer.body.size());
+    if (m_head.method != "HEAD")
+        text += answer.body;
+    co_return co_await write_text(std::move(text));
+}
+
+asio::awaitable<bool> connection::begin(response_head head)
+{
+    m_has_begun = true;
+    co_return co_await write_text(frame_head(std::move(head), std::nullopt));
+}
+
+asio::awaitable<bool> connection::write(std::string_view data)
+{
+    if (data.empty())
+        co_return !m_is_lost;
+    if (!m_chunked)
+        co_return co_await write_text(std::string(data));
+    std::array<char, 2 * sizeof(std::size_t) + 3> size_line{};
+    const int digits = std::snprintf(size_line.data(), size_line.size(), "%zx\r\n", data.size());
+    std::string text(size_line.data(), static_cast<std::size_t>(digits));
+    text.append(data).append("\r\n");
+    co_return co_await write_text(std::move(text));
+}
+
+asio::awaitable<bool> connection::finish()
+{
+    m_is_finished = true;
+    if (!m_chunked)
+        co_return !m_is_lost;
+    co_return co_await write_text("0\r\n\r\n");
+}
+
+void connection::abort()
+{
+    m_is_finished = true;
+    m_keep_alive = false;
+    close_socket();
+}
+
+void connection::on_client_gone(std::function<void()> action)
+{
+    m_client_gone = std::move(action);
+    if (m_is_lost)
+        notice_client_gone();
+    else if (m_buffer.size() == 0 && !m_is_watching)
+        watch_client();
+}
+
+/// Waits until the client's side becomes readable and looks whether that is the end.
+void connection::watch_client()
+{
+    m_is_watching = true;
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const error_code& error)
+                        {
+                            self->m_is_watching = false;
+                            char byte = 0;
+                            const auto count = error ? 0
+                                                     : ::recv(self->m_socket.native_handle(), &byte,
+                                                              1, MSG_PEEK | MSG_DONTWAIT);
+                            if (!self->m_is_active || error == asio::error::operation_aborted)
+                                return;
+                            if (count == 0 || (count < 0 && errno != EAGAIN))
+                                self->notice_client_gone();
+                        });
+}
+
+void connection::notice_client_gone()
+{
+    m_is_lost = true;
+    if (m_client_gone)
+        std::exchange(m_client_gone, nullptr)();
+}
+
+void connection::arm(core::milliseconds limit)
+{
+    m_watchdog.expires_after(limit);
+    m_watchdog.async_wait(
+        [weak = weak_from_this(), number = ++m_watch_number](const error_code& error)
+        {
+            const auto self = weak.lock();
+            if (error || !self || number != self->m_watch_number)
+                return;
+            self->m_is_lost = true;
+            self->close_socket();
+            self->notice_client_gone();
+        });
+}
+
+void connection::disarm()
+{
+    ++m_watch_number;
+    m_watchdog.cancel();
+}
+
+void connection::close_socket()
+{
+    error_code ignored;
+    m_socket.close(ignored);
+}
+
+} // namespace snipeplank::http
--- /dev/null
+++ b/packages/http/src/connection.hpp
@@ -0,0 +1,89 @@
+/// @file
+/// One accepted connection: reads requests in turn and writes their answers.
+
+#ifndef SNIPEPLANK_HTTP_SRC_CONNECTION_HPP
+#define SNIPEPLANK_HTTP_SRC_CONNECTION_HPP
+
+#include <snipeplank/http/server.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace snipeplank::http
+{
+
+/// @brief State of one client connection; an `exchange` for one request at a time.
+class connection final : public exchange, public std::enable_shared_from_this<connection>
+{
+  public:
+    connection(boost::asio::ip::tcp::socket socket, request_handler& handler);
+
+    /// @brief Serves requests until the connection ends.
+    boost::asio::awaitable<void> run();
+
+    /// @brief Ends the connection after the current answer; an idle one at once.
+    void close_when_idle();
+
+    /// @brief Adds `Connection: close` to the next answer.
+    void announce_close() { m_close_after = true; }
+
+    bool is_active() const { return m_is_active; }
+
+    const request_head& head() const override { return m_head; }
+    const std::string& body() const override { return m_body; }
+    core::time_point received_at() const override { return m_received; }
+    boost::asio::awaitable<bool> send(response answer) override;
+    boost::asio::awaitable<bool> begin(response_head head) override;
+    boost::asio::awaitable<bool> write(std::string_view data) override;
+    boost::asio::awaitable<bool> finish() override;
+    void abort() override;
+    bool has_begun() const override { return m_has_begun; }
+    void on_client_gone(std::function<void()> action) override;
+
+  private:
+    using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    boost::asio::awaitable<bool> read_request();
+    boost::asio::awaitable<bool> wait_first_byte(core::milliseconds idle_time);
+    boost::asio::awaitable<void> answer_request();
+    boost::asio::awaitable<void> reject(const boost::system::error_code& error);
+    boost::asio::awaitable<bool> write_text(std::string text);
+    bool take_head(const parser_type& parser);
+    void watch_client();
+    void notice_client_gone();
+    void arm(core::milliseconds limit);
+    void disarm();
+    void close_socket();
+    std::string frame_head(response_head head, std::optional<std::size_t> length);
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_watchdog;
+    request_handler& m_handler;
+    boost::beast::flat_buffer m_buffer;
+    request_head m_head;
+    std::string m_body;
+    core::time_point m_received{};
+    std::function<void()> m_client_gone;
+    std::uint64_t m_watch_number = 0; ///< tells a former expiry from the current one
+    bool m_is_active = false;
+    bool m_has_begun = false;
+    bool m_is_finished = false;
+    bool m_is_lost = false;
+    bool m_is_closing = false;
+    bool m_close_after = false;
+    bool m_keep_alive = true;
+    bool m_is_watching = false;
+    bool m_chunked = false; ///< whether the client reads chunks (HTTP/1.1)
+};
+
+} // namespace snipeplank::http
+
+#endif
--- a/packages/gateway/src/event_stream.cpp
+++ b/packages/http/src/event_stream.cpp
@@ -1,6 +1,6 @@
-#include <snipeplank/gateway/event_stream.hpp>
+#include <snipeplank/http/event_stream.hpp>
 
-namespace snipeplank::gateway
+namespace snipeplank::http
 {
 
 namespace
@@ -71,4 +71,4 @@
     m_last_event_id = id;
 }
 
-} // namespace snipeplank::gateway
+} // namespace snipeplank::http
--- /dev/null
+++ b/packages/http/src/message.cpp
@@ -0,0 +1,142 @@
+#include <snipeplank/http/message.hpp>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <ostream> // Boost 1.74's string_view needs it first
+
+namespace snipeplank::http
+{
+
+namespace
+{
+
+namespace beast = boost::beast;
+
+beast::string_view to_beast(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+std::optional<char> hex_byte(std::string_view digits)
+{
+    unsigned value = 0;
+    constexpr int hexadecimal = 16;
+    const auto [end, error] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), value, hexadecimal);
+    if (error != std::errc{} || end != digits.data() + digits.size())
+        return std::nullopt;
+    return static_cast<char>(value);
+}
+
+std::string decode_percent(std::string_view text)
+{
+    constexpr std::size_t escape_length = 3;
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        const auto byte = text[i] == '%' && i + escape_length <= text.size()
+                              ? hex_byte(text.substr(i + 1, 2))
+                              : std::nullopt;
+        if (!byte)
+        {
+            decoded += text[i];
+            continue;
+        }
+        decoded += *byte;
+        i += escape_length - 1;
+    }
+    return decoded;
+}
+
+void append_headers(std::string& text, const header_list& headers)
+{
+    for (const auto& [name, value] : headers)
+    {
+        text.append(name).append(": ").append(value).append("\r\n");
+    }
+    text += "\r\n";
+}
+
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b)
+{
+    return beast::iequals(to_beast(a), to_beast(b));
+}
+
+std::optional<std::string_view> find_header(const header_list& headers, std::string_view name)
+{
+    for (const auto& [key, value] : headers)
+    {
+        if (same_name(key, name))
+            return value;
+    }
+    return std::nullopt;
+}
+
+bool is_hop_by_hop(std::string_view name, std::string_view connection)
+{
+    static constexpr std::array<std::string_view, 8> names{
+        "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authorization",
+        "TE",         "Trailer",    "Transfer-Encoding", "Upgrade"};
+    if (std::any_of(names.begin(), names.end(), [&](auto known) { return same_name(known, name); }))
+        return true;
+    return !connection.empty() &&
+           beast::http::token_list{to_beast(connection)}.exists(to_beast(name));
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::optional<std::string> query_value(std::string_view target, std::string_view name)
+{
+    std::string_view rest = target.substr(std::min(target.size(), path_of(target).size() + 1));
+    while (!rest.empty())
+    {
+        const std::string_view pair = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        const std::size_t equals = pair.find('=');
+        if (pair.substr(0, equals) == name && equals != std::string_view::npos)
+            return decode_percent(pair.substr(equals + 1));
+    }
+    return std::nullopt;
+}
+
+std::string_view reason_phrase(int status)
+{
+    const auto text = beast::http::obsolete_reason(beast::http::int_to_status(status));
+    return {text.data(), text.size()};
+}
+
+std::string to_text(const request_head& head)
+{
+    std::string text = head.method + " " + head.target + " HTTP/1.1\r\n";
+    append_headers(text, head.headers);
+    return text;
+}
+
+std::string to_text(const response_head& head)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
+    text.append(reason_phrase(head.status)).append("\r\n");
+    append_headers(text, head.headers);
+    return text;
+}
+
+} // namespace snipeplank::http
--- /dev/null
+++ b/packages/http/src/server.cpp
@@ -0,0 +1,184 @@
+#include <snipeplank/http/server.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <memory>
+#include <set>
+
+#include "connection.hpp"
+#include "endpoint.hpp"
+
+namespace snipeplank::http
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+/// Pause after a failed accept, for example without free descriptors.
+constexpr core::milliseconds accept_pause{50};
+
+} // namespace
+
+response request_handler::reject(int status, std::string_view why)
+{
+    response answer;
+    answer.head.status = status;
+    answer.head.headers.emplace_back("Content-Type", "text/plain");
+    answer.body.assign(why).append("\n");
+    return answer;
+}
+
+class server::state : public std::enable_shared_from_this<server::state>
+{
+  public:
+    state(asio::io_context& loop, request_handler& handler)
+        : m_loop(loop), m_handler(handler), m_acceptor(loop), m_grace(loop)
+    {
+    }
+
+    core::result<core::address> listen(const core::address& where)
+    {
+        const auto endpoint = to_endpoint(where);
+        if (!endpoint)
+            return core::fail(core::error_code::invalid_address,
+                              "cannot listen on '" + where.get() + "'",
+                              "give an address as IP:PORT");
+        error_code error;
+        m_acceptor.open(endpoint->protocol(), error);
+        if (!error)
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(*endpoint, error);
+        if (!error)
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error)
+            return core::fail(core::error_code::connection_failed,
+                              "cannot listen on " + where.get() + ": " + error.message(),
+                              "free the port or give another address");
+        asio::co_spawn(m_loop, accept_all(shared_from_this()), asio::detached);
+        return to_address(m_acceptor.local_endpoint());
+    }
+
+    void close_listener()
+    {
+        error_code ignored;
+        m_acceptor.close(ignored);
+    }
+
+    void begin_closing(core::milliseconds grace)
+    {
+        m_is_closing = true;
+        for (connection* open : m_connections)
+        {
+            open->announce_close();
+        }
+        m_grace.expires_after(grace);
+        m_grace.async_wait(
+            [self = shared_from_this()](const error_code& error)
+            {
+                if (error)
+                    return;
+                const std::set<connection*> open = self->m_connections;
+                for (connection* each : open)
+                {
+                    each->close_when_idle();
+                }
+            });
+    }
+
+    std::size_t active() const
+    {
+        std::size_t count = 0;
+        for (const connection* open : m_connections)
+        {
+            count += open->is_active() ? 1 : 0;
+        }
+        return count;
+    }
+
+    std::size_t connections() const { return m_connections.size(); }
+
+  private:
+    static asio::awaitable<void> accept_all(std::shared_ptr<state> self)
+    {
+        asio::steady_timer pause(self->m_loop);
+        while (self->m_acceptor.is_open())
+        {
+            error_code error;
+            tcp::socket socket = co_await self->m_acceptor.async_accept(
+                asio::redirect_error(asio::use_awaitable, error));
+            if (!error && self->m_connections.size() < self->m_handler.limits().connections)
+            {
+                asio::co_spawn(self->m_loop, serve(self, std::move(socket)), asio::detached);
+                continue;
+            }
+            if (!error)
+                continue;
+            pause.expires_after(accept_pause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket socket)
+    {
+        const auto open = std::make_shared<connection>(std::move(socket), self->m_handler);
+        self->m_connections.insert(open.get());
+        if (self->m_is_closing)
+            open->announce_close();
+        co_await open->run();
+        self->m_connections.erase(open.get());
+    }
+
+    asio::io_context& m_loop;
+    request_handler& m_handler;
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_grace;
+    std::set<connection*> m_connections;
+    bool m_is_closing = false;
+};
+
+server::server(asio::io_context& loop, request_handler& handler)
+    : m_state(std::make_shared<state>(loop, handler))
+{
+}
+
+server::~server()
+{
+    m_state->close_listener();
+}
+
+core::result<core::address> server::listen(const core::address& where)
+{
+    return m_state->listen(where);
+}
+
+void server::close_listener()
+{
+    m_state->close_listener();
+}
+
+void server::begin_closing(core::milliseconds grace)
+{
+    m_state->begin_closing(grace);
+}
+
+std::size_t server::active() const
+{
+    return m_state->active();
+}
+
+std::size_t server::connections() const
+{
+    return m_state->connections();
+}
+
+} // namespace snipeplank::http
--- a/packages/gateway/tests/event_stream_test.cpp
+++ b/packages/http/tests/event_stream_test.cpp
@@ -1,6 +1,6 @@
 /// Guards against partial and repeated events, whatever the boundaries of the received pieces.
 
-#include <snipeplank/gateway/event_stream.hpp>
+#include <snipeplank/http/event_stream.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,7 +9,7 @@
 #include <algorithm>
 #include <string>
 
-using snipeplank::gateway::event_splitter;
+using snipeplank::http::event_splitter;
 using snipeplank::tests::check_property;
 
 namespace
--- /dev/null
+++ b/packages/node/src/machine_node.cpp
@@ -0,0 +1,121 @@
+#include "machine_node.hpp"
+
+#include <snipeplank/platform/machine_settings.hpp>
+#include <snipeplank/platform/protocols.hpp>
+#include <snipeplank/platform/store_source.hpp>
+#include <snipeplank/serving/node.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+
+#include "exit_status.hpp"
+
+namespace snipeplank
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// The settings file may change without a signal.
+constexpr std::chrono::seconds reload_interval{3};
+
+/// Takes settings again on SIGHUP and from time to time; begins the shutdown on SIGTERM.
+class process_events
+{
+  public:
+    process_events(asio::io_context& loop, serving::node& node, std::string settings_path)
+        : m_node(node), m_path(std::move(settings_path)), m_signals(loop, SIGTERM, SIGINT, SIGHUP),
+          m_timer(loop)
+    {
+        wait_for_signal();
+        wait_for_change();
+    }
+
+  private:
+    void wait_for_signal()
+    {
+        m_signals.async_wait(
+            [this](const boost::system::error_code& error, int signal)
+            {
+                if (error)
+                    return;
+                if (signal == SIGHUP)
+                    reload();
+                else
+                    m_node.begin_stop();
+                wait_for_signal();
+            });
+    }
+
+    void wait_for_change()
+    {
+        m_timer.expires_after(reload_interval);
+        m_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (error)
+                    return;
+                reload();
+                wait_for_change();
+            });
+    }
+
+    void reload()
+    {
+        const auto changed = platform::load_machine_settings(m_path);
+        if (!changed)
+        {
+            spdlog::warn("the changed settings are not used: {}", changed.error().to_string());
+            return;
+        }
+        if (changed.value().node.seeds == m_seeds)
+            return;
+        m_seeds = changed.value().node.seeds;
+        m_node.reload(changed.value().node);
+    }
+
+    serving::node& m_node;
+    std::string m_path;
+    asio::signal_set m_signals;
+    asio::steady_timer m_timer;
+    std::vector<core::address> m_seeds;
+};
+
+} // namespace
+
+int run_machine_node(const std::string& settings_path)
+{
+    const auto settings = platform::load_machine_settings(settings_path);
+    if (!settings)
+    {
+        std::fprintf(stderr, "%s\n", settings.error().to_string().c_str());
+        return exit_bad_settings;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    constexpr int one_thread = 1;
+    asio::io_context loop(one_thread);
+    const platform::client_protocol callers;
+    const platform::server_protocol upstreams;
+    const platform::entry_protocol control;
+    const auto source =
+        platform::make_store_source(loop, settings.value().store, settings.value().node.zones);
+    serving::node node(loop, settings.value().node, {*source, callers, upstreams, control});
+    const process_events events(loop, node, settings_path);
+    if (const auto started = node.start(); !started)
+    {
+        std::fprintf(stderr, "%s\n", started.error().to_string().c_str());
+        return exit_cannot_start;
+    }
+    loop.run();
+    return 0;
+}
+
+} // namespace snipeplank
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,7 +1,11 @@
 /// The node: reads its settings, serves until SIGTERM, then shuts down gracefully.
 
+#include "exit_status.hpp"
+#include "machine_node.hpp"
+
 #include <snipeplank/gateway/log_format.hpp>
 #include <snipeplank/gateway/node.hpp>
+#include <snipeplank/platform/machine_settings.hpp>
 #include <snipeplank/settings/node_settings.hpp>
 
 #include <gflags/gflags.h>
@@ -18,8 +22,8 @@
 namespace
 {
 
-constexpr int exit_bad_settings = 2;
-constexpr int exit_cannot_start = 1;
+using snipeplank::exit_bad_settings;
+using snipeplank::exit_cannot_start;
 
 /// Blocks the signals in every thread that starts after this call.
 sigset_t block_stop_signals()
@@ -75,6 +79,9 @@
                             "snipeplankctl questionnaire writes settings and configuration.");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::string machine_settings = snipeplank::platform::machine_settings_path();
+    if (FLAGS_settings.empty() && !machine_settings.empty())
+        return snipeplank::run_machine_node(machine_settings);
     if (FLAGS_settings.empty())
     {
         std::fprintf(stderr, "no settings file is given; start with --settings FILE\n");
--- /dev/null
+++ b/packages/policy/src/cold_start_limit.cpp
@@ -0,0 +1,41 @@
+#include <snipeplank/policy/cold_start_limit.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipeplank::policy
+{
+
+namespace
+{
+
+/// A second and the spread of delays on the way to the upstream.
+constexpr core::milliseconds window{1'100};
+
+} // namespace
+
+std::size_t cold_start_limit::part(const cold_start_bound& bound, std::size_t senders)
+{
+    const double all = std::floor(bound.rate * bound.overshoot + bound.slack);
+    return static_cast<std::size_t>(all) / std::max<std::size_t>(1, senders);
+}
+
+bool cold_start_limit::allows(const cold_start_bound& bound, std::size_t senders,
+                              core::time_point now)
+{
+    while (!m_sent.empty() && m_sent.front() + window <= now)
+    {
+        m_sent.pop_front();
+    }
+    return m_sent.size() < part(bound, senders);
+}
+
+void cold_start_limit::on_sent(core::time_point now)
+{
+    constexpr std::size_t most_kept = 64;
+    m_sent.push_back(now);
+    if (m_sent.size() > most_kept)
+        m_sent.pop_front();
+}
+
+} // namespace snipeplank::policy
--- /dev/null
+++ b/packages/serving/include/snipeplank/serving/protocols.hpp
@@ -0,0 +1,135 @@
+/// @file
+/// What callers and upstreams speak, as interfaces; an adapter translates.
+
+#ifndef SNIPEPLANK_SERVING_PROTOCOLS_HPP
+#define SNIPEPLANK_SERVING_PROTOCOLS_HPP
+
+#include <snipeplank/core/error.hpp>
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/http/message.hpp>
+#include <snipeplank/http/server.hpp>
+#include <snipeplank/policy/refusal.hpp>
+#include <snipeplank/serving/upstream.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipeplank::serving
+{
+
+/// @brief A part of a prompt that other prompts may share.
+struct prompt_part
+{
+    std::string id;
+    double tokens = 0;
+};
+
+/// @brief A caller's request, decoded.
+struct caller_request
+{
+    std::string id; ///< of this attempt of the caller; empty when it gave none
+    std::string host;
+    std::optional<core::milliseconds> patience; ///< how long the caller will wait
+    double prompt_tokens = 0;
+    double max_output_tokens = 0;
+    std::vector<prompt_part> prompt; ///< in order; the last one is the request's own
+    std::string last_event_id;       ///< of a stream that the caller resumes
+};
+
+/// @brief Reads callers' requests and writes the system's own answers.
+class caller_protocol
+{
+  public:
+    virtual ~caller_protocol() = default;
+
+    /// @brief Decodes a request head, or says why it is none.
+    virtual core::result<caller_request> read(const http::request_head& head) const = 0;
+
+    /// @brief The answer to a request that is not served.
+    virtual http::response refuse(const caller_request& request,
+                                  const policy::refusal& why) const = 0;
+
+    /// @brief What of an upstream's answer the caller gets.
+    virtual http::response_head pass_on(const http::response_head& answer) const = 0;
+};
+
+/// @brief What an upstream's answer head says.
+enum class answer_kind
+{
+    success,
+    failure,      ///< the upstream's own failure; it may have run the request
+    not_run,      ///< proven: the upstream has not run the request and never will
+    wrong_server, ///< proven not run: another upstream has this address now
+    foreign,      ///< belongs to another request
+    broken,       ///< lacks what every answer of an upstream has
+};
+
+/// @brief A decoded answer head.
+struct upstream_answer_head
+{
+    answer_kind kind = answer_kind::broken;
+    core::milliseconds idle_time{0}; ///< how long the upstream keeps the connection open
+    bool is_leaving = false;         ///< the upstream said that it ends its connections
+};
+
+/// @brief What the system adds to a request for an upstream.
+struct send_order
+{
+    const upstream* target = nullptr;
+    core::milliseconds remaining{0};
+    unsigned priority = 5;
+    std::string last_event_id; ///< where a stream goes on; empty from the start
+};
+
+/// @brief Writes requests to upstreams and reads their answers.
+class upstream_protocol
+{
+  public:
+    virtual ~upstream_protocol() = default;
+
+    virtual http::request_head compose(const http::request_head& request, std::size_t body_size,
+                                       const send_order& order) const = 0;
+
+    /// @brief The request as if its caller had resumed a stream after this event; unchanged when
+    /// the id is empty.
+    virtual http::request_head resume(const http::request_head& request,
+                                      const std::string& last_event_id) const = 0;
+
+    /// @param request_id of the request that was sent
+    virtual upstream_answer_head read(const http::response_head& answer,
+                                      std::string_view request_id) const = 0;
+};
+
+/// @brief What a request beside the callers' own asks.
+enum class control_question
+{
+    is_ready,
+    entry_points,
+    unknown,
+};
+
+/// @brief A decoded question of a client or of the platform.
+struct control_request
+{
+    control_question question = control_question::unknown;
+    core::region_id region; ///< of the client that asks for entry points
+    core::zone_id zone;
+};
+
+/// @brief Questions about readiness and entry points.
+class control_protocol
+{
+  public:
+    virtual ~control_protocol() = default;
+
+    virtual control_request read(const http::request_head& head) const = 0;
+    virtual http::response entry_points(const std::vector<core::address>& addresses,
+                                        core::milliseconds lifetime) const = 0;
+};
+
+} // namespace snipeplank::serving
+
+#endif
--- /dev/null
+++ b/packages/serving/include/snipeplank/serving/routing_table.hpp
@@ -0,0 +1,100 @@
+/// @file
+/// Routes, services and caller limits that are in force.
+
+#ifndef SNIPEPLANK_SERVING_ROUTING_TABLE_HPP
+#define SNIPEPLANK_SERVING_ROUTING_TABLE_HPP
+
+#include <snipeplank/core/ids.hpp>
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/http/server.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipeplank::serving
+{
+
+/// @brief What may be repeated.
+enum class request_kind
+{
+    idempotent,
+    non_idempotent, ///< runs at most once
+    streaming,      ///< a series of events; runs at most once unless it is resumable
+};
+
+/// @brief A service of a route, and its part of the route's requests.
+struct weighted_service
+{
+    core::service_id service;
+    double weight = 1;
+};
+
+/// @brief One route.
+struct route
+{
+    std::string name;
+    std::string host;
+    std::string path_prefix; ///< begins and ends with a slash
+    request_kind kind = request_kind::non_idempotent;
+    core::milliseconds timeout{30'000};  ///< longest time that a request may be kept waiting
+    core::milliseconds objective{1'000}; ///< time to the answer, or to the first event of a stream
+    unsigned priority = 5;               ///< 0 is the most urgent
+    unsigned max_attempts = 1;           ///< upstreams to which one request may be sent
+    bool is_resumable = false;
+    std::vector<weighted_service> services;
+    std::vector<core::region_id> allowed_regions; ///< empty: anywhere
+
+    /// @brief Whether a request may run more than once.
+    bool may_repeat() const
+    {
+        return kind == request_kind::idempotent ||
+               (kind == request_kind::streaming && is_resumable);
+    }
+
+    bool may_be_served_in(const core::region_id& region) const;
+};
+
+/// @brief Size of a model server.
+struct engine_size
+{
+    unsigned slots = 0;      ///< requests that run at once
+    double cache_tokens = 0; ///< memory for running requests and kept prefixes
+};
+
+/// @brief One service.
+struct service
+{
+    core::service_id name;
+    std::string health_path;
+    unsigned max_connections = 0; ///< of one upstream, from all callers together
+    core::milliseconds warmup{0}; ///< how long an upstream is cold after its start
+    double warmup_rate = 0;       ///< requests a second that a cold upstream bears; 0: no bound
+    std::optional<engine_size> engine; ///< set for model servers
+};
+
+/// @brief One published configuration. Immutable once it is in force.
+struct routing_table
+{
+    core::config_version version;
+    std::vector<route> routes;
+    std::map<core::service_id, service> services;
+    http::server_limits limits;
+
+    /// @brief The route of the host whose prefix is the longest that begins the path, or null.
+    const route* find(std::string_view host, std::string_view path) const;
+
+    const service* find_service(const core::service_id& name) const;
+};
+
+/// @brief The service of a route for one request; weights decide between several.
+/// @param draw uniform in [0, 1), the same for all attempts of one request
+const core::service_id& choose_service(const route& chosen, double draw);
+
+} // namespace snipeplank::serving
+
+#endif
--- /dev/null
+++ b/packages/serving/src/call.cpp
@@ -0,0 +1,432 @@
+#include "call.hpp"
+
+#include <snipeplank/core/hash.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include "upstream_attempt.hpp"
+
+namespace snipeplank::serving
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// The answer needs this long to reach a caller that waits until its deadline.
+constexpr core::milliseconds answer_margin{40};
+/// Wait of a caller that names none.
+constexpr core::milliseconds default_patience{30'000};
+/// Time to come back for a node that knows no configuration yet.
+constexpr core::milliseconds not_ready_retry{500};
+/// Bounds the work for one request whose upstreams cannot be reached.
+constexpr std::size_t most_tries = 6;
+/// Largest answer that is held back until it is whole.
+constexpr std::size_t most_held_bytes = 8'388'608;
+constexpr int first_server_error = 500;
+
+core::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+double to_ms(core::duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+/// A number in [0, 1) that is the same for all attempts of one request.
+double draw_of(const std::string& request_id)
+{
+    constexpr double two_to_the_64 = 18446744073709551616.0;
+    return static_cast<double>(core::hash64(request_id)) / two_to_the_64;
+}
+
+} // namespace
+
+call::call(const call_environment& environment, http::exchange& request,
+           std::optional<forwarded_from> forwarded)
+    : m_environment(environment), m_exchange(request), m_forwarded(std::move(forwarded)),
+      m_table(environment.table), m_timer(environment.loop), m_self(std::make_shared<call*>(this))
+{
+}
+
+asio::awaitable<void> call::run()
+{
+    policy::refusal why;
+    if (!prepare(why))
+    {
+        co_await refuse(why);
+        co_return;
+    }
+    start_deadline();
+    m_exchange.on_client_gone([this] { on_client_gone(); });
+    co_await attempt_until_answered();
+    m_timer.cancel();
+    m_exchange.on_client_gone(nullptr);
+    m_line.total_ms = to_ms(now() - m_exchange.received_at());
+    m_environment.log.call_ended(m_line);
+}
+
+bool call::prepare(policy::refusal& why)
+{
+    auto read = m_environment.callers.read(m_exchange.head());
+    if (!read)
+    {
+        why = {policy::refusal_reason::bad_request, policy::execution::no, read.error().message,
+               core::milliseconds{0}};
+        return false;
+    }
+    m_caller = std::move(read.value());
+    m_line.request_id = m_caller.id;
+    if (!m_table)
+    {
+        why = {policy::refusal_reason::not_ready, policy::execution::no,
+               "no configuration was received yet", not_ready_retry};
+        return false;
+    }
+    m_line.config_version = m_table->version.get();
+    m_route = m_table->find(m_caller.host, http::path_of(m_exchange.head().target));
+    if (m_route == nullptr || m_route->services.empty())
+    {
+        why = {policy::refusal_reason::unknown_service, policy::execution::no,
+               "no route matches host and path", core::milliseconds{0}};
+        return false;
+    }
+    m_service = choose_service(*m_route, draw_of(m_caller.id));
+    m_line.route = m_route->name;
+    m_line.service = m_service.get();
+    m_resume_from = m_caller.last_event_id;
+    core::milliseconds patience =
+        m_caller.patience ? *m_caller.patience - answer_margin : default_patience;
+    if (m_forwarded)
+    {
+        patience = m_forwarded->remaining;
+    }
+    else
+    {
+        m_environment.places.on_request(m_service, now());
+    }
+    m_deadline = m_exchange.received_at() + std::min(patience, m_route->timeout);
+    return true;
+}
+
+asio::awaitable<void> call::refuse(policy::refusal why)
+{
+    const http::response answer = m_environment.callers.refuse(m_caller, why);
+    m_line.outcome = policy::to_string(why.reason);
+    m_line.executed = policy::to_string(why.executed);
+    m_line.status = answer.head.status;
+    m_line.retry_after_ms = static_cast<double>(why.retry_after.count());
+    m_line.remaining_ms = static_cast<double>(remaining().count());
+    if (m_exchange.has_begun())
+        m_exchange.abort();
+    else if (m_forwarded)
+        m_forwarded->refuse(why);
+    else
+        co_await m_exchange.send(answer);
+    if (m_route == nullptr)
+        m_environment.log.call_ended(m_line);
+}
+
+asio::awaitable<void> call::attempt_until_answered()
+{
+    for (;;)
+    {
+        if (m_client_is_gone)
+        {
+            m_line.outcome = "caller_left";
+            co_return;
+        }
+        if (m_is_expired)
+        {
+            co_await refuse(final_refusal());
+            co_return;
+        }
+        const placement_decision where = m_environment.places.decide(next_request(), now());
+        if (const auto* refused = std::get_if<policy::refusal>(&where))
+        {
+            policy::refusal why = m_may_have_run ? final_refusal() : *refused;
+            if (!m_may_have_run && m_sends > 0)
+                why.reason = policy::refusal_reason::upstream_refused;
+            co_await refuse(std::move(why));
+            co_return;
+        }
+        if (co_await attempt_once(where) == next_step::done)
+            co_return;
+    }
+}
+
+placement_request call::next_request() const
+{
+    placement_request request;
+    request.chosen = m_route;
+    request.service = m_service;
+    request.caller = &m_caller;
+    request.remaining = remaining();
+    request.tried = m_tried;
+    request.tried_regions = m_tried_regions;
+    request.may_leave_region = !m_forwarded;
+    request.is_repeat = m_sends > 0;
+    return request;
+}
+
+std::unique_ptr<attempt> call::make_attempt(const placement_decision& where)
+{
+    if (const auto* region = std::get_if<to_region>(&where))
+    {
+        m_tried_regions.push_back(region->region);
+        m_line.predicted_ms = region->predicted_ms;
+        m_line.attempts += region->region.get();
+        const http::request_head head =
+            m_environment.upstreams.resume(m_exchange.head(), m_resume_from);
+        return m_environment.regions.call(region->region, head, m_exchange.body(), remaining());
+    }
+    const auto& local = std::get<to_upstream>(where);
+    m_tried.push_back(local.target.id);
+    m_line.predicted_ms = local.predicted_ms;
+    m_line.attempts += local.target.id.get() + "@" + local.target.address.get();
+    upstream_attempt_parts parts{m_environment.pool,
+                                 m_environment.upstreams,
+                                 m_exchange.head(),
+                                 m_exchange.body(),
+                                 m_caller.id,
+                                 local.target,
+                                 [this] { return remaining(); },
+                                 [this, id = local.target.id]
+                                 { return m_environment.places.may_send(id); },
+                                 m_route->priority,
+                                 m_resume_from};
+    return std::make_unique<upstream_attempt>(std::move(parts));
+}
+
+asio::awaitable<call::next_step> call::attempt_once(const placement_decision& where)
+{
+    const placement_request request = next_request();
+    m_attempt = make_attempt(where);
+    if (!m_attempt)
+    {
+        m_line.attempts += "=unreachable ";
+        co_return next_step::try_again;
+    }
+    const auto* region = std::get_if<to_region>(&where);
+    m_attempt_number =
+        region != nullptr
+            ? m_environment.places.on_sent(request, region->region, now())
+            : m_environment.places.on_sent(request, std::get<to_upstream>(where).target.id, now());
+    const attempt_start result = co_await m_attempt->start();
+    const next_step next = co_await on_start(result);
+    end_attempt(placement_end::abandoned);
+    m_attempt.reset();
+    co_return next;
+}
+
+asio::awaitable<call::next_step> call::on_start(const attempt_start& result)
+{
+    m_sends += result.was_sent ? 1 : 0;
+    if (!result.is_proven_not_run())
+    {
+        m_may_have_run = true;
+        ++m_runs;
+    }
+    if (m_client_is_gone || m_is_expired)
+    {
+        m_line.attempts += "=given_up ";
+        co_return next_step::try_again;
+    }
+    const bool is_server_error =
+        result.kind == answer_kind::failure && result.head.status >= first_server_error;
+    if (result.kind == answer_kind::success && m_route->kind == request_kind::streaming)
+        co_return co_await pass_stream(result);
+    if (result.kind == answer_kind::success ||
+        (result.kind == answer_kind::failure && !(is_server_error && m_route->may_repeat())))
+        co_return co_await pass_whole(result);
+    if (is_server_error)
+    {
+        m_line.attempts += "=" + std::to_string(result.head.status) + " ";
+        end_attempt(placement_end::failed);
+        if (may_repeat(false))
+        {
+            m_attempt->cancel();
+            co_return next_step::try_again;
+        }
+        co_return co_await pass_whole(result);
+    }
+    co_return co_await on_failed_start(result);
+}
+
+asio::awaitable<call::next_step> call::on_failed_start(const attempt_start& result)
+{
+    const bool is_proven = result.is_proven_not_run();
+    m_line.attempts += "=" + (result.cause.empty() ? std::string("not_run") : result.cause) + " ";
+    if (result.is_unreachable)
+        end_attempt(placement_end::unreachable);
+    else
+        end_attempt(is_proven ? placement_end::rejected : placement_end::failed);
+    m_attempt->cancel();
+    const bool costs_nothing = !result.was_sent && m_tried.size() < most_tries;
+    if (costs_nothing || may_repeat(is_proven))
+        co_return next_step::try_again;
+    policy::refusal why = final_refusal();
+    co_await refuse(std::move(why));
+    co_return next_step::done;
+}
+
+bool call::may_repeat(bool proven_not_run)
+{
+    if (m_client_is_gone || m_is_expired || m_forwarded)
+        return false;
+    if (m_tried.size() + m_tried_regions.size() >= most_tries)
+        return false;
+    if (!proven_not_run && (!m_route->may_repeat() || m_runs >= m_route->max_attempts))
+        return false;
+    return m_environment.places.take_repeat(m_service, now());
+}
+
+asio::awaitable<call::next_step> call::pass_stream(const attempt_start& result)
+{
+    if (!m_exchange.has_begun())
+    {
+        http::response_head head = m_environment.callers.pass_on(result.head);
+        const bool is_open = co_await m_exchange.begin(std::move(head));
+        if (!is_open)
+            co_return next_step::done;
+    }
+    for (;;)
+    {
+        auto piece = co_await m_attempt->next();
+        if (m_client_is_gone || !piece)
+        {
+            note_broken(piece);
+            co_return co_await on_broken_stream();
+        }
+        const std::string events = m_events.feed(piece.value().data);
+        if (!events.empty())
+        {
+            m_environment.places.on_first_byte(*m_attempt_number, now());
+            const bool is_written = co_await m_exchange.write(events);
+            if (!is_written)
+                co_return co_await on_broken_stream();
+        }
+        if (!piece.value().is_last)
+            continue;
+        if (m_events.pending_size() > 0)
+            co_return co_await on_broken_stream();
+        break;
+    }
+    m_attempt->finish();
+    end_attempt(placement_end::answered);
+    m_line.outcome = "answered";
+    m_line.executed = "yes";
+    m_line.status = result.head.status;
+    co_await m_exchange.finish();
+    co_return next_step::done;
+}
+
+void call::note_broken(const core::result<http::body_piece>& piece)
+{
+    m_line.attempts += piece ? "=caller_left" : "=" + piece.error().message;
+}
+
+asio::awaitable<call::next_step> call::on_broken_stream()
+{
+    m_attempt->cancel();
+    end_attempt(placement_end::failed);
+    m_line.attempts += "=broken ";
+    if (!m_events.last_event_id().empty())
+        m_resume_from = m_events.last_event_id();
+    m_events.begin_resume();
+    if (m_client_is_gone || may_repeat(false))
+        co_return next_step::try_again;
+    co_await refuse(final_refusal());
+    co_return next_step::done;
+}
+
+asio::awaitable<call::next_step> call::pass_whole(const attempt_start& result)
+{
+    http::response answer;
+    answer.head = m_environment.callers.pass_on(result.head);
+    bool is_last = false;
+    while (!is_last)
+    {
+        auto piece = co_await m_attempt->next();
+        if (!piece || answer.body.size() > most_held_bytes)
+        {
+            note_broken(piece);
+            attempt_start broken = result;
+            broken.kind = answer_kind::broken;
+            broken.cause = "broken";
+            co_return co_await on_failed_start(broken);
+        }
+        answer.body += piece.value().data;
+        is_last = piece.value().is_last;
+    }
+    m_environment.places.on_first_byte(*m_attempt_number, now());
+    m_attempt->finish();
+    const bool is_success = result.kind == answer_kind::success;
+    end_attempt(is_success || result.head.status < first_server_error ? placement_end::answered
+                                                                      : placement_end::failed);
+    m_line.outcome = is_success ? "answered" : "upstream_answer";
+    m_line.executed = "yes";
+    m_line.status = result.head.status;
+    co_await m_exchange.send(std::move(answer));
+    co_return next_step::done;
+}
+
+void call::end_attempt(placement_end how)
+{
+    if (const auto number = std::exchange(m_attempt_number, std::nullopt))
+        m_environment.places.on_ended(*number, how, now());
+}
+
+void call::start_deadline()
+{
+    m_timer.expires_at(m_deadline);
+    m_timer.async_wait(
+        [weak = std::weak_ptr<call*>(m_self)](const boost::system::error_code& error)
+        {
+            const auto self = weak.lock();
+            if (!error && self)
+                (*self)->give_up();
+        });
+}
+
+void call::give_up()
+{
+    m_is_expired = true;
+    if (m_attempt)
+        m_attempt->cancel();
+}
+
+void call::on_client_gone()
+{
+    m_client_is_gone = true;
+    if (m_attempt)
+        m_attempt->cancel();
+}
+
+core::milliseconds call::remaining() const
+{
+    return std::chrono::duration_cast<core::milliseconds>(m_deadline - now());
+}
+
+policy::refusal call::final_refusal() const
+{
+    policy::refusal why;
+    why.executed = m_may_have_run ? policy::execution::unknown : policy::execution::no;
+    if (m_is_expired)
+        why.reason = m_may_have_run ? policy::refusal_reason::outcome_unknown
+                                    : policy::refusal_reason::deadline_too_short;
+    else
+        why.reason = m_may_have_run ? policy::refusal_reason::upstream_failed
+                                    : policy::refusal_reason::upstream_refused;
+    why.remedy = m_may_have_run ? "look up what became of the request before sending it again"
+                                : "come back after the time given";
+    constexpr core::milliseconds shortest{200};
+    why.retry_after = std::max(shortest, remaining() / 6);
+    return why;
+}
+
+} // namespace snipeplank::serving
--- /dev/null
+++ b/packages/serving/src/call.hpp
@@ -0,0 +1,127 @@
+/// @file
+/// One request from its head to the last byte of its answer.
+
+#ifndef SNIPEPLANK_SERVING_SRC_CALL_HPP
+#define SNIPEPLANK_SERVING_SRC_CALL_HPP
+
+#include <snipeplank/http/client.hpp>
+#include <snipeplank/http/event_stream.hpp>
+#include <snipeplank/http/server.hpp>
+#include <snipeplank/serving/placement.hpp>
+#include <snipeplank/serving/protocols.hpp>
+#include <snipeplank/serving/routing_table.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "attempt.hpp"
+#include "call_log.hpp"
+
+namespace snipeplank::serving
+{
+
+/// @brief Makes attempts at nodes of other regions.
+class region_caller
+{
+  public:
+    virtual ~region_caller() = default;
+
+    /// @brief An attempt at a node of `region`, or null when none answers.
+    virtual std::unique_ptr<attempt> call(const core::region_id& region,
+                                          const http::request_head& request,
+                                          const std::string& body,
+                                          core::milliseconds remaining) = 0;
+};
+
+/// @brief What every call of a node shares. All members outlive the calls.
+struct call_environment
+{
+    boost::asio::io_context& loop;
+    http::connection_pool& pool;
+    placement& places;
+    const caller_protocol& callers;
+    const upstream_protocol& upstreams;
+    region_caller& regions;
+    call_log& log;
+    std::shared_ptr<const routing_table> table; ///< null before the first configuration
+};
+
+/// @brief One call from another region.
+struct forwarded_from
+{
+    core::milliseconds remaining{0};
+    std::function<void(const policy::refusal&)> refuse; ///< tells the other node
+};
+
+/// @brief Serves one request. Lives in the coroutine that runs it.
+class call
+{
+  public:
+    /// @param forwarded set when another region's node sent the request
+    call(const call_environment& environment, http::exchange& request,
+         std::optional<forwarded_from> forwarded);
+
+    /// @brief Gives the request its one answer.
+    boost::asio::awaitable<void> run();
+
+  private:
+    /// What follows an attempt.
+    enum class next_step
+    {
+        done,
+        try_again,
+    };
+
+    bool prepare(policy::refusal& why);
+    boost::asio::awaitable<void> refuse(policy::refusal why);
+    boost::asio::awaitable<void> attempt_until_answered();
+    boost::asio::awaitable<next_step> attempt_once(const placement_decision& where);
+    boost::asio::awaitable<next_step> on_start(const attempt_start& result);
+    boost::asio::awaitable<next_step> on_failed_start(const attempt_start& result);
+    boost::asio::awaitable<next_step> pass_stream(const attempt_start& result);
+    boost::asio::awaitable<next_step> pass_whole(const attempt_start& result);
+    boost::asio::awaitable<next_step> on_broken_stream();
+    void note_broken(const core::result<http::body_piece>& piece);
+    std::unique_ptr<attempt> make_attempt(const placement_decision& where);
+    placement_request next_request() const;
+    bool may_repeat(bool proven_not_run);
+    void end_attempt(placement_end how);
+    void start_deadline();
+    void give_up();
+    void on_client_gone();
+    core::milliseconds remaining() const;
+    policy::refusal final_refusal() const;
+
+    const call_environment& m_environment;
+    http::exchange& m_exchange;
+    std::optional<forwarded_from> m_forwarded;
+    std::shared_ptr<const routing_table> m_table;
+    caller_request m_caller;
+    const route* m_route = nullptr;
+    core::service_id m_service;
+    core::time_point m_deadline{};
+    boost::asio::steady_timer m_timer;
+    std::unique_ptr<attempt> m_attempt;
+    std::optional<std::uint64_t> m_attempt_number;
+    std::vector<upstream_id> m_tried;
+    std::vector<core::region_id> m_tried_regions;
+    http::event_splitter m_events;
+    std::string m_resume_from;
+    call_outcome_line m_line;
+    unsigned m_runs = 0;  ///< attempts that may have run
+    unsigned m_sends = 0; ///< attempts of which a byte may have arrived
+    bool m_may_have_run = false;
+    bool m_is_expired = false;
+    bool m_client_is_gone = false;
+    std::shared_ptr<call*> m_self; ///< expires with the call, for a timer that fires late
+};
+
+} // namespace snipeplank::serving
+
+#endif
--- /dev/null
+++ b/packages/serving/src/call_log.cpp
@@ -0,0 +1,113 @@
+#include "call_log.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+
+namespace snipeplank::serving
+{
+
+namespace
+{
+
+/// Lines a second and lines at once, by kind.
+constexpr double lifecycle_rate = 20;
+constexpr double belief_rate = 20;
+constexpr double failure_rate = 50;
+constexpr double success_rate = 5;
+constexpr double burst_seconds = 4;
+
+policy::token_bucket budget(double rate)
+{
+    return {rate, rate * burst_seconds};
+}
+
+/// Whether a line up to PIPE_BUF bytes can be written to standard output without blocking.
+bool is_output_ready()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+std::string dump(const nlohmann::ordered_json& line)
+{
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::int64_t wall_ms()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+} // namespace
+
+call_log::call_log(std::string node)
+    : m_node(std::move(node)), m_budgets{budget(lifecycle_rate), budget(belief_rate),
+                                         budget(failure_rate), budget(success_rate)}
+{
+}
+
+bool call_log::take(line_kind kind, core::time_point now)
+{
+    const bool allowed = m_budgets[static_cast<std::size_t>(kind)].take(1, now);
+    m_dropped += allowed ? 0 : 1;
+    return allowed;
+}
+
+void call_log::write(const std::string& line)
+{
+    constexpr std::size_t longest = 4'000;
+    if (line.size() > longest || !is_output_ready())
+    {
+        ++m_dropped;
+        return;
+    }
+    const std::string text = line + "\n";
+    if (::write(STDOUT_FILENO, text.data(), text.size()) < 0)
+        ++m_dropped;
+}
+
+void call_log::emit(std::string_view what, const nlohmann::json& fields)
+{
+    nlohmann::ordered_json line{{"time_ms", wall_ms()}, {"node", m_node}, {"event", what}};
+    line.update(nlohmann::ordered_json(fields));
+    if (m_dropped != m_dropped_said)
+    {
+        line["lines_dropped"] = m_dropped;
+        m_dropped_said = m_dropped;
+    }
+    write(dump(line));
+}
+
+void call_log::event(line_kind kind, std::string_view what, const nlohmann::json& fields)
+{
+    if (take(kind, std::chrono::steady_clock::now()))
+        emit(what, fields);
+}
+
+void call_log::call_ended(const call_outcome_line& line)
+{
+    ++m_outcomes[line.outcome];
+    const bool is_success = line.outcome == "answered";
+    if (!take(is_success ? line_kind::success : line_kind::failure,
+              std::chrono::steady_clock::now()))
+        return;
+    emit("call", {{"request_id", line.request_id},
+                  {"outcome", line.outcome},
+                  {"status", line.status},
+                  {"executed", line.executed},
+                  {"route", line.route},
+                  {"service", line.service},
+                  {"config_version", line.config_version},
+                  {"attempts", line.attempts},
+                  {"predicted_ms", line.predicted_ms},
+                  {"remaining_ms", line.remaining_ms},
+                  {"retry_after_ms", line.retry_after_ms},
+                  {"total_ms", line.total_ms}});
+}
+
+} // namespace snipeplank::serving
--- /dev/null
+++ b/packages/serving/src/fleet_link.cpp
@@ -0,0 +1,271 @@
+#include "fleet_link.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace snipeplank::serving
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr core::milliseconds exchange_interval{300};
+/// Nodes to which one exchange of loads goes at most.
+constexpr std::size_t exchange_fanout = 10;
+/// A node counts as possibly running this long after it was last known.
+constexpr core::seconds sighting_lifetime{60};
+/// A node that was added and is not known yet.
+constexpr std::size_t unseen_nodes = 1;
+constexpr std::size_t members_per_message = 12;
+
+core::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+fleet_link::fleet_link(asio::io_context& loop, const node_options& options,
+                       core::random_source& random, fleet_listener& listener)
+    : m_loop(loop), m_options(options), m_random(random),
+      m_listener(listener), m_self{options.peer_address, core::incarnation{random.next()}},
+      m_members({m_self, options.caller_address, options.zone}, random),
+      m_network(wire::make_peer_network()), m_timer(loop), m_seeds(options.seeds)
+{
+}
+
+fleet_link::~fleet_link()
+{
+    stop();
+}
+
+core::result<void> fleet_link::start()
+{
+    wire::peer_settings settings;
+    settings.self = m_self;
+    settings.region = m_options.region;
+    settings.zone = m_options.zone;
+    settings.listen = m_options.peer_address;
+    settings.fleet_keys = m_options.fleet_keys;
+    auto started = m_network->start(std::move(settings), *this);
+    if (!started)
+        return boost::outcome_v2::failure(started.error());
+    m_last_tick = now();
+    m_members.start(m_last_tick);
+    m_members.on_host_list(m_seeds, m_last_tick);
+    schedule_tick();
+    return boost::outcome_v2::success();
+}
+
+void fleet_link::set_seeds(std::vector<core::address> seeds)
+{
+    m_seeds = std::move(seeds);
+}
+
+void fleet_link::begin_leaving()
+{
+    m_is_leaving = true;
+    m_members.begin_leaving(now());
+    for (const fleet::member_update& each : m_members.members())
+    {
+        send_gossip(each.id.address, compose(fleet::gossip_kind::announce));
+    }
+}
+
+void fleet_link::stop()
+{
+    m_timer.cancel();
+    m_network->stop();
+}
+
+void fleet_link::schedule_tick()
+{
+    m_timer.expires_after(fleet::tick_interval);
+    m_timer.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (error)
+                return;
+            tick();
+            schedule_tick();
+        });
+}
+
+void fleet_link::tick()
+{
+    const core::time_point time = now();
+    if (time - m_last_tick > fleet::frozen_gap)
+        m_members.resume_after_freeze(time);
+    m_last_tick = time;
+    m_members.on_host_list(m_seeds, time);
+    m_members.on_tick(time);
+    send_probes();
+    note_sightings(time);
+    if (m_members.take_changed())
+        m_listener.on_members_changed();
+    static_cast<void>(m_members.take_urgent());
+    static_cast<void>(m_members.take_renewal());
+    if (time < m_next_exchange)
+        return;
+    m_next_exchange = time + exchange_interval;
+    exchange_loads();
+}
+
+fleet::gossip fleet_link::compose(fleet::gossip_kind kind) const
+{
+    fleet::gossip body;
+    body.kind = kind;
+    body.sender = m_members.self();
+    body.sender_region = m_options.region;
+    return body;
+}
+
+void fleet_link::send_gossip(const core::address& to, fleet::gossip body)
+{
+    m_network->send(to, std::move(body));
+}
+
+void fleet_link::send_probes()
+{
+    constexpr std::size_t update_bytes = 600;
+    for (const fleet::probe& next : m_members.take_probes())
+    {
+        fleet::gossip body = compose(next.kind);
+        body.sequence = next.sequence;
+        body.target = next.target;
+        body.wants_members = next.wants_members;
+        body.members = m_members.take_urgent_updates(next.to);
+        if (!next.brief)
+        {
+            for (fleet::member_update& update : m_members.take_updates(update_bytes))
+            {
+                body.members.push_back(std::move(update));
+            }
+        }
+        send_gossip(next.to, std::move(body));
+    }
+}
+
+void fleet_link::send_members(const core::address& to)
+{
+    const std::vector<fleet::member_update> members = m_members.members();
+    for (std::size_t begin = 0; begin < members.size(); begin += members_per_message)
+    {
+        fleet::gossip body = compose(fleet::gossip_kind::announce);
+        const std::size_t end = std::min(members.size(), begin + members_per_message);
+        body.members.assign(members.begin() + static_cast<std::ptrdiff_t>(begin),
+                            members.begin() + static_cast<std::ptrdiff_t>(end));
+        send_gossip(to, std::move(body));
+    }
+}
+
+void fleet_link::exchange_loads()
+{
+    std::vector<live_node> nodes = live_nodes();
+    std::erase_if(nodes, [&](const live_node& each) { return each.peer == m_self.address; });
+    while (nodes.size() > exchange_fanout)
+    {
+        nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(m_random.below(nodes.size())));
+    }
+    if (nodes.empty() || m_is_leaving)
+        return;
+    fleet::gossip body = compose(fleet::gossip_kind::announce);
+    body.loads = m_listener.own_loads();
+    body.regions = {m_listener.own_region()};
+    for (const live_node& each : nodes)
+    {
+        send_gossip(each.peer, body);
+    }
+}
+
+void fleet_link::handle_gossip(const fleet::gossip& received)
+{
+    m_silent.erase(received.sender.id.address);
+    m_members.on_gossip(received, now());
+    if (received.wants_members)
+        send_members(received.sender.id.address);
+    send_probes();
+    if (m_members.take_changed())
+        m_listener.on_members_changed();
+    if (!received.regions.empty() || !received.loads.empty())
+        m_listener.on_peer_loads(received);
+}
+
+void fleet_link::on_message(const wire::peer_identity& from, wire::message received)
+{
+    asio::post(m_loop,
+               [this, from, received = std::move(received)]
+               {
+                   if (const auto* gossip = std::get_if<fleet::gossip>(&received))
+                       handle_gossip(*gossip);
+                   else
+                       m_listener.on_call_message(from, received);
+               });
+}
+
+void fleet_link::on_connection_lost(const wire::peer_identity& peer)
+{
+    asio::post(m_loop,
+               [this, address = peer.node.address]
+               {
+                   m_silent.insert(address);
+                   m_listener.on_peer_lost(address);
+                   m_listener.on_members_changed();
+               });
+}
+
+void fleet_link::on_unreachable(const core::address& peer)
+{
+    asio::post(m_loop,
+               [this, peer]
+               {
+                   m_silent.insert(peer);
+                   m_listener.on_peer_unreachable(peer);
+                   m_listener.on_members_changed();
+               });
+}
+
+core::region_id fleet_link::region_of(const core::zone_id& zone) const
+{
+    const auto found = m_options.zones.find(zone);
+    return found == m_options.zones.end() ? core::region_id{} : found->second;
+}
+
+std::vector<live_node> fleet_link::live_nodes() const
+{
+    std::vector<live_node> nodes;
+    if (!m_is_leaving)
+        nodes.push_back(
+            {m_self.address, m_options.caller_address, m_options.zone, m_options.region});
+    for (const fleet::member_update& each : m_members.members())
+    {
+        if (each.state != fleet::member_state::alive || m_silent.contains(each.id.address))
+            continue;
+        nodes.push_back({each.id.address, each.caller_address, each.zone, region_of(each.zone)});
+    }
+    return nodes;
+}
+
+void fleet_link::note_sightings(core::time_point time)
+{
+    for (const fleet::member_update& each : m_members.members())
+    {
+        m_sightings[each.id.address] = {region_of(each.zone), time};
+    }
+    std::erase_if(m_sightings,
+                  [&](const auto& each) { return time - each.second.at > sighting_lifetime; });
+}
+
+std::size_t fleet_link::possible_nodes(bool in_region) const
+{
+    const auto counts = [&](const auto& each)
+    { return !in_region || each.second.region == m_options.region; };
+    return 1 + unseen_nodes +
+           static_cast<std::size_t>(std::count_if(m_sightings.begin(), m_sightings.end(), counts));
+}
+
+} // namespace snipeplank::serving
--- /dev/null
+++ b/packages/serving/src/fleet_link.hpp
@@ -0,0 +1,120 @@
+/// @file
+/// This node's place among the others: membership, loads and the messages of calls.
+
+#ifndef SNIPEPLANK_SERVING_SRC_FLEET_LINK_HPP
+#define SNIPEPLANK_SERVING_SRC_FLEET_LINK_HPP
+
+#include <snipeplank/core/random.hpp>
+#include <snipeplank/fleet/membership.hpp>
+#include <snipeplank/serving/node.hpp>
+#include <snipeplank/wire/peer_network.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace snipeplank::serving
+{
+
+/// @brief A node that answers.
+struct live_node
+{
+    core::address peer;
+    core::address caller_address;
+    core::zone_id zone;
+    core::region_id region;
+};
+
+/// @brief What the link asks of and tells its node, on the event loop.
+class fleet_listener
+{
+  public:
+    virtual ~fleet_listener() = default;
+
+    virtual void on_members_changed() = 0;
+    virtual void on_call_message(const wire::peer_identity& from, const wire::message& what) = 0;
+    virtual void on_peer_lost(const core::address& peer) = 0;
+    virtual void on_peer_unreachable(const core::address& peer) = 0;
+    virtual void on_peer_loads(const fleet::gossip& received) = 0;
+    virtual std::vector<fleet::upstream_load> own_loads() = 0;
+    virtual fleet::region_summary own_region() = 0;
+};
+
+/// @brief One membership group of all nodes of all regions.
+///
+/// The messages of the membership protocol cost a node the same whatever the size of the group.
+class fleet_link final : public wire::peer_handler
+{
+  public:
+    fleet_link(boost::asio::io_context& loop, const node_options& options,
+               core::random_source& random, fleet_listener& listener);
+    ~fleet_link() override;
+    fleet_link(const fleet_link&) = delete;
+    fleet_link& operator=(const fleet_link&) = delete;
+
+    core::result<void> start();
+
+    /// @brief Replaces the addresses where other nodes may be found.
+    void set_seeds(std::vector<core::address> seeds);
+
+    /// @brief Tells all nodes that this one is stopping.
+    void begin_leaving();
+
+    void stop();
+
+    /// @brief Nodes that answer and are not stopping, this one included unless it is stopping.
+    std::vector<live_node> live_nodes() const;
+
+    /// @brief Largest number of nodes that may be running: in the region, or everywhere.
+    std::size_t possible_nodes(bool in_region) const;
+
+    wire::peer_network& network() { return *m_network; }
+    core::incarnation incarnation() const { return m_self.incarnation; }
+
+    void on_message(const wire::peer_identity& from, wire::message received) override;
+    void on_connection_lost(const wire::peer_identity& peer) override;
+    void on_unreachable(const core::address& peer) override;
+
+  private:
+    struct sighting
+    {
+        core::region_id region;
+        core::time_point at{};
+    };
+
+    void tick();
+    void schedule_tick();
+    void handle_gossip(const fleet::gossip& received);
+    void send_probes();
+    void send_members(const core::address& to);
+    void exchange_loads();
+    void send_gossip(const core::address& to, fleet::gossip body);
+    fleet::gossip compose(fleet::gossip_kind kind) const;
+    void note_sightings(core::time_point now);
+    core::region_id region_of(const core::zone_id& zone) const;
+    std::vector<fleet::member_update> members_in(fleet::member_state state) const;
+
+    boost::asio::io_context& m_loop;
+    const node_options& m_options;
+    core::random_source& m_random;
+    fleet_listener& m_listener;
+    core::node_id m_self;
+    fleet::membership m_members;
+    std::unique_ptr<wire::peer_network> m_network;
+    boost::asio::steady_timer m_timer;
+    std::vector<core::address> m_seeds;
+    std::set<core::address> m_silent; ///< connection lost, and not heard since
+    std::map<core::address, sighting> m_sightings;
+    core::time_point m_next_exchange{};
+    core::time_point m_last_tick{};
+    bool m_is_leaving = false;
+};
+
+} // namespace snipeplank::serving
+
+#endif
--- /dev/null
+++ b/packages/serving/src/node.cpp
@@ -0,0 +1,512 @@
+#include <snipeplank/core/random.hpp>
+#include <snipeplank/serving/node.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "call.hpp"
+#include "call_log.hpp"
+#include "fleet_link.hpp"
+#include "peer_calls.hpp"
+
+namespace snipeplank::serving
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// New connections are accepted this long after the stop was announced, because clients keep an
+/// answer of the directory for some seconds.
+constexpr core::milliseconds accept_after_stop{2'500};
+/// Idle connections of a stopping node are closed after this long.
+constexpr core::milliseconds idle_after_stop{3'000};
+/// The process ends itself this long before it would be killed.
+constexpr core::milliseconds stop_margin{700};
+constexpr core::milliseconds housekeeping_interval{250};
+constexpr core::milliseconds stop_check_interval{50};
+constexpr int ok = 200;
+constexpr int not_found = 404;
+constexpr int unavailable = 503;
+constexpr std::size_t most_reported_loads = 30;
+
+core::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+http::response text_response(int status, std::string text, std::string_view type = "text/plain")
+{
+    http::response answer;
+    answer.head.status = status;
+    answer.head.headers.emplace_back("Content-Type", type);
+    answer.body = std::move(text);
+    return answer;
+}
+
+std::uint16_t saturate(double value)
+{
+    constexpr double most = 65'535;
+    return static_cast<std::uint16_t>(std::clamp(value, 0.0, most));
+}
+
+/// Adapts a function to a request handler.
+class function_handler final : public http::request_handler
+{
+  public:
+    using function = std::function<asio::awaitable<void>(http::exchange&)>;
+
+    explicit function_handler(function action) : m_action(std::move(action)) {}
+
+    void set_limits(const http::server_limits& limits) { m_limits = limits; }
+    http::server_limits limits() const override { return m_limits; }
+    asio::awaitable<void> handle(http::exchange& request) override { return m_action(request); }
+
+  private:
+    function m_action;
+    http::server_limits m_limits;
+};
+
+} // namespace
+
+class node::state final : public state_listener, public fleet_listener
+{
+  public:
+    state(asio::io_context& loop, node_options options, node_adapters adapters)
+        : m_loop(loop), m_options(std::move(options)), m_adapters(adapters),
+          m_random(core::system_seed()), m_log(m_options.name), m_pool(loop),
+          m_places(m_options.region, m_options.bounds, m_random),
+          m_fleet(loop, m_options, m_random, *this),
+          m_peers(
+              loop, m_fleet.network(),
+              {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
+              m_random),
+          m_environment{loop,    m_pool, m_places, adapters.callers, adapters.upstreams,
+                        m_peers, m_log,  nullptr},
+          m_calls([this](http::exchange& request) { return serve_call(request); }),
+          m_control([this](http::exchange& request) { return serve_control(request); }),
+          m_admin([this](http::exchange& request) { return serve_admin(request); }),
+          m_call_server(loop, m_calls), m_ready_server(loop, m_control),
+          m_directory_server(loop, m_control), m_admin_server(loop, m_admin), m_housekeeping(loop),
+          m_stop_timer(loop)
+    {
+        m_peers.set_server([this](std::unique_ptr<http::exchange> request, forwarded_from from)
+                           { serve_peer(std::move(request), std::move(from)); });
+    }
+
+    core::result<void> start()
+    {
+        m_log.event(line_kind::lifecycle, "start",
+                    {{"region", m_options.region.get()},
+                     {"zone", m_options.zone.get()},
+                     {"callers", m_options.caller_address.get()},
+                     {"admin", m_options.admin_address.get()}});
+        for (const auto& [server, address] :
+             {std::pair{&m_call_server, &m_options.caller_address},
+              std::pair{&m_ready_server, &m_options.readiness_address},
+              std::pair{&m_directory_server, &m_options.directory_address},
+              std::pair{&m_admin_server, &m_options.admin_address}})
+        {
+            if (address->get().empty())
+                continue;
+            if (const auto listening = server->listen(*address); !listening)
+                return boost::outcome_v2::failure(listening.error());
+        }
+        if (auto started = m_fleet.start(); !started)
+            return started;
+        m_adapters.source.set_peers([this] { return admin_addresses(); });
+        m_adapters.source.start(*this);
+        on_members_changed();
+        keep_house();
+        return boost::outcome_v2::success();
+    }
+
+    void reload(const node_options& changed)
+    {
+        m_fleet.set_seeds(changed.seeds);
+        m_log.event(line_kind::lifecycle, "reload", {{"seeds", changed.seeds.size()}});
+    }
+
+    void begin_stop()
+    {
+        if (m_is_stopping)
+            return;
+        m_is_stopping = true;
+        m_stop_began = now();
+        m_log.event(line_kind::lifecycle, "stop_begins",
+                    {{"active", m_call_server.active()}, {"forwarded", m_peers.served()}});
+        m_fleet.begin_leaving();
+        m_call_server.begin_closing(idle_after_stop);
+        check_stop();
+    }
+
+    void on_configuration(std::shared_ptr<const routing_table> table) override
+    {
+        m_environment.table = table;
+        m_calls.set_limits(table->limits);
+        m_log.event(line_kind::belief, "configuration",
+                    {{"version", table->version.get()}, {"routes", table->routes.size()}});
+        m_places.set_table(std::move(table));
+    }
+
+    void on_upstreams(const upstream_map& upstreams) override
+    {
+        for (const auto& [id, known] : upstreams)
+        {
+            const auto before = m_upstreams.find(id);
+            if (before != m_upstreams.end() && before->second == known)
+                continue;
+            m_log.event(line_kind::belief, "upstream",
+                        {{"id", id.get()},
+                         {"address", known.address.get()},
+                         {"service", known.service.get()},
+                         {"zone", known.zone.get()},
+                         {"leaving", known.is_leaving},
+                         {"cold_ms", known.cold_for.count()}});
+        }
+        for (const auto& [id, known] : m_upstreams)
+        {
+            if (!upstreams.contains(id))
+                m_log.event(line_kind::belief, "upstream_gone", {{"id", id.get()}});
+        }
+        m_upstreams = upstreams;
+        m_places.set_upstreams(upstreams, now());
+    }
+
+    void on_evacuations(const zone_set& zones) override
+    {
+        nlohmann::json names = nlohmann::json::array();
+        for (const core::zone_id& zone : zones)
+        {
+            names.push_back(zone.get());
+        }
+        m_log.event(line_kind::belief, "evacuations", {{"zones", names}});
+        m_places.set_evacuations(zones, now());
+    }
+
+    void on_members_changed() override
+    {
+        m_nodes = m_fleet.live_nodes();
+        std::vector<region_node> others;
+        for (const live_node& each : m_nodes)
+        {
+            if (each.region != m_options.region)
+                others.push_back({each.peer, each.region});
+        }
+        m_peers.set_nodes(std::move(others));
+        m_places.set_node_counts(m_fleet.possible_nodes(true), m_fleet.possible_nodes(false));
+        refresh_regions();
+    }
+
+    void on_call_message(const wire::peer_identity& from, const wire::message& what) override
+    {
+        m_peers.on_message(from, what);
+    }
+
+    void on_peer_lost(const core::address& peer) override
+    {
+        m_log.event(line_kind::belief, "peer_lost", {{"peer", peer.get()}});
+        m_peers.on_connection_lost(peer);
+    }
+
+    void on_peer_unreachable(const core::address& peer) override { m_peers.on_unreachable(peer); }
+
+    void on_peer_loads(const fleet::gossip& received) override
+    {
+        const core::time_point time = now();
+        if (received.sender_region == m_options.region)
+        {
+            std::map<std::uint64_t, peer_load> loads;
+            for (const fleet::upstream_load& each : received.loads)
+            {
+                loads[each.upstream_key] = {static_cast<double>(each.running),
+                                            static_cast<double>(each.waiting)};
+            }
+            m_places.set_peer_loads(received.sender.id.incarnation.get(), std::move(loads), time);
+            return;
+        }
+        if (!m_environment.table)
+            return;
+        for (const fleet::region_summary& summary : received.regions)
+        {
+            other_region& known = m_regions[summary.region];
+            known.heard = time;
+            known.services.clear();
+            for (const auto& [name, offered] : m_environment.table->services)
+            {
+                for (const fleet::service_load& each : summary.services)
+                {
+                    if (each.service_key == fleet::service_key(name))
+                        known.services[name] = {each.upstreams, static_cast<double>(each.running),
+                                                static_cast<double>(each.waiting)};
+                }
+            }
+        }
+        refresh_regions();
+    }
+
+    std::vector<fleet::upstream_load> own_loads() override
+    {
+        std::vector<fleet::upstream_load> loads;
+        for (const auto& [key, load] : m_places.own_loads())
+        {
+            if (loads.size() == most_reported_loads)
+                break;
+            fleet::upstream_load each;
+            each.upstream_key = key;
+            each.running = saturate(load.running);
+            each.waiting = saturate(load.waiting);
+            loads.push_back(each);
+        }
+        return loads;
+    }
+
+    fleet::region_summary own_region() override
+    {
+        fleet::region_summary summary;
+        summary.region = m_options.region;
+        summary.issuer = m_fleet.incarnation().get();
+        for (const auto& [name, load] : m_places.region_loads(now()))
+        {
+            fleet::service_load each;
+            each.service_key = fleet::service_key(name);
+            each.upstreams = static_cast<std::uint16_t>(load.upstreams);
+            each.running = saturate(load.running);
+            each.waiting = saturate(load.waiting);
+            summary.services.push_back(each);
+        }
+        return summary;
+    }
+
+  private:
+    asio::awaitable<void> serve_call(http::exchange& request)
+    {
+        if (m_is_stopping && now() > m_stop_began + idle_after_stop)
+        {
+            const policy::refusal why = draining_refusal();
+            http::response answer = m_adapters.callers.refuse(caller_request(), why);
+            co_await request.send(std::move(answer));
+            co_return;
+        }
+        call served(m_environment, request, std::nullopt);
+        co_await served.run();
+    }
+
+    static policy::refusal draining_refusal()
+    {
+        constexpr core::milliseconds come_back{50};
+        return {policy::refusal_reason::draining, policy::execution::no,
+                "send the request to another node", come_back};
+    }
+
+    void serve_peer(std::unique_ptr<http::exchange> request, forwarded_from from)
+    {
+        asio::co_spawn(m_loop, run_peer_call(std::move(request), std::move(from)), asio::detached);
+    }
+
+    asio::awaitable<void> run_peer_call(std::unique_ptr<http::exchange> request,
+                                        forwarded_from from)
+    {
+        call served(m_environment, *request, std::move(from));
+        co_await served.run();
+    }
+
+    asio::awaitable<void> serve_control(http::exchange& request)
+    {
+        const control_request read = m_adapters.control.read(request.head());
+        switch (read.question)
+        {
+        case control_question::is_ready:
+            co_await request.send(text_response(is_ready() ? ok : unavailable, ""));
+            break;
+        case control_question::entry_points:
+            co_await request.send(m_adapters.control.entry_points(
+                entry_points(read.region, read.zone), m_options.entry_point_lifetime));
+            break;
+        case control_question::unknown:
+            co_await request.send(text_response(not_found, "no such path\n"));
+            break;
+        }
+    }
+
+    asio::awaitable<void> serve_admin(http::exchange& request)
+    {
+        const std::string_view path = http::path_of(request.head().target);
+        if (path == "/metrics")
+            co_await request.send(text_response(ok, metrics()));
+        else if (path == "/readyz")
+            co_await request.send(text_response(is_ready() ? ok : unavailable, ""));
+        else if (path == "/v1/state")
+            co_await request.send(
+                text_response(ok, m_adapters.source.snapshot(), "application/json"));
+        else
+            co_await request.send(text_response(not_found, "no such path\n"));
+    }
+
+    bool is_ready() const { return !m_is_stopping && m_environment.table != nullptr; }
+
+    /// The client's availability zone first, then its region; another region only when no node of
+    /// the client's own answers.
+    std::vector<core::address> entry_points(const core::region_id& region,
+                                            const core::zone_id& zone) const
+    {
+        constexpr std::size_t most = 64;
+        std::vector<core::address> same_zone;
+        std::vector<core::address> same_region;
+        std::vector<core::address> others;
+        for (const live_node& each : m_nodes)
+        {
+            if (each.zone == zone)
+                same_zone.push_back(each.caller_address);
+            else if (each.region == region)
+                same_region.push_back(each.caller_address);
+            else
+                others.push_back(each.caller_address);
+        }
+        std::vector<core::address>& chosen =
+            !same_zone.empty() ? same_zone : (!same_region.empty() ? same_region : others);
+        chosen.resize(std::min(chosen.size(), most));
+        return chosen;
+    }
+
+    std::vector<core::address> admin_addresses() const
+    {
+        const std::string own_port =
+            m_options.admin_address.get().substr(m_options.admin_address.get().rfind(':'));
+        std::vector<core::address> addresses;
+        for (const live_node& each : m_nodes)
+        {
+            if (each.peer == m_options.peer_address)
+                continue;
+            const std::string& peer = each.peer.get();
+            addresses.emplace_back(peer.substr(0, peer.rfind(':')) + own_port);
+        }
+        return addresses;
+    }
+
+    void refresh_regions()
+    {
+        for (auto& [region, known] : m_regions)
+        {
+            known.is_reachable =
+                std::any_of(m_nodes.begin(), m_nodes.end(),
+                            [&](const live_node& each) { return each.region == region; });
+            m_places.set_region(region, known);
+        }
+    }
+
+    void keep_house()
+    {
+        m_pool.sweep(now());
+        m_housekeeping.expires_after(housekeeping_interval);
+        m_housekeeping.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                    keep_house();
+            });
+    }
+
+    void check_stop()
+    {
+        const core::duration elapsed = now() - m_stop_began;
+        if (elapsed >= accept_after_stop)
+            m_call_server.close_listener();
+        const bool is_idle = m_call_server.active() == 0 && m_peers.served() == 0;
+        if ((elapsed >= idle_after_stop && is_idle) || elapsed >= m_options.stop_time - stop_margin)
+        {
+            m_log.event(line_kind::lifecycle, "stop",
+                        {{"active", m_call_server.active()}, {"forwarded", m_peers.served()}});
+            m_fleet.stop();
+            m_loop.stop();
+            return;
+        }
+        m_stop_timer.expires_after(stop_check_interval);
+        m_stop_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                    check_stop();
+            });
+    }
+
+    std::string metrics() const
+    {
+        std::string text = "# HELP snipeplank_calls_total Requests by outcome.\n"
+                           "# TYPE snipeplank_calls_total counter\n";
+        for (const auto& [outcome, count] : m_log.outcomes())
+        {
+            text += "snipeplank_calls_total{outcome=\"" + outcome + "\"} " + std::to_string(count) +
+                    "\n";
+        }
+        const auto gauge = [&](const std::string& name, std::size_t value)
+        { text += "# TYPE " + name + " gauge\n" + name + " " + std::to_string(value) + "\n"; };
+        gauge("snipeplank_calls_active", m_call_server.active());
+        gauge("snipeplank_forwarded_calls_active", m_peers.served());
+        gauge("snipeplank_client_connections", m_call_server.connections());
+        gauge("snipeplank_idle_upstream_connections", m_pool.size());
+        gauge("snipeplank_live_nodes", m_nodes.size());
+        gauge("snipeplank_upstreams", m_upstreams.size());
+        gauge("snipeplank_config_version",
+              m_environment.table ? m_environment.table->version.get() : 0);
+        gauge("snipeplank_state_source_reachable", m_adapters.source.is_reachable(now()) ? 1 : 0);
+        gauge("snipeplank_log_lines_dropped", m_log.dropped());
+        return text;
+    }
+
+    asio::io_context& m_loop;
+    node_options m_options;
+    node_adapters m_adapters;
+    core::seeded_random m_random;
+    call_log m_log;
+    http::connection_pool m_pool;
+    placement m_places;
+    fleet_link m_fleet;
+    peer_calls m_peers;
+    call_environment m_environment;
+    function_handler m_calls;
+    function_handler m_control;
+    function_handler m_admin;
+    http::server m_call_server;
+    http::server m_ready_server;
+    http::server m_directory_server;
+    http::server m_admin_server;
+    asio::steady_timer m_housekeeping;
+    asio::steady_timer m_stop_timer;
+    std::vector<live_node> m_nodes;
+    std::map<core::region_id, other_region> m_regions;
+    upstream_map m_upstreams;
+    core::time_point m_stop_began{};
+    bool m_is_stopping = false;
+};
+
+node::node(asio::io_context& loop, node_options options, node_adapters adapters)
+    : m_state(std::make_unique<state>(loop, std::move(options), adapters))
+{
+}
+
+node::~node() = default;
+
+core::result<void> node::start()
+{
+    return m_state->start();
+}
+
+void node::reload(const node_options& changed)
+{
+    m_state->reload(changed);
+}
+
+void node::begin_stop()
+{
+    m_state->begin_stop();
+}
+
+} // namespace snipeplank::serving
--- /dev/null
+++ b/packages/serving/src/peer_calls.cpp
@@ -0,0 +1,401 @@
+#include "peer_calls.hpp"
+
+#include <snipeplank/core/hash.hpp>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+#include <variant>
+
+namespace snipeplank::serving
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+core::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+/// Bytes of a body for which one frame has room beside its headers.
+constexpr std::size_t max_forwarded_body = 1'000'000;
+
+} // namespace
+
+/// One call at a node of another region, seen from the node that sent it.
+class peer_attempt final : public attempt
+{
+  public:
+    peer_attempt(peer_calls& owner, asio::io_context& loop, core::address peer, wire::call request,
+                 core::milliseconds patience)
+        : m_owner(owner), m_peer(std::move(peer)), m_request(std::move(request)), m_wake(loop),
+          m_until(now() + patience)
+    {
+        m_owner.m_pending[m_request.number] = this;
+    }
+
+    ~peer_attempt() override { m_owner.m_pending.erase(m_request.number); }
+    peer_attempt(const peer_attempt&) = delete;
+    peer_attempt& operator=(const peer_attempt&) = delete;
+
+    const core::address& peer() const { return m_peer; }
+
+    asio::awaitable<attempt_start> start() override
+    {
+        attempt_start result;
+        result.was_sent = m_owner.m_network.send(m_peer, m_request);
+        if (!result.was_sent)
+        {
+            result.is_unreachable = true;
+            result.cause = "the other region's node cannot be sent to";
+            co_return result;
+        }
+        m_request.request.body.clear();
+        const wire::message received = co_await next_message();
+        if (const auto* head = std::get_if<wire::call_head>(&received))
+        {
+            m_assembly.on_head(head->status);
+            result.kind = answer_kind::success;
+            result.head.status = head->status;
+            result.head.headers = head->headers;
+            co_return result;
+        }
+        if (const auto* refused = std::get_if<wire::call_refused>(&received))
+        {
+            const bool is_proven = refused->why.executed == policy::execution::no;
+            result.kind = is_proven ? answer_kind::not_run : answer_kind::broken;
+            result.was_sent = !m_was_dropped;
+            result.cause = std::string(policy::to_string(refused->why.reason));
+            co_return result;
+        }
+        result.cause = "unexpected message";
+        co_return result;
+    }
+
+    asio::awaitable<core::result<http::body_piece>> next() override
+    {
+        for (;;)
+        {
+            const wire::message received = co_await next_message();
+            if (const auto* chunk = std::get_if<wire::call_chunk>(&received))
+            {
+                const auto verdict = m_assembly.on_chunk(chunk->offset, chunk->data);
+                http::body_piece piece;
+                piece.data = verdict.fresh;
+                if (verdict.step == policy::assembly_step::pass_on)
+                    co_return piece;
+                if (verdict.step == policy::assembly_step::drop)
+                    continue;
+            }
+            if (const auto* end = std::get_if<wire::call_end>(&received))
+            {
+                const auto verdict = m_assembly.on_end(end->length, end->checksum);
+                if (verdict.step == policy::assembly_step::finished)
+                {
+                    m_is_finished = true;
+                    http::body_piece last;
+                    last.is_last = true;
+                    co_return last;
+                }
+            }
+            co_return broken_off();
+        }
+    }
+
+    void cancel() override
+    {
+        if (!m_is_finished)
+            m_owner.m_network.send(m_peer, wire::cancel{m_request.number, {}});
+        m_is_finished = true;
+        deliver(broken(policy::refusal_reason::peer_unreachable));
+    }
+
+    void finish() override {}
+
+    void deliver(wire::message received)
+    {
+        m_received.push_back(std::move(received));
+        m_wake.cancel();
+    }
+
+    /// The connection was lost; the call may have run.
+    void on_lost() { deliver(broken(policy::refusal_reason::peer_unreachable)); }
+
+    /// No byte of the call reached a socket.
+    void on_dropped()
+    {
+        m_was_dropped = true;
+        on_lost();
+    }
+
+  private:
+    core::result<http::body_piece> broken_off() const
+    {
+        return core::fail(core::error_code::answer_truncated,
+                          "the answer from " + m_peer.get() + " broke off",
+                          "see the log of that node");
+    }
+
+    wire::message broken(policy::refusal_reason reason) const
+    {
+        return wire::call_refused{m_request.number,
+                                  {reason, policy::execution::unknown, {}, core::milliseconds{0}}};
+    }
+
+    asio::awaitable<wire::message> next_message()
+    {
+        while (m_received.empty())
+        {
+            if (now() >= m_until)
+                co_return broken(policy::refusal_reason::deadline_passed);
+            boost::system::error_code ignored;
+            m_wake.expires_at(m_until);
+            co_await m_wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        wire::message first = std::move(m_received.front());
+        m_received.pop_front();
+        co_return first;
+    }
+
+    peer_calls& m_owner;
+    core::address m_peer;
+    wire::call m_request;
+    asio::steady_timer m_wake;
+    core::time_point m_until;
+    std::deque<wire::message> m_received;
+    policy::answer_assembly m_assembly;
+    bool m_is_finished = false;
+    bool m_was_dropped = false;
+};
+
+/// A call of another node, as the request that this node serves.
+class peer_calls::served_exchange final : public http::exchange
+{
+  public:
+    served_exchange(peer_calls& owner, policy::call_key key, const wire::call_request& request)
+        : m_owner(owner), m_key(std::move(key)), m_body(request.body), m_received(now())
+    {
+        m_head = {request.method, request.target, request.headers};
+        m_owner.m_served[m_key] = this;
+    }
+
+    ~served_exchange() override
+    {
+        if (!m_is_finished)
+            abort();
+        m_owner.forget_served(m_key);
+    }
+    served_exchange(const served_exchange&) = delete;
+    served_exchange& operator=(const served_exchange&) = delete;
+
+    const http::request_head& head() const override { return m_head; }
+    const std::string& body() const override { return m_body; }
+    core::time_point received_at() const override { return m_received; }
+    bool has_begun() const override { return m_has_begun; }
+    const policy::call_key& key() const { return m_key; }
+
+    asio::awaitable<bool> send(http::response answer) override
+    {
+        co_await begin(std::move(answer.head));
+        co_await write(answer.body);
+        co_return co_await finish();
+    }
+
+    asio::awaitable<bool> begin(http::response_head head) override
+    {
+        co_return send_head(std::move(head));
+    }
+
+    asio::awaitable<bool> write(std::string_view data) override
+    {
+        constexpr std::size_t most_in_frame = 65'536;
+        while (!data.empty())
+        {
+            send_chunk(data.substr(0, most_in_frame));
+            data.remove_prefix(std::min(data.size(), most_in_frame));
+        }
+        co_return !m_is_lost;
+    }
+
+    asio::awaitable<bool> finish() override { co_return send_end(); }
+
+    void abort() override
+    {
+        refuse({policy::refusal_reason::upstream_failed, policy::execution::unknown,
+                "look up what became of the request", core::milliseconds{0}});
+    }
+
+    void refuse(const policy::refusal& why)
+    {
+        m_is_finished = true;
+        reply(wire::call_refused{m_key.number, why});
+    }
+
+    void on_client_gone(std::function<void()> action) override
+    {
+        m_gone = std::move(action);
+        if (m_is_lost)
+            on_cancel();
+    }
+
+    void on_cancel()
+    {
+        m_is_lost = true;
+        if (m_gone)
+            std::exchange(m_gone, nullptr)();
+    }
+
+  private:
+    bool send_head(http::response_head head)
+    {
+        m_has_begun = true;
+        return reply(wire::call_head{m_key.number, head.status, std::move(head.headers)});
+    }
+
+    void send_chunk(std::string_view data)
+    {
+        m_sum.update(data);
+        reply(wire::call_chunk{m_key.number, m_length, std::string(data)});
+        m_length += data.size();
+    }
+
+    bool send_end()
+    {
+        m_is_finished = true;
+        return reply(wire::call_end{m_key.number, m_length, m_sum.digest()});
+    }
+
+    bool reply(const wire::message& what)
+    {
+        return !m_is_lost && m_owner.m_network.reply(m_key.entry, what);
+    }
+
+    peer_calls& m_owner;
+    policy::call_key m_key;
+    http::request_head m_head;
+    std::string m_body;
+    core::time_point m_received;
+    std::function<void()> m_gone;
+    core::checksum64 m_sum;
+    std::uint64_t m_length = 0;
+    bool m_has_begun = false;
+    bool m_is_finished = false;
+    bool m_is_lost = false;
+};
+
+peer_calls::peer_calls(asio::io_context& loop, wire::peer_network& network, wire::hop self,
+                       core::random_source& random)
+    : m_loop(loop), m_network(network), m_self(std::move(self)), m_random(random)
+{
+}
+
+peer_calls::~peer_calls() = default;
+
+std::unique_ptr<attempt> peer_calls::call(const core::region_id& region,
+                                          const http::request_head& request,
+                                          const std::string& body, core::milliseconds remaining)
+{
+    std::vector<const region_node*> nodes;
+    for (const region_node& each : m_nodes)
+    {
+        if (each.region == region)
+            nodes.push_back(&each);
+    }
+    if (nodes.empty() || body.size() > max_forwarded_body)
+        return nullptr;
+    wire::call what;
+    what.number = core::call_number{++m_last_number};
+    what.request.request_id = std::to_string(m_last_number);
+    what.request.remaining = remaining;
+    what.request.path = {m_self};
+    what.request.method = request.method;
+    what.request.target = request.target;
+    what.request.headers = request.headers;
+    what.request.body = body;
+    const core::address peer = nodes[m_random.below(nodes.size())]->peer;
+    return std::make_unique<peer_attempt>(*this, m_loop, peer, std::move(what), remaining);
+}
+
+void peer_calls::serve(const wire::peer_identity& from, const wire::call& received)
+{
+    const bool has_crossed = received.request.path.size() != 1;
+    const policy::call_key key{from.node, received.number};
+    if (has_crossed || !m_server || m_served.contains(key))
+    {
+        m_network.reply(from.node, wire::call_refused{received.number,
+                                                      {policy::refusal_reason::loop,
+                                                       policy::execution::no,
+                                                       "send the call from its entry node",
+                                                       {}}});
+        return;
+    }
+    auto request = std::make_unique<served_exchange>(*this, key, received.request);
+    served_exchange* raw = request.get();
+    m_server(std::move(request),
+             {received.request.remaining, [raw](const policy::refusal& why) { raw->refuse(why); }});
+}
+
+void peer_calls::on_message(const wire::peer_identity& from, const wire::message& received)
+{
+    if (const auto* what = std::get_if<wire::call>(&received))
+    {
+        serve(from, *what);
+        return;
+    }
+    if (const auto* what = std::get_if<wire::cancel>(&received))
+    {
+        const auto found = m_served.find({from.node, what->number});
+        if (found != m_served.end())
+            found->second->on_cancel();
+        return;
+    }
+    const core::call_number number = std::visit(
+        [](const auto& each)
+        {
+            if constexpr (requires { core::call_number{each.number}; })
+                return each.number;
+            else
+                return core::call_number{0};
+        },
+        received);
+    const auto found = m_pending.find(number);
+    if (found != m_pending.end() && found->second->peer() == from.node.address)
+        found->second->deliver(received);
+}
+
+void peer_calls::on_connection_lost(const core::address& peer)
+{
+    for (const auto& [number, waiting] : m_pending)
+    {
+        if (waiting->peer() == peer)
+            waiting->on_lost();
+    }
+    std::vector<served_exchange*> lost;
+    for (const auto& [key, each] : m_served)
+    {
+        if (key.entry.address == peer)
+            lost.push_back(each);
+    }
+    for (served_exchange* each : lost)
+    {
+        each->on_cancel();
+    }
+}
+
+void peer_calls::on_unreachable(const core::address& peer)
+{
+    for (const auto& [number, waiting] : m_pending)
+    {
+        if (waiting->peer() == peer)
+            waiting->on_dropped();
+    }
+}
+
+} // namespace snipeplank::serving
--- /dev/null
+++ b/packages/serving/src/peer_calls.hpp
@@ -0,0 +1,84 @@
+/// @file
+/// Calls between nodes of different regions, on the event loop.
+
+#ifndef SNIPEPLANK_SERVING_SRC_PEER_CALLS_HPP
+#define SNIPEPLANK_SERVING_SRC_PEER_CALLS_HPP
+
+#include <snipeplank/core/random.hpp>
+#include <snipeplank/policy/answer_assembly.hpp>
+#include <snipeplank/wire/peer_network.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "call.hpp"
+
+namespace snipeplank::serving
+{
+
+/// @brief One node that takes calls for its region.
+struct region_node
+{
+    core::address peer;
+    core::region_id region;
+};
+
+class peer_attempt;
+
+/// @brief Sends calls to nodes of other regions and serves theirs. Lives on the event loop.
+class peer_calls final : public region_caller
+{
+  public:
+    /// @param network outlives the object
+    /// @param self this node
+    peer_calls(boost::asio::io_context& loop, wire::peer_network& network, wire::hop self,
+               core::random_source& random);
+    ~peer_calls() override;
+
+    /// @brief Serves a request of another node on an exchange of its own.
+    using server_function =
+        std::function<void(std::unique_ptr<http::exchange>, forwarded_from from)>;
+    void set_server(server_function server) { m_server = std::move(server); }
+
+    /// @brief Nodes that answer, of all regions.
+    void set_nodes(std::vector<region_node> nodes) { m_nodes = std::move(nodes); }
+
+    std::unique_ptr<attempt> call(const core::region_id& region, const http::request_head& request,
+                                  const std::string& body, core::milliseconds remaining) override;
+
+    /// @brief Takes a message of another node; those that do not belong to calls are ignored.
+    void on_message(const wire::peer_identity& from, const wire::message& received);
+
+    /// @brief The connection to a node was lost: its answers will not come.
+    void on_connection_lost(const core::address& peer);
+
+    /// @brief The messages to this address were dropped; none of their bytes reached a socket.
+    void on_unreachable(const core::address& peer);
+
+    /// @brief Calls of other nodes that are being served.
+    std::size_t served() const { return m_served.size(); }
+
+  private:
+    friend class peer_attempt;
+    class served_exchange;
+
+    void serve(const wire::peer_identity& from, const wire::call& received);
+    void forget_served(const policy::call_key& key) { m_served.erase(key); }
+
+    boost::asio::io_context& m_loop;
+    wire::peer_network& m_network;
+    wire::hop m_self;
+    core::random_source& m_random;
+    std::vector<region_node> m_nodes;
+    std::map<core::call_number, peer_attempt*> m_pending;
+    std::map<policy::call_key, served_exchange*> m_served;
+    server_function m_server;
+    std::uint64_t m_last_number = 0;
+};
+
+} // namespace snipeplank::serving
+
+#endif
--- /dev/null
+++ b/packages/serving/src/placement.cpp
@@ -0,0 +1,741 @@
+#include <snipeplank/core/hash.hpp>
+#include <snipeplank/core/rendezvous.hpp>
+#include <snipeplank/serving/placement.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace snipeplank::serving
+{
+
+namespace
+{
+
+/// A peer's report of its load older than this says nothing.
+constexpr core::milliseconds load_lifetime{2'000};
+/// What is known of another region older than this is not used.
+constexpr core::milliseconds region_lifetime{5'000};
+/// After a failed connection the upstream is left alone this long, unless it is the only one.
+constexpr core::milliseconds unreachable_pause{1'000};
+/// Added to what an upstream says of its warm-up, for the way that the word took.
+constexpr core::milliseconds cold_margin{500};
+/// Time to another region and back until one was measured.
+constexpr double first_hop_ms = 200;
+/// Another region must be better by this much, since its load is known late.
+constexpr double spill_margin_ms = 50;
+/// Part of the objective below which a request stays in its region whatever the load elsewhere.
+constexpr double spill_from_objective = 0.35;
+/// Part of an upstream's connections that all nodes together may use.
+constexpr double connection_part = 0.8;
+/// First guesses until answers were measured.
+constexpr double first_base_ms = 20;
+constexpr double first_ms_per_token = 0.01;
+constexpr double first_duration_ms = 300;
+constexpr double first_work_ms = 20;
+constexpr core::milliseconds shortest_retry_after{100};
+
+double to_ms(core::duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+core::milliseconds from_ms(double ms)
+{
+    return core::milliseconds{static_cast<long>(ms)};
+}
+
+/// Follows a floor: samples below it pull harder than samples above.
+void follow_floor(double& floor, double sample)
+{
+    constexpr double down = 0.3;
+    constexpr double up = 0.01;
+    floor += (sample < floor ? down : up) * (sample - floor);
+}
+
+void follow_mean(double& mean, double sample)
+{
+    constexpr double weight = 0.05;
+    mean += weight * (sample - mean);
+}
+
+/// What this node has at one upstream or in one region.
+struct own_load
+{
+    double running = 0;
+    double waiting = 0;
+    double unread_tokens = 0; ///< prompt tokens of waiting requests that have to be read
+    double memory_tokens = 0; ///< of all running requests
+};
+
+struct upstream_state
+{
+    upstream info;
+    std::uint64_t key = 0; ///< hash of the address, as peers name it
+    core::time_point cold_until{};
+    core::time_point avoid_until{};
+    own_load own;
+    policy::prefix_memory prefixes;
+    policy::cold_start_limit cold;
+};
+
+/// What was learned of one service from its answers.
+struct service_state
+{
+    explicit service_state(policy::retry_bound bound) : retries(bound) {}
+
+    policy::retry_window retries;
+    policy::outlier_ejection ejection;
+    double base_ms = first_base_ms;
+    double ms_per_token = first_ms_per_token;
+    double duration_ms = first_duration_ms;
+    double work_ms = first_work_ms;
+    double unread_tokens = 0; ///< mean of a request
+    double memory_tokens = 0; ///< mean of a request
+};
+
+struct region_state
+{
+    other_region known;
+    double hop_ms = first_hop_ms;
+    std::map<core::service_id, own_load> own;
+};
+
+struct peer_report
+{
+    std::map<std::uint64_t, peer_load> loads;
+    core::time_point at{};
+};
+
+struct open_attempt
+{
+    core::service_id service;
+    upstream_id target;     ///< empty for another region
+    core::region_id region; ///< empty for an upstream
+    core::time_point sent{};
+    bool has_first_byte = false;
+    bool is_engine = false;
+    double unread_before = 0; ///< tokens to be read before the first event, own ones included
+    double running_before = 0;
+    double unread_tokens = 0;
+    double memory_tokens = 0;
+};
+
+/// Tokens of the prompt that others may share: all parts but the last.
+double shared_tokens(const caller_request& caller)
+{
+    double sum = 0;
+    for (std::size_t i = 0; i + 1 < caller.prompt.size(); ++i)
+    {
+        sum += caller.prompt[i].tokens;
+    }
+    return sum;
+}
+
+/// The most particular part that other prompts share; empty when there is none.
+std::string affinity_key(const caller_request& caller)
+{
+    return caller.prompt.size() < 2 ? std::string() : caller.prompt[caller.prompt.size() - 2].id;
+}
+
+} // namespace
+
+class placement::state
+{
+  public:
+    state(core::region_id region, placement_bounds bounds, core::random_source& random)
+        : m_region(std::move(region)), m_bounds(bounds), m_random(random)
+    {
+    }
+
+    void set_table(std::shared_ptr<const routing_table> table) { m_table = std::move(table); }
+
+    void set_upstreams(const upstream_map& upstreams, core::time_point now)
+    {
+        std::erase_if(m_upstreams,
+                      [&](const auto& known) { return !upstreams.contains(known.first); });
+        for (const auto& [id, info] : upstreams)
+        {
+            if (info.region != m_region)
+                continue;
+            upstream_state& known = m_upstreams[id];
+            if (info.cold_for.count() > 0 && info.cold_for != known.info.cold_for)
+                known.cold_until = now + info.cold_for + cold_margin;
+            known.info = info;
+            known.key = core::hash64(info.address.get());
+            if (const engine_size* engine = engine_of(info.service))
+                known.prefixes.set_capacity(engine->cache_tokens / 2);
+        }
+    }
+
+    void set_evacuations(const zone_set& zones, core::time_point now)
+    {
+        for (auto& [id, known] : m_upstreams)
+        {
+            const bool is_taken_back =
+                m_evacuated.contains(known.info.zone) && !zones.contains(known.info.zone);
+            const service* offered = m_table ? m_table->find_service(known.info.service) : nullptr;
+            if (is_taken_back && offered != nullptr && offered->warmup_rate > 0)
+                known.cold_until = std::max(known.cold_until, now + offered->warmup + cold_margin);
+        }
+        m_evacuated = zones;
+    }
+
+    void set_node_counts(std::size_t in_region, std::size_t everywhere)
+    {
+        m_nodes_in_region = std::max<std::size_t>(1, in_region);
+        m_nodes_everywhere = std::max<std::size_t>(1, everywhere);
+    }
+
+    void set_region(const core::region_id& region, const other_region& known)
+    {
+        m_regions[region].known = known;
+    }
+
+    void set_peer_loads(std::uint64_t peer, std::map<std::uint64_t, peer_load> loads,
+                        core::time_point now)
+    {
+        m_peers[peer] = {std::move(loads), now};
+        std::erase_if(m_peers,
+                      [&](const auto& each) { return now - each.second.at > load_lifetime; });
+    }
+
+    service_state& service_of(const core::service_id& name)
+    {
+        return m_services.try_emplace(name, m_bounds.retries).first->second;
+    }
+
+    bool may_send(const upstream_id& target) const
+    {
+        const auto found = m_upstreams.find(target);
+        return found != m_upstreams.end() && !found->second.info.is_leaving &&
+               !m_evacuated.contains(found->second.info.zone);
+    }
+
+    placement_decision decide(const placement_request& request, core::time_point now)
+    {
+        const auto local = best_upstream(request, now);
+        const auto remote = best_region(request, now);
+        const double objective = static_cast<double>(request.chosen->objective.count());
+        const bool local_is_good = local && local->predicted_ms <= spill_from_objective * objective;
+        const double remaining = static_cast<double>(request.remaining.count());
+        const bool remote_is_better =
+            remote && !local_is_good &&
+            (!local || remote->predicted_ms + spill_margin_ms < local->predicted_ms);
+        if (remote_is_better && remote->predicted_ms < remaining)
+            return *remote;
+        if (local && local->predicted_ms < remaining)
+            return *local;
+        if (!local && !remote)
+            return refuse(policy::refusal_reason::no_upstream, unreachable_pause.count(), request);
+        const double excess = (local ? local->predicted_ms : remote->predicted_ms) - remaining;
+        return refuse(policy::refusal_reason::overloaded, excess, request);
+    }
+
+    std::uint64_t on_sent(const placement_request& request, const upstream_id& target,
+                          core::time_point now)
+    {
+        open_attempt attempt = begin_attempt(request, now);
+        const auto found = m_upstreams.find(target);
+        if (found == m_upstreams.end())
+            return keep(std::move(attempt));
+        upstream_state& known = found->second;
+        attempt.target = target;
+        if (attempt.is_engine)
+            attempt.unread_tokens = unread_tokens(known, *request.caller);
+        attempt.unread_before =
+            total_unread(known, service_of(request.service)) + attempt.unread_tokens;
+        attempt.running_before = total(known).running;
+        known.cold.on_sent(now);
+        add(known.own, attempt, 1);
+        for (std::size_t i = 0; attempt.is_engine && i + 1 < request.caller->prompt.size(); ++i)
+        {
+            known.prefixes.add(request.caller->prompt[i].id, request.caller->prompt[i].tokens);
+        }
+        return keep(std::move(attempt));
+    }
+
+    std::uint64_t on_sent(const placement_request& request, const core::region_id& target,
+                          core::time_point now)
+    {
+        open_attempt attempt = begin_attempt(request, now);
+        attempt.region = target;
+        add(m_regions[target].own[request.service], attempt, 1);
+        return keep(std::move(attempt));
+    }
+
+    void on_first_byte(std::uint64_t number, core::time_point now)
+    {
+        const auto found = m_open.find(number);
+        if (found == m_open.end() || found->second.has_first_byte)
+            return;
+        open_attempt& attempt = found->second;
+        attempt.has_first_byte = true;
+        if (own_load* own = own_of(attempt))
+        {
+            own->waiting = std::max(0.0, own->waiting - 1);
+            own->unread_tokens = std::max(0.0, own->unread_tokens - attempt.unread_tokens);
+        }
+        learn_first_byte(attempt, to_ms(now - attempt.sent));
+    }
+
+    void on_ended(std::uint64_t number, placement_end how, core::time_point now)
+    {
+        const auto found = m_open.find(number);
+        if (found == m_open.end())
+            return;
+        const open_attempt attempt = found->second;
+        m_open.erase(found);
+        if (own_load* own = own_of(attempt))
+            add(*own, attempt, -1);
+        service_state& learned = service_of(attempt.service);
+        if (how == placement_end::answered)
+            learn_end(attempt, learned, to_ms(now - attempt.sent));
+        if (attempt.target.get().empty())
+            return;
+        const auto known = m_upstreams.find(attempt.target);
+        if (known == m_upstreams.end())
+            return;
+        const core::address& address = known->second.info.address;
+        if (how == placement_end::answered)
+            learned.ejection.on_success(address, now);
+        if (how == placement_end::failed)
+            learned.ejection.on_failure(address, now);
+        if (how == placement_end::unreachable)
+            known->second.avoid_until = now + unreachable_pause;
+    }
+
+    std::map<std::uint64_t, peer_load> own_loads() const
+    {
+        std::map<std::uint64_t, peer_load> loads;
+        for (const auto& [id, known] : m_upstreams)
+        {
+            if (known.own.running > 0)
+                loads[known.key] = {known.own.running, known.own.waiting};
+        }
+        return loads;
+    }
+
+    std::map<core::service_id, region_load> region_loads(core::time_point now) const
+    {
+        std::map<core::service_id, region_load> loads;
+        for (const auto& [id, known] : m_upstreams)
+        {
+            if (known.info.is_leaving || m_evacuated.contains(known.info.zone) ||
+                known.avoid_until > now)
+                continue;
+            const peer_load all = total(known);
+            region_load& sum = loads[known.info.service];
+            ++sum.upstreams;
+            sum.running += all.running;
+            sum.waiting += all.waiting;
+        }
+        return loads;
+    }
+
+  private:
+    const engine_size* engine_of(const core::service_id& name) const
+    {
+        const service* offered = m_table ? m_table->find_service(name) : nullptr;
+        return offered != nullptr && offered->engine ? &*offered->engine : nullptr;
+    }
+
+    /// Load of all nodes of the region at one upstream.
+    peer_load total(const upstream_state& known) const
+    {
+        peer_load sum{known.own.running, known.own.waiting};
+        for (const auto& [peer, report] : m_peers)
+        {
+            const auto found = report.loads.find(known.key);
+            if (found == report.loads.end())
+                continue;
+            sum.running += found->second.running;
+            sum.waiting += found->second.waiting;
+        }
+        return sum;
+    }
+
+    double total_unread(const upstream_state& known, const service_state& learned) const
+    {
+        const double others_waiting = total(known).waiting - known.own.waiting;
+        return known.own.unread_tokens + others_waiting * learned.unread_tokens;
+    }
+
+    /// Prompt tokens that the upstream has to read. It keeps a part if this node sent it there, or
+    /// if the other nodes, which order the upstreams of a prompt alike, will have done so.
+    double unread_tokens(const upstream_state& known, const caller_request& caller) const
+    {
+        double unread = caller.prompt_tokens;
+        if (known.info.id == m_affinity_owner)
+            return std::max(0.0, unread - shared_tokens(caller));
+        for (std::size_t i = 0; i + 1 < caller.prompt.size(); ++i)
+        {
+            if (!known.prefixes.contains(caller.prompt[i].id))
+                break;
+            unread -= caller.prompt[i].tokens;
+        }
+        return std::max(0.0, unread);
+    }
+
+    double predict(const upstream_state& known, const placement_request& request)
+    {
+        const service_state& learned = service_of(request.service);
+        const peer_load all = total(known);
+        const engine_size* engine = engine_of(request.service);
+        if (engine == nullptr)
+        {
+            const double slots = std::max(1U, known.info.slots);
+            return learned.work_ms * std::max(1.0, (all.running + 1) / slots);
+        }
+        const double slots = std::max(1U, engine->slots);
+        const double unread = total_unread(known, learned) + unread_tokens(known, *request.caller);
+        double ms = learned.base_ms + unread * learned.ms_per_token;
+        if (all.running >= slots)
+            ms += (all.running - slots + 1) / slots * learned.duration_ms;
+        const double others = all.running - known.own.running;
+        const double memory = known.own.memory_tokens + others * learned.memory_tokens +
+                              request.caller->prompt_tokens + request.caller->max_output_tokens;
+        if (engine->cache_tokens > 0 && memory > engine->cache_tokens)
+            ms += (memory / engine->cache_tokens - 1) * learned.duration_ms;
+        return ms;
+    }
+
+    /// Upstreams that may be sent this request now; the better group of those that exist.
+    std::vector<upstream_state*> usable(const placement_request& request, core::time_point now)
+    {
+        std::vector<upstream_state*> good;
+        std::vector<upstream_state*> doubtful;
+        std::vector<core::address> addresses;
+        if (!request.chosen->may_be_served_in(m_region))
+            return good;
+        const service* offered = m_table->find_service(request.service);
+        for (auto& [id, known] : m_upstreams)
+        {
+            if (known.info.service != request.service || !may_send(id))
+                continue;
+            if (!has_room(known, offered, now))
+                continue;
+            const bool was_tried =
+                std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
+            if (known.avoid_until > now || was_tried)
+                doubtful.push_back(&known);
+            else
+                good.push_back(&known);
+        }
+        drop_ejected(good, doubtful, request.service, now);
+        return good.empty() ? doubtful : good;
+    }
+
+    void drop_ejected(std::vector<upstream_state*>& good, std::vector<upstream_state*>& doubtful,
+                      const core::service_id& name, core::time_point now)
+    {
+        std::vector<core::address> addresses;
+        addresses.reserve(good.size());
+        for (const upstream_state* each : good)
+        {
+            addresses.push_back(each->info.address);
+        }
+        const std::vector<bool> ejected = service_of(name).ejection.ejected(addresses, now);
+        std::vector<upstream_state*> kept;
+        for (std::size_t i = 0; i < good.size(); ++i)
+        {
+            (ejected[i] ? doubtful : kept).push_back(good[i]);
+        }
+        good = std::move(kept);
+    }
+
+    /// Whether a cold upstream's rate and the connections of any upstream allow one more.
+    bool has_room(upstream_state& known, const service* offered, core::time_point now)
+    {
+        if (offered == nullptr)
+            return true;
+        if (offered->warmup_rate > 0 && known.cold_until > now)
+        {
+            const policy::cold_start_bound bound{offered->warmup_rate, m_bounds.cold_overshoot,
+                                                 m_bounds.cold_slack};
+            if (!known.cold.allows(bound, m_nodes_in_region, now))
+                return false;
+        }
+        const double share =
+            connection_part * offered->max_connections / static_cast<double>(m_nodes_in_region);
+        return offered->max_connections == 0 || known.own.running < std::max(1.0, share);
+    }
+
+    std::optional<to_upstream> best_upstream(const placement_request& request, core::time_point now)
+    {
+        if (!m_table)
+            return std::nullopt;
+        const std::vector<upstream_state*> candidates = usable(request, now);
+        if (candidates.empty())
+            return std::nullopt;
+        m_affinity_owner = affinity_owner(candidates, *request.caller);
+        const upstream_state* best = nullptr;
+        double best_ms = 0;
+        for (const upstream_state* each : candidates)
+        {
+            constexpr double tie_break_ms = 1;
+            const double ms = predict(*each, request) + tie_break_ms * m_random.unit();
+            if (best == nullptr || ms < best_ms)
+            {
+                best = each;
+                best_ms = ms;
+            }
+        }
+        return to_upstream{best->info, best_ms};
+    }
+
+    static upstream_id affinity_owner(const std::vector<upstream_state*>& candidates,
+                                      const caller_request& caller)
+    {
+        const std::string key = affinity_key(caller);
+        if (key.empty())
+            return {};
+        const auto score = [&](const upstream_state* each)
+        { return core::rendezvous_score(key, each->info.id.get()); };
+        return (*std::max_element(candidates.begin(), candidates.end(),
+                                  [&](const upstream_state* a, const upstream_state* b)
+                                  { return score(a) < score(b); }))
+            ->info.id;
+    }
+
+    std::optional<to_region> best_region(const placement_request& request, core::time_point now)
+    {
+        std::optional<to_region> best;
+        if (!request.may_leave_region || !m_table)
+            return best;
+        for (const auto& [region, known] : m_regions)
+        {
+            const auto offered = known.known.services.find(request.service);
+            const bool was_tried =
+                std::find(request.tried_regions.begin(), request.tried_regions.end(), region) !=
+                request.tried_regions.end();
+            if (was_tried || !known.known.is_reachable ||
+                now - known.known.heard > region_lifetime ||
+                !request.chosen->may_be_served_in(region) ||
+                offered == known.known.services.end() || offered->second.upstreams == 0)
+                continue;
+            const double ms = predict(known, offered->second, request);
+            if (!best || ms < best->predicted_ms)
+                best = to_region{region, ms};
+        }
+        return best;
+    }
+
+    double predict(const region_state& known, const region_load& load,
+                   const placement_request& request)
+    {
+        const service_state& learned = service_of(request.service);
+        const auto found = known.own.find(request.service);
+        const own_load sent = found == known.own.end() ? own_load{} : found->second;
+        const double each = 1.0 / load.upstreams;
+        const double running = (load.running + sent.running) * each;
+        const double waiting = (load.waiting + sent.waiting) * each;
+        const engine_size* engine = engine_of(request.service);
+        if (engine == nullptr)
+        {
+            constexpr double assumed_slots = 4;
+            return known.hop_ms + learned.work_ms * std::max(1.0, (running + 1) / assumed_slots);
+        }
+        const double slots = std::max(1U, engine->slots);
+        double ms = known.hop_ms + learned.base_ms +
+                    (waiting * learned.unread_tokens + request.caller->prompt_tokens) *
+                        learned.ms_per_token;
+        if (running >= slots)
+            ms += (running - slots + 1) / slots * learned.duration_ms;
+        return ms;
+    }
+
+    policy::refusal refuse(policy::refusal_reason reason, double wait_ms,
+                           const placement_request& request)
+    {
+        // A caller honours a wait of at most a third of the time it has left.
+        const double longest = static_cast<double>(request.remaining.count()) / 3;
+        const double shortest = static_cast<double>(shortest_retry_after.count());
+        const double base = std::clamp(wait_ms, shortest, std::max(shortest, longest / 2));
+        policy::refusal why;
+        why.reason = reason;
+        why.executed = policy::execution::no;
+        why.retry_after = from_ms(base * (1 + m_random.unit()));
+        why.remedy = "come back after the time given";
+        return why;
+    }
+
+    open_attempt begin_attempt(const placement_request& request, core::time_point now) const
+    {
+        open_attempt attempt;
+        attempt.service = request.service;
+        attempt.sent = now;
+        attempt.is_engine = engine_of(request.service) != nullptr;
+        attempt.unread_tokens = request.caller->prompt_tokens;
+        attempt.memory_tokens = request.caller->prompt_tokens + request.caller->max_output_tokens;
+        return attempt;
+    }
+
+    std::uint64_t keep(open_attempt attempt)
+    {
+        m_open[++m_last_number] = std::move(attempt);
+        return m_last_number;
+    }
+
+    own_load* own_of(const open_attempt& attempt)
+    {
+        if (!attempt.region.get().empty())
+            return &m_regions[attempt.region].own[attempt.service];
+        const auto found = m_upstreams.find(attempt.target);
+        return found == m_upstreams.end() ? nullptr : &found->second.own;
+    }
+
+    static void add(own_load& own, const open_attempt& attempt, double sign)
+    {
+        // An upstream that was away in between starts from zero while older attempts still end.
+        own.running = std::max(0.0, own.running + sign);
+        own.memory_tokens = std::max(0.0, own.memory_tokens + sign * attempt.memory_tokens);
+        if (attempt.has_first_byte)
+            return;
+        own.waiting = std::max(0.0, own.waiting + sign);
+        own.unread_tokens = std::max(0.0, own.unread_tokens + sign * attempt.unread_tokens);
+    }
+
+    void learn_first_byte(const open_attempt& attempt, double ms)
+    {
+        service_state& learned = service_of(attempt.service);
+        if (!attempt.region.get().empty())
+        {
+            follow_floor(m_regions[attempt.region].hop_ms, ms);
+            return;
+        }
+        if (!attempt.is_engine)
+            return;
+        constexpr double least_tokens = 500;
+        constexpr double lowest = 0.0005;
+        constexpr double highest = 0.2;
+        follow_floor(learned.base_ms, ms);
+        follow_mean(learned.unread_tokens, attempt.unread_tokens);
+        if (attempt.unread_before < least_tokens)
+            return;
+        const double sample = std::max(0.0, ms - learned.base_ms) / attempt.unread_before;
+        follow_mean(learned.ms_per_token, std::clamp(sample, lowest, highest));
+    }
+
+    void learn_end(const open_attempt& attempt, service_state& learned, double ms)
+    {
+        if (!attempt.region.get().empty())
+            return;
+        follow_mean(learned.duration_ms, ms);
+        follow_mean(learned.memory_tokens, attempt.memory_tokens);
+        const auto known = m_upstreams.find(attempt.target);
+        if (attempt.is_engine || known == m_upstreams.end())
+            return;
+        const double slots = std::max(1U, known->second.info.slots);
+        follow_mean(learned.work_ms, ms / std::max(1.0, (attempt.running_before + 1) / slots));
+    }
+
+    core::region_id m_region;
+    placement_bounds m_bounds;
+    core::random_source& m_random;
+    std::shared_ptr<const routing_table> m_table;
+    std::map<upstream_id, upstream_state> m_upstreams;
+    std::map<core::service_id, service_state> m_services;
+    std::map<core::region_id, region_state> m_regions;
+    std::map<std::uint64_t, peer_report> m_peers;
+    std::map<std::uint64_t, open_attempt> m_open;
+    zone_set m_evacuated;
+    upstream_id m_affinity_owner;
+    std::uint64_t m_last_number = 0;
+    std::size_t m_nodes_in_region = 1;
+    std::size_t m_nodes_everywhere = 1;
+
+    friend class placement;
+};
+
+placement::placement(core::region_id region, placement_bounds bounds, core::random_source& random)
+    : m_state(std::make_unique<state>(std::move(region), bounds, random))
+{
+}
+
+placement::~placement() = default;
+
+void placement::set_table(std::shared_ptr<const routing_table> table)
+{
+    m_state->set_table(std::move(table));
+}
+
+void placement::set_upstreams(const upstream_map& upstreams, core::time_point now)
+{
+    m_state->set_upstreams(upstreams, now);
+}
+
+void placement::set_evacuations(const zone_set& zones, core::time_point now)
+{
+    m_state->set_evacuations(zones, now);
+}
+
+void placement::set_node_counts(std::size_t in_region, std::size_t everywhere)
+{
+    m_state->set_node_counts(in_region, everywhere);
+}
+
+void placement::set_region(const core::region_id& region, const other_region& known)
+{
+    m_state->set_region(region, known);
+}
+
+void placement::set_peer_loads(std::uint64_t peer, std::map<std::uint64_t, peer_load> loads,
+                               core::time_point now)
+{
+    m_state->set_peer_loads(peer, std::move(loads), now);
+}
+
+void placement::on_request(const core::service_id& service, core::time_point now)
+{
+    m_state->service_of(service).retries.on_request(now);
+}
+
+placement_decision placement::decide(const placement_request& request, core::time_point now)
+{
+    return m_state->decide(request, now);
+}
+
+bool placement::may_send(const upstream_id& target) const
+{
+    return m_state->may_send(target);
+}
+
+bool placement::take_repeat(const core::service_id& service, core::time_point now)
+{
+    return m_state->service_of(service).retries.take(m_state->m_nodes_everywhere, now);
+}
+
+std::uint64_t placement::on_sent(const placement_request& request, const upstream_id& target,
+                                 core::time_point now)
+{
+    return m_state->on_sent(request, target, now);
+}
+
+std::uint64_t placement::on_sent(const placement_request& request, const core::region_id& target,
+                                 core::time_point now)
+{
+    return m_state->on_sent(request, target, now);
+}
+
+void placement::on_first_byte(std::uint64_t attempt, core::time_point now)
+{
+    m_state->on_first_byte(attempt, now);
+}
+
+void placement::on_ended(std::uint64_t attempt, placement_end how, core::time_point now)
+{
+    m_state->on_ended(attempt, how, now);
+}
+
+std::map<std::uint64_t, peer_load> placement::own_loads() const
+{
+    return m_state->own_loads();
+}
+
+std::map<core::service_id, region_load> placement::region_loads(core::time_point now) const
+{
+    return m_state->region_loads(now);
+}
+
+} // namespace snipeplank::serving
--- /dev/null
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -0,0 +1,133 @@
+#include "upstream_attempt.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace snipeplank::serving
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Upstreams are in the own region, a few milliseconds away; a longer silence means that the host
+/// is down or cut off.
+constexpr core::milliseconds connect_limit{400};
+
+/// An upstream ends its work at the deadline that it was given, and says so a little later.
+constexpr core::milliseconds answer_slack{300};
+
+/// An upstream may send a second answer to an earlier request first.
+constexpr int most_foreign_answers = 2;
+
+core::time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+upstream_attempt::upstream_attempt(upstream_attempt_parts parts) : m_parts(std::move(parts)) {}
+
+asio::awaitable<bool> upstream_attempt::open(attempt_start& result)
+{
+    m_link = m_parts.pool.take(m_parts.target.address, now());
+    if (m_link)
+        co_return true;
+    m_link = m_parts.pool.create(m_parts.target.address);
+    const auto connected = co_await m_link->connect(std::min(connect_limit, m_parts.remaining()));
+    if (connected && !m_is_cancelled)
+        co_return true;
+    result.is_unreachable = !m_is_cancelled;
+    result.cause = connected ? "cancelled" : connected.error().message;
+    co_return false;
+}
+
+void upstream_attempt::send(core::milliseconds remaining)
+{
+    const send_order order{&m_parts.target, remaining, m_parts.priority, m_parts.last_event_id};
+    m_link->send(m_parts.protocol.compose(m_parts.request, m_parts.body.size(), order),
+                 m_parts.body);
+}
+
+asio::awaitable<attempt_start> upstream_attempt::start()
+{
+    attempt_start result;
+    if (!co_await open(result))
+        co_return result;
+    if (!m_parts.may_send())
+    {
+        result.cause = "the upstream takes no new requests";
+        co_return result;
+    }
+    const core::milliseconds remaining = m_parts.remaining();
+    if (remaining.count() <= 0)
+    {
+        result.cause = "the deadline has passed";
+        co_return result;
+    }
+    m_link->expire_after(remaining + answer_slack);
+    result.was_sent = true;
+    send(remaining);
+    co_await read_answer(result);
+    co_return result;
+}
+
+asio::awaitable<void> upstream_attempt::read_answer(attempt_start& result)
+{
+    for (int foreign = 0; foreign <= most_foreign_answers; ++foreign)
+    {
+        auto head = co_await m_link->read_head();
+        if (!head)
+        {
+            result.kind = answer_kind::broken;
+            result.cause = head.error().message;
+            co_return;
+        }
+        const upstream_answer_head read = m_parts.protocol.read(head.value(), m_parts.request_id);
+        result.kind = read.kind;
+        if (read.kind != answer_kind::foreign)
+        {
+            m_idle_time = read.idle_time;
+            m_may_keep = !read.is_leaving;
+            result.head = std::move(head.value());
+            co_return;
+        }
+        m_may_keep = false;
+        bool is_last = false;
+        while (!is_last)
+        {
+            const auto piece = co_await m_link->read_piece();
+            if (!piece)
+            {
+                result.cause = piece.error().message;
+                co_return;
+            }
+            is_last = piece.value().is_last;
+        }
+    }
+    result.cause = "answers to other requests only";
+}
+
+asio::awaitable<core::result<http::body_piece>> upstream_attempt::next()
+{
+    co_return co_await m_link->read_piece();
+}
+
+void upstream_attempt::cancel()
+{
+    m_is_cancelled = true;
+    if (m_link)
+        m_link->close();
+}
+
+void upstream_attempt::finish()
+{
+    if (m_link && m_may_keep)
+        m_parts.pool.put(std::move(m_link), m_idle_time, now());
+    m_link.reset();
+}
+
+} // namespace snipeplank::serving
--- /dev/null
+++ b/packages/serving/src/upstream_attempt.hpp
@@ -0,0 +1,56 @@
+/// @file
+/// An attempt at an upstream of the own region.
+
+#ifndef SNIPEPLANK_SERVING_SRC_UPSTREAM_ATTEMPT_HPP
+#define SNIPEPLANK_SERVING_SRC_UPSTREAM_ATTEMPT_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "attempt.hpp"
+
+namespace snipeplank::serving
+{
+
+/// @brief What an attempt at an upstream needs.
+struct upstream_attempt_parts
+{
+    http::connection_pool& pool;
+    const upstream_protocol& protocol;
+    const http::request_head& request;
+    const std::string& body;
+    std::string request_id;
+    upstream target;
+    std::function<core::milliseconds()> remaining; ///< of the deadline
+    std::function<bool()> may_send;                ///< asked right before the first byte
+    unsigned priority = 5;
+    std::string last_event_id;
+};
+
+/// @brief Sends one request to one upstream.
+class upstream_attempt final : public attempt
+{
+  public:
+    explicit upstream_attempt(upstream_attempt_parts parts);
+
+    boost::asio::awaitable<attempt_start> start() override;
+    boost::asio::awaitable<core::result<http::body_piece>> next() override;
+    void cancel() override;
+    void finish() override;
+
+  private:
+    boost::asio::awaitable<bool> open(attempt_start& result);
+    void send(core::milliseconds remaining);
+    boost::asio::awaitable<void> read_answer(attempt_start& result);
+
+    upstream_attempt_parts m_parts;
+    http::connection_pool::owned m_link;
+    core::milliseconds m_idle_time{0};
+    bool m_may_keep = true;
+    bool m_is_cancelled = false;
+};
+
+} // namespace snipeplank::serving
+
+#endif
