--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -81,6 +81,7 @@
     }
     m_caller = std::move(read.value());
     m_line.request_id = m_caller.id;
+    m_line.prompt_tokens = m_caller.prompt_tokens;
     if (!m_table)
     {
         why = {policy::refusal_reason::not_ready, policy::execution::no,
@@ -306,6 +307,7 @@
         if (!events.empty())
         {
             m_environment.places.on_first_byte(*m_attempt_number, now());
+            note_event();
             const bool is_written = co_await m_exchange.write(events);
             if (!is_written)
                 co_return co_await on_broken_stream();
@@ -325,6 +327,16 @@
     co_return next_step::done;
 }
 
+void call::note_event()
+{
+    const core::time_point time = now();
+    if (m_line.first_byte_ms == 0)
+        m_line.first_byte_ms = to_ms(time - m_exchange.received_at());
+    else
+        m_line.longest_pause_ms = std::max(m_line.longest_pause_ms, to_ms(time - m_last_event));
+    m_last_event = time;
+}
+
 void call::note_broken(const core::result<http::body_piece>& piece)
 {
     m_line.attempts += piece ? "=caller_left" : "=" + piece.error().message;
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -87,6 +87,7 @@
     boost::asio::awaitable<next_step> pass_stream(const attempt_start& result);
     boost::asio::awaitable<next_step> pass_whole(const attempt_start& result);
     boost::asio::awaitable<next_step> on_broken_stream();
+    void note_event();
     void note_broken(const core::result<http::body_piece>& piece);
     std::unique_ptr<attempt> make_attempt(const placement_decision& where);
     placement_request next_request() const;
@@ -114,6 +115,7 @@
     http::event_splitter m_events;
     std::string m_resume_from;
     call_outcome_line m_line;
+    core::time_point m_last_event{};
     unsigned m_runs = 0;  ///< attempts that may have run
     unsigned m_sends = 0; ///< attempts of which a byte may have arrived
     bool m_may_have_run = false;
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -107,6 +107,9 @@
                   {"predicted_ms", line.predicted_ms},
                   {"remaining_ms", line.remaining_ms},
                   {"retry_after_ms", line.retry_after_ms},
+                  {"first_byte_ms", line.first_byte_ms},
+                  {"longest_pause_ms", line.longest_pause_ms},
+                  {"prompt_tokens", line.prompt_tokens},
                   {"total_ms", line.total_ms}});
 }
 
--- a/packages/serving/src/call_log.hpp
+++ b/packages/serving/src/call_log.hpp
@@ -32,6 +32,9 @@
     double predicted_ms = 0;
     double remaining_ms = 0;
     double retry_after_ms = 0;
+    double first_byte_ms = 0;    ///< from the request to the first byte passed on
+    double longest_pause_ms = 0; ///< between two events passed on
+    double prompt_tokens = 0;
     double total_ms = 0;
 };
 
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -34,6 +34,16 @@
 constexpr double first_duration_ms = 300;
 constexpr double first_work_ms = 20;
 constexpr core::milliseconds shortest_retry_after{100};
+/// Reading a prompt delays each running stream of the server. This part of the sum of the delays
+/// counts like own waiting.
+constexpr double disturbance_weight = 0.1;
+/// Each step of a server reads the memory of all running requests. A full memory counts like this
+/// much own waiting.
+constexpr double full_memory_ms = 200;
+/// A prompt that takes this long to read delays the events of the streams beside it noticeably.
+constexpr double long_prompt_ms = 60;
+/// What short prompts accept elsewhere before they use the upstream that is kept for long ones.
+constexpr double lane_penalty_ms = 40;
 
 double to_ms(core::duration span)
 {
@@ -377,6 +387,19 @@
         return std::max(0.0, unread);
     }
 
+    /// Part of the upstream's memory that all running requests and this one take.
+    double memory_part(const upstream_state& known, const placement_request& request)
+    {
+        const engine_size* engine = engine_of(request.service);
+        if (engine == nullptr || engine->cache_tokens <= 0)
+            return 0;
+        const double others = total(known).running - known.own.running;
+        const double all = known.own.memory_tokens +
+                           others * service_of(request.service).memory_tokens +
+                           request.caller->prompt_tokens + request.caller->max_output_tokens;
+        return all / engine->cache_tokens;
+    }
+
     double predict(const upstream_state& known, const placement_request& request)
     {
         const service_state& learned = service_of(request.service);
@@ -392,11 +415,9 @@
         double ms = learned.base_ms + unread * learned.ms_per_token;
         if (all.running >= slots)
             ms += (all.running - slots + 1) / slots * learned.duration_ms;
-        const double others = all.running - known.own.running;
-        const double memory = known.own.memory_tokens + others * learned.memory_tokens +
-                              request.caller->prompt_tokens + request.caller->max_output_tokens;
-        if (engine->cache_tokens > 0 && memory > engine->cache_tokens)
-            ms += (memory / engine->cache_tokens - 1) * learned.duration_ms;
+        const double memory = memory_part(known, request);
+        if (memory > 1)
+            ms += (memory - 1) * learned.duration_ms;
         return ms;
     }
 
@@ -468,27 +489,43 @@
         const std::vector<upstream_state*> candidates = usable(request, now);
         if (candidates.empty())
             return std::nullopt;
-        m_affinity_owner = affinity_owner(candidates, *request.caller);
+        m_affinity_owner = rendezvous_owner(candidates, affinity_key(*request.caller));
+        const upstream_id lane = rendezvous_owner(candidates, request.service.get());
         const upstream_state* best = nullptr;
-        double best_ms = 0;
+        double best_cost = 0;
         for (const upstream_state* each : candidates)
         {
             constexpr double tie_break_ms = 1;
-            const double ms = predict(*each, request) + tie_break_ms * m_random.unit();
-            if (best == nullptr || ms < best_ms)
+            const double cost = predict(*each, request) + disturbance(*each, request, lane) +
+                                tie_break_ms * m_random.unit();
+            if (best == nullptr || cost < best_cost)
             {
                 best = each;
-                best_ms = ms;
+                best_cost = cost;
             }
         }
-        return to_upstream{best->info, best_ms};
+        return to_upstream{best->info, predict(*best, request)};
+    }
+
+    /// Cost of a prompt for the streams beside it, and of a stream beside long prompts: long ones
+    /// gather at one upstream, which short ones avoid while others are free.
+    double disturbance(const upstream_state& known, const placement_request& request,
+                       const upstream_id& lane)
+    {
+        const service_state& learned = service_of(request.service);
+        if (engine_of(request.service) == nullptr)
+            return 0;
+        const double reading_ms = unread_tokens(known, *request.caller) * learned.ms_per_token;
+        const bool is_long = reading_ms > long_prompt_ms;
+        const double beside = total(known).running * reading_ms * disturbance_weight;
+        return beside + memory_part(known, request) * full_memory_ms +
+               (!is_long && known.info.id == lane ? lane_penalty_ms : 0);
     }
 
-    static upstream_id affinity_owner(const std::vector<upstream_state*>& candidates,
-                                      const caller_request& caller)
+    static upstream_id rendezvous_owner(const std::vector<upstream_state*>& candidates,
+                                        const std::string& key)
     {
-        const std::string key = affinity_key(caller);
-        if (key.empty())
+        if (key.empty() || candidates.size() < 2)
             return {};
         const auto score = [&](const upstream_state* each)
         { return core::rendezvous_score(key, each->info.id.get()); };
