--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -80,6 +80,7 @@
 {
     upstream target;
     double predicted_ms = 0;
+    bool was_tried = false; ///< by an earlier attempt of the request
 };
 
 /// @brief Send the request to a node of this region.
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -21,6 +21,10 @@
 /// A node that was added and is not known yet.
 constexpr std::size_t unseen_nodes = 1;
 constexpr std::size_t members_per_message = 12;
+/// While a node cannot know the others yet, it counts on this many in its region.
+constexpr std::size_t nodes_before_known = 10;
+/// Members are known this long after a start, if any node answered.
+constexpr core::seconds settling_time{15};
 
 core::time_point now()
 {
@@ -54,7 +58,8 @@
     auto started = m_network->start(std::move(settings), *this);
     if (!started)
         return boost::outcome_v2::failure(started.error());
-    m_last_tick = now();
+    m_started = now();
+    m_last_tick = m_started;
     m_members.start(m_last_tick);
     m_members.on_host_list(m_seeds, m_last_tick);
     schedule_tick();
@@ -105,6 +110,8 @@
     m_members.on_tick(time);
     send_probes();
     note_sightings(time);
+    if (time < m_started + settling_time + fleet::ping_interval)
+        m_listener.on_members_changed();
     if (m_members.take_changed())
         m_listener.on_members_changed();
     static_cast<void>(m_members.take_urgent());
@@ -264,8 +271,11 @@
 {
     const auto counts = [&](const auto& each)
     { return !in_region || each.second.region == m_options.region; };
-    return 1 + unseen_nodes +
-           static_cast<std::size_t>(std::count_if(m_sightings.begin(), m_sightings.end(), counts));
+    const auto seen =
+        static_cast<std::size_t>(std::count_if(m_sightings.begin(), m_sightings.end(), counts));
+    const bool is_settled = !m_sightings.empty() && now() > m_started + settling_time;
+    const std::size_t possible = 1 + unseen_nodes + seen;
+    return is_settled ? possible : std::max(possible, nodes_before_known);
 }
 
 } // namespace snipeplank::serving
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -111,6 +111,7 @@
     std::set<core::address> m_silent; ///< connection lost, and not heard since
     std::map<core::address, sighting> m_sightings;
     core::time_point m_next_exchange{};
+    core::time_point m_started{};
     core::time_point m_last_tick{};
     bool m_is_leaving = false;
 };
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -25,9 +25,9 @@
 
 /// New connections are accepted this long after the stop was announced, because clients keep an
 /// answer of the directory for some seconds.
-constexpr core::milliseconds accept_after_stop{2'500};
+constexpr core::milliseconds accept_after_stop{1'000};
 /// Idle connections of a stopping node are closed after this long.
-constexpr core::milliseconds idle_after_stop{3'000};
+constexpr core::milliseconds idle_after_stop{1'200};
 /// The process ends itself this long before it would be killed.
 constexpr core::milliseconds stop_margin{700};
 constexpr core::milliseconds housekeeping_interval{250};
@@ -352,14 +352,15 @@
 
     bool is_ready() const { return !m_is_stopping && m_environment.table != nullptr; }
 
-    /// The client's availability zone first, then its region; another region only when no node of
-    /// the client's own answers.
+    /// The client's availability zone first, then its region. When no node of these answers, a
+    /// region where bound data may be, so that it is not carried elsewhere.
     std::vector<core::address> entry_points(const core::region_id& region,
                                             const core::zone_id& zone) const
     {
         constexpr std::size_t most = 64;
         std::vector<core::address> same_zone;
         std::vector<core::address> same_region;
+        std::vector<core::address> homes;
         std::vector<core::address> others;
         for (const live_node& each : m_nodes)
         {
@@ -367,15 +368,27 @@
                 same_zone.push_back(each.caller_address);
             else if (each.region == region)
                 same_region.push_back(each.caller_address);
+            else if (is_home(each.region))
+                homes.push_back(each.caller_address);
             else
                 others.push_back(each.caller_address);
         }
+        if (!homes.empty())
+            others = std::move(homes);
         std::vector<core::address>& chosen =
             !same_zone.empty() ? same_zone : (!same_region.empty() ? same_region : others);
         chosen.resize(std::min(chosen.size(), most));
         return chosen;
     }
 
+    /// Whether every route that is bound to regions may be served in this one.
+    bool is_home(const core::region_id& region) const
+    {
+        return m_environment.table &&
+               std::all_of(m_environment.table->routes.begin(), m_environment.table->routes.end(),
+                           [&](const route& each) { return each.may_be_served_in(region); });
+    }
+
     std::vector<core::address> admin_addresses() const
     {
         const std::string own_port =
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -131,6 +131,12 @@
     double memory_tokens = 0;
 };
 
+template <typename Value>
+bool contains(const std::vector<Value>& values, const Value& wanted)
+{
+    return std::find(values.begin(), values.end(), wanted) != values.end();
+}
+
 /// Tokens of the prompt that others may share: all parts but the last.
 double shared_tokens(const caller_request& caller)
 {
@@ -227,11 +233,13 @@
         const auto local = best_upstream(request, now);
         const auto remote = best_region(request, now);
         const double objective = static_cast<double>(request.chosen->objective.count());
-        const bool local_is_good = local && local->predicted_ms <= spill_from_objective * objective;
+        const bool local_is_good =
+            local && !local->was_tried && local->predicted_ms <= spill_from_objective * objective;
         const double remaining = static_cast<double>(request.remaining.count());
         const bool remote_is_better =
             remote && !local_is_good &&
-            (!local || remote->predicted_ms + spill_margin_ms < local->predicted_ms);
+            (!local || local->was_tried ||
+             remote->predicted_ms + spill_margin_ms < local->predicted_ms);
         if (remote_is_better && remote->predicted_ms < remaining)
             return *remote;
         if (local && local->predicted_ms < remaining)
@@ -436,9 +444,7 @@
                 continue;
             if (!has_room(known, offered, now))
                 continue;
-            const bool was_tried =
-                std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
-            if (known.avoid_until > now || was_tried)
+            if (known.avoid_until > now || contains(request.tried, id))
                 doubtful.push_back(&known);
             else
                 good.push_back(&known);
@@ -504,7 +510,8 @@
                 best_cost = cost;
             }
         }
-        return to_upstream{best->info, predict(*best, request)};
+        return to_upstream{best->info, predict(*best, request),
+                           contains(request.tried, best->info.id)};
     }
 
     /// Cost of a prompt for the streams beside it, and of a stream beside long prompts: long ones
@@ -543,10 +550,7 @@
         for (const auto& [region, known] : m_regions)
         {
             const auto offered = known.known.services.find(request.service);
-            const bool was_tried =
-                std::find(request.tried_regions.begin(), request.tried_regions.end(), region) !=
-                request.tried_regions.end();
-            if (was_tried || !known.known.is_reachable ||
+            if (contains(request.tried_regions, region) || !known.known.is_reachable ||
                 now - known.known.heard > region_lifetime ||
                 !request.chosen->may_be_served_in(region) ||
                 offered == known.known.services.end() || offered->second.upstreams == 0)
