--- a/packages/serving/include/snipeplank/serving/protocols.hpp
+++ b/packages/serving/include/snipeplank/serving/protocols.hpp
@@ -117,6 +117,7 @@
     control_question question = control_question::unknown;
     core::region_id region; ///< of the client that asks for entry points
     core::zone_id zone;
+    std::string host; ///< to which the client will send its requests
 };
 
 /// @brief Questions about readiness and entry points.
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -74,7 +74,8 @@
 void fleet_link::begin_leaving()
 {
     m_is_leaving = true;
-    m_members.begin_leaving(now());
+    m_left_at = now();
+    m_members.begin_leaving(m_left_at);
     for (const fleet::member_update& each : m_members.members())
     {
         send_gossip(each.id.address, compose(fleet::gossip_kind::announce));
@@ -257,12 +258,33 @@
     return nodes;
 }
 
+std::vector<core::address> fleet_link::stopping_nodes(const core::region_id& region,
+                                                      core::milliseconds age) const
+{
+    std::vector<core::address> nodes;
+    const core::time_point earliest = now() - age;
+    if (m_is_leaving && region == m_options.region && m_left_at > earliest)
+        nodes.push_back(m_options.caller_address);
+    for (const fleet::member_update& each : m_members.members())
+    {
+        const auto since = m_stopping_since.find(each.id);
+        if (each.state == fleet::member_state::leaving && region_of(each.zone) == region &&
+            since != m_stopping_since.end() && since->second > earliest)
+            nodes.push_back(each.caller_address);
+    }
+    return nodes;
+}
+
 void fleet_link::note_sightings(core::time_point time)
 {
     for (const fleet::member_update& each : m_members.members())
     {
         m_sightings[each.id.address] = {region_of(each.zone), time};
+        if (each.state == fleet::member_state::leaving)
+            m_stopping_since.try_emplace(each.id, time);
     }
+    std::erase_if(m_stopping_since,
+                  [&](const auto& each) { return time - each.second > sighting_lifetime; });
     std::erase_if(m_sightings,
                   [&](const auto& each) { return time - each.second.at > sighting_lifetime; });
 }
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -70,6 +70,10 @@
     /// @brief Nodes that answer and are not stopping, this one included unless it is stopping.
     std::vector<live_node> live_nodes() const;
 
+    /// @brief Caller addresses of a region's nodes that began to stop at most `age` ago.
+    std::vector<core::address> stopping_nodes(const core::region_id& region,
+                                              core::milliseconds age) const;
+
     /// @brief Largest number of nodes that may be running: in the region, or everywhere.
     std::size_t possible_nodes(bool in_region) const;
 
@@ -97,7 +101,6 @@
     fleet::gossip compose(fleet::gossip_kind kind) const;
     void note_sightings(core::time_point now);
     core::region_id region_of(const core::zone_id& zone) const;
-    std::vector<fleet::member_update> members_in(fleet::member_state state) const;
 
     boost::asio::io_context& m_loop;
     const node_options& m_options;
@@ -110,8 +113,10 @@
     std::vector<core::address> m_seeds;
     std::set<core::address> m_silent; ///< connection lost, and not heard since
     std::map<core::address, sighting> m_sightings;
+    std::map<core::node_id, core::time_point> m_stopping_since;
     core::time_point m_next_exchange{};
     core::time_point m_started{};
+    core::time_point m_left_at{};
     core::time_point m_last_tick{};
     bool m_is_leaving = false;
 };
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -25,9 +25,11 @@
 
 /// New connections are accepted this long after the stop was announced, because clients keep an
 /// answer of the directory for some seconds.
-constexpr core::milliseconds accept_after_stop{1'000};
+constexpr core::milliseconds accept_after_stop{3'000};
 /// Idle connections of a stopping node are closed after this long.
-constexpr core::milliseconds idle_after_stop{1'200};
+constexpr core::milliseconds idle_after_stop{3'200};
+/// A stopping node is named as an entry point this long, if its region has no other.
+constexpr core::milliseconds name_after_stop{2'000};
 /// The process ends itself this long before it would be killed.
 constexpr core::milliseconds stop_margin{700};
 constexpr core::milliseconds housekeeping_interval{250};
@@ -327,8 +329,8 @@
             co_await request.send(text_response(is_ready() ? ok : unavailable, ""));
             break;
         case control_question::entry_points:
-            co_await request.send(m_adapters.control.entry_points(
-                entry_points(read.region, read.zone), m_options.entry_point_lifetime));
+            co_await request.send(m_adapters.control.entry_points(entry_points(read),
+                                                                  m_options.entry_point_lifetime));
             break;
         case control_question::unknown:
             co_await request.send(text_response(not_found, "no such path\n"));
@@ -352,41 +354,63 @@
 
     bool is_ready() const { return !m_is_stopping && m_environment.table != nullptr; }
 
-    /// The client's availability zone first, then its region. When no node of these answers, a
-    /// region where bound data may be, so that it is not carried elsewhere.
-    std::vector<core::address> entry_points(const core::region_id& region,
-                                            const core::zone_id& zone) const
+    /// The nodes nearest to the client, of the first group that is not empty: its availability
+    /// zone, its region, stopping nodes of its region that still accept, and the other regions.
+    std::vector<core::address> entry_points(const control_request& asked) const
     {
         constexpr std::size_t most = 64;
         std::vector<core::address> same_zone;
         std::vector<core::address> same_region;
-        std::vector<core::address> homes;
-        std::vector<core::address> others;
         for (const live_node& each : m_nodes)
         {
-            if (each.zone == zone)
+            if (each.zone == asked.zone)
                 same_zone.push_back(each.caller_address);
-            else if (each.region == region)
+            else if (each.region == asked.region)
                 same_region.push_back(each.caller_address);
-            else if (is_home(each.region))
-                homes.push_back(each.caller_address);
-            else
-                others.push_back(each.caller_address);
         }
-        if (!homes.empty())
-            others = std::move(homes);
-        std::vector<core::address>& chosen =
-            !same_zone.empty() ? same_zone : (!same_region.empty() ? same_region : others);
+        std::vector<core::address> chosen = same_zone.empty() ? same_region : same_zone;
+        if (chosen.empty())
+            chosen = m_fleet.stopping_nodes(asked.region, name_after_stop);
+        if (chosen.empty())
+            chosen = nodes_elsewhere(asked.host);
         chosen.resize(std::min(chosen.size(), most));
         return chosen;
     }
 
-    /// Whether every route that is bound to regions may be served in this one.
-    bool is_home(const core::region_id& region) const
+    /// Nodes of the regions where most of the host's bound routes may be served, so that bound data
+    /// is not carried to a third region.
+    std::vector<core::address> nodes_elsewhere(const std::string& host) const
     {
-        return m_environment.table &&
-               std::all_of(m_environment.table->routes.begin(), m_environment.table->routes.end(),
-                           [&](const route& each) { return each.may_be_served_in(region); });
+        std::map<std::size_t, std::vector<core::address>> by_homes;
+        for (const live_node& each : m_nodes)
+        {
+            by_homes[homes_in(each.region, host)].push_back(each.caller_address);
+        }
+        if (!by_homes.empty() && by_homes.rbegin()->first > 0)
+            return by_homes.rbegin()->second;
+        for (const auto& [zone, region] : m_options.zones)
+        {
+            std::vector<core::address> stopping = m_fleet.stopping_nodes(region, name_after_stop);
+            const std::size_t homes = homes_in(region, host);
+            if (homes > 0 && !stopping.empty())
+                by_homes[homes] = std::move(stopping);
+        }
+        return by_homes.empty() ? std::vector<core::address>{} : by_homes.rbegin()->second;
+    }
+
+    /// Number of the host's bound routes that may be served in a region.
+    std::size_t homes_in(const core::region_id& region, const std::string& host) const
+    {
+        if (!m_environment.table)
+            return 0;
+        const auto& routes = m_environment.table->routes;
+        return static_cast<std::size_t>(std::count_if(routes.begin(), routes.end(),
+                                                      [&](const route& each)
+                                                      {
+                                                          return !each.allowed_regions.empty() &&
+                                                                 http::same_name(each.host, host) &&
+                                                                 each.may_be_served_in(region);
+                                                      }));
     }
 
     std::vector<core::address> admin_addresses() const
