--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -18,17 +18,22 @@
   endif()
 endfunction()
 
-# snipeplank_test(NAME SOURCES ... DEPENDS ...): one CppUTest program and its ctest entry.
-function(snipeplank_test name)
+# snipeplank_executable(NAME SOURCES ... DEPENDS ...): one CppUTest program.
+function(snipeplank_executable name)
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
-  if(NOT SNIPEPLANK_TESTS)
-    return()
-  endif()
   add_executable(${name} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/test_main.cpp)
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests/support
                              ${CMAKE_CURRENT_SOURCE_DIR}/tests)
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} PkgConfig::CPPUTEST rapidcheck)
   # CppUTest's leak detection redefines `new`, which breaks placement new in other headers.
   target_compile_definitions(${name} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
+endfunction()
+
+# snipeplank_test(NAME SOURCES ... DEPENDS ...): one CppUTest program and its ctest entry.
+function(snipeplank_test name)
+  if(NOT SNIPEPLANK_TESTS)
+    return()
+  endif()
+  snipeplank_executable(${name} ${ARGN})
   add_test(NAME ${name} COMMAND ${name})
 endfunction()
--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -1,6 +1,6 @@
-#include <snipeplank/http/event_stream.hpp>
 #include <snipeplank/gateway/metrics.hpp>
 #include <snipeplank/gateway/upstream_client.hpp>
+#include <snipeplank/http/event_stream.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -107,6 +107,9 @@
     /// @brief Ends kept connections after their current answer, and idle ones after `grace`.
     void begin_closing(core::milliseconds grace);
 
+    /// @brief Whether `begin_closing` was called; may be asked from any thread.
+    bool is_closing() const;
+
     /// @brief Requests that are being answered.
     std::size_t active() const;
 
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -37,6 +38,12 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
+bool has_one_host_at_most(const header_list& headers)
+{
+    return std::count_if(headers.begin(), headers.end(),
+                         [](const auto& field) { return same_name(field.first, "Host"); }) <= 1;
+}
+
 bool has_unknown_coding(const header_list& headers)
 {
     const auto coding = find_header(headers, "Transfer-Encoding");
@@ -102,8 +109,16 @@
     arm(limits.header_time);
     co_await beast::http::async_read_header(m_socket, m_buffer, parser, into(error));
     const bool header_is_late = m_is_lost;
-    if (!error && !take_head(parser))
-        error = beast::http::error::bad_transfer_encoding;
+    if (!error)
+        take_head(parser);
+    if (!error && !has_one_host_at_most(m_head.headers))
+        error = beast::http::error::bad_value;
+    if (!error && has_unknown_coding(m_head.headers))
+    {
+        disarm();
+        co_await refuse_request(not_implemented, "only the transfer coding chunked is understood");
+        co_return false;
+    }
     if (!error && !parser.is_done())
     {
         arm(limits.idle_time);
@@ -122,7 +137,7 @@
     co_return true;
 }
 
-bool connection::take_head(const parser_type& parser)
+void connection::take_head(const parser_type& parser)
 {
     const auto& message = parser.get();
     m_head.method = std::string(message.method_string());
@@ -135,7 +150,6 @@
     constexpr unsigned version_1_1 = 11;
     m_chunked = message.version() >= version_1_1;
     m_keep_alive = message.keep_alive();
-    return !has_unknown_coding(m_head.headers);
 }
 
 asio::awaitable<void> connection::reject(const error_code& error)
@@ -149,13 +163,16 @@
         status = header_too_large;
     if (error == http::error::body_limit)
         status = payload_too_large;
-    if (error == http::error::bad_transfer_encoding)
-        status = not_implemented;
     if (error == http::error::partial_message)
         status = request_timeout;
+    co_await refuse_request(status, error.message());
+}
+
+asio::awaitable<void> connection::refuse_request(int status, std::string why)
+{
     m_keep_alive = false;
     m_head = {};
-    co_await send(m_handler.reject(status, error.message()));
+    co_await send(m_handler.reject(status, why));
     // Unread bytes would reset the connection and destroy the answer on its way.
     error_code ended;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ended);
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -55,8 +55,9 @@
     boost::asio::awaitable<bool> wait_first_byte(core::milliseconds idle_time);
     boost::asio::awaitable<void> answer_request();
     boost::asio::awaitable<void> reject(const boost::system::error_code& error);
+    boost::asio::awaitable<void> refuse_request(int status, std::string why);
     boost::asio::awaitable<bool> write_text(std::string text);
-    bool take_head(const parser_type& parser);
+    void take_head(const parser_type& parser);
     void watch_client();
     void notice_client_gone();
     void arm(core::milliseconds limit);
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <atomic>
 #include <memory>
 #include <set>
 
@@ -76,11 +77,11 @@
 
     void begin_closing(core::milliseconds grace)
     {
-        m_is_closing = true;
         for (connection* open : m_connections)
         {
             open->announce_close();
         }
+        m_is_closing = true;
         m_grace.expires_after(grace);
         m_grace.async_wait(
             [self = shared_from_this()](const error_code& error)
@@ -106,6 +107,7 @@
     }
 
     std::size_t connections() const { return m_connections.size(); }
+    bool is_closing() const { return m_is_closing; }
 
   private:
     static asio::awaitable<void> accept_all(std::shared_ptr<state> self)
@@ -143,7 +145,7 @@
     tcp::acceptor m_acceptor;
     asio::steady_timer m_grace;
     std::set<connection*> m_connections;
-    bool m_is_closing = false;
+    std::atomic<bool> m_is_closing{false};
 };
 
 server::server(asio::io_context& loop, request_handler& handler)
@@ -171,6 +173,11 @@
     m_state->begin_closing(grace);
 }
 
+bool server::is_closing() const
+{
+    return m_state->is_closing();
+}
+
 std::size_t server::active() const
 {
     return m_state->active();
--- /dev/null
+++ b/packages/http/tests/loopback.hpp
@@ -0,0 +1,176 @@
+/// @file
+/// A server under test on loopback and raw connections to it.
+
+#ifndef SNIPEPLANK_HTTP_TESTS_LOOPBACK_HPP
+#define SNIPEPLANK_HTTP_TESTS_LOOPBACK_HPP
+
+#include <snipeplank/http/client.hpp>
+#include <snipeplank/http/server.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace snipeplank::http::tests
+{
+
+using boost::asio::ip::tcp;
+
+/// @brief Answers every request with its method, target and body, and keeps the heads it saw.
+class echo_handler final : public request_handler
+{
+  public:
+    server_limits limits() const override { return m_limits; }
+
+    boost::asio::awaitable<void> handle(exchange& request) override
+    {
+        targets.push_back(request.head().target);
+        response answer;
+        answer.head.status = 200;
+        answer.body = request.head().method + " " + request.head().target + " " + request.body();
+        co_await request.send(std::move(answer));
+    }
+
+    void set_limits(const server_limits& limits) { m_limits = limits; }
+
+    std::vector<std::string> targets;
+
+  private:
+    server_limits m_limits;
+};
+
+/// @brief A blocking connection that sends and reads plain bytes.
+class raw_connection
+{
+  public:
+    explicit raw_connection(const core::address& server) : m_socket(m_loop)
+    {
+        const std::string& text = server.get();
+        const std::size_t colon = text.rfind(':');
+        m_socket.connect({boost::asio::ip::make_address(text.substr(0, colon)),
+                          static_cast<unsigned short>(std::stoi(text.substr(colon + 1)))});
+    }
+
+    void send(const std::string& bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+    }
+
+    /// @brief Everything until the server closes.
+    std::string read_all()
+    {
+        std::string received;
+        boost::system::error_code error;
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(received), error);
+        return received;
+    }
+
+    /// @brief Reads until `text` has arrived or the server closes.
+    std::string read_until(const std::string& text)
+    {
+        std::string received;
+        char byte = 0;
+        boost::system::error_code error;
+        while (!error && received.find(text) == std::string::npos)
+        {
+            if (m_socket.read_some(boost::asio::buffer(&byte, 1), error) == 1)
+                received += byte;
+        }
+        return received;
+    }
+
+    void close() { m_socket.close(); }
+
+    /// @brief Closes so that the other end sees a reset.
+    void reset()
+    {
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0));
+        m_socket.close();
+    }
+
+  private:
+    boost::asio::io_context m_loop;
+    tcp::socket m_socket;
+};
+
+/// @brief Runs an event loop on a thread for the life of the object.
+class loop_thread
+{
+  public:
+    loop_thread() : m_work(boost::asio::make_work_guard(loop)), m_thread([this] { loop.run(); }) {}
+
+    ~loop_thread()
+    {
+        loop.stop();
+        m_thread.join();
+    }
+    loop_thread(const loop_thread&) = delete;
+    loop_thread& operator=(const loop_thread&) = delete;
+
+    boost::asio::io_context loop;
+
+  private:
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    std::thread m_thread;
+};
+
+/// @brief Accepts one connection after the other and answers each request head with fixed bytes.
+class scripted_server
+{
+  public:
+    /// @param answers bytes for each connection in turn, sent once a request head has arrived
+    /// @param resets whether a connection ends with a reset instead of a clean close
+    scripted_server(std::vector<std::string> answers, bool resets)
+        : m_acceptor(m_loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+          m_thread([this, answers = std::move(answers), resets] { run(answers, resets); })
+    {
+    }
+
+    ~scripted_server() { m_thread.join(); }
+    scripted_server(const scripted_server&) = delete;
+    scripted_server& operator=(const scripted_server&) = delete;
+
+    core::address address() const
+    {
+        return core::address{"127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())};
+    }
+
+  private:
+    void run(const std::vector<std::string>& answers, bool resets)
+    {
+        for (const std::string& answer : answers)
+        {
+            tcp::socket socket(m_loop);
+            m_acceptor.accept(socket);
+            std::string received;
+            char byte = 0;
+            boost::system::error_code error;
+            while (!error && received.find("\r\n\r\n") == std::string::npos)
+            {
+                if (socket.read_some(boost::asio::buffer(&byte, 1), error) == 1)
+                    received += byte;
+            }
+            boost::asio::write(socket, boost::asio::buffer(answer), error);
+            if (resets)
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+            socket.close();
+        }
+    }
+
+    boost::asio::io_context m_loop;
+    tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+} // namespace snipeplank::http::tests
+
+#endif
--- /dev/null
+++ b/packages/http/tests/server_test.cpp
@@ -0,0 +1,142 @@
+/// Guards the server against requests that could be taken for two, and its limits.
+
+#include <CppUTest/TestHarness.h>
+
+#include "loopback.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::http;
+using namespace snipeplank::http::tests;
+
+namespace
+{
+
+const std::string host = "Host: a\r\n";
+
+struct bad_request_row
+{
+    const char* name;
+    std::string bytes;
+    std::string status;
+};
+
+const bad_request_row bad_requests[] = {
+    {"length and chunked",
+     "POST /a HTTP/1.1\r\n" + host +
+         "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+     "HTTP/1.1 4"},
+    {"chunked and length",
+     "POST /a HTTP/1.1\r\n" + host +
+         "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+     "HTTP/1.1 4"},
+    {"two lengths",
+     "POST /a HTTP/1.1\r\n" + host + "Content-Length: 0\r\nContent-Length: 5\r\n\r\nGET /b",
+     "HTTP/1.1 400"},
+    {"length with a sign", "POST /a HTTP/1.1\r\n" + host + "Content-Length: +3\r\n\r\nabc",
+     "HTTP/1.1 400"},
+    {"unknown transfer coding",
+     "POST /a HTTP/1.1\r\n" + host +
+         "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+     "HTTP/1.1 501"},
+    {"coding list",
+     "POST /a HTTP/1.1\r\n" + host +
+         "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+     "HTTP/1.1 501"},
+    {"chunk size that is no number",
+     "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+     "HTTP/1.1 400"},
+    {"space before the colon", "GET /a HTTP/1.1\r\n" + host + "Content-Length : 5\r\n\r\nGET /b",
+     "HTTP/1.1 400"},
+    {"two hosts", "GET /a HTTP/1.1\r\n" + host + "Host: b\r\n\r\n", "HTTP/1.1 400"},
+    {"no version", "GET /a\r\n\r\n", "HTTP/1.1 400"},
+    {"header too large",
+     "GET /a HTTP/1.1\r\n" + host + "X: " + std::string(20'000, 'x') + "\r\n\r\n", "HTTP/1.1 431"},
+    {"body too large",
+     "POST /a HTTP/1.1\r\n" + host + "Content-Length: 5000000\r\n\r\n" + std::string(100, 'x'),
+     "HTTP/1.1 413"},
+};
+
+} // namespace
+
+TEST_GROUP(http_server)
+{
+    echo_handler handler;
+    std::unique_ptr<loop_thread> thread;
+    std::unique_ptr<server> subject;
+    core::address address;
+
+    void setup() override
+    {
+        thread = std::make_unique<loop_thread>();
+        subject = std::make_unique<server>(thread->loop, handler);
+        address = subject->listen(core::address{"127.0.0.1:0"}).value();
+    }
+
+    void teardown() override
+    {
+        thread.reset();
+        subject.reset();
+    }
+};
+
+// Fails when a request is understood in two ways, or bytes after it are taken for another one.
+TEST(http_server, ambiguous_requests_are_refused_and_the_connection_ends)
+{
+    for (const bad_request_row& row : bad_requests)
+    {
+        raw_connection client(address);
+        client.send(row.bytes);
+        const std::string answer = client.read_all();
+        CHECK_TRUE_TEXT(answer.starts_with(row.status), (row.name + (": " + answer)).c_str());
+    }
+    CHECK_TRUE(handler.targets.empty());
+}
+
+// Fails when method, path, query or body are changed on the way.
+TEST(http_server, a_request_arrives_byte_for_byte)
+{
+    raw_connection client(address);
+    client.send("POST /a%2Fb/../c?x=%20&y HTTP/1.1\r\n" + host +
+                "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                "3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n");
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.ends_with("POST /a%2Fb/../c?x=%20&y abcdefg"), answer.c_str());
+}
+
+// Fails when a kept connection loses the second of two requests sent at once.
+TEST(http_server, requests_that_follow_each_other_are_answered_in_turn)
+{
+    raw_connection client(address);
+    client.send("GET /1 HTTP/1.1\r\n" + host + "\r\nGET /2 HTTP/1.1\r\n" + host +
+                "Connection: close\r\n\r\n");
+    const std::string answer = client.read_all();
+    CHECK_TRUE(answer.find("GET /1") < answer.find("GET /2"));
+    CHECK_TRUE(answer.find("GET /2") != std::string::npos);
+}
+
+// Fails when a client that sends its header a byte at a time holds a connection for ever.
+TEST(http_server, a_slow_header_ends_the_connection)
+{
+    server_limits limits;
+    limits.header_time = core::milliseconds{50};
+    handler.set_limits(limits);
+    raw_connection client(address);
+    client.send("GET /a HT");
+    STRCMP_EQUAL("", client.read_all().c_str());
+}
+
+// Fails when connections that begin to close are cut instead of told.
+TEST(http_server, a_closing_server_says_so_with_its_next_answer)
+{
+    raw_connection client(address);
+    client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+    client.read_until("GET /1");
+    boost::asio::post(thread->loop, [&] { subject->begin_closing(core::milliseconds{10'000}); });
+    while (!subject->is_closing())
+    {
+        std::this_thread::yield();
+    }
+    client.send("GET /2 HTTP/1.1\r\n" + host + "\r\n");
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.find("Connection: close") != std::string::npos, answer.c_str());
+}
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,8 +1,5 @@
 /// The node: reads its settings, serves until SIGTERM, then shuts down gracefully.
 
-#include "exit_status.hpp"
-#include "machine_node.hpp"
-
 #include <snipeplank/gateway/log_format.hpp>
 #include <snipeplank/gateway/node.hpp>
 #include <snipeplank/platform/machine_settings.hpp>
@@ -16,6 +13,9 @@
 #include <cstdlib>
 #include <thread>
 
+#include "exit_status.hpp"
+#include "machine_node.hpp"
+
 DEFINE_string(settings, "", "YAML file with the settings of this node (required)");
 DEFINE_bool(check, false, "check the settings and exit without serving");
 
--- a/packages/policy/include/snipeplank/policy/retry_window.hpp
+++ b/packages/policy/include/snipeplank/policy/retry_window.hpp
@@ -24,8 +24,11 @@
 ///
 /// Each node takes `ratio` of its own requests and an equal part of the slack, so the parts of all
 /// nodes add up to no more than the bound whatever the nodes know of each other, as long as
-/// `nodes` is at least the number that run. Time is counted in steps; a window is taken one step
-/// longer for repeats and one step shorter for requests, which keeps the bound at any alignment.
+/// `nodes` is at least the number that run.
+///
+/// The requests of a window may be counted in it, in the window before, or half a window before.
+/// Whatever the alignment, one of these holds the latest half window whole, so only its requests
+/// earn repeats. Time is counted in steps, rounded to the safe side.
 class retry_window
 {
   public:
--- a/packages/policy/src/retry_window.cpp
+++ b/packages/policy/src/retry_window.cpp
@@ -35,7 +35,7 @@
     double repeats = 0;
     for (const step& each : m_steps)
     {
-        if (each.begin + m_bound.window >= now + step_time)
+        if (each.begin + m_bound.window / 2 >= now + step_time)
             requests += each.requests;
         if (each.begin + m_bound.window + step_time >= now)
             repeats += each.repeats;
--- /dev/null
+++ b/packages/policy/tests/cold_start_limit_test.cpp
@@ -0,0 +1,70 @@
+/// Guards the bound on what all nodes send to a cold upstream in any second.
+
+#include <snipeplank/policy/cold_start_limit.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+#include "property.hpp"
+
+using namespace snipeplank;
+using namespace std::chrono_literals;
+using policy::cold_start_bound;
+using policy::cold_start_limit;
+
+namespace
+{
+
+const core::time_point begin = core::time_point{} + 1h;
+constexpr cold_start_bound bound{4.7, 1.5, 3};
+
+} // namespace
+
+TEST_GROUP(cold_start_limit){};
+
+// Fails when the parts of all senders add up to more than the bound.
+TEST(cold_start_limit, parts_add_up_to_the_bound_at_most)
+{
+    struct row
+    {
+        std::size_t senders;
+        std::size_t part;
+    };
+    for (const row& each : {row{1, 10}, row{2, 5}, row{3, 3}, row{4, 2}, row{10, 1}, row{11, 0}})
+    {
+        UNSIGNED_LONGS_EQUAL(each.part, cold_start_limit::part(bound, each.senders));
+    }
+}
+
+// Fails when a window of one second, at any alignment, holds more than the bound.
+TEST(cold_start_limit, any_second_keeps_the_bound)
+{
+    tests::check_property(
+        "all nodes together stay within the bound",
+        []
+        {
+            const auto nodes = *rc::gen::inRange<std::size_t>(1, 12);
+            std::vector<cold_start_limit> limits(nodes);
+            std::vector<core::time_point> sent;
+            core::time_point now = begin;
+            const auto steps = *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 60));
+            for (const int step : steps)
+            {
+                now += std::chrono::milliseconds(step);
+                cold_start_limit& node = limits[static_cast<std::size_t>(step) % nodes];
+                if (!node.allows(bound, nodes, now))
+                    continue;
+                node.on_sent(now);
+                sent.push_back(now);
+            }
+            for (const core::time_point from : sent)
+            {
+                const auto in_second = std::count_if(sent.begin(), sent.end(),
+                                                     [&](core::time_point at)
+                                                     { return at >= from && at < from + 1s; });
+                RC_ASSERT(static_cast<double>(in_second) <=
+                          bound.rate * bound.overshoot + bound.slack);
+            }
+        });
+}
--- /dev/null
+++ b/packages/policy/tests/prefix_memory_test.cpp
@@ -0,0 +1,34 @@
+/// Guards what a node assumes of a model server's kept prefixes.
+
+#include <snipeplank/policy/prefix_memory.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using snipeplank::policy::prefix_memory;
+
+TEST_GROUP(prefix_memory){};
+
+// Fails when more is assumed to be kept than the server has room for.
+TEST(prefix_memory, the_least_recently_used_part_gives_way)
+{
+    prefix_memory memory;
+    memory.set_capacity(100);
+    memory.add("a", 50);
+    memory.add("b", 50);
+    memory.add("a", 50);
+    memory.add("c", 50);
+    CHECK_TRUE(memory.contains("a"));
+    CHECK_FALSE(memory.contains("b"));
+    CHECK_TRUE(memory.contains("c"));
+}
+
+// Fails when a part that does not fit pushes everything out and stays.
+TEST(prefix_memory, a_part_above_the_capacity_is_not_kept)
+{
+    prefix_memory memory;
+    memory.set_capacity(10);
+    memory.add("a", 50);
+    CHECK_FALSE(memory.contains("a"));
+    memory.add("b", 5);
+    CHECK_TRUE(memory.contains("b"));
+}
--- /dev/null
+++ b/packages/serving/tests/placement_test.cpp
@@ -0,0 +1,275 @@
+/// Guards where requests go under the load patterns that placement answers.
+
+#include <snipeplank/core/hash.hpp>
+#include <snipeplank/serving/placement.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+#include <map>
+#include <set>
+
+using namespace snipeplank;
+using namespace snipeplank::serving;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const core::time_point begin = core::time_point{} + 1h;
+const core::region_id here{"salzkammer"};
+const core::region_id there{"ennstal"};
+const core::service_id model{"model"};
+const core::service_id booking{"booking"};
+
+upstream make_upstream(const std::string& name, const core::service_id& service)
+{
+    upstream made;
+    made.id = upstream_id{name};
+    made.service = service;
+    made.address = core::address{"10.0.0.1:" + std::to_string(core::hash64(name) % 60'000)};
+    made.zone = core::zone_id{"salzkammer-a"};
+    made.region = here;
+    made.slots = 6;
+    return made;
+}
+
+upstream_map make_upstreams(std::size_t count, const core::service_id& service)
+{
+    upstream_map all;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const upstream made = make_upstream("i-" + std::to_string(i), service);
+        all[made.id] = made;
+    }
+    return all;
+}
+
+std::shared_ptr<const routing_table> make_table()
+{
+    auto table = std::make_shared<routing_table>();
+    service engine;
+    engine.name = model;
+    engine.warmup = 3s;
+    engine.warmup_rate = 4.7;
+    engine.engine = engine_size{64, 444'000};
+    table->services[model] = engine;
+    service plain;
+    plain.name = booking;
+    table->services[booking] = plain;
+    return table;
+}
+
+} // namespace
+
+TEST_GROUP(placement)
+{
+    core::seeded_random random{1};
+    std::unique_ptr<placement> subject;
+    route chosen;
+    caller_request caller;
+
+    void setup() override
+    {
+        subject =
+            std::make_unique<placement>(here, placement_bounds{{0.2, 50, 10s}, 1.5, 3}, random);
+        subject->set_table(make_table());
+        subject->set_upstreams(make_upstreams(4, model), begin);
+        chosen.kind = request_kind::streaming;
+        caller.prompt_tokens = 1'000;
+        caller.max_output_tokens = 100;
+    }
+
+    void teardown() override
+    {
+        subject.reset();
+    }
+
+    placement_request ask(const core::service_id& service = model) const
+    {
+        placement_request request;
+        request.chosen = &chosen;
+        request.service = service;
+        request.caller = &caller;
+        request.remaining = 8s;
+        return request;
+    }
+
+    upstream_id decide_upstream(core::time_point now = begin)
+    {
+        const placement_decision decided = subject->decide(ask(), now);
+        const auto* local = std::get_if<to_upstream>(&decided);
+        return local == nullptr ? upstream_id{} : local->target.id;
+    }
+
+    void load_region(double running, double waiting, bool reachable = true)
+    {
+        other_region known;
+        known.services[model] = {4, running, waiting};
+        known.heard = begin;
+        known.is_reachable = reachable;
+        subject->set_region(there, known);
+    }
+
+    void fill(int requests)
+    {
+        for (int i = 0; i < requests; ++i)
+        {
+            subject->on_sent(ask(), decide_upstream(), begin);
+        }
+    }
+};
+
+// Fails when an upstream that takes no new requests is given one.
+TEST(placement, leaving_and_evacuated_upstreams_get_nothing)
+{
+    upstream_map upstreams = make_upstreams(2, model);
+    upstreams[upstream_id{"i-0"}].is_leaving = true;
+    subject->set_upstreams(upstreams, begin);
+    for (int i = 0; i < 20; ++i)
+    {
+        CHECK_TRUE(upstream_id{"i-1"} == decide_upstream());
+    }
+    CHECK_FALSE(subject->may_send(upstream_id{"i-0"}));
+    subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin);
+    CHECK_TRUE(std::holds_alternative<policy::refusal>(subject->decide(ask(), begin)));
+    CHECK_FALSE(subject->may_send(upstream_id{"i-1"}));
+}
+
+// Fails when an address that now belongs to another upstream passes the check before sending.
+TEST(placement, an_upstream_that_is_gone_may_not_be_sent_to)
+{
+    CHECK_TRUE(subject->may_send(upstream_id{"i-0"}));
+    subject->set_upstreams({}, begin);
+    CHECK_FALSE(subject->may_send(upstream_id{"i-0"}));
+}
+
+// Fails when a burst in one region waits there while another region is idle.
+TEST(placement, a_burst_spills_to_an_idle_region)
+{
+    load_region(0, 0);
+    CHECK_TRUE(std::holds_alternative<to_upstream>(subject->decide(ask(), begin)));
+    fill(600);
+    CHECK_TRUE(std::holds_alternative<to_region>(subject->decide(ask(), begin)));
+}
+
+// Fails when bound data, or a call that has crossed a border already, is sent out of the region.
+TEST(placement, bound_and_forwarded_calls_stay)
+{
+    load_region(0, 0);
+    fill(600);
+    placement_request forwarded = ask();
+    forwarded.may_leave_region = false;
+    CHECK_FALSE(std::holds_alternative<to_region>(subject->decide(forwarded, begin)));
+    chosen.allowed_regions = {here};
+    CHECK_FALSE(std::holds_alternative<to_region>(subject->decide(ask(), begin)));
+}
+
+// Fails when data bound to another region is served here.
+TEST(placement, a_call_bound_elsewhere_goes_there)
+{
+    load_region(0, 0);
+    chosen.allowed_regions = {there};
+    CHECK_TRUE(std::holds_alternative<to_region>(subject->decide(ask(), begin)));
+    load_region(0, 0, false);
+    CHECK_TRUE(std::holds_alternative<policy::refusal>(subject->decide(ask(), begin)));
+}
+
+// Fails when a request that cannot make its deadline waits for it instead of being refused.
+TEST(placement, overload_is_refused_at_once_with_a_time_that_the_caller_honours)
+{
+    fill(3'000);
+    placement_request late = ask();
+    late.remaining = 600ms;
+    const placement_decision decided = subject->decide(late, begin);
+    const auto* refused = std::get_if<policy::refusal>(&decided);
+    CHECK_TRUE(refused != nullptr);
+    CHECK_TRUE(policy::execution::no == refused->executed);
+    CHECK_TRUE(refused->retry_after >= 100ms);
+    CHECK_TRUE(refused->retry_after <= 200ms);
+}
+
+// Fails when nodes together may send a cold upstream more than it bears.
+TEST(placement, a_cold_upstream_gets_a_part_of_its_rate)
+{
+    upstream_map upstreams = make_upstreams(1, model);
+    upstreams.begin()->second.cold_for = 3s;
+    subject->set_upstreams(upstreams, begin);
+    subject->set_node_counts(4, 7);
+    int sent = 0;
+    while (!decide_upstream().get().empty())
+    {
+        subject->on_sent(ask(), decide_upstream(), begin);
+        ++sent;
+    }
+    LONGS_EQUAL(2, sent);
+    CHECK_FALSE(decide_upstream(begin + 1200ms).get().empty());
+}
+
+// Fails when the upstreams of a zone that was taken back are taken for warm.
+TEST(placement, upstreams_are_cold_after_an_evacuation)
+{
+    subject->set_node_counts(11, 20);
+    subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin);
+    subject->set_evacuations({}, begin + 1s);
+    CHECK_TRUE(decide_upstream(begin + 2s).get().empty());
+    CHECK_FALSE(decide_upstream(begin + 5s).get().empty());
+}
+
+// Fails when prompts with a common part are spread, so that each upstream reads it again.
+TEST(placement, prompts_that_share_a_part_meet_at_one_upstream)
+{
+    caller.prompt_tokens = 6'000;
+    std::set<upstream_id> owners;
+    for (int group = 0; group < 16; ++group)
+    {
+        caller.prompt = {{"system", 500}, {"group" + std::to_string(group), 5'000}, {"own", 500}};
+        const upstream_id owner = decide_upstream();
+        owners.insert(owner);
+        for (int i = 0; i < 3; ++i)
+        {
+            caller.prompt.back().id = "own" + std::to_string(i);
+            CHECK_TRUE(owner == decide_upstream());
+        }
+    }
+    CHECK_TRUE(owners.size() > 1);
+}
+
+// Fails when a popular part overloads its upstream while the others idle.
+TEST(placement, a_popular_part_is_shared_under_load)
+{
+    caller.prompt_tokens = 6'000;
+    caller.prompt = {{"system", 500}, {"popular", 5'000}, {"own", 500}};
+    std::map<upstream_id, int> sent;
+    for (int i = 0; i < 200; ++i)
+    {
+        const upstream_id target = decide_upstream();
+        ++sent[target];
+        subject->on_sent(ask(), target, begin);
+    }
+    CHECK_TRUE(sent.size() > 1);
+}
+
+// Fails when a failed attempt is repeated at the same upstream while another region could serve.
+TEST(placement, a_repeat_goes_elsewhere)
+{
+    subject->set_upstreams(make_upstreams(1, model), begin);
+    load_region(0, 0);
+    placement_request again = ask();
+    again.tried = {upstream_id{"i-0"}};
+    CHECK_TRUE(std::holds_alternative<to_region>(subject->decide(again, begin)));
+    again.tried_regions = {there};
+    CHECK_TRUE(std::holds_alternative<to_upstream>(subject->decide(again, begin)));
+}
+
+// Fails when an upstream that refuses connections is tried again at once beside a good one.
+TEST(placement, an_unreachable_upstream_is_left_alone_for_a_while)
+{
+    const upstream_id first = decide_upstream();
+    const std::uint64_t attempt = subject->on_sent(ask(), first, begin);
+    subject->on_ended(attempt, placement_end::unreachable, begin);
+    for (int i = 0; i < 50; ++i)
+    {
+        CHECK_FALSE(first == decide_upstream(begin + 100ms));
+    }
+}
--- /dev/null
+++ b/packages/serving/tests/replica_test.cpp
@@ -0,0 +1,103 @@
+/// Guards a node's copy of the published state against stale reads and a store that was away.
+
+#include <snipeplank/serving/replica.hpp>
+
+#include <chrono>
+
+#include "property.hpp"
+
+using namespace snipeplank;
+using namespace std::chrono_literals;
+using serving::replica;
+using serving::replica_event;
+using serving::replica_items;
+
+namespace
+{
+
+const core::time_point begin = core::time_point{} + 1h;
+
+replica known_items()
+{
+    replica subject;
+    subject.on_snapshot({{"a", {"one", 5}}, {"b", {"two", 6}}}, 10, begin);
+    return subject;
+}
+
+} // namespace
+
+TEST_GROUP(replica){};
+
+// Fails when a stale read takes the state back.
+TEST(replica, an_older_snapshot_changes_nothing)
+{
+    replica subject = known_items();
+    CHECK_FALSE(subject.on_snapshot({{"a", {"old", 1}}}, 9, begin));
+    STRCMP_EQUAL("one", subject.items().at("a").value.c_str());
+    UNSIGNED_LONGS_EQUAL(2, subject.items().size());
+}
+
+// Fails when an event that arrives twice or late overwrites a newer value.
+TEST(replica, an_older_event_changes_nothing)
+{
+    replica subject = known_items();
+    CHECK_FALSE(subject.on_events({{"a", "old", 4}, {"b", std::nullopt, 5}}, 11, begin));
+    UNSIGNED_LONGS_EQUAL(2, subject.items().size());
+}
+
+// Fails when a removal in calm times waits.
+TEST(replica, a_removal_takes_effect_at_once)
+{
+    replica subject = known_items();
+    CHECK_TRUE(subject.on_events({{"a", std::nullopt, 11}}, 11, begin));
+    CHECK_FALSE(subject.items().contains("a"));
+}
+
+// Fails when servers that could not renew their entries while the store was away are dropped
+// before they had time to come back.
+TEST(replica, an_item_that_lapsed_while_the_store_was_away_gets_time_to_return)
+{
+    replica subject = known_items();
+    subject.on_unreachable(begin);
+    subject.on_reachable(begin + 5s);
+    CHECK_FALSE(subject.on_snapshot({{"b", {"two", 6}}}, 20, begin + 5s));
+    CHECK_TRUE(subject.items().contains("a"));
+    subject.on_events({{"a", "back", 21}}, 21, begin + 6s);
+    CHECK_FALSE(subject.on_tick(begin + 9s));
+    STRCMP_EQUAL("back", subject.items().at("a").value.c_str());
+}
+
+// Fails when an item that does not return is used for ever.
+TEST(replica, an_item_that_does_not_return_is_gone_after_the_grace_time)
+{
+    replica subject = known_items();
+    subject.on_unreachable(begin);
+    subject.on_reachable(begin + 5s);
+    subject.on_snapshot({{"b", {"two", 6}}}, 20, begin + 5s);
+    CHECK_FALSE(subject.on_tick(begin + 5s + replica::return_grace - 1ms));
+    CHECK_TRUE(subject.on_tick(begin + 5s + replica::return_grace));
+    CHECK_FALSE(subject.items().contains("a"));
+}
+
+// Fails when snapshots and events in any order ever lower an item's revision.
+TEST(replica, no_item_goes_back)
+{
+    tests::check_property(
+        "revisions only rise while an item is there",
+        []
+        {
+            replica subject;
+            std::uint64_t latest = 0;
+            const auto steps =
+                *rc::gen::container<std::vector<std::uint64_t>>(60, rc::gen::inRange(1, 100));
+            for (const std::uint64_t revision : steps)
+            {
+                if (revision % 2 == 0)
+                    subject.on_snapshot({{"a", {"s", revision}}}, revision, begin);
+                else
+                    subject.on_events({{"a", "e", revision}}, revision, begin);
+                RC_ASSERT(subject.items().at("a").revision >= latest);
+                latest = subject.items().at("a").revision;
+            }
+        });
+}
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Checks formatting and runs the linter over every source file that the build compiles.
-# With --fix, formats the files in place instead.
+# With --fix, formats the files in place instead. Needs a finished build for the lists of headers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.hpp' '*.cpp' | grep -v generated | sort -u)
@@ -10,14 +10,25 @@
 fi
 clang-format --dry-run --Werror "${files[@]}"
 build=${BUILD_DIR:-build}
-# Results are kept per content of the file, its headers and the rules, so a rerun checks only what changed.
+# A file that passed is checked again only when its text, a header of the project that it includes,
+# the rules, the linter or its compile command have changed.
 cache=${XDG_CACHE_HOME:-$HOME/.cache}/snipeplank-lint
 mkdir -p "$cache"
-export cache build
-headers_hash=$(cat .clang-tidy "${files[@]}" | grep -E '^(#include|#define|class|struct|enum|    virtual|[A-Z])' | sha256sum | cut -c1-16)
-export headers_hash
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+ninja -C "$build" -t deps 2> /dev/null > "$work/deps"
+sed -n 's/^ *"command": //p; s/^ *"file": //p' "$build/compile_commands.json" | paste - - > "$work/commands"
+rules=$(cat .clang-tidy; clang-tidy --version)
+export cache build work rules
 check_one() {
-  key=$( (cat "$1" .clang-tidy; echo "$headers_hash") | sha256sum | cut -c1-32)
+  # Of each object file, the first listed dependency is the source, the others are its headers.
+  inputs=$(awk -v root="$PWD/" -v source="$PWD/$1" '
+    /#deps/ { first = 1; next }
+    NF == 1 { if (first) { wanted = ($1 == source); first = 0 }
+              if (wanted && index($1, root) == 1) print $1 }' "$work/deps" | sort -u)
+  [ -n "$inputs" ] || inputs=$PWD/$1
+  key=$( (echo "$rules"; grep -F "\"$PWD/$1\"" "$work/commands" || true; echo "$inputs"
+          echo "$inputs" | xargs cat) | sha256sum | cut -c1-40)
   [ -e "$cache/$key" ] && exit 0
   if output=$(clang-tidy -p "$build" --quiet "$1" 2>/dev/null); then
     touch "$cache/$key"
--- /dev/null
+++ b/standins/server/main.cpp
@@ -0,0 +1,169 @@
+/// Stand-in for a server of the users' platform: answers with its signature, or with a fault.
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+#include <standins/support/http_server.hpp>
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+DEFINE_string(address, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
+DEFINE_string(id, "i-1", "name of this life of the server");
+DEFINE_int32(events, 5, "events of a streamed answer");
+DEFINE_int32(event_ms, 5, "time between two events");
+
+namespace snipeplank::standins
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int wrong_server = 421;
+constexpr int unavailable = 503;
+constexpr int server_error = 500;
+
+class server
+{
+  public:
+    server()
+    {
+        const auto serve = [this](const request& in, response& out) { answer(in, out); };
+        m_server.Post("/standin/fault",
+                      [this](const request& in, response&)
+                      {
+                          const std::lock_guard lock(m_mutex);
+                          m_fault = in.body;
+                      });
+        m_server.Get("/standin/seen",
+                     [this](const request&, response& out)
+                     {
+                         const std::lock_guard lock(m_mutex);
+                         out.set_content(json{{"runs", m_runs},
+                                              {"cancelled", m_cancelled},
+                                              {"deadlines", m_deadlines},
+                                              {"rejected", m_rejected}}
+                                             .dump(),
+                                         "application/json");
+                     });
+        m_server.Get("/.*", serve);
+        m_server.Post("/.*", serve);
+    }
+
+    int run() { return m_server.run(FLAGS_address); }
+
+  private:
+    using request = httplib::Request;
+    using response = httplib::Response;
+
+    void answer(const request& in, response& out)
+    {
+        const std::string id = in.get_header_value("Attempt-Id");
+        const std::string expected = in.get_header_value("Expect-Instance");
+        std::string fault;
+        {
+            const std::lock_guard lock(m_mutex);
+            fault = m_fault;
+            const bool is_rejected = fault == "shed" || expected != FLAGS_id;
+            m_rejected += is_rejected ? 1 : 0;
+            if (!is_rejected)
+            {
+                ++m_runs[id];
+                m_deadlines[id] = std::atol(in.get_header_value("Deadline-Ms").c_str());
+            }
+        }
+        if (expected != FLAGS_id)
+        {
+            out.status = wrong_server;
+            out.set_header("Instance-Id", FLAGS_id);
+            return;
+        }
+        if (fault == "shed")
+        {
+            out.status = unavailable;
+            out.set_header("Not-Executed", "1");
+            return;
+        }
+        if (fault == "reset")
+        {
+            connection::current().cut();
+            return;
+        }
+        if (fault == "mute")
+        {
+            m_server.stay_silent();
+            note_cancelled(id);
+            return;
+        }
+        out.set_header("Attempt-Id", fault == "other_id" ? "0000" : id);
+        if (fault != "unsigned")
+            out.set_header("Server-Signature", "3e1b.07." + id);
+        out.status = fault == "error" ? server_error : 200;
+        if (in.path.find("/stream") != std::string::npos)
+            stream(in, out, id, fault);
+        else
+            out.set_content("answer of " + FLAGS_id + " to " + in.method + " " + in.path + " " +
+                                in.body,
+                            "text/plain");
+    }
+
+    void stream(const request& in, response& out, const std::string& id, const std::string& fault)
+    {
+        const std::string last = in.get_header_value("Last-Event-Id");
+        int next = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
+        out.set_chunked_content_provider(
+            "text/event-stream",
+            [this, next, id, fault](std::size_t, httplib::DataSink& sink) mutable
+            {
+                if (fault == "break_stream" && next == 3)
+                {
+                    const std::string half = "id: 3\ndata: to";
+                    sink.write(half.data(), half.size());
+                    connection::current().cut();
+                    return false;
+                }
+                if (next > FLAGS_events)
+                {
+                    sink.done();
+                    return true;
+                }
+                const std::string event = "id: " + std::to_string(next) + "\ndata: token " +
+                                          std::to_string(next) + "\n\n";
+                ++next;
+                if (!m_server.wait_for(std::chrono::milliseconds(FLAGS_event_ms)) ||
+                    !sink.write(event.data(), event.size()))
+                {
+                    note_cancelled(id);
+                    return false;
+                }
+                return true;
+            });
+    }
+
+    void note_cancelled(const std::string& id)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_cancelled.insert(id);
+    }
+
+    http_server m_server;
+    std::mutex m_mutex;
+    std::string m_fault;
+    std::map<std::string, int> m_runs;
+    std::map<std::string, long> m_deadlines;
+    std::set<std::string> m_cancelled;
+    int m_rejected = 0;
+};
+
+} // namespace
+} // namespace snipeplank::standins
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return snipeplank::standins::server().run();
+}
--- /dev/null
+++ b/standins/store/main.cpp
@@ -0,0 +1,183 @@
+/// Stand-in for the users' platform's store: range reads and watches over items that a test sets.
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+#include <standins/support/http_server.hpp>
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+DEFINE_string(address, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
+
+namespace snipeplank::standins
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr int bad_request = 400;
+constexpr int gone = 410;
+constexpr int no_content = 204;
+
+std::string encode_base64(const std::string& bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                       reinterpret_cast<const unsigned char*>(bytes.data()),
+                                       static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+/// One write or removal.
+struct change
+{
+    std::string key;
+    bool is_removal = false;
+    std::string value;
+    std::uint64_t revision = 0;
+};
+
+class store
+{
+  public:
+    store()
+    {
+        m_server.Get("/api/kv-range",
+                     [this](const request& in, response& out) { read_range(in, out); });
+        m_server.Get("/api/kv-watch", [this](const request& in, response& out) { watch(in, out); });
+        m_server.Put("/standin/item",
+                     [this](const request& in, response& out) { write(in, out, false); });
+        m_server.Delete("/standin/item",
+                        [this](const request& in, response& out) { write(in, out, true); });
+        m_server.Post("/standin/compact", [this](const request&, response&) { compact(); });
+        m_server.Post("/standin/down",
+                      [this](const request& in, response&) { m_is_down = in.body == "yes"; });
+    }
+
+    int run() { return m_server.run(FLAGS_address); }
+
+  private:
+    using request = httplib::Request;
+    using response = httplib::Response;
+
+    static json to_json(const change& each)
+    {
+        json item{{"Key", each.key}, {"Revision", each.revision}};
+        if (each.is_removal)
+            item["Deleted"] = true;
+        else
+            item.update(
+                {{"Value", encode_base64(each.value)}, {"Created", each.revision}, {"Lease", 0}});
+        return item;
+    }
+
+    bool refuse_when_down()
+    {
+        if (m_is_down)
+            connection::current().cut();
+        return m_is_down;
+    }
+
+    void read_range(const request& in, response& out)
+    {
+        if (refuse_when_down())
+            return;
+        const std::string prefix = in.get_param_value("PathPrefix");
+        const std::lock_guard lock(m_mutex);
+        json items = json::array();
+        for (const auto& [key, latest] : m_items)
+        {
+            if (key.starts_with(prefix))
+                items.push_back(to_json(latest));
+        }
+        out.set_content(json{{"items", items}, {"HasMore", false}, {"AsOf", m_revision}}.dump(),
+                        "application/json");
+    }
+
+    void watch(const request& in, response& out)
+    {
+        if (refuse_when_down())
+            return;
+        const std::string prefix = in.get_param_value("PathPrefix");
+        const std::uint64_t after = std::stoull(in.get_param_value("after"));
+        const auto end = std::chrono::steady_clock::now() +
+                         std::chrono::milliseconds(std::stol(in.get_param_value("WaitMs")));
+        while (!answer_watch(prefix, after, out) && std::chrono::steady_clock::now() < end)
+        {
+            constexpr auto slice = 10ms;
+            if (!m_server.wait_for(slice) || refuse_when_down())
+            {
+                connection::current().cut();
+                return;
+            }
+        }
+    }
+
+    /// Fills in the answer; returns whether there is anything to tell.
+    bool answer_watch(const std::string& prefix, std::uint64_t after, response& out)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (after < m_compacted)
+        {
+            out.status = gone;
+            return true;
+        }
+        json events = json::array();
+        for (const change& each : m_history)
+        {
+            if (each.revision > after && each.key.starts_with(prefix))
+                events.push_back(to_json(each));
+        }
+        out.set_content(json{{"events", events}, {"AsOf", m_revision}}.dump(), "application/json");
+        return !events.empty();
+    }
+
+    void write(const request& in, response& out, bool is_removal)
+    {
+        const std::string key = in.get_param_value("Key");
+        if (key.empty())
+        {
+            out.status = bad_request;
+            return;
+        }
+        const std::lock_guard lock(m_mutex);
+        const change made{key, is_removal, in.body, ++m_revision};
+        m_history.push_back(made);
+        if (is_removal)
+            m_items.erase(key);
+        else
+            m_items[key] = made;
+        out.status = no_content;
+    }
+
+    void compact()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_history.clear();
+        m_compacted = ++m_revision;
+    }
+
+    http_server m_server;
+    std::mutex m_mutex;
+    std::map<std::string, change> m_items;
+    std::vector<change> m_history;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_compacted = 0;
+    std::atomic<bool> m_is_down{false};
+};
+
+} // namespace
+} // namespace snipeplank::standins
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return snipeplank::standins::store().run();
+}
--- /dev/null
+++ b/tests/machine_node_test.cpp
@@ -0,0 +1,297 @@
+/// The node on a machine of the users' platform, against stand-ins of its store and servers.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+#include "machine_fleet.hpp"
+
+using namespace snipeplank::tests;
+using nlohmann::json;
+
+namespace
+{
+
+const std::string home = "salzkammer";
+const std::string away = "ennstal";
+
+std::string whole_stream(int from, int to)
+{
+    std::string events;
+    for (int i = from; i <= to; ++i)
+    {
+        events += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) + "\n\n";
+    }
+    return events;
+}
+
+int runs_of(const standin& server, const std::string& id)
+{
+    return machine_fleet::seen(server)["runs"].value(id, 0);
+}
+
+} // namespace
+
+TEST_GROUP(machine_node)
+{
+    std::unique_ptr<machine_fleet> fleet;
+
+    void set_up(const std::vector<std::string>& regions)
+    {
+        fleet = std::make_unique<machine_fleet>(regions);
+        fleet->publish_configuration(3);
+    }
+
+    void teardown() override
+    {
+        fleet.reset();
+    }
+
+    http_answer call(const std::string& method, const std::string& path, const std::string& id,
+                     int deadline_ms = 5'000, std::size_t index = 0) const
+    {
+        return http_call(fleet->node(index).callers,
+                         machine_fleet::request(method, path, id, deadline_ms));
+    }
+};
+
+// Fails when one kind of request is not served whole, or is changed on the way.
+TEST(machine_node, each_kind_of_request_is_served)
+{
+    set_up({home});
+    standin& model = fleet->add_server("i-m", "model", home);
+    standin& shop = fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    fleet->wait_until_served(0, "/stream/x");
+    const http_answer stream = call("POST", "/stream/a%2Fb?c=1", "id1");
+    CHECK_TRUE_TEXT(stream.is(200), stream.describe().c_str());
+    STRCMP_EQUAL(whole_stream(1, 5).c_str(), stream.body.c_str());
+    STRCMP_EQUAL("3e1b.07.id1", stream.headers.at("server-signature").c_str());
+    const http_answer booked = call("POST", "/book/x", "id2");
+    CHECK_TRUE_TEXT(booked.is(200), booked.describe().c_str());
+    LONGS_EQUAL(1, runs_of(shop, "id2"));
+    LONGS_EQUAL(1, runs_of(model, "id1"));
+    CHECK_TRUE(machine_fleet::seen(shop)["deadlines"].value("id2", 0) <= 5'000);
+    LONGS_EQUAL(404, call("GET", "/nowhere/x", "id3").status);
+}
+
+// Fails when a node without configuration says that a route does not exist, or never starts.
+TEST(machine_node, a_node_that_cannot_reach_the_store_starts_and_says_when_to_come_back)
+{
+    set_up({home});
+    CHECK_TRUE(http_post(fleet->store().address(), "/standin/down", "yes").is(200));
+    fleet->start_node(0);
+    wait_for_status(fleet->node(0).readiness, "/api/readyz", 503);
+    const http_answer refused = call("GET", "/read/x", "id1");
+    LONGS_EQUAL(503, refused.status);
+    CHECK_TRUE(refused.headers.contains("retry-after"));
+    fleet->add_server("i-s", "shop", home);
+    CHECK_TRUE(http_post(fleet->store().address(), "/standin/down", "no").is(200));
+    fleet->wait_until_served(0, "/read/x");
+}
+
+// Fails when a request that may run at most once is sent again, or is said not to have run.
+TEST(machine_node, a_booking_whose_answer_is_lost_runs_once_and_is_not_denied)
+{
+    set_up({home});
+    standin& first = fleet->add_server("i-1", "shop", home);
+    standin& second = fleet->add_server("i-2", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    for (const char* fault : {"reset", "unsigned", "mute"})
+    {
+        machine_fleet::set_fault(first, fault);
+        machine_fleet::set_fault(second, fault);
+        const http_answer answer = call("POST", "/book/x", fault, 700);
+        CHECK_TRUE_TEXT(answer.status == 502 || answer.status == 504, answer.describe().c_str());
+        LONGS_EQUAL(1, runs_of(first, fault) + runs_of(second, fault));
+    }
+}
+
+// Fails when a request that a server rejected unrun is lost although another server is free.
+TEST(machine_node, a_rejected_booking_goes_to_another_server)
+{
+    set_up({home});
+    standin& first = fleet->add_server("i-1", "shop", home);
+    standin& second = fleet->add_server("i-2", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    machine_fleet::set_fault(first, "shed");
+    for (int i = 0; i < 6; ++i)
+    {
+        const std::string id = "id" + std::to_string(i);
+        CHECK_TRUE(call("POST", "/book/x", id).is(200));
+        LONGS_EQUAL(1, runs_of(second, id));
+    }
+    machine_fleet::set_fault(second, "shed");
+    const http_answer refused = call("POST", "/book/x", "last");
+    LONGS_EQUAL(503, refused.status);
+    CHECK_TRUE(refused.headers.contains("retry-after"));
+    LONGS_EQUAL(0, runs_of(first, "last") + runs_of(second, "last"));
+}
+
+// Fails when an address that another server has now is sent work, or the request is lost.
+TEST(machine_node, a_server_that_is_another_one_now_does_not_run_the_request)
+{
+    set_up({home});
+    standin& reused = fleet->add_server("i-new", "other", home);
+    fleet->put("servers/i-old", json{{"Service", "shop"},
+                                     {"Address", reused.address()},
+                                     {"Zone", home + "-a"},
+                                     {"State", "ready"}}
+                                    .dump());
+    standin& good = fleet->add_server("i-good", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    for (int i = 0; i < 6; ++i)
+    {
+        const std::string id = "id" + std::to_string(i);
+        CHECK_TRUE(call("POST", "/book/x", id).is(200));
+        LONGS_EQUAL(1, runs_of(good, id));
+    }
+    CHECK_TRUE(machine_fleet::seen(reused)["runs"].empty());
+}
+
+// Fails when a stream whose server breaks off inside an event has a gap, a repeat or a cut.
+TEST(machine_node, a_broken_stream_goes_on_at_another_server)
+{
+    set_up({home});
+    standin& first = fleet->add_server("i-1", "model", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/stream/x");
+    machine_fleet::set_fault(first, "break_stream");
+    fleet->add_server("i-2", "model", home);
+    fleet->wait_until_served(0, "/stream/x");
+    for (int i = 0; i < 6; ++i)
+    {
+        const http_answer stream = call("POST", "/stream/x", "id" + std::to_string(i));
+        CHECK_TRUE_TEXT(stream.is(200), stream.describe().c_str());
+        STRCMP_EQUAL(whole_stream(1, 5).c_str(), stream.body.c_str());
+    }
+}
+
+// Fails when a server works on after its client has left.
+TEST(machine_node, a_client_that_leaves_ends_the_work)
+{
+    set_up({home});
+    standin& model = fleet->add_server("i-m", "model", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/stream/x");
+    machine_fleet::set_fault(model, "mute");
+    http_exchange exchange(fleet->node(0).callers,
+                           machine_fleet::request("POST", "/stream/x", "gone"));
+    wait_until("the server runs it", [&] { return runs_of(model, "gone") == 1; });
+    exchange.close();
+    wait_until("the server's connection is closed",
+               [&]
+               {
+                   const json cancelled = machine_fleet::seen(model)["cancelled"];
+                   return std::find(cancelled.begin(), cancelled.end(), "gone") != cancelled.end();
+               });
+}
+
+// Fails when a leaving or evacuated server gets new requests.
+TEST(machine_node, leaving_and_evacuated_servers_get_nothing)
+{
+    set_up({home});
+    standin& leaving = fleet->add_server("i-1", "shop", home);
+    standin& staying = fleet->add_server("i-2", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    fleet->put("servers/i-1", json{{"Service", "shop"},
+                                   {"Address", leaving.address()},
+                                   {"Zone", home + "-a"},
+                                   {"State", "draining"}}
+                                  .dump());
+    wait_until(
+        "the node knows", [&]
+        { return fleet->node(0).program->output().find("\"leaving\":true") != std::string::npos; });
+    for (int i = 0; i < 10; ++i)
+    {
+        CHECK_TRUE(call("GET", "/read/x", "id" + std::to_string(i)).is(200));
+        LONGS_EQUAL(0, runs_of(leaving, "id" + std::to_string(i)));
+    }
+    fleet->put("op/evacuate/" + home + "-a", "{}");
+    wait_until("the node refuses", [&] { return call("GET", "/read/x", "probe").status == 503; });
+    const int before = static_cast<int>(machine_fleet::seen(staying)["runs"].size());
+    LONGS_EQUAL(503, call("GET", "/read/x", "evacuated").status);
+    LONGS_EQUAL(before, machine_fleet::seen(staying)["runs"].size());
+    fleet->remove("op/evacuate/" + home + "-a");
+    fleet->wait_until_served(0, "/read/x");
+}
+
+// Fails when a watch that the store has forgotten leaves the node with an old configuration.
+TEST(machine_node, a_forgotten_history_is_read_again)
+{
+    set_up({home});
+    fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    CHECK_TRUE(http_post(fleet->store().address(), "/standin/compact", "").is(200));
+    fleet->publish_configuration(9);
+    wait_until("the new version is in force",
+               [&]
+               {
+                   return http_get(fleet->node(0).admin, "/metrics")
+                              .body.find("snipeplank_config_version 9") != std::string::npos;
+               });
+}
+
+// Fails when a request bound to another region is served here, or is not carried there.
+TEST(machine_node, a_bound_request_is_served_in_its_region)
+{
+    set_up({home, away});
+    fleet->publish_configuration(4, away);
+    standin& here = fleet->add_server("i-1", "shop", home);
+    standin& there = fleet->add_server("i-2", "shop", away);
+    fleet->add_server("i-m", "model", away);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    CHECK_TRUE(call("GET", "/read/x", "bound").is(200));
+    LONGS_EQUAL(0, runs_of(here, "bound"));
+    LONGS_EQUAL(1, runs_of(there, "bound"));
+    fleet->wait_until_served(0, "/stream/x");
+    const http_answer stream = call("POST", "/stream/x", "far");
+    CHECK_TRUE_TEXT(stream.is(200), stream.describe().c_str());
+    STRCMP_EQUAL(whole_stream(1, 5).c_str(), stream.body.c_str());
+}
+
+// Fails when a planned stop cuts a stream, keeps the node in the directory, or never ends.
+TEST(machine_node, a_planned_stop_ends_what_is_in_flight)
+{
+    set_up({home, away});
+    fleet->add_server("i-m", "model", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/stream/x");
+    const std::string question = "/api/resolve?Name=shop.example&Region=" + home + "&Zone=" + home;
+    const auto names_first = [&]
+    {
+        return http_get(fleet->node(1).directory, question).body.find(fleet->node(0).callers) !=
+               std::string::npos;
+    };
+    wait_until("the other node names this one", names_first);
+    http_exchange stream(fleet->node(0).callers,
+                         machine_fleet::request("POST", "/stream/x", "last"));
+    CHECK_TRUE(stream.read_body(10));
+    fleet->node(0).program->send_signal(SIGTERM);
+    wait_for_status(fleet->node(0).readiness, "/api/readyz", 503);
+    const http_answer answer = stream.finish();
+    CHECK_TRUE_TEXT(answer.is(200), answer.describe().c_str());
+    STRCMP_EQUAL(whole_stream(1, 5).c_str(), answer.body.c_str());
+    LONGS_EQUAL(0, fleet->node(0).program->wait());
+    wait_until("the stopped node is not named", [&] { return !names_first(); });
+}
+
+// Fails when a start with incomplete settings goes on, or does not say what is missing.
+TEST(machine_node, a_start_without_settings_names_what_is_missing)
+{
+    machine_fleet files({home});
+    const std::string path = files.node(0).settings_path;
+    std::ofstream(path) << R"({"Node":"n1"})";
+    files.start_node(0);
+    LONGS_EQUAL(2, files.node(0).program->wait());
+    CHECK_TRUE(files.node(0).program->output().find("Region") != std::string::npos);
+}
--- a/tests/support/http_exchange.cpp
+++ b/tests/support/http_exchange.cpp
@@ -76,8 +76,11 @@
 {
     m_socket = connect_to(address);
     std::ostringstream text;
-    text << request.method << " " << request.path << " HTTP/1.1\r\nHost: " << address
-         << "\r\nConnection: close\r\n";
+    text << request.method << " " << request.path << " HTTP/1.1\r\nConnection: close\r\n";
+    if (!request.headers.contains("Host"))
+    {
+        text << "Host: " << address << "\r\n";
+    }
     for (const auto& [name, value] : request.headers)
     {
         text << name << ": " << value << "\r\n";
--- /dev/null
+++ b/tests/support/machine_fleet.cpp
@@ -0,0 +1,191 @@
+#include "machine_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace snipeplank::tests
+{
+
+using nlohmann::json;
+
+namespace
+{
+
+std::string zone_of(const std::string& region)
+{
+    return region + "-a";
+}
+
+json route(const std::string& prefix, const std::string& kind, const std::string& service,
+           bool resumable, const json& regions)
+{
+    return {{"Name", "r" + prefix},   {"Host", "shop.example"},   {"PathPrefix", prefix},
+            {"Kind", kind},           {"TimeoutMs", 8'000},       {"GoalMs", 1'000},
+            {"Priority", 2},          {"Service", service},       {"MaxAttempts", 2},
+            {"Resumable", resumable}, {"AllowedRegions", regions}};
+}
+
+} // namespace
+
+machine_fleet::machine_fleet(const std::vector<std::string>& regions)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "machine-XXXXXX").string();
+    m_directory = mkdtemp(pattern.data());
+    m_store = std::make_unique<standin>("standin_store");
+    for (const std::string& region : regions)
+    {
+        machine_node made;
+        made.name = "front-" + region;
+        made.region = region;
+        made.callers = free_address();
+        made.readiness = free_address();
+        made.directory = free_address();
+        made.admin = free_address();
+        made.peer = free_address();
+        made.settings_path = m_directory + "/" + region + ".json";
+        m_nodes.push_back(std::move(made));
+    }
+    for (const machine_node& each : m_nodes)
+    {
+        write_settings(each);
+    }
+}
+
+machine_fleet::~machine_fleet()
+{
+    m_nodes.clear();
+    std::filesystem::remove_all(m_directory);
+}
+
+void machine_fleet::write_settings(const machine_node& node) const
+{
+    json zones;
+    json seeds = json::array();
+    for (const machine_node& each : m_nodes)
+    {
+        zones[zone_of(each.region)] = each.region;
+        seeds.push_back(each.peer);
+    }
+    const int admin_port = std::stoi(node.admin.substr(node.admin.rfind(':') + 1));
+    const json settings{
+        {"Node", node.name},
+        {"Ip", "127.0.0.1"},
+        {"Zone", zone_of(node.region)},
+        {"Region", node.region},
+        {"Zones", zones},
+        {"Listen",
+         {{"Front", node.callers},
+          {"Readiness", node.readiness},
+          {"Control", node.peer},
+          {"Directory", node.directory}}},
+        {"PortRange", {admin_port, admin_port}},
+        {"Seeds", seeds},
+        {"Bounds", {{"GraceS", 8}, {"RetryRatio", 0.2}, {"RetrySlack", 52}, {"RetryWindowS", 10}}},
+        {"Provider", {{"Address", m_store->address()}}}};
+    std::ofstream(node.settings_path) << settings.dump();
+}
+
+standin& machine_fleet::add_server(const std::string& id, const std::string& service,
+                                   const std::string& region)
+{
+    m_servers.push_back(
+        std::make_unique<standin>("standin_server", std::vector<std::string>{"--id", id}));
+    put("servers/" + id, json{{"Service", service},
+                              {"Address", m_servers.back()->address()},
+                              {"Zone", zone_of(region)},
+                              {"Slots", 6},
+                              {"State", "ready"},
+                              {"WarmupLeftMs", 0},
+                              {"Sequence", 1}}
+                             .dump());
+    return *m_servers.back();
+}
+
+void machine_fleet::publish_configuration(int version, const std::string& bound_region)
+{
+    const json anywhere = json::array();
+    const json bound = bound_region.empty() ? anywhere : json::array({bound_region});
+    const json config{{"Version", version},
+                      {"Routes",
+                       {route("/stream/", "streaming", "model", true, anywhere),
+                        route("/book/", "non_idempotent", "shop", false, anywhere),
+                        route("/read/", "idempotent", "shop", false, bound)}},
+                      {"Services",
+                       {{{"Name", "model"}, {"Engine", {{"Slots", 64}, {"KvCapacity", 444'000}}}},
+                        {{"Name", "shop"}}}}};
+    put("op/config", config.dump());
+}
+
+void machine_fleet::put(const std::string& key, const std::string& value) const
+{
+    const http_request request{"PUT", "/standin/item?Key=" + key, {}, value};
+    CHECK_TRUE(http_call(m_store->address(), request).is(204));
+}
+
+void machine_fleet::remove(const std::string& key) const
+{
+    const http_request request{"DELETE", "/standin/item?Key=" + key, {}, ""};
+    CHECK_TRUE(http_call(m_store->address(), request).is(204));
+}
+
+void machine_fleet::start_node(std::size_t index)
+{
+    machine_node& node = m_nodes.at(index);
+    setenv("SNIPEPLANK_SETTINGS", node.settings_path.c_str(), 1);
+    node.program = std::make_unique<child_process>("snipeplank", std::vector<std::string>{});
+    unsetenv("SNIPEPLANK_SETTINGS");
+}
+
+void machine_fleet::start_nodes()
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+    {
+        start_node(i);
+    }
+    for (const machine_node& each : m_nodes)
+    {
+        wait_for_status(each.readiness, "/api/readyz", 200);
+    }
+}
+
+void machine_fleet::wait_until_served(std::size_t index, const std::string& path)
+{
+    int number = 0;
+    wait_until("a route is served",
+               [&]
+               {
+                   const http_request probe =
+                       request("GET", path, "probe" + std::to_string(++number));
+                   return http_call(node(index).callers, probe).is(200);
+               });
+}
+
+http_request machine_fleet::request(const std::string& method, const std::string& path,
+                                    const std::string& id, int deadline_ms)
+{
+    http_request made;
+    made.method = method;
+    made.path = path;
+    made.headers = {{"Host", "shop.example"},
+                    {"Attempt-Id", id},
+                    {"Deadline-Ms", std::to_string(deadline_ms)},
+                    {"Token-Usage", "100,20"},
+                    {"Prefix-Hash", "a:50,b:50"}};
+    return made;
+}
+
+json machine_fleet::seen(const standin& server)
+{
+    return json::parse(http_get(server.address(), "/standin/seen").body);
+}
+
+void machine_fleet::set_fault(const standin& server, const std::string& fault)
+{
+    CHECK_TRUE(http_post(server.address(), "/standin/fault", fault).is(200));
+}
+
+} // namespace snipeplank::tests
--- /dev/null
+++ b/tests/support/machine_fleet.hpp
@@ -0,0 +1,81 @@
+/// @file
+/// Nodes on machines of the users' platform, with stand-ins of its store and servers.
+
+#ifndef SNIPEPLANK_TESTS_SUPPORT_MACHINE_FLEET_HPP
+#define SNIPEPLANK_TESTS_SUPPORT_MACHINE_FLEET_HPP
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "child_process.hpp"
+#include "http_exchange.hpp"
+#include "standin.hpp"
+
+namespace snipeplank::tests
+{
+
+/// @brief One node and where it listens.
+struct machine_node
+{
+    std::string name;
+    std::string region;
+    std::string callers;
+    std::string readiness;
+    std::string directory;
+    std::string admin;
+    std::string peer;
+    std::string settings_path;
+    std::unique_ptr<child_process> program;
+};
+
+/// @brief A store, servers and nodes in regions of one availability zone each.
+class machine_fleet
+{
+  public:
+    /// @param regions one node in each
+    explicit machine_fleet(const std::vector<std::string>& regions);
+    ~machine_fleet();
+    machine_fleet(const machine_fleet&) = delete;
+    machine_fleet& operator=(const machine_fleet&) = delete;
+
+    /// @brief Starts a server of a service and publishes its entry.
+    standin& add_server(const std::string& id, const std::string& service,
+                        const std::string& region);
+
+    /// @brief Publishes a configuration with the routes `/stream/`, `/book/` and `/read/`.
+    /// @param bound_region home of the route `/read/`; empty for none
+    void publish_configuration(int version, const std::string& bound_region = "");
+
+    void put(const std::string& key, const std::string& value) const;
+    void remove(const std::string& key) const;
+    standin& store() { return *m_store; }
+
+    void start_node(std::size_t index);
+    void start_nodes();
+    machine_node& node(std::size_t index) { return m_nodes.at(index); }
+
+    /// @brief Waits until a route is served by the node.
+    void wait_until_served(std::size_t index, const std::string& path);
+
+    /// @brief A request with all headers of the platform.
+    static http_request request(const std::string& method, const std::string& path,
+                                const std::string& id, int deadline_ms = 5'000);
+
+    /// @brief What a server says it has seen.
+    static nlohmann::json seen(const standin& server);
+    static void set_fault(const standin& server, const std::string& fault);
+
+  private:
+    void write_settings(const machine_node& node) const;
+
+    std::string m_directory;
+    std::unique_ptr<standin> m_store;
+    std::vector<std::unique_ptr<standin>> m_servers;
+    std::vector<machine_node> m_nodes;
+};
+
+} // namespace snipeplank::tests
+
+#endif
