--- a/packages/http/include/snipeplank/http/client.hpp
+++ b/packages/http/include/snipeplank/http/client.hpp
@@ -48,7 +48,7 @@
 
     /// @brief Starts to send a request. Its body is sent while the answer is awaited, because a
     /// server may answer before it has read everything.
-    void send(const request_head& head, std::string body);
+    void send(const request_head& head, const std::string& body);
 
     /// @brief The next response head, interim responses left out.
     boost::asio::awaitable<core::result<response_head>> read_head();
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -66,7 +66,7 @@
         co_return boost::outcome_v2::success();
     }
 
-    void send(const request_head& head, std::string body)
+    void send(const request_head& head, const std::string& body)
     {
         m_is_head_request = head.method == "HEAD";
         m_text = to_text(head);
@@ -230,9 +230,9 @@
     return m_state->connect(limit);
 }
 
-void client_connection::send(const request_head& head, std::string body)
+void client_connection::send(const request_head& head, const std::string& body)
 {
-    m_state->send(head, std::move(body));
+    m_state->send(head, body);
 }
 
 asio::awaitable<core::result<response_head>> client_connection::read_head()
@@ -302,7 +302,8 @@
     used->stop_timer();
     // The server's clock for the connection started earlier than this one.
     const core::time_point good_until = now + idle_time / 2;
-    m_idle[used->server()].push_back({std::move(used), good_until});
+    std::vector<idle_connection>& kept = m_idle[used->server()];
+    kept.push_back({std::move(used), good_until});
 }
 
 void connection_pool::sweep(core::time_point now)
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -320,13 +320,18 @@
         co_await served.run();
     }
 
+    static http::response status_answer(bool is_good)
+    {
+        return text_response(is_good ? ok : unavailable, "");
+    }
+
     asio::awaitable<void> serve_control(http::exchange& request)
     {
         const control_request read = m_adapters.control.read(request.head());
         switch (read.question)
         {
         case control_question::is_ready:
-            co_await request.send(text_response(is_ready() ? ok : unavailable, ""));
+            co_await request.send(status_answer(is_ready()));
             break;
         case control_question::entry_points:
             co_await request.send(m_adapters.control.entry_points(entry_points(read),
@@ -344,7 +349,7 @@
         if (path == "/metrics")
             co_await request.send(text_response(ok, metrics()));
         else if (path == "/readyz")
-            co_await request.send(text_response(is_ready() ? ok : unavailable, ""));
+            co_await request.send(status_answer(is_ready()));
         else if (path == "/v1/state")
             co_await request.send(
                 text_response(ok, m_adapters.source.snapshot(), "application/json"));
@@ -430,12 +435,13 @@
 
     void refresh_regions()
     {
-        for (auto& [region, known] : m_regions)
+        for (auto& entry : m_regions)
         {
+            other_region& known = entry.second;
             known.is_reachable =
                 std::any_of(m_nodes.begin(), m_nodes.end(),
-                            [&](const live_node& each) { return each.region == region; });
-            m_places.set_region(region, known);
+                            [&](const live_node& each) { return each.region == entry.first; });
+            m_places.set_region(entry.first, known);
         }
     }
 
--- a/packages/serving/tests/replica_test.cpp
+++ b/packages/serving/tests/replica_test.cpp
@@ -9,7 +9,6 @@
 using namespace snipeplank;
 using namespace std::chrono_literals;
 using serving::replica;
-using serving::replica_event;
 using serving::replica_items;
 
 namespace
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -21,6 +21,8 @@
 rules=$(cat .clang-tidy; clang-tidy --version)
 export cache build work rules
 check_one() {
+  # Boost 1.74 does not know that Clang has coroutines.
+  local coroutines=(--extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1)
   # Of each object file, the first listed dependency is the source, the others are its headers.
   inputs=$(awk -v root="$PWD/" -v source="$PWD/$1" '
     /#deps/ { first = 1; next }
@@ -30,7 +32,7 @@
   key=$( (echo "$rules"; grep -F "\"$PWD/$1\"" "$work/commands" || true; echo "$inputs"
           echo "$inputs" | xargs cat) | sha256sum | cut -c1-40)
   [ -e "$cache/$key" ] && exit 0
-  if output=$(clang-tidy -p "$build" --quiet "$1" 2>/dev/null); then
+  if output=$(clang-tidy -p "$build" --quiet "${coroutines[@]}" "$1" 2>/dev/null); then
     touch "$cache/$key"
   else
     echo "$output"
