placement: measured pauses and crowding decide between servers and regions

Pauses over 300 ms came from servers with full memory and continuous reading, which the time to the first event does not show; requests spilled only once that time was long.

--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -80,6 +80,7 @@
 {
     upstream target;
     double predicted_ms = 0;
+    double cost_ms = 0; ///< with what the request costs the streams beside it
     bool was_tried = false; ///< by an earlier attempt of the request
 };
 
@@ -88,6 +89,7 @@
 {
     core::region_id region;
     double predicted_ms = 0;
+    double cost_ms = 0; ///< with what the request costs the streams beside it
 };
 
 using placement_decision = std::variant<to_upstream, to_region, policy::refusal>;
@@ -145,6 +147,8 @@
     std::uint64_t on_sent(const placement_request& request, const core::region_id& target,
                           core::time_point now);
     void on_first_byte(std::uint64_t attempt, core::time_point now);
+    /// @brief Time between two events of a stream.
+    void on_pause(std::uint64_t attempt, double ms, core::time_point now);
     void on_ended(std::uint64_t attempt, placement_end how, core::time_point now);
 
     /// @brief Own load of each upstream, by hashed address, for the other nodes of the region.
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -333,7 +333,11 @@
     if (m_line.first_byte_ms == 0)
         m_line.first_byte_ms = to_ms(time - m_exchange.received_at());
     else
-        m_line.longest_pause_ms = std::max(m_line.longest_pause_ms, to_ms(time - m_last_event));
+    {
+        const double pause_ms = to_ms(time - m_last_event);
+        m_line.longest_pause_ms = std::max(m_line.longest_pause_ms, pause_ms);
+        m_environment.places.on_pause(*m_attempt_number, pause_ms, time);
+    }
     m_last_event = time;
 }
 
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -40,6 +40,10 @@
 /// Each step of a server reads the memory of all running requests. A full memory counts like this
 /// much own waiting.
 constexpr double full_memory_ms = 200;
+/// Own waiting that a millisecond of longer pauses between events outweighs.
+constexpr double pause_weight = 1;
+/// Measured pauses lose half of their excess in this time without a sample.
+constexpr core::milliseconds pause_half_life{700};
 /// A prompt that takes this long to read delays the events of the streams beside it noticeably.
 constexpr double long_prompt_ms = 60;
 /// What short prompts accept elsewhere before they use the upstream that is kept for long ones.
@@ -85,6 +89,8 @@
     core::time_point cold_until{};
     core::time_point avoid_until{};
     own_load own;
+    double pause_ms = 0; ///< between two events of a stream, smoothed
+    core::time_point paused_at{};
     policy::prefix_memory prefixes;
     policy::cold_start_limit cold;
 };
@@ -100,6 +106,7 @@
     double ms_per_token = first_ms_per_token;
     double duration_ms = first_duration_ms;
     double work_ms = first_work_ms;
+    double calm_pause_ms = 0; ///< between two events when little runs
     double unread_tokens = 0; ///< mean of a request
     double memory_tokens = 0; ///< mean of a request
 };
@@ -234,12 +241,11 @@
         const auto remote = best_region(request, now);
         const double objective = static_cast<double>(request.chosen->objective.count());
         const bool local_is_good =
-            local && !local->was_tried && local->predicted_ms <= spill_from_objective * objective;
+            local && !local->was_tried && local->cost_ms <= spill_from_objective * objective;
         const double remaining = static_cast<double>(request.remaining.count());
         const bool remote_is_better =
             remote && !local_is_good &&
-            (!local || local->was_tried ||
-             remote->predicted_ms + spill_margin_ms < local->predicted_ms);
+            (!local || local->was_tried || remote->cost_ms + spill_margin_ms < local->cost_ms);
         if (remote_is_better && remote->predicted_ms < remaining)
             return *remote;
         if (local && local->predicted_ms < remaining)
@@ -297,6 +303,24 @@
         learn_first_byte(attempt, to_ms(now - attempt.sent));
     }
 
+    void on_pause(std::uint64_t number, double ms, core::time_point now)
+    {
+        const auto found = m_open.find(number);
+        if (found == m_open.end() || found->second.target.get().empty())
+            return;
+        const auto known = m_upstreams.find(found->second.target);
+        if (known == m_upstreams.end())
+            return;
+        service_state& learned = service_of(found->second.service);
+        if (learned.calm_pause_ms == 0)
+            learned.calm_pause_ms = ms;
+        follow_floor(learned.calm_pause_ms, ms);
+        known->second.pause_ms =
+            learned.calm_pause_ms + pause_excess(known->second, found->second.service, now);
+        follow_mean(known->second.pause_ms, ms);
+        known->second.paused_at = now;
+    }
+
     void on_ended(std::uint64_t number, placement_end how, core::time_point now)
     {
         const auto found = m_open.find(number);
@@ -503,6 +527,7 @@
         {
             constexpr double tie_break_ms = 1;
             const double cost = predict(*each, request) + disturbance(*each, request, lane) +
+                                pause_weight * pause_excess(*each, request.service, now) +
                                 tie_break_ms * m_random.unit();
             if (best == nullptr || cost < best_cost)
             {
@@ -510,7 +535,7 @@
                 best_cost = cost;
             }
         }
-        return to_upstream{best->info, predict(*best, request),
+        return to_upstream{best->info, predict(*best, request), best_cost,
                            contains(request.tried, best->info.id)};
     }
 
@@ -529,6 +554,14 @@
                (!is_long && known.info.id == lane ? lane_penalty_ms : 0);
     }
 
+    /// Pauses above those of a calm upstream; old measurements fade.
+    double pause_excess(const upstream_state& known, const core::service_id& name,
+                        core::time_point now)
+    {
+        const double age = to_ms(now - known.paused_at) / to_ms(pause_half_life);
+        return std::max(0.0, known.pause_ms - service_of(name).calm_pause_ms) * std::exp2(-age);
+    }
+
     static upstream_id rendezvous_owner(const std::vector<upstream_state*>& candidates,
                                         const std::string& key)
     {
@@ -556,12 +589,26 @@
                 offered == known.known.services.end() || offered->second.upstreams == 0)
                 continue;
             const double ms = predict(known, offered->second, request);
-            if (!best || ms < best->predicted_ms)
-                best = to_region{region, ms};
+            const double cost = ms + crowding(offered->second, request);
+            if (!best || cost < best->cost_ms)
+                best = to_region{region, ms, cost};
         }
         return best;
     }
 
+    /// What a request costs the streams of a region, from the mean load of its upstreams.
+    double crowding(const region_load& load, const placement_request& request)
+    {
+        const engine_size* engine = engine_of(request.service);
+        if (engine == nullptr || engine->cache_tokens <= 0)
+            return 0;
+        const service_state& learned = service_of(request.service);
+        const double running = load.running / load.upstreams;
+        const double reading_ms = request.caller->prompt_tokens * learned.ms_per_token;
+        return running * reading_ms * disturbance_weight +
+               running * learned.memory_tokens / engine->cache_tokens * full_memory_ms;
+    }
+
     double predict(const region_state& known, const region_load& load,
                    const placement_request& request)
     {
@@ -764,6 +811,11 @@
     m_state->on_first_byte(attempt, now);
 }
 
+void placement::on_pause(std::uint64_t attempt, double ms, core::time_point now)
+{
+    m_state->on_pause(attempt, ms, now);
+}
+
 void placement::on_ended(std::uint64_t attempt, placement_end how, core::time_point now)
 {
     m_state->on_ended(attempt, how, now);
