--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -37,6 +37,7 @@
     policy::retry_bound retries;
     double cold_overshoot = 1;
     double cold_slack = 0;
+    core::milliseconds heartbeat{1'200}; ///< interval at which upstreams renew what they say
 };
 
 /// @brief One attempt of a request that needs a place.
@@ -80,7 +81,7 @@
 {
     upstream target;
     double predicted_ms = 0;
-    double cost_ms = 0; ///< with what the request costs the streams beside it
+    double cost_ms = 0;     ///< with what the request costs the streams beside it
     bool was_tried = false; ///< by an earlier attempt of the request
 };
 
@@ -137,6 +138,10 @@
     /// name, not leaving and not in an evacuated availability zone.
     bool may_send(const upstream_id& target) const;
 
+    /// @brief Whether nothing at all has come from the upstream for long, though it has requests of
+    /// this node: it is dark or cut off, rather than busy.
+    bool is_silent(const upstream_id& target, core::time_point now) const;
+
     /// @brief Whether a repeat may be sent; takes it from the budget.
     bool take_repeat(const core::service_id& service, core::time_point now);
 
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -26,6 +26,7 @@
 /// Largest answer that is held back until it is whole.
 constexpr std::size_t most_held_bytes = 8'388'608;
 constexpr int first_server_error = 500;
+constexpr core::milliseconds silence_check_interval{300};
 
 core::time_point now()
 {
@@ -49,7 +50,8 @@
 call::call(const call_environment& environment, http::exchange& request,
            std::optional<forwarded_from> forwarded)
     : m_environment(environment), m_exchange(request), m_forwarded(std::move(forwarded)),
-      m_table(environment.table), m_timer(environment.loop), m_self(std::make_shared<call*>(this))
+      m_table(environment.table), m_timer(environment.loop), m_silence_timer(environment.loop),
+      m_self(std::make_shared<call*>(this))
 {
 }
 
@@ -62,9 +64,12 @@
         co_return;
     }
     start_deadline();
+    if (m_route->may_repeat() && !m_forwarded)
+        watch_for_silence();
     m_exchange.on_client_gone([this] { on_client_gone(); });
     co_await attempt_until_answered();
     m_timer.cancel();
+    m_silence_timer.cancel();
     m_exchange.on_client_gone(nullptr);
     m_line.total_ms = to_ms(now() - m_exchange.received_at());
     m_environment.log.call_ended(m_line);
@@ -409,6 +414,30 @@
         });
 }
 
+/// A request that may be repeated does not wait for an upstream that has gone dark.
+void call::watch_for_silence()
+{
+    m_silence_timer.expires_after(silence_check_interval);
+    m_silence_timer.async_wait(
+        [weak = std::weak_ptr<call*>(m_self)](const boost::system::error_code& error)
+        {
+            const auto self = weak.lock();
+            if (!error && self)
+                (*self)->on_silence_check();
+        });
+}
+
+void call::on_silence_check()
+{
+    if (m_attempt && m_attempt_number && !m_tried.empty() && m_runs < m_route->max_attempts &&
+        m_environment.places.is_silent(m_tried.back(), now()))
+    {
+        m_line.attempts += "=silent";
+        m_attempt->cancel();
+    }
+    watch_for_silence();
+}
+
 void call::give_up()
 {
     m_is_expired = true;
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -95,6 +95,8 @@
     void end_attempt(placement_end how);
     void start_deadline();
     void give_up();
+    void watch_for_silence();
+    void on_silence_check();
     void on_client_gone();
     core::milliseconds remaining() const;
     policy::refusal final_refusal() const;
@@ -108,6 +110,7 @@
     core::service_id m_service;
     core::time_point m_deadline{};
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_silence_timer;
     std::unique_ptr<attempt> m_attempt;
     std::optional<std::uint64_t> m_attempt_number;
     std::vector<upstream_id> m_tried;
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -17,7 +17,7 @@
 constexpr double lifecycle_rate = 20;
 constexpr double belief_rate = 20;
 constexpr double failure_rate = 50;
-constexpr double success_rate = 500;
+constexpr double success_rate = 5;
 constexpr double burst_seconds = 4;
 
 policy::token_bucket budget(double rate)
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -16,8 +16,15 @@
 constexpr core::milliseconds load_lifetime{2'000};
 /// What is known of another region older than this is not used.
 constexpr core::milliseconds region_lifetime{5'000};
-/// After a failed connection the upstream is left alone this long, unless it is the only one.
+/// After a failed connection the upstream is left alone this long, unless it is the only one. Each
+/// further failure doubles the time.
 constexpr core::milliseconds unreachable_pause{1'000};
+constexpr unsigned most_doublings = 2;
+/// An upstream with requests that has sent nothing for this long costs as much as it was silent.
+constexpr core::milliseconds quiet_time{400};
+constexpr double silence_weight = 3;
+/// After this long without anything it is taken for dark.
+constexpr core::milliseconds dark_time{1'200};
 /// Added to what an upstream says of its warm-up, for the way that the word took.
 constexpr core::milliseconds cold_margin{500};
 /// Time to another region and back until one was measured.
@@ -25,7 +32,7 @@
 /// Another region must be better by this much, since its load is known late.
 constexpr double spill_margin_ms = 50;
 /// Part of the objective below which a request stays in its region whatever the load elsewhere.
-constexpr double spill_from_objective = 0.35;
+constexpr double spill_from_objective = 0.15;
 /// Part of an upstream's connections that all nodes together may use.
 constexpr double connection_part = 0.8;
 /// First guesses until answers were measured.
@@ -88,6 +95,9 @@
     std::uint64_t key = 0; ///< hash of the address, as peers name it
     core::time_point cold_until{};
     core::time_point avoid_until{};
+    unsigned failed_connections = 0;  ///< in a row
+    core::time_point last_heard{};    ///< last byte of any answer
+    core::time_point waiting_since{}; ///< when requests began to be there without a break
     own_load own;
     double pause_ms = 0; ///< between two events of a stream, smoothed
     core::time_point paused_at{};
@@ -199,7 +209,8 @@
                 m_evacuated.contains(known.info.zone) && !zones.contains(known.info.zone);
             const service* offered = m_table ? m_table->find_service(known.info.service) : nullptr;
             if (is_taken_back && offered != nullptr && offered->warmup_rate > 0)
-                known.cold_until = std::max(known.cold_until, now + offered->warmup + cold_margin);
+                known.cold_until =
+                    std::max(known.cold_until, now + m_bounds.heartbeat + cold_margin);
         }
         m_evacuated = zones;
     }
@@ -271,6 +282,8 @@
             total_unread(known, service_of(request.service)) + attempt.unread_tokens;
         attempt.running_before = total(known).running;
         known.cold.on_sent(now);
+        if (known.own.running == 0)
+            known.waiting_since = now;
         add(known.own, attempt, 1);
         for (std::size_t i = 0; attempt.is_engine && i + 1 < request.caller->prompt.size(); ++i)
         {
@@ -295,6 +308,7 @@
             return;
         open_attempt& attempt = found->second;
         attempt.has_first_byte = true;
+        note_heard(attempt.target, now);
         if (own_load* own = own_of(attempt))
         {
             own->waiting = std::max(0.0, own->waiting - 1);
@@ -311,6 +325,7 @@
         const auto known = m_upstreams.find(found->second.target);
         if (known == m_upstreams.end())
             return;
+        known->second.last_heard = now;
         service_state& learned = service_of(found->second.service);
         if (learned.calm_pause_ms == 0)
             learned.calm_pause_ms = ms;
@@ -344,7 +359,24 @@
         if (how == placement_end::failed)
             learned.ejection.on_failure(address, now);
         if (how == placement_end::unreachable)
-            known->second.avoid_until = now + unreachable_pause;
+            avoid(known->second, now);
+        else
+            known->second.failed_connections = 0;
+        if (how == placement_end::answered || how == placement_end::rejected)
+            known->second.last_heard = now;
+    }
+
+    core::duration silence(const upstream_state& known, core::time_point now) const
+    {
+        if (known.own.running == 0)
+            return core::duration{0};
+        return now - std::max(known.last_heard, known.waiting_since);
+    }
+
+    bool is_silent(const upstream_id& target, core::time_point now) const
+    {
+        const auto found = m_upstreams.find(target);
+        return found != m_upstreams.end() && silence(found->second, now) > dark_time;
     }
 
     std::map<std::uint64_t, peer_load> own_loads() const
@@ -364,7 +396,8 @@
         for (const auto& [id, known] : m_upstreams)
         {
             if (known.info.is_leaving || m_evacuated.contains(known.info.zone) ||
-                known.avoid_until > now)
+                known.avoid_until > now || known.cold_until > now ||
+                silence(known, now) > dark_time)
                 continue;
             const peer_load all = total(known);
             region_load& sum = loads[known.info.service];
@@ -376,6 +409,20 @@
     }
 
   private:
+    static void avoid(upstream_state& known, core::time_point now)
+    {
+        const unsigned doublings = std::min(known.failed_connections, most_doublings);
+        known.avoid_until = now + unreachable_pause * (1U << doublings);
+        ++known.failed_connections;
+    }
+
+    void note_heard(const upstream_id& target, core::time_point now)
+    {
+        const auto found = m_upstreams.find(target);
+        if (found != m_upstreams.end())
+            found->second.last_heard = now;
+    }
+
     const engine_size* engine_of(const core::service_id& name) const
     {
         const service* offered = m_table ? m_table->find_service(name) : nullptr;
@@ -528,6 +575,7 @@
             constexpr double tie_break_ms = 1;
             const double cost = predict(*each, request) + disturbance(*each, request, lane) +
                                 pause_weight * pause_excess(*each, request.service, now) +
+                                silence_weight * quiet_excess(*each, now) +
                                 tie_break_ms * m_random.unit();
             if (best == nullptr || cost < best_cost)
             {
@@ -554,6 +602,11 @@
                (!is_long && known.info.id == lane ? lane_penalty_ms : 0);
     }
 
+    double quiet_excess(const upstream_state& known, core::time_point now) const
+    {
+        return std::max(0.0, to_ms(silence(known, now) - quiet_time));
+    }
+
     /// Pauses above those of a calm upstream; old measurements fade.
     double pause_excess(const upstream_state& known, const core::service_id& name,
                         core::time_point now)
@@ -789,6 +842,11 @@
     return m_state->may_send(target);
 }
 
+bool placement::is_silent(const upstream_id& target, core::time_point now) const
+{
+    return m_state->is_silent(target, now);
+}
+
 bool placement::take_repeat(const core::service_id& service, core::time_point now)
 {
     return m_state->service_of(service).retries.take(m_state->m_nodes_everywhere, now);
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -273,3 +273,94 @@
         CHECK_FALSE(first == decide_upstream(begin + 100ms));
     }
 }
+
+// Fails when other regions are told of upstreams that this region itself may not use yet.
+TEST(placement, cold_upstreams_are_not_offered_to_other_regions)
+{
+    upstream_map upstreams = make_upstreams(2, model);
+    upstreams.begin()->second.cold_for = 3s;
+    subject->set_upstreams(upstreams, begin);
+    UNSIGNED_LONGS_EQUAL(1, subject->region_loads(begin + 1s).at(model).upstreams);
+    UNSIGNED_LONGS_EQUAL(2, subject->region_loads(begin + 5s).at(model).upstreams);
+}
+
+// Fails when an upstream that has gone dark with requests of this node gets more of them.
+TEST(placement, a_dark_upstream_is_noticed_before_any_deadline)
+{
+    const upstream_id dark = decide_upstream();
+    subject->on_sent(ask(), dark, begin);
+    CHECK_FALSE(subject->is_silent(dark, begin + 500ms));
+    CHECK_TRUE(subject->is_silent(dark, begin + 2s));
+    for (int i = 0; i < 50; ++i)
+    {
+        CHECK_FALSE(dark == decide_upstream(begin + 1s));
+    }
+    UNSIGNED_LONGS_EQUAL(3, subject->region_loads(begin + 2s).at(model).upstreams);
+}
+
+// Fails when an upstream that answers one stream is taken for dark because of another request.
+TEST(placement, an_upstream_that_sends_anything_is_not_dark)
+{
+    const upstream_id busy = decide_upstream();
+    subject->on_sent(ask(), busy, begin);
+    const std::uint64_t stream = subject->on_sent(ask(), busy, begin);
+    subject->on_first_byte(stream, begin + 1s);
+    subject->on_pause(stream, 900, begin + 1900ms);
+    CHECK_FALSE(subject->is_silent(busy, begin + 2500ms));
+}
+
+// Fails when streams are added to an upstream whose events have become slow.
+TEST(placement, slow_events_send_new_streams_elsewhere)
+{
+    upstream_id slow;
+    std::map<upstream_id, std::uint64_t> streams;
+    while (streams.size() < 4)
+    {
+        const upstream_id target = decide_upstream();
+        streams[target] = subject->on_sent(ask(), target, begin);
+        subject->on_first_byte(streams[target], begin);
+    }
+    slow = streams.begin()->first;
+    for (int i = 0; i < 40; ++i)
+    {
+        for (const auto& [target, stream] : streams)
+        {
+            subject->on_pause(stream, target == slow ? 400 : 40, begin + 100ms);
+        }
+    }
+    for (int i = 0; i < 50; ++i)
+    {
+        CHECK_FALSE(slow == decide_upstream(begin + 200ms));
+    }
+}
+
+// Fails when prompts that take long to read are spread over all upstreams and delay every stream.
+TEST(placement, long_prompts_gather_and_streams_avoid_them)
+{
+    caller.prompt_tokens = 40'000;
+    const upstream_id lane = decide_upstream();
+    for (int i = 0; i < 20; ++i)
+    {
+        CHECK_TRUE(lane == decide_upstream());
+    }
+    caller.prompt_tokens = 300;
+    for (int i = 0; i < 20; ++i)
+    {
+        CHECK_FALSE(lane == decide_upstream());
+    }
+}
+
+// Fails when a region whose streams are crowded keeps requests that an idle region would serve
+// sooner, although its first events still come fast.
+TEST(placement, crowded_streams_spill_before_first_events_are_late)
+{
+    load_region(0, 0);
+    for (int i = 0; i < 200; ++i)
+    {
+        const std::uint64_t stream = subject->on_sent(ask(), decide_upstream(), begin);
+        subject->on_first_byte(stream, begin + 60ms);
+        subject->on_pause(stream, i < 8 ? 40 : 400, begin + 200ms);
+    }
+    const placement_decision decided = subject->decide(ask(), begin + 200ms);
+    CHECK_TRUE(std::holds_alternative<to_region>(decided));
+}
