--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -119,8 +119,9 @@
     void set_upstreams(const upstream_map& upstreams, core::time_point now);
     void set_evacuations(const zone_set& zones, core::time_point now);
 
-    /// @brief Largest numbers of nodes that may be running.
-    void set_node_counts(std::size_t in_region, std::size_t everywhere);
+    /// @brief Numbers of nodes: the largest that may be running here and everywhere, for bounds
+    /// that must hold, and those that are known in the region, for fair shares.
+    void set_node_counts(std::size_t in_region, std::size_t everywhere, std::size_t known_here);
 
     void set_region(const core::region_id& region, const other_region& known);
 
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -1,5 +1,6 @@
 #include <snipeplank/core/random.hpp>
 #include <snipeplank/serving/node.hpp>
+#include <snipeplank/serving/stop_schedule.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,15 +24,8 @@
 namespace
 {
 
-/// New connections are accepted this long after the stop was announced, because clients keep an
-/// answer of the directory for some seconds.
-constexpr core::milliseconds accept_after_stop{3'000};
-/// Idle connections of a stopping node are closed after this long.
-constexpr core::milliseconds idle_after_stop{3'200};
 /// A stopping node is named as an entry point this long, if its region has no other.
 constexpr core::milliseconds name_after_stop{2'000};
-/// The process ends itself this long before it would be killed.
-constexpr core::milliseconds stop_margin{700};
 constexpr core::milliseconds housekeeping_interval{250};
 constexpr core::milliseconds stop_check_interval{50};
 constexpr int ok = 200;
@@ -97,7 +91,7 @@
           m_admin([this](http::exchange& request) { return serve_admin(request); }),
           m_call_server(loop, m_calls), m_ready_server(loop, m_control),
           m_directory_server(loop, m_control), m_admin_server(loop, m_admin), m_housekeeping(loop),
-          m_stop_timer(loop)
+          m_stop_timer(loop), m_stopping(m_options.stop_time)
     {
         m_peers.set_server([this](std::unique_ptr<http::exchange> request, forwarded_from from)
                            { serve_peer(std::move(request), std::move(from)); });
@@ -145,7 +139,7 @@
         m_log.event(line_kind::lifecycle, "stop_begins",
                     {{"active", m_call_server.active()}, {"forwarded", m_peers.served()}});
         m_fleet.begin_leaving();
-        m_call_server.begin_closing(idle_after_stop);
+        m_call_server.begin_closing(stop_schedule::service_time);
         check_stop();
     }
 
@@ -203,7 +197,11 @@
                 others.push_back({each.peer, each.region});
         }
         m_peers.set_nodes(std::move(others));
-        m_places.set_node_counts(m_fleet.possible_nodes(true), m_fleet.possible_nodes(false));
+        const auto known_here = static_cast<std::size_t>(
+            std::count_if(m_nodes.begin(), m_nodes.end(),
+                          [&](const live_node& each) { return each.region == m_options.region; }));
+        m_places.set_node_counts(m_fleet.possible_nodes(true), m_fleet.possible_nodes(false),
+                                 known_here + 1);
         refresh_regions();
     }
 
@@ -290,7 +288,7 @@
   private:
     asio::awaitable<void> serve_call(http::exchange& request)
     {
-        if (m_is_stopping && now() > m_stop_began + idle_after_stop)
+        if (m_is_stopping && !m_stopping.serves_new(now() - m_stop_began))
         {
             const policy::refusal why = draining_refusal();
             http::response answer = m_adapters.callers.refuse(caller_request(), why);
@@ -460,10 +458,10 @@
     void check_stop()
     {
         const core::duration elapsed = now() - m_stop_began;
-        if (elapsed >= accept_after_stop)
+        if (!m_stopping.serves_new(elapsed))
             m_call_server.close_listener();
         const bool is_idle = m_call_server.active() == 0 && m_peers.served() == 0;
-        if ((elapsed >= idle_after_stop && is_idle) || elapsed >= m_options.stop_time - stop_margin)
+        if (m_stopping.ends(elapsed, is_idle))
         {
             m_log.event(line_kind::lifecycle, "stop",
                         {{"active", m_call_server.active()}, {"forwarded", m_peers.served()}});
@@ -526,6 +524,7 @@
     std::vector<live_node> m_nodes;
     std::map<core::region_id, other_region> m_regions;
     upstream_map m_upstreams;
+    stop_schedule m_stopping;
     core::time_point m_stop_began{};
     bool m_is_stopping = false;
 };
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -214,8 +214,9 @@
         m_evacuated = zones;
     }
 
-    void set_node_counts(std::size_t in_region, std::size_t everywhere)
+    void set_node_counts(std::size_t in_region, std::size_t everywhere, std::size_t known_here)
     {
+        m_known_here = std::max<std::size_t>(1, known_here);
         m_nodes_in_region = std::max<std::size_t>(1, in_region);
         m_nodes_everywhere = std::max<std::size_t>(1, everywhere);
     }
@@ -555,7 +556,7 @@
                 return false;
         }
         const double share =
-            connection_part * offered->max_connections / static_cast<double>(m_nodes_in_region);
+            connection_part * offered->max_connections / static_cast<double>(m_known_here);
         return offered->max_connections == 0 || known.own.running < std::max(1.0, share);
     }
 
@@ -785,6 +786,7 @@
     std::uint64_t m_last_number = 0;
     std::size_t m_nodes_in_region = 1;
     std::size_t m_nodes_everywhere = 1;
+    std::size_t m_known_here = 1;
 
     friend class placement;
 };
@@ -811,9 +813,10 @@
     m_state->set_evacuations(zones, now);
 }
 
-void placement::set_node_counts(std::size_t in_region, std::size_t everywhere)
+void placement::set_node_counts(std::size_t in_region, std::size_t everywhere,
+                                std::size_t known_here)
 {
-    m_state->set_node_counts(in_region, everywhere);
+    m_state->set_node_counts(in_region, everywhere, known_here);
 }
 
 void placement::set_region(const core::region_id& region, const other_region& known)
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -195,7 +195,7 @@
     upstream_map upstreams = make_upstreams(1, model);
     upstreams.begin()->second.cold_for = 3s;
     subject->set_upstreams(upstreams, begin);
-    subject->set_node_counts(4, 7);
+    subject->set_node_counts(4, 7, 3);
     int sent = 0;
     while (!decide_upstream().get().empty())
     {
@@ -209,7 +209,7 @@
 // Fails when the upstreams of a zone that was taken back are taken for warm.
 TEST(placement, upstreams_are_cold_after_an_evacuation)
 {
-    subject->set_node_counts(11, 20);
+    subject->set_node_counts(11, 20, 2);
     subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin);
     subject->set_evacuations({}, begin + 1s);
     CHECK_TRUE(decide_upstream(begin + 2s).get().empty());
@@ -368,3 +368,21 @@
     const placement_decision decided = subject->decide(ask(), begin + 200ms);
     CHECK_TRUE(std::holds_alternative<to_region>(decided));
 }
+
+// Fails when a node that has just started, and counts on unknown nodes for the bounds that must
+// hold, refuses requests for want of connections although upstreams are idle.
+TEST(placement, a_started_node_uses_its_share_of_the_known_nodes)
+{
+    auto table = std::make_shared<routing_table>(*make_table());
+    table->services[model].max_connections = 100;
+    subject->set_table(table);
+    subject->set_upstreams(make_upstreams(1, model), begin);
+    subject->set_node_counts(10, 10, 2);
+    int sent = 0;
+    while (!decide_upstream().get().empty())
+    {
+        subject->on_sent(ask(), decide_upstream(), begin);
+        ++sent;
+    }
+    LONGS_EQUAL(40, sent);
+}
--- /dev/null
+++ b/packages/serving/tests/stop_schedule_test.cpp
@@ -0,0 +1,34 @@
+/// Guards a planned stop against requests that are taken so late that they would be cut.
+
+#include <snipeplank/serving/stop_schedule.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+
+using namespace std::chrono_literals;
+using snipeplank::serving::stop_schedule;
+
+TEST_GROUP(stop_schedule)
+{
+    stop_schedule subject{8s};
+};
+
+// Fails when a request that reaches the node 3 s after the signal, or just before, is taken: it may
+// be cut when the process ends (hunt of 2026-12-04, day hunt-c3a6-19 on kalkofen-slots).
+TEST(stop_schedule, late_requests_are_refused)
+{
+    CHECK_TRUE(subject.serves_new(0s));
+    CHECK_TRUE(subject.serves_new(2s));
+    CHECK_FALSE(subject.serves_new(2900ms));
+    CHECK_FALSE(subject.serves_new(3s));
+}
+
+// Fails when the process ends while requests are in flight, or is killed with them.
+TEST(stop_schedule, the_process_ends_when_idle_and_before_it_is_killed)
+{
+    CHECK_FALSE(subject.ends(1s, true));
+    CHECK_TRUE(subject.ends(3s, true));
+    CHECK_FALSE(subject.ends(6s, false));
+    CHECK_TRUE(subject.ends(7500ms, false));
+}
