--- a/packages/serving/src/attempt.hpp
+++ b/packages/serving/src/attempt.hpp
@@ -19,11 +19,11 @@
 /// @brief What came of the start of an attempt.
 struct attempt_start
 {
-    answer_kind kind = answer_kind::broken;
-    http::response_head head;    ///< of the answer, for `success` and `failure`
-    bool was_sent = false;       ///< any byte may have reached the other end
-    bool is_unreachable = false; ///< no connection
-    std::string cause;           ///< why there is no answer
+    answer_kind kind = answer_kind::broken; ///< `success` for any answer from another region
+    http::response_head head;               ///< of the answer, for `success` and `failure`
+    bool was_sent = false;                  ///< any byte may have reached the other end
+    bool is_unreachable = false;            ///< no connection
+    std::string cause;                      ///< why there is no answer
 
     /// @brief Whether the upstream has certainly not run the request and never will.
     bool is_proven_not_run() const
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -222,7 +222,9 @@
         region != nullptr
             ? m_environment.places.on_sent(request, region->region, now())
             : m_environment.places.on_sent(request, std::get<to_upstream>(where).target.id, now());
-    const attempt_start result = co_await m_attempt->start();
+    attempt_start result = co_await m_attempt->start();
+    if (region != nullptr && result.kind == answer_kind::success)
+        result.kind = m_environment.upstreams.read(result.head, m_caller.id).kind;
     const next_step next = co_await on_start(result);
     end_attempt(placement_end::abandoned);
     m_attempt.reset();
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -132,6 +132,7 @@
     body.kind = kind;
     body.sender = m_members.self();
     body.sender_region = m_options.region;
+    body.digest.version = m_listener.version_in_force();
     return body;
 }
 
@@ -210,9 +211,29 @@
     }
 }
 
+void fleet_link::note_readiness(const fleet::gossip& received)
+{
+    const core::address& sender = received.sender.id.address;
+    const bool was_unready = m_unready.contains(sender);
+    const bool is_unready = received.digest.version.get() == 0;
+    if (is_unready)
+        m_unready.insert(sender);
+    else
+        m_unready.erase(sender);
+    if (was_unready != is_unready)
+        m_listener.on_members_changed();
+}
+
+void fleet_link::announce_ready()
+{
+    m_greeted.clear();
+    greet_members();
+}
+
 void fleet_link::handle_gossip(const fleet::gossip& received)
 {
     m_silent.erase(received.sender.id.address);
+    note_readiness(received);
     m_members.on_gossip(received, now());
     if (received.wants_members)
         send_members(received.sender.id.address);
@@ -266,12 +287,13 @@
 std::vector<live_node> fleet_link::live_nodes() const
 {
     std::vector<live_node> nodes;
-    if (!m_is_leaving)
+    if (!m_is_leaving && m_listener.version_in_force().get() != 0)
         nodes.push_back(
             {m_self.address, m_options.caller_address, m_options.zone, m_options.region});
     for (const fleet::member_update& each : m_members.members())
     {
-        if (each.state != fleet::member_state::alive || m_silent.contains(each.id.address))
+        if (each.state != fleet::member_state::alive || m_silent.contains(each.id.address) ||
+            m_unready.contains(each.id.address))
             continue;
         nodes.push_back({each.id.address, each.caller_address, each.zone, region_of(each.zone)});
     }
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -43,6 +43,9 @@
     virtual void on_peer_loads(const fleet::gossip& received) = 0;
     virtual std::vector<fleet::upstream_load> own_loads() = 0;
     virtual fleet::region_summary own_region() = 0;
+
+    /// @brief Version of the configuration in force; 0 while there is none.
+    virtual core::config_version version_in_force() const = 0;
 };
 
 /// @brief One membership group of all nodes of all regions.
@@ -62,12 +65,15 @@
     /// @brief Replaces the addresses where other nodes may be found.
     void set_seeds(std::vector<core::address> seeds);
 
+    /// @brief Tells all nodes that this one can serve now.
+    void announce_ready();
+
     /// @brief Tells all nodes that this one is stopping.
     void begin_leaving();
 
     void stop();
 
-    /// @brief Nodes that answer and are not stopping, this one included unless it is stopping.
+    /// @brief Nodes that answer, have a configuration and are not stopping; this one included.
     std::vector<live_node> live_nodes() const;
 
     /// @brief Caller addresses of a region's nodes that began to stop at most `age` ago.
@@ -94,6 +100,7 @@
     void tick();
     void schedule_tick();
     void handle_gossip(const fleet::gossip& received);
+    void note_readiness(const fleet::gossip& received);
     void send_probes();
     void send_members(const core::address& to);
     void greet_members();
@@ -112,7 +119,8 @@
     std::unique_ptr<wire::peer_network> m_network;
     boost::asio::steady_timer m_timer;
     std::vector<core::address> m_seeds;
-    std::set<core::address> m_silent; ///< connection lost, and not heard since
+    std::set<core::address> m_silent;  ///< connection lost, and not heard since
+    std::set<core::address> m_unready; ///< said that they have no configuration
     std::set<core::node_id> m_greeted;
     std::map<core::address, sighting> m_sightings;
     std::map<core::node_id, core::time_point> m_stopping_since;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -145,8 +145,14 @@
 
     void on_configuration(std::shared_ptr<const routing_table> table) override
     {
+        const bool is_first = m_environment.table == nullptr;
         m_environment.table = table;
         m_calls.set_limits(table->limits);
+        if (is_first)
+        {
+            m_fleet.announce_ready();
+            on_members_changed();
+        }
         m_log.event(line_kind::belief, "configuration",
                     {{"version", table->version.get()}, {"routes", table->routes.size()}});
         m_places.set_table(std::move(table));
@@ -268,6 +274,11 @@
         return loads;
     }
 
+    core::config_version version_in_force() const override
+    {
+        return m_environment.table ? m_environment.table->version : core::config_version{};
+    }
+
     fleet::region_summary own_region() override
     {
         fleet::region_summary summary;
--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -174,26 +174,32 @@
 }
 
 // Fails when the failure of the server that should go on with a stream is written into the answer,
-// or the answer looks complete (fresh-df7b on kalkofen-slots).
+// or the answer looks complete (fresh-df7b on kalkofen-slots; hunt-9c5d-19 on tamarack-lunar, where
+// the second server is in another region).
 TEST(machine_node, a_stream_that_cannot_go_on_has_no_clean_end)
 {
-    set_up({home});
-    standin& first = fleet->add_server("i-1", "model", home);
-    fleet->start_nodes();
-    fleet->wait_until_served(0, "/stream/x");
-    machine_fleet::set_fault(first, "break_stream");
-    standin& second = fleet->add_server("i-2", "model", home);
-    fleet->wait_until_served(0, "/stream/x");
-    machine_fleet::set_fault(second, "error");
-    int broken = 0;
-    for (int i = 0; i < 12 || broken == 0; ++i)
+    for (const std::string& second_region : {home, away})
     {
-        const http_answer stream = call("POST", "/stream/x", "id" + std::to_string(i));
-        if (stream.status != 200)
-            continue;
-        ++broken;
-        CHECK_TRUE_TEXT(stream.end == answer_end::truncated, stream.describe().c_str());
-        STRCMP_EQUAL(whole_stream(1, 2).c_str(), stream.body.c_str());
+        set_up({home, away});
+        standin& first = fleet->add_server("i-1", "model", home);
+        fleet->start_nodes();
+        fleet->wait_until_served(0, "/stream/x");
+        standin& second = fleet->add_server("i-2", "model", second_region);
+        fleet->wait_until_served(second_region == home ? 0 : 1, "/stream/x");
+        machine_fleet::set_fault(first, "break_stream");
+        machine_fleet::set_fault(second, "error");
+        int resumed = 0;
+        for (int i = 0; resumed == 0; ++i)
+        {
+            const std::string id = "id" + std::to_string(i);
+            const http_answer stream = call("POST", "/stream/x", id);
+            CHECK_FALSE_TEXT(stream.is(200), stream.describe().c_str());
+            if (stream.status != 200 || runs_of(second, id) == 0)
+                continue;
+            ++resumed;
+            CHECK_TRUE_TEXT(stream.end == answer_end::truncated, stream.describe().c_str());
+            STRCMP_EQUAL(whole_stream(1, 2).c_str(), stream.body.c_str());
+        }
     }
 }
 
@@ -264,6 +270,44 @@
                });
 }
 
+// Fails when a node that starts while the store is away does not take the state from its peers.
+TEST(machine_node, a_node_that_starts_while_the_store_is_away_copies_a_peer)
+{
+    set_up({home, away});
+    fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    CHECK_TRUE(http_post(fleet->store().address(), "/standin/down", "yes").is(200));
+    fleet->node(0).program->kill();
+    fleet->start_node(0);
+    fleet->wait_until_served(0, "/read/x");
+}
+
+// Fails when clients are led to a node that has no configuration yet and refuses every request.
+TEST(machine_node, a_node_without_configuration_is_not_named)
+{
+    set_up({home, away});
+    fleet->start_node(1);
+    wait_for_status(fleet->node(1).readiness, "/api/readyz", 200);
+    CHECK_TRUE(http_post(fleet->store().address(), "/standin/down", "yes").is(200));
+    fleet->node(1).program->kill();
+    fleet->start_node(0);
+    fleet->start_node(1);
+    const std::string question = "/api/resolve?Name=shop.example&Region=" + home + "&Zone=" + home;
+    for (const std::size_t asked : {0, 1})
+    {
+        wait_for_status(fleet->node(asked).readiness, "/api/readyz", 503);
+        LONGS_EQUAL(503, http_get(fleet->node(asked).directory, question).status);
+    }
+    CHECK_TRUE(http_post(fleet->store().address(), "/standin/down", "no").is(200));
+    wait_until("both nodes are named",
+               [&]
+               {
+                   const std::string first = http_get(fleet->node(1).directory, question).body;
+                   return first.find(fleet->node(0).callers) != std::string::npos;
+               });
+}
+
 // Fails when a request bound to another region is served here, or is not carried there.
 TEST(machine_node, a_bound_request_is_served_in_its_region)
 {
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -36,16 +37,26 @@
     std::string pattern = (std::filesystem::temp_directory_path() / "machine-XXXXXX").string();
     m_directory = mkdtemp(pattern.data());
     m_store = std::make_unique<standin>("standin_store");
+    std::array<std::string, 5> ports;
+    for (std::string& port : ports)
+    {
+        const std::string free = free_address();
+        port = free.substr(free.rfind(':') + 1);
+    }
     for (const std::string& region : regions)
     {
         machine_node made;
         made.name = "front-" + region;
         made.region = region;
-        made.callers = free_address();
-        made.readiness = free_address();
-        made.directory = free_address();
-        made.admin = free_address();
-        made.peer = free_address();
+        // Ports are the same on all machines of the platform, so each node has its own IP.
+        const std::string ip = "127.0.0." + std::to_string(m_nodes.size() + 1);
+        for (const auto& [address, port] :
+             {std::pair{&made.callers, ports[0]}, std::pair{&made.readiness, ports[1]},
+              std::pair{&made.directory, ports[2]}, std::pair{&made.admin, ports[3]},
+              std::pair{&made.peer, ports[4]}})
+        {
+            *address = ip + ":" + port;
+        }
         made.settings_path = m_directory + "/" + region + ".json";
         m_nodes.push_back(std::move(made));
     }
@@ -73,7 +84,7 @@
     const int admin_port = std::stoi(node.admin.substr(node.admin.rfind(':') + 1));
     const json settings{
         {"Node", node.name},
-        {"Ip", "127.0.0.1"},
+        {"Ip", node.callers.substr(0, node.callers.rfind(':'))},
         {"Zone", zone_of(node.region)},
         {"Region", node.region},
         {"Zones", zones},
