--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 demo:
 	@BUILD=$(BUILD) scripts/demo.sh
+	@BUILD=$(BUILD) scripts/demo_platform.sh
 
 # `make slopes` measures every dimension; ARGS=base only the two-year size, ARGS=faults the
 # traffic of faults. Not part of CI.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,7 +84,7 @@
   scripts/install-packages.sh
   cmake -S . -B "$build" -G Ninja > /dev/null
   cmake --build "$build" --target snipeplank snipeplankctl standin_engine standin_service \
-    standin_platform > "$work/build.log" || { tail -n 30 "$work/build.log"; exit 1; }
+    standin_platform standin_store standin_server > "$work/build.log" || { tail -n 30 "$work/build.log"; exit 1; }
 fi
 
 # --- configuration ---------------------------------------------------------------------------
