--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -18,17 +18,10 @@
 #include <set>
 #include <vector>
 
-namespace snipeplank::serving
-{
+#include "entry_points.hpp"
 
-/// @brief A node that answers.
-struct live_node
+namespace snipeplank::serving
 {
-    core::address peer;
-    core::address caller_address;
-    core::zone_id zone;
-    core::region_id region;
-};
 
 /// @brief What the link asks of and tells its node, on the event loop.
 class fleet_listener
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -13,6 +13,7 @@
 
 #include "call.hpp"
 #include "call_log.hpp"
+#include "entry_points.hpp"
 #include "fleet_link.hpp"
 #include "peer_calls.hpp"
 
@@ -368,63 +369,16 @@
 
     bool is_ready() const { return !m_is_stopping && m_environment.table != nullptr; }
 
-    /// The nodes nearest to the client, of the first group that is not empty: its availability
-    /// zone, its region, stopping nodes of its region that still accept, and the other regions.
     std::vector<core::address> entry_points(const control_request& asked) const
     {
-        constexpr std::size_t most = 64;
-        std::vector<core::address> same_zone;
-        std::vector<core::address> same_region;
-        for (const live_node& each : m_nodes)
-        {
-            if (each.zone == asked.zone)
-                same_zone.push_back(each.caller_address);
-            else if (each.region == asked.region)
-                same_region.push_back(each.caller_address);
-        }
-        std::vector<core::address> chosen = same_zone.empty() ? same_region : same_zone;
-        if (chosen.empty())
-            chosen = m_fleet.stopping_nodes(asked.region, name_after_stop);
-        if (chosen.empty())
-            chosen = nodes_elsewhere(asked.host);
-        chosen.resize(std::min(chosen.size(), most));
-        return chosen;
-    }
-
-    /// Nodes of the regions where most of the host's bound routes may be served, so that bound data
-    /// is not carried to a third region.
-    std::vector<core::address> nodes_elsewhere(const std::string& host) const
-    {
-        std::map<std::size_t, std::vector<core::address>> by_homes;
-        for (const live_node& each : m_nodes)
-        {
-            by_homes[homes_in(each.region, host)].push_back(each.caller_address);
-        }
-        if (!by_homes.empty() && by_homes.rbegin()->first > 0)
-            return by_homes.rbegin()->second;
+        entry_view view;
+        view.live = m_nodes;
+        view.table = m_environment.table.get();
         for (const auto& [zone, region] : m_options.zones)
         {
-            std::vector<core::address> stopping = m_fleet.stopping_nodes(region, name_after_stop);
-            const std::size_t homes = homes_in(region, host);
-            if (homes > 0 && !stopping.empty())
-                by_homes[homes] = std::move(stopping);
+            view.stopping[region] = m_fleet.stopping_nodes(region, name_after_stop);
         }
-        return by_homes.empty() ? std::vector<core::address>{} : by_homes.rbegin()->second;
-    }
-
-    /// Number of the host's bound routes that may be served in a region.
-    std::size_t homes_in(const core::region_id& region, const std::string& host) const
-    {
-        if (!m_environment.table)
-            return 0;
-        const auto& routes = m_environment.table->routes;
-        return static_cast<std::size_t>(std::count_if(routes.begin(), routes.end(),
-                                                      [&](const route& each)
-                                                      {
-                                                          return !each.allowed_regions.empty() &&
-                                                                 http::same_name(each.host, host) &&
-                                                                 each.may_be_served_in(region);
-                                                      }));
+        return choose_entry_points(asked, view);
     }
 
     std::vector<core::address> admin_addresses() const
--- /dev/null
+++ b/packages/serving/tests/entry_points_test.cpp
@@ -0,0 +1,107 @@
+/// Guards whom the directory names while nodes stop, start and die.
+
+#include <CppUTest/TestHarness.h>
+
+#include "../src/entry_points.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::serving;
+
+namespace
+{
+
+live_node node_in(const std::string& region, const std::string& name)
+{
+    return {core::address{name + ":1"}, core::address{name}, core::zone_id{region + "-a"},
+            core::region_id{region}};
+}
+
+/// Routes of one host: one free, one bound to duluth and cleveland; and a bound one of another
+/// host.
+routing_table make_table()
+{
+    routing_table table;
+    route free;
+    free.host = "shop.example";
+    route bound = free;
+    bound.allowed_regions = {core::region_id{"duluth"}, core::region_id{"cleveland"}};
+    route other;
+    other.host = "other.example";
+    other.allowed_regions = {core::region_id{"kingston"}};
+    table.routes = {free, bound, other};
+    return table;
+}
+
+const routing_table table = make_table();
+
+control_request asked_from(const std::string& region)
+{
+    control_request asked;
+    asked.question = control_question::entry_points;
+    asked.region = core::region_id{region};
+    asked.zone = core::zone_id{region + "-a"};
+    asked.host = "shop.example";
+    return asked;
+}
+
+std::string names(const control_request& asked, const entry_view& view)
+{
+    std::string joined;
+    for (const core::address& each : choose_entry_points(asked, view))
+    {
+        joined += each.get() + " ";
+    }
+    return joined;
+}
+
+} // namespace
+
+TEST_GROUP(entry_points)
+{
+    entry_view view;
+
+    void setup() override
+    {
+        view.table = &table;
+    }
+};
+
+// Fails when a client is sent further than it must be.
+TEST(entry_points, the_nearest_group_is_named)
+{
+    view.live = {node_in("duluth", "d1"), node_in("duluth", "d2"), node_in("kingston", "k1")};
+    view.live[1].zone = core::zone_id{"duluth-b"};
+    STRCMP_EQUAL("d1 ", names(asked_from("duluth"), view).c_str());
+    view.live.erase(view.live.begin());
+    STRCMP_EQUAL("d2 ", names(asked_from("duluth"), view).c_str());
+}
+
+// Fails when clients of a region whose nodes are all stopping are led elsewhere (HOME on tamarack
+// trouble-2).
+TEST(entry_points, stopping_nodes_of_the_region_come_before_other_regions)
+{
+    view.live = {node_in("kingston", "k1"), node_in("cleveland", "c1")};
+    view.stopping[core::region_id{"duluth"}] = {core::address{"d1"}};
+    STRCMP_EQUAL("d1 ", names(asked_from("duluth"), view).c_str());
+}
+
+// Fails when bound data is carried to a region that is no home while a home can take it.
+TEST(entry_points, a_home_of_the_host_comes_before_a_third_region)
+{
+    view.live = {node_in("kingston", "k1"), node_in("cleveland", "c1")};
+    STRCMP_EQUAL("c1 ", names(asked_from("duluth"), view).c_str());
+    view.live = {node_in("kingston", "k1")};
+    view.stopping[core::region_id{"cleveland"}] = {core::address{"c1"}};
+    STRCMP_EQUAL("c1 ", names(asked_from("duluth"), view).c_str());
+}
+
+// Fails when a client is told nothing although a node could serve its free requests.
+TEST(entry_points, any_node_is_better_than_none)
+{
+    view.live = {node_in("kingston", "k1")};
+    STRCMP_EQUAL("k1 ", names(asked_from("duluth"), view).c_str());
+    view.table = nullptr;
+    STRCMP_EQUAL("k1 ", names(asked_from("duluth"), view).c_str());
+    view.live.clear();
+    STRCMP_EQUAL("", names(asked_from("duluth"), view).c_str());
+}
