--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -55,7 +55,7 @@
               std::pair{&made.directory, ports[2]}, std::pair{&made.admin, ports[3]},
               std::pair{&made.peer, ports[4]}})
         {
-            *address = ip + ":" + port;
+            address->assign(ip).append(":").append(port);
         }
         made.settings_path = m_directory + "/" + region + ".json";
         m_nodes.push_back(std::move(made));
