--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -107,6 +107,10 @@
     /// @brief Ends kept connections after their current answer, and idle ones after `grace`.
     void begin_closing(core::milliseconds grace);
 
+    /// @brief Closes the connections on which no request is waiting or being answered; the others
+    /// are closed after their answer.
+    void close_idle();
+
     /// @brief Whether `begin_closing` was called; may be asked from any thread.
     bool is_closing() const;
 
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -75,10 +75,18 @@
     close_socket();
 }
 
+/// Whether bytes of a request have arrived that the connection has not read yet.
+bool connection::has_unread_bytes()
+{
+    char byte = 0;
+    return m_buffer.size() > 0 ||
+           ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void connection::close_when_idle()
 {
     m_is_closing = true;
-    if (!m_is_active)
+    if (!m_is_active && !has_unread_bytes())
         close_socket();
 }
 
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -62,6 +62,7 @@
     void notice_client_gone();
     void arm(core::milliseconds limit);
     void disarm();
+    bool has_unread_bytes();
     void close_socket();
     std::string frame_head(response_head head, std::optional<std::size_t> length);
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -88,14 +88,19 @@
             {
                 if (error)
                     return;
-                const std::set<connection*> open = self->m_connections;
-                for (connection* each : open)
-                {
-                    each->close_when_idle();
-                }
+                self->close_idle();
             });
     }
 
+    void close_idle()
+    {
+        const std::set<connection*> open = m_connections;
+        for (connection* each : open)
+        {
+            each->close_when_idle();
+        }
+    }
+
     std::size_t active() const
     {
         std::size_t count = 0;
@@ -173,6 +178,11 @@
     m_state->begin_closing(grace);
 }
 
+void server::close_idle()
+{
+    m_state->close_idle();
+}
+
 bool server::is_closing() const
 {
     return m_state->is_closing();
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -125,6 +125,24 @@
     STRCMP_EQUAL("", client.read_all().c_str());
 }
 
+// Fails when a request that has arrived is cut off because its connection was idle until now
+// (killed-while-rolling on tamarack-lunar, seed 735334683940).
+TEST(http_server, a_request_that_has_arrived_is_answered_before_its_connection_is_closed)
+{
+    raw_connection client(address);
+    client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+    client.read_until("GET /1");
+    boost::asio::post(thread->loop,
+                      [&]
+                      {
+                          client.send("GET /2 HTTP/1.1\r\n" + host + "\r\n");
+                          subject->close_idle();
+                      });
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.find("GET /2") != std::string::npos, answer.c_str());
+    CHECK_TRUE_TEXT(answer.find("Connection: close") != std::string::npos, answer.c_str());
+}
+
 // Fails when connections that begin to close are cut instead of told.
 TEST(http_server, a_closing_server_says_so_with_its_next_answer)
 {
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -425,7 +425,7 @@
         const core::duration elapsed = now() - m_stop_began;
         if (!m_stopping.serves_new(elapsed))
             m_call_server.close_listener();
-        const bool is_idle = m_call_server.active() == 0 && m_peers.served() == 0;
+        const bool is_idle = m_call_server.connections() == 0 && m_peers.served() == 0;
         if (m_stopping.ends(elapsed, is_idle))
         {
             m_log.event(line_kind::lifecycle, "stop",
