--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -361,5 +361,7 @@
     std::ofstream(path) << R"({"Node":"n1"})";
     files.start_node(0);
     LONGS_EQUAL(2, files.node(0).program->wait());
-    CHECK_TRUE(files.node(0).program->output().find("Region") != std::string::npos);
+    // The end of the process may be seen before its last output is read.
+    wait_until("the message names the field",
+               [&] { return files.node(0).program->output().find("Region") != std::string::npos; });
 }
