tests: a randomized fault soak of real processes

Nodes, servers and the store run as separate processes; relays delay, cut, silence and drop one way, signals stop, pause, kill and restart, an operator drains, evacuates and publishes. Callers keep their connections open. Every third seed is planned work only, where more is promised.

--- /dev/null
+++ b/tests/fault_soak_test.cpp
@@ -0,0 +1,93 @@
+/// Randomized faults against real processes; see scripts/soak.sh for long runs.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include "soak/fault_plan.hpp"
+#include "soak/soak_world.hpp"
+
+using namespace snipeplank::tests;
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds short_run{8'000};
+
+std::uint64_t number_from(const char* variable, std::uint64_t otherwise)
+{
+    const char* text = std::getenv(variable);
+    return text == nullptr ? otherwise : std::stoull(text);
+}
+
+/// Every third seed is planned work only, where more is promised.
+bool is_planned(std::uint64_t seed)
+{
+    return seed % 3 == 0;
+}
+
+std::string describe(const std::vector<planned_fault>& plan)
+{
+    std::string text;
+    for (const planned_fault& each : plan)
+    {
+        text += std::to_string(each.at.count()) + " ms: " + to_string(each.kind) + " for " +
+                std::to_string(each.lasts.count()) + " ms, draw " + std::to_string(each.draw) +
+                "\n";
+    }
+    return text;
+}
+
+void soak(std::uint64_t seed, milliseconds length)
+{
+    const std::vector<planned_fault> plan = make_fault_plan(seed, length, is_planned(seed));
+    soak_world world(seed);
+    const soak_record seen = world.run(plan, is_planned(seed));
+    const std::vector<std::string> broken = find_broken_promises(seen);
+    std::size_t served = 0;
+    for (const call_record& each : seen.calls)
+    {
+        served += each.answer.is(200) ? 1 : 0;
+    }
+    std::cout << "seed " << seed << ": " << plan.size() << " faults, " << seen.calls.size()
+              << " calls, " << served << " served, " << broken.size() << " promises broken\n";
+    CHECK_TRUE_TEXT(served > 0, "nothing was served");
+    if (broken.empty())
+        return;
+    const std::string log = "soak-" + std::to_string(seed) + ".log";
+    std::ofstream(log) << describe(plan) << world.logs();
+    std::string text = "plan and logs are in " + log + "\n";
+    constexpr std::size_t most_shown = 20;
+    for (std::size_t i = 0; i < std::min(broken.size(), most_shown); ++i)
+    {
+        text += broken[i] + "\n";
+    }
+    FAIL(text.c_str());
+}
+
+} // namespace
+
+TEST_GROUP(fault_soak){};
+
+// Fails when a promise breaks while faults come alone, in series and together.
+TEST(fault_soak, random_faults_break_no_promise)
+{
+    const std::uint64_t first = number_from("SNIPEPLANK_SOAK_FIRST_SEED", 1);
+    const std::uint64_t count = number_from("SNIPEPLANK_SOAK_SEEDS", 2);
+    const milliseconds length{number_from("SNIPEPLANK_SOAK_MS", short_run.count())};
+    for (std::uint64_t seed = first; seed < first + count; ++seed)
+    {
+        soak(seed, length);
+    }
+}
+
+// Fails when planned work alone cuts or misplaces a request.
+TEST(fault_soak, planned_work_breaks_no_promise)
+{
+    soak(3, short_run);
+}
--- /dev/null
+++ b/tests/soak/fault_plan.cpp
@@ -0,0 +1,66 @@
+#include "fault_plan.hpp"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace snipeplank::tests
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds mean_gap{900};
+constexpr milliseconds shortest_fault{100};
+constexpr milliseconds longest_fault{3'000};
+/// Planned work lasts until its bounds (4 s and 5 s) can be judged.
+constexpr milliseconds shortest_planned{6'000};
+constexpr milliseconds longest_planned{8'000};
+
+} // namespace
+
+std::string to_string(fault_kind kind)
+{
+    static constexpr std::array<const char*, static_cast<std::size_t>(fault_kind::last) + 1> names{
+        "stop_node",       "reload_node",    "new_configuration", "drain_server",
+        "evacuate_region", "kill_node",      "freeze_node",       "freeze_server",
+        "faulty_server",   "delay_path",     "cut_path",          "silence_path",
+        "drop_to_target",  "drop_to_client", "refuse_path",       "forget_history",
+    };
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+std::vector<planned_fault> make_fault_plan(std::uint64_t seed, milliseconds length,
+                                           bool planned_only)
+{
+    std::mt19937_64 random(seed);
+    const auto below = [&](std::uint64_t bound) { return random() % bound; };
+    const auto between = [&](milliseconds least, milliseconds most)
+    {
+        const auto span = static_cast<std::uint64_t>((most - least).count());
+        return least + milliseconds{static_cast<long>(below(span))};
+    };
+    const auto kinds =
+        static_cast<std::uint64_t>(planned_only ? fault_kind::last_planned : fault_kind::last) + 1;
+    std::vector<planned_fault> plan;
+    milliseconds at{0};
+    while (at < length)
+    {
+        planned_fault each;
+        each.at = at;
+        each.kind = static_cast<fault_kind>(below(kinds));
+        each.lasts = each.kind <= fault_kind::last_planned
+                         ? between(shortest_planned, longest_planned)
+                         : between(shortest_fault, longest_fault);
+        each.draw = random();
+        plan.push_back(each);
+        // A third of the faults begin together with the one before.
+        const bool is_together = below(3) == 0;
+        at += is_together ? milliseconds{0} : between(milliseconds{0}, 2 * mean_gap);
+    }
+    return plan;
+}
+
+} // namespace snipeplank::tests
--- /dev/null
+++ b/tests/soak/soak_verdict.cpp
@@ -0,0 +1,122 @@
+#include "soak_verdict.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace snipeplank::tests
+{
+
+namespace
+{
+
+/// Events of a whole streamed answer of `standin_server`.
+constexpr int events = 5;
+/// Statuses that promise that the request has not run and will not.
+constexpr std::array not_run_statuses{408, 421, 429, 503};
+
+std::string whole_stream()
+{
+    std::string text;
+    for (int i = 1; i <= events; ++i)
+    {
+        const std::string number = std::to_string(i);
+        text += "id: " + number + "\ndata: token " + number + "\n\n";
+    }
+    return text;
+}
+
+int runs_of(const soak_record& seen, const std::string& id)
+{
+    int sum = 0;
+    for (const server_record& each : seen.servers)
+    {
+        const auto found = each.runs.find(id);
+        sum += found == each.runs.end() ? 0 : found->second;
+    }
+    return sum;
+}
+
+/// Whether a whole success is the answer of a server to this request.
+bool is_own_answer(const call_record& call)
+{
+    const auto signature = call.answer.headers.find("server-signature");
+    if (signature == call.answer.headers.end() || signature->second != "3e1b.07." + call.id)
+        return false;
+    if (call.kind == call_kind::stream)
+        return call.answer.body == whole_stream();
+    return call.answer.body.find(" " + path_of(call.kind, call.id) + " ") != std::string::npos;
+}
+
+std::string judge_call(const soak_record& seen, const call_record& call)
+{
+    const int runs = runs_of(seen, call.id);
+    const http_answer& answer = call.answer;
+    const bool says_not_run = std::find(not_run_statuses.begin(), not_run_statuses.end(),
+                                        answer.status) != not_run_statuses.end();
+    if (call.kind == call_kind::book && runs > 1)
+        return "ran " + std::to_string(runs) + " times";
+    if (call.kind == call_kind::book && says_not_run && runs > 0)
+        return "was answered as not run, but ran";
+    if (answer.is(200) && !is_own_answer(call))
+        return "got a success that is not its server's whole answer";
+    if (answer.is(200) && runs == 0)
+        return "got a success, but no server ran it";
+    if (call.kind == call_kind::stream && answer.status == 200 &&
+        whole_stream().rfind(answer.body, 0) != 0)
+        return "got events that are missing, repeated or joined";
+    if (answer.end == answer_end::silent)
+        return "got no end of its answer";
+    const bool was_cut = answer.end == answer_end::truncated;
+    if (seen.is_planned && was_cut && runs > 0)
+        return "was cut off by planned work after a server had run it";
+    return {};
+}
+
+std::string judge_home(const soak_record& seen, const call_record& call)
+{
+    for (const server_record& each : seen.servers)
+    {
+        if (call.kind == call_kind::read && each.region != seen.home && each.runs.contains(call.id))
+            return "ran at " + each.name + ", outside its home";
+    }
+    return {};
+}
+
+std::string judge_closed(const soak_record& seen, const call_record& call)
+{
+    for (const closed_span& span : seen.closed)
+    {
+        const auto server =
+            std::find_if(seen.servers.begin(), seen.servers.end(),
+                         [&](const auto& each) { return each.name == span.server; });
+        if (call.sent > span.from && call.sent < span.to && server->runs.contains(call.id))
+            return "ran at " + span.server + ", which was leaving or evacuated";
+    }
+    return {};
+}
+
+} // namespace
+
+std::string path_of(call_kind kind, const std::string& id)
+{
+    static constexpr std::array prefixes{"/book/", "/read/", "/stream/"};
+    return prefixes.at(static_cast<std::size_t>(kind)) + id;
+}
+
+std::vector<std::string> find_broken_promises(const soak_record& seen)
+{
+    std::vector<std::string> broken;
+    for (const call_record& call : seen.calls)
+    {
+        for (const auto judge : {judge_call, judge_home, judge_closed})
+        {
+            const std::string what = judge(seen, call);
+            if (!what.empty())
+                broken.push_back(path_of(call.kind, call.id) + " " + what + "; " +
+                                 call.answer.describe());
+        }
+    }
+    return broken;
+}
+
+} // namespace snipeplank::tests
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <random>
 #include <set>
 #include <sstream>
@@ -57,7 +58,8 @@
 
 std::string program_path(const std::string& name)
 {
-    return std::string(SNIPEPLANK_BIN_DIR) + "/" + name;
+    const char* other_build = std::getenv("SNIPEPLANK_BIN_DIR");
+    return std::string(other_build == nullptr ? SNIPEPLANK_BIN_DIR : other_build) + "/" + name;
 }
 
 child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -16,7 +16,7 @@
 namespace snipeplank::tests
 {
 
-/// @brief Path of a program of this build.
+/// @brief Path of a program of this build, or of another one that SNIPEPLANK_BIN_DIR names.
 std::string program_path(const std::string& name);
 
 /// @brief One process that the test started. The destructor kills it by its id.
--- a/tests/support/http_exchange.cpp
+++ b/tests/support/http_exchange.cpp
@@ -62,9 +62,10 @@
 }
 
 http_exchange::http_exchange(const std::string& address, const http_request& request)
-    : m_silence_limit(request.silence_limit)
+    : m_address(address), m_silence_limit(request.silence_limit)
 {
-    send_request(address, request);
+    m_socket = connect_to(address);
+    send_request(request);
 }
 
 http_exchange::~http_exchange()
@@ -72,14 +73,33 @@
     close();
 }
 
-void http_exchange::send_request(const std::string& address, const http_request& request)
+bool http_exchange::can_send_again() const
+{
+    const auto connection = m_answer.headers.find("connection");
+    return m_ended && m_answer.end == answer_end::clean && m_framing != framing::until_close &&
+           (connection == m_answer.headers.end() || connection->second != "close");
+}
+
+void http_exchange::send_again(const http_request& request)
+{
+    m_answer = {};
+    m_framing = framing::none;
+    m_ended = false;
+    m_buffer.clear();
+    send_request(request);
+}
+
+void http_exchange::send_request(const http_request& request)
 {
-    m_socket = connect_to(address);
     std::ostringstream text;
-    text << request.method << " " << request.path << " HTTP/1.1\r\nConnection: close\r\n";
+    text << request.method << " " << request.path << " HTTP/1.1\r\n";
+    if (!request.keep_open)
+    {
+        text << "Connection: close\r\n";
+    }
     if (!request.headers.contains("Host"))
     {
-        text << "Host: " << address << "\r\n";
+        text << "Host: " << m_address << "\r\n";
     }
     for (const auto& [name, value] : request.headers)
     {
--- a/tests/support/http_exchange.hpp
+++ b/tests/support/http_exchange.hpp
@@ -19,6 +19,7 @@
     std::map<std::string, std::string> headers;
     std::string body;
     std::chrono::seconds silence_limit{30}; ///< longest wait for the next byte
+    bool keep_open = false;                 ///< leave the connection open for another request
 };
 
 /// @brief How an answer ended.
@@ -72,6 +73,12 @@
     /// @brief Reads to the end.
     http_answer finish();
 
+    /// @brief Whether the answer came whole and the connection may carry another request.
+    bool can_send_again() const;
+
+    /// @brief Sends another request on the open connection.
+    void send_again(const http_request& request);
+
     /// @brief Closes the connection, as a caller that gives up does.
     void close();
 
@@ -84,13 +91,14 @@
         until_close,
     };
 
-    void send_request(const std::string& address, const http_request& request);
+    void send_request(const http_request& request);
     bool read_more();
     void parse();
     bool parse_head();
     void parse_chunks();
     void end(answer_end how);
 
+    std::string m_address;
     int m_socket = -1;
     std::chrono::seconds m_silence_limit;
     std::string m_buffer;
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -32,11 +32,14 @@
 
 } // namespace
 
-machine_fleet::machine_fleet(const std::vector<std::string>& regions)
+machine_fleet::machine_fleet(const std::vector<std::string>& regions, store_path path)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "machine-XXXXXX").string();
     m_directory = mkdtemp(pattern.data());
     m_store = std::make_unique<standin>("standin_store");
+    if (path == store_path::relayed)
+        m_store_relay = std::make_unique<standin>(
+            "standin_relay", std::vector<std::string>{"--target", m_store->address()});
     std::array<std::string, 5> ports;
     for (std::string& port : ports)
     {
@@ -46,7 +49,7 @@
     for (const std::string& region : regions)
     {
         machine_node made;
-        made.name = "front-" + region;
+        made.name = "front-" + region + "-" + std::to_string(m_nodes.size() + 1);
         made.region = region;
         // Ports are the same on all machines of the platform, so each node has its own IP.
         const std::string ip = "127.0.0." + std::to_string(m_nodes.size() + 1);
@@ -57,7 +60,7 @@
         {
             address->assign(ip).append(":").append(port);
         }
-        made.settings_path = m_directory + "/" + region + ".json";
+        made.settings_path = m_directory + "/" + made.name + ".json";
         m_nodes.push_back(std::move(made));
     }
     for (const machine_node& each : m_nodes)
@@ -96,24 +99,37 @@
         {"PortRange", {admin_port, admin_port}},
         {"Seeds", seeds},
         {"Bounds", {{"GraceS", 8}, {"RetryRatio", 0.2}, {"RetrySlack", 52}, {"RetryWindowS", 10}}},
-        {"Provider", {{"Address", m_store->address()}}}};
+        {"Provider", {{"Address", (m_store_relay ? m_store_relay : m_store)->address()}}}};
     std::ofstream(node.settings_path) << settings.dump();
 }
 
-standin& machine_fleet::add_server(const std::string& id, const std::string& service,
-                                   const std::string& region)
+standin& machine_fleet::start_server(const std::string& id)
 {
     m_servers.push_back(
         std::make_unique<standin>("standin_server", std::vector<std::string>{"--id", id}));
+    return *m_servers.back();
+}
+
+void machine_fleet::publish_server(const std::string& id, const std::string& service,
+                                   const std::string& region, const std::string& address,
+                                   const std::string& state) const
+{
     put("servers/" + id, json{{"Service", service},
-                              {"Address", m_servers.back()->address()},
+                              {"Address", address},
                               {"Zone", zone_of(region)},
                               {"Slots", 6},
-                              {"State", "ready"},
+                              {"State", state},
                               {"WarmupLeftMs", 0},
                               {"Sequence", 1}}
                              .dump());
-    return *m_servers.back();
+}
+
+standin& machine_fleet::add_server(const std::string& id, const std::string& service,
+                                   const std::string& region)
+{
+    standin& started = start_server(id);
+    publish_server(id, service, region, started.address(), "ready");
+    return started;
 }
 
 void machine_fleet::publish_configuration(int version, const std::string& bound_region)
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -30,16 +30,32 @@
     std::unique_ptr<child_process> program;
 };
 
+/// @brief Whether the nodes reach the store through a relay, which can be given faults.
+enum class store_path
+{
+    direct,
+    relayed,
+};
+
 /// @brief A store, servers and nodes in regions of one availability zone each.
 class machine_fleet
 {
   public:
-    /// @param regions one node in each
-    explicit machine_fleet(const std::vector<std::string>& regions);
+    /// @param regions one node for each entry
+    explicit machine_fleet(const std::vector<std::string>& regions,
+                           store_path path = store_path::direct);
     ~machine_fleet();
     machine_fleet(const machine_fleet&) = delete;
     machine_fleet& operator=(const machine_fleet&) = delete;
 
+    /// @brief Starts a server without an entry in the store.
+    standin& start_server(const std::string& id);
+
+    /// @brief Writes the entry of a server.
+    void publish_server(const std::string& id, const std::string& service,
+                        const std::string& region, const std::string& address,
+                        const std::string& state) const;
+
     /// @brief Starts a server of a service and publishes its entry.
     standin& add_server(const std::string& id, const std::string& service,
                         const std::string& region);
@@ -52,6 +68,9 @@
     void remove(const std::string& key) const;
     standin& store() { return *m_store; }
 
+    /// @brief The relay before the store of a fleet with `store_path::relayed`.
+    standin& store_relay() { return *m_store_relay; }
+
     void start_node(std::size_t index);
     void start_nodes();
     machine_node& node(std::size_t index) { return m_nodes.at(index); }
@@ -72,6 +91,7 @@
 
     std::string m_directory;
     std::unique_ptr<standin> m_store;
+    std::unique_ptr<standin> m_store_relay;
     std::vector<std::unique_ptr<standin>> m_servers;
     std::vector<machine_node> m_nodes;
 };
