--- a/packages/gateway/include/snipeplank/gateway/metrics.hpp
+++ b/packages/gateway/include/snipeplank/gateway/metrics.hpp
@@ -55,9 +55,6 @@
 
 constexpr std::size_t latency_count = static_cast<std::size_t>(latency::gateway_overhead) + 1;
 
-constexpr std::size_t retry_reason_count =
-    static_cast<std::size_t>(policy::retry_reason::peer_unreachable) + 1;
-
 /// @brief All metrics of one node. Thread-safe; counting is one atomic addition.
 class metrics
 {
@@ -94,7 +91,7 @@
 
     std::array<std::atomic<std::uint64_t>, counter_count> m_counters{};
     std::array<std::atomic<std::uint64_t>, policy::refusal_reason_count> m_refusals{};
-    std::array<std::atomic<std::uint64_t>, retry_reason_count> m_retries{};
+    std::array<std::atomic<std::uint64_t>, policy::retry_reason_count> m_retries{};
     std::array<std::unique_ptr<summary>, latency_count> m_latencies;
     mutable std::mutex m_gauge_mutex;
     std::map<std::string, double> m_gauges;
--- a/packages/gateway/src/metrics.cpp
+++ b/packages/gateway/src/metrics.cpp
@@ -33,11 +33,6 @@
     "load_reports",    "view_expired",      "own_link_suspected",
 };
 
-constexpr std::array<std::string_view, retry_reason_count> retry_names{
-    "connect_failed",   "refused_before_run", "upstream_failed",
-    "answer_truncated", "peer_unreachable",
-};
-
 constexpr std::array<std::string_view, latency_count> latency_names{
     "first_byte",
     "between_tokens",
@@ -118,9 +113,10 @@
                             m_refusals[i].load(std::memory_order_relaxed));
     }
     text += "# TYPE snipeplank_retries_total counter\n";
-    for (std::size_t i = 0; i < retry_reason_count; ++i)
+    for (std::size_t i = 0; i < policy::retry_reason_count; ++i)
     {
-        text += fmt::format("snipeplank_retries_total{{reason=\"{}\"}} {}\n", retry_names[i],
+        text += fmt::format("snipeplank_retries_total{{reason=\"{}\"}} {}\n",
+                            policy::to_string(static_cast<policy::retry_reason>(i)),
                             m_retries[i].load(std::memory_order_relaxed));
     }
     for (std::size_t i = 0; i < latency_count; ++i)
--- a/packages/policy/include/snipeplank/policy/dispatcher.hpp
+++ b/packages/policy/include/snipeplank/policy/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <snipeplank/core/units.hpp>
 #include <snipeplank/policy/call_path.hpp>
 #include <snipeplank/policy/refusal.hpp>
+#include <snipeplank/policy/retry_reason.hpp>
 #include <snipeplank/policy/routing_policy.hpp>
 #include <snipeplank/settings/published_config.hpp>
 
@@ -66,16 +67,6 @@
     caller_at_fault ///< a client error; says nothing about the upstream
 };
 
-/// @brief Why another attempt is wanted.
-enum class retry_reason
-{
-    connect_failed,     ///< no byte was handed to a socket: proven not run
-    refused_before_run, ///< status configured as refusing before execution: proven not run
-    upstream_failed,    ///< may have run
-    answer_truncated,   ///< may have run
-    peer_unreachable,   ///< may have run
-};
-
 /// @brief Send the call to this upstream.
 struct use_upstream
 {
--- /dev/null
+++ b/packages/serving/src/attempt_ledger.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// The attempts that are under way, the load that they cause and what they teach. Pure.
+
+#ifndef SNIPEPLANK_SERVING_SRC_ATTEMPT_LEDGER_HPP
+#define SNIPEPLANK_SERVING_SRC_ATTEMPT_LEDGER_HPP
+
+#include <cstdint>
+#include <map>
+
+#include "load_model.hpp"
+
+namespace snipeplank::serving
+{
+
+/// After a failed connection the upstream is left alone this long, unless it is the only one. Each
+/// further failure doubles the time.
+constexpr core::milliseconds unreachable_pause{1'000};
+
+/// @brief Follows attempts from their first to their last byte.
+class attempt_ledger : public load_model
+{
+  public:
+    using load_model::load_model;
+
+    /// @return number of the attempt, for the calls below
+    std::uint64_t on_sent(const placement_request& request, const upstream_id& target,
+                          core::time_point now);
+    std::uint64_t on_sent(const placement_request& request, const core::region_id& target,
+                          core::time_point now);
+    void on_first_byte(std::uint64_t number, core::time_point now);
+    void on_pause(std::uint64_t number, double ms, core::time_point now);
+    void on_ended(std::uint64_t number, placement_end how, core::time_point now);
+
+  private:
+    static void avoid(upstream_state& known, core::time_point now);
+    static void add(own_load& own, const open_attempt& attempt, double sign);
+    void note_heard(const upstream_id& target, core::time_point now);
+    open_attempt begin_attempt(const placement_request& request, core::time_point now) const;
+    std::uint64_t keep(open_attempt attempt);
+    own_load* own_of(const open_attempt& attempt);
+
+    std::map<std::uint64_t, open_attempt> m_open;
+    std::uint64_t m_last_number = 0;
+};
+
+} // namespace snipeplank::serving
+
+#endif
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "clock.hpp"
 #include "upstream_attempt.hpp"
 
 namespace snipeplank::serving
@@ -28,16 +29,6 @@
 constexpr int first_server_error = 500;
 constexpr core::milliseconds silence_check_interval{300};
 
-core::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
-double to_ms(core::duration span)
-{
-    return std::chrono::duration<double, std::milli>(span).count();
-}
-
 /// A number in [0, 1) that is the same for all attempts of one request.
 double draw_of(const std::string& request_id)
 {
@@ -71,7 +62,13 @@
     m_timer.cancel();
     m_silence_timer.cancel();
     m_exchange.on_client_gone(nullptr);
+    report();
+}
+
+void call::report()
+{
     m_line.total_ms = to_ms(now() - m_exchange.received_at());
+    m_environment.statistics.add(m_line);
     m_environment.log.call_ended(m_line);
 }
 
@@ -134,7 +131,7 @@
     else
         co_await m_exchange.send(answer);
     if (m_route == nullptr)
-        m_environment.log.call_ended(m_line);
+        report();
 }
 
 asio::awaitable<void> call::attempt_until_answered()
@@ -215,7 +212,7 @@
     if (!m_attempt)
     {
         m_line.attempts += "=unreachable ";
-        co_return next_step::try_again;
+        co_return repeat(policy::retry_reason::peer_unreachable);
     }
     const auto* region = std::get_if<to_region>(&where);
     m_attempt_number =
@@ -261,7 +258,7 @@
         if (may_repeat(false))
         {
             m_attempt->cancel();
-            co_return next_step::try_again;
+            co_return repeat(policy::retry_reason::upstream_failed);
         }
         co_return co_await pass_whole(result);
     }
@@ -277,9 +274,11 @@
     else
         end_attempt(is_proven ? placement_end::rejected : placement_end::failed);
     m_attempt->cancel();
-    const bool costs_nothing = !result.was_sent && m_tried.size() < most_tries;
-    if (costs_nothing || may_repeat(is_proven))
-        co_return next_step::try_again;
+    if (!result.was_sent && m_tried.size() < most_tries)
+        co_return repeat(policy::retry_reason::connect_failed);
+    if (may_repeat(is_proven))
+        co_return repeat(is_proven ? policy::retry_reason::refused_before_run
+                                   : policy::retry_reason::upstream_failed);
     policy::refusal why = final_refusal();
     co_await refuse(std::move(why));
     co_return next_step::done;
@@ -296,6 +295,12 @@
     return m_environment.places.take_repeat(m_service, now());
 }
 
+call::next_step call::repeat(policy::retry_reason reason)
+{
+    m_environment.statistics.count_retry(reason);
+    return next_step::try_again;
+}
+
 asio::awaitable<call::next_step> call::pass_stream(const attempt_start& result)
 {
     if (!m_exchange.has_begun())
@@ -364,8 +369,10 @@
     if (!m_events.last_event_id().empty())
         m_resume_from = m_events.last_event_id();
     m_events.begin_resume();
-    if (m_client_is_gone || may_repeat(false))
+    if (m_client_is_gone)
         co_return next_step::try_again;
+    if (may_repeat(false))
+        co_return repeat(policy::retry_reason::answer_truncated);
     co_await refuse(final_refusal());
     co_return next_step::done;
 }
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -22,6 +22,7 @@
 
 #include "attempt.hpp"
 #include "call_log.hpp"
+#include "call_statistics.hpp"
 
 namespace snipeplank::serving
 {
@@ -49,6 +50,7 @@
     const upstream_protocol& upstreams;
     region_caller& regions;
     call_log& log;
+    call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
 };
 
@@ -92,6 +94,8 @@
     std::unique_ptr<attempt> make_attempt(const placement_decision& where);
     placement_request next_request() const;
     bool may_repeat(bool proven_not_run);
+    next_step repeat(policy::retry_reason reason);
+    void report();
     void end_attempt(placement_end how);
     void start_deadline();
     void give_up();
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -91,7 +91,6 @@
 
 void call_log::call_ended(const call_outcome_line& line)
 {
-    ++m_outcomes[line.outcome];
     const bool is_success = line.outcome == "answered";
     if (!take(is_success ? line_kind::success : line_kind::failure,
               std::chrono::steady_clock::now()))
--- a/packages/serving/src/call_log.hpp
+++ b/packages/serving/src/call_log.hpp
@@ -11,33 +11,14 @@
 
 #include <array>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 
+#include "call_outcome.hpp"
+
 namespace snipeplank::serving
 {
 
-/// @brief How a request ended, for its log line.
-struct call_outcome_line
-{
-    std::string request_id;
-    std::string route;
-    std::string service;
-    std::uint64_t config_version = 0;
-    std::string attempts; ///< targets and results in order
-    std::string outcome;  ///< answered, or the reason of the refusal
-    int status = 0;
-    std::string executed;
-    double predicted_ms = 0;
-    double remaining_ms = 0;
-    double retry_after_ms = 0;
-    double first_byte_ms = 0;    ///< from the request to the first byte passed on
-    double longest_pause_ms = 0; ///< between two events passed on
-    double prompt_tokens = 0;
-    double total_ms = 0;
-};
-
 /// @brief Kinds of line; each has a budget of its own, so that one cannot displace another.
 enum class line_kind
 {
@@ -56,9 +37,6 @@
     void event(line_kind kind, std::string_view what, const nlohmann::json& fields);
     void call_ended(const call_outcome_line& line);
 
-    /// @brief Calls by outcome, for metrics.
-    const std::map<std::string, std::uint64_t>& outcomes() const { return m_outcomes; }
-
     /// @brief Lines that were not written for want of budget or because the reader lags.
     std::uint64_t dropped() const { return m_dropped; }
 
@@ -71,7 +49,6 @@
 
     std::string m_node;
     std::array<policy::token_bucket, kind_count> m_budgets;
-    std::map<std::string, std::uint64_t> m_outcomes;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_dropped_said = 0;
 };
--- /dev/null
+++ b/packages/serving/src/load_exchange.cpp
@@ -0,0 +1,108 @@
+#include "load_exchange.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace snipeplank::serving
+{
+
+namespace
+{
+
+constexpr std::size_t most_reported_upstreams = 48;
+
+std::uint16_t saturate(double value)
+{
+    constexpr double most = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::clamp(value, 0.0, most));
+}
+
+} // namespace
+
+load_exchange::load_exchange(core::region_id region, placement& places)
+    : m_region(std::move(region)), m_places(places)
+{
+}
+
+void load_exchange::on_received(const fleet::gossip& received, const routing_table* table,
+                                core::time_point now)
+{
+    if (received.sender_region == m_region)
+    {
+        on_own_region(received, now);
+        return;
+    }
+    if (table == nullptr)
+        return;
+    for (const fleet::region_summary& summary : received.regions)
+    {
+        other_region& known = m_regions[summary.region];
+        known.heard = now;
+        known.services.clear();
+        for (const auto& [name, offered] : table->services)
+        {
+            for (const fleet::service_load& each : summary.services)
+            {
+                if (each.service_key == fleet::service_key(name))
+                    known.services[name] = {each.upstreams, static_cast<double>(each.running),
+                                            static_cast<double>(each.waiting)};
+            }
+        }
+    }
+}
+
+void load_exchange::on_own_region(const fleet::gossip& received, core::time_point now)
+{
+    std::map<std::uint64_t, peer_load> loads;
+    for (const fleet::upstream_load& each : received.loads)
+    {
+        loads[each.upstream_key] = {static_cast<double>(each.running),
+                                    static_cast<double>(each.waiting)};
+    }
+    m_places.set_peer_loads(received.sender.id.incarnation.get(), std::move(loads), now);
+}
+
+void load_exchange::publish_regions(const std::set<core::region_id>& reachable)
+{
+    for (auto& [region, known] : m_regions)
+    {
+        known.is_reachable = reachable.contains(region);
+        m_places.set_region(region, known);
+    }
+}
+
+std::vector<fleet::upstream_load> load_exchange::own_upstreams() const
+{
+    std::vector<fleet::upstream_load> loads;
+    for (const auto& [key, load] : m_places.own_loads())
+    {
+        if (loads.size() == most_reported_upstreams)
+            break;
+        fleet::upstream_load each;
+        each.upstream_key = key;
+        each.running = saturate(load.running);
+        each.waiting = saturate(load.waiting);
+        loads.push_back(each);
+    }
+    return loads;
+}
+
+fleet::region_summary load_exchange::own_region(core::incarnation self, core::time_point now) const
+{
+    fleet::region_summary summary;
+    summary.region = m_region;
+    summary.issuer = self.get();
+    for (const auto& [name, load] : m_places.region_loads(now))
+    {
+        fleet::service_load each;
+        each.service_key = fleet::service_key(name);
+        each.upstreams = static_cast<std::uint16_t>(load.upstreams);
+        each.running = saturate(load.running);
+        each.waiting = saturate(load.waiting);
+        summary.services.push_back(each);
+    }
+    return summary;
+}
+
+} // namespace snipeplank::serving
--- a/packages/serving/src/load_model.cpp
+++ b/packages/serving/src/load_model.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "clock.hpp"
+
 namespace snipeplank::serving
 {
 
@@ -24,11 +26,6 @@
 /// An upstream with requests that has sent nothing for this long costs as much as it was silent.
 constexpr core::milliseconds quiet_time{400};
 
-double to_ms(core::duration span)
-{
-    return std::chrono::duration<double, std::milli>(span).count();
-}
-
 /// Follows a floor: samples below it pull harder than samples above.
 void follow_floor(double& floor, double sample, double up = 0.01)
 {
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -8,13 +8,15 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cstdlib>
+#include <set>
 #include <utility>
 
 #include "call.hpp"
 #include "call_log.hpp"
+#include "clock.hpp"
 #include "entry_points.hpp"
 #include "fleet_link.hpp"
+#include "load_exchange.hpp"
 #include "peer_calls.hpp"
 
 namespace snipeplank::serving
@@ -32,12 +34,6 @@
 constexpr int ok = 200;
 constexpr int not_found = 404;
 constexpr int unavailable = 503;
-constexpr std::size_t most_reported_loads = 30;
-
-core::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
 
 http::response text_response(int status, std::string text, std::string_view type = "text/plain")
 {
@@ -48,12 +44,6 @@
     return answer;
 }
 
-std::uint16_t saturate(double value)
-{
-    constexpr double most = 65'535;
-    return static_cast<std::uint16_t>(std::clamp(value, 0.0, most));
-}
-
 /// Adapts a function to a request handler.
 class function_handler final : public http::request_handler
 {
@@ -80,13 +70,13 @@
         : m_loop(loop), m_options(std::move(options)), m_adapters(adapters),
           m_random(core::system_seed()), m_log(m_options.name), m_pool(loop),
           m_places(m_options.region, m_options.bounds, m_random),
-          m_fleet(loop, m_options, m_random, *this),
+          m_loads(m_options.region, m_places), m_fleet(loop, m_options, m_random, *this),
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
               m_random),
-          m_environment{loop,    m_pool, m_places, adapters.callers, adapters.upstreams,
-                        m_peers, m_log,  nullptr},
+          m_environment{loop,    m_pool, m_places,     adapters.callers, adapters.upstreams,
+                        m_peers, m_log,  m_statistics, nullptr},
           m_calls([this](http::exchange& request) { return serve_call(request); }),
           m_control([this](http::exchange& request) { return serve_control(request); }),
           m_admin([this](http::exchange& request) { return serve_admin(request); }),
@@ -227,53 +217,11 @@
 
     void on_peer_loads(const fleet::gossip& received) override
     {
-        const core::time_point time = now();
-        if (received.sender_region == m_options.region)
-        {
-            std::map<std::uint64_t, peer_load> loads;
-            for (const fleet::upstream_load& each : received.loads)
-            {
-                loads[each.upstream_key] = {static_cast<double>(each.running),
-                                            static_cast<double>(each.waiting)};
-            }
-            m_places.set_peer_loads(received.sender.id.incarnation.get(), std::move(loads), time);
-            return;
-        }
-        if (!m_environment.table)
-            return;
-        for (const fleet::region_summary& summary : received.regions)
-        {
-            other_region& known = m_regions[summary.region];
-            known.heard = time;
-            known.services.clear();
-            for (const auto& [name, offered] : m_environment.table->services)
-            {
-                for (const fleet::service_load& each : summary.services)
-                {
-                    if (each.service_key == fleet::service_key(name))
-                        known.services[name] = {each.upstreams, static_cast<double>(each.running),
-                                                static_cast<double>(each.waiting)};
-                }
-            }
-        }
+        m_loads.on_received(received, m_environment.table.get(), now());
         refresh_regions();
     }
 
-    std::vector<fleet::upstream_load> own_loads() override
-    {
-        std::vector<fleet::upstream_load> loads;
-        for (const auto& [key, load] : m_places.own_loads())
-        {
-            if (loads.size() == most_reported_loads)
-                break;
-            fleet::upstream_load each;
-            each.upstream_key = key;
-            each.running = saturate(load.running);
-            each.waiting = saturate(load.waiting);
-            loads.push_back(each);
-        }
-        return loads;
-    }
+    std::vector<fleet::upstream_load> own_loads() override { return m_loads.own_upstreams(); }
 
     core::config_version version_in_force() const override
     {
@@ -282,19 +230,7 @@
 
     fleet::region_summary own_region() override
     {
-        fleet::region_summary summary;
-        summary.region = m_options.region;
-        summary.issuer = m_fleet.incarnation().get();
-        for (const auto& [name, load] : m_places.region_loads(now()))
-        {
-            fleet::service_load each;
-            each.service_key = fleet::service_key(name);
-            each.upstreams = static_cast<std::uint16_t>(load.upstreams);
-            each.running = saturate(load.running);
-            each.waiting = saturate(load.waiting);
-            summary.services.push_back(each);
-        }
-        return summary;
+        return m_loads.own_region(m_fleet.incarnation(), now());
     }
 
   private:
@@ -302,20 +238,30 @@
     {
         if (m_is_stopping && !m_stopping.serves_new(now() - m_stop_began))
         {
-            const policy::refusal why = draining_refusal();
-            http::response answer = m_adapters.callers.refuse(caller_request(), why);
-            co_await request.send(std::move(answer));
+            co_await refuse_while_stopping(request);
             co_return;
         }
         call served(m_environment, request, std::nullopt);
         co_await served.run();
     }
 
-    static policy::refusal draining_refusal()
+    asio::awaitable<void> refuse_while_stopping(http::exchange& request)
     {
         constexpr core::milliseconds come_back{50};
-        return {policy::refusal_reason::draining, policy::execution::no,
-                "send the request to another node", come_back};
+        const policy::refusal why{policy::refusal_reason::draining, policy::execution::no,
+                                  "send the request to another node", come_back};
+        const auto caller = m_adapters.callers.read(request.head());
+        const http::response answer =
+            m_adapters.callers.refuse(caller ? caller.value() : caller_request(), why);
+        call_outcome_line line;
+        line.request_id = caller ? caller.value().id : std::string();
+        line.outcome = policy::to_string(why.reason);
+        line.executed = policy::to_string(why.executed);
+        line.status = answer.head.status;
+        line.retry_after_ms = static_cast<double>(come_back.count());
+        m_statistics.add(line);
+        m_log.call_ended(line);
+        co_await request.send(answer);
     }
 
     void serve_peer(std::unique_ptr<http::exchange> request, forwarded_from from)
@@ -398,14 +344,12 @@
 
     void refresh_regions()
     {
-        for (auto& entry : m_regions)
+        std::set<core::region_id> reachable;
+        for (const live_node& each : m_nodes)
         {
-            other_region& known = entry.second;
-            known.is_reachable =
-                std::any_of(m_nodes.begin(), m_nodes.end(),
-                            [&](const live_node& each) { return each.region == entry.first; });
-            m_places.set_region(entry.first, known);
+            reachable.insert(each.region);
         }
+        m_loads.publish_regions(reachable);
     }
 
     void keep_house()
@@ -445,13 +389,7 @@
 
     std::string metrics() const
     {
-        std::string text = "# HELP snipeplank_calls_total Requests by outcome.\n"
-                           "# TYPE snipeplank_calls_total counter\n";
-        for (const auto& [outcome, count] : m_log.outcomes())
-        {
-            text += "snipeplank_calls_total{outcome=\"" + outcome + "\"} " + std::to_string(count) +
-                    "\n";
-        }
+        std::string text = m_statistics.render();
         const auto gauge = [&](const std::string& name, std::size_t value)
         { text += "# TYPE " + name + " gauge\n" + name + " " + std::to_string(value) + "\n"; };
         gauge("snipeplank_calls_active", m_call_server.active());
@@ -472,8 +410,10 @@
     node_adapters m_adapters;
     core::seeded_random m_random;
     call_log m_log;
+    call_statistics m_statistics;
     http::connection_pool m_pool;
     placement m_places;
+    load_exchange m_loads;
     fleet_link m_fleet;
     peer_calls m_peers;
     call_environment m_environment;
@@ -487,7 +427,6 @@
     asio::steady_timer m_housekeeping;
     asio::steady_timer m_stop_timer;
     std::vector<live_node> m_nodes;
-    std::map<core::region_id, other_region> m_regions;
     upstream_map m_upstreams;
     stop_schedule m_stopping;
     core::time_point m_stop_began{};
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -11,6 +11,8 @@
 #include <utility>
 #include <variant>
 
+#include "clock.hpp"
+
 namespace snipeplank::serving
 {
 
@@ -19,11 +21,6 @@
 namespace
 {
 
-core::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// Bytes of a body for which one frame has room beside its headers.
 constexpr std::size_t max_forwarded_body = 1'000'000;
 
--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "clock.hpp"
+
 namespace snipeplank::serving
 {
 
@@ -22,11 +24,6 @@
 /// An upstream may send a second answer to an earlier request first.
 constexpr int most_foreign_answers = 2;
 
-core::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 upstream_attempt::upstream_attempt(upstream_attempt_parts parts) : m_parts(std::move(parts)) {}
