serving: nodes of a region are told of loads in turn

Cause: each node sent its loads to 10 of all nodes, whatever their region. Among 91 nodes one of the own region heard a given peer every 2.7 s on average, though a report is used for 2 s: most of the load at a server was unknown. Now 6 nodes of the own region and 4 of the others, in turn.

--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "clock.hpp"
+
 namespace snipeplank::serving
 {
 
@@ -14,8 +16,6 @@
 {
 
 constexpr core::milliseconds exchange_interval{300};
-/// Nodes to which one exchange of loads goes at most.
-constexpr std::size_t exchange_fanout = 10;
 /// A node counts as possibly running this long after it was last known.
 constexpr core::seconds sighting_lifetime{60};
 /// A node that was added and is not known yet.
@@ -26,11 +26,6 @@
 /// Members are known this long after a start, if any node answered.
 constexpr core::seconds settling_time{15};
 
-core::time_point now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 fleet_link::fleet_link(asio::io_context& loop, const node_options& options,
@@ -194,20 +189,27 @@
 
 void fleet_link::exchange_loads()
 {
-    std::vector<live_node> nodes = live_nodes();
-    std::erase_if(nodes, [&](const live_node& each) { return each.peer == m_self.address; });
-    while (nodes.size() > exchange_fanout)
+    if (m_is_leaving)
+        return;
+    std::vector<core::address> near;
+    std::vector<core::address> far;
+    for (const live_node& each : live_nodes())
     {
-        nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(m_random.below(nodes.size())));
+        if (each.peer == m_self.address)
+            continue;
+        (each.region == m_options.region ? near : far).push_back(each.peer);
     }
-    if (nodes.empty() || m_is_leaving)
-        return;
-    fleet::gossip body = compose(fleet::gossip_kind::announce);
-    body.loads = m_listener.own_loads();
-    body.regions = {m_listener.own_region()};
-    for (const live_node& each : nodes)
+    fleet::gossip loads = compose(fleet::gossip_kind::announce);
+    loads.loads = m_listener.own_loads();
+    for (const core::address& each : m_near_turn.next(near))
+    {
+        send_gossip(each, loads);
+    }
+    fleet::gossip summary = compose(fleet::gossip_kind::announce);
+    summary.regions = {m_listener.own_region()};
+    for (const core::address& each : m_far_turn.next(far))
     {
-        send_gossip(each.peer, body);
+        send_gossip(each, summary);
     }
 }
 
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -19,10 +19,17 @@
 #include <vector>
 
 #include "entry_points.hpp"
+#include "exchange_turn.hpp"
 
 namespace snipeplank::serving
 {
 
+/// Nodes of the own region to which one exchange goes. Loads are used for 2 s, in which each of 39
+/// others is told.
+constexpr std::size_t near_fanout = 6;
+/// Nodes of the other regions, which hear of a region from any of its nodes.
+constexpr std::size_t far_fanout = 4;
+
 /// @brief What the link asks of and tells its node, on the event loop.
 class fleet_listener
 {
@@ -118,6 +125,8 @@
     std::map<core::address, sighting> m_sightings;
     std::map<core::node_id, core::time_point> m_stopping_since;
     core::time_point m_next_exchange{};
+    exchange_turn m_near_turn{near_fanout};
+    exchange_turn m_far_turn{far_fanout};
     core::time_point m_started{};
     core::time_point m_left_at{};
     core::time_point m_last_tick{};
