serving: nodes that have just started count on 40 nodes until members can be known

Cause: a cold server's bound was divided by ten until members were known; a region of the grown fleets has 30 nodes, and all of them may start at once. The count is a module of its own with tests.

--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -16,21 +16,12 @@
 {
 
 constexpr core::milliseconds exchange_interval{300};
-/// A node counts as possibly running this long after it was last known.
-constexpr core::seconds sighting_lifetime{60};
-/// A node that was added and is not known yet.
-constexpr std::size_t unseen_nodes = 1;
 constexpr std::size_t members_per_message = 12;
-/// While a node cannot know the others yet, it counts on this many in its region.
-constexpr std::size_t nodes_before_known = 10;
-/// Members are known this long after a start, if any node answered.
-constexpr core::seconds settling_time{15};
-
 } // namespace
 
 fleet_link::fleet_link(asio::io_context& loop, const node_options& options,
                        core::random_source& random, fleet_listener& listener)
-    : m_loop(loop), m_options(options), m_random(random),
+    : m_loop(loop), m_options(options),
       m_listener(listener), m_self{options.peer_address, core::incarnation{random.next()}},
       m_members({m_self, options.caller_address, options.zone}, random),
       m_network(wire::make_peer_network()), m_timer(loop), m_seeds(options.seeds)
@@ -53,8 +44,8 @@
     auto started = m_network->start(std::move(settings), *this);
     if (!started)
         return boost::outcome_v2::failure(started.error());
-    m_started = now();
-    m_last_tick = m_started;
+    m_last_tick = now();
+    m_census.start(m_last_tick);
     m_members.start(m_last_tick);
     m_members.on_host_list(m_seeds, m_last_tick);
     schedule_tick();
@@ -106,7 +97,7 @@
     m_members.on_tick(time);
     send_probes();
     note_sightings(time);
-    if (time < m_started + settling_time + fleet::ping_interval)
+    if (m_census.is_settling(time - fleet::ping_interval))
     {
         greet_members();
         m_listener.on_members_changed();
@@ -323,25 +314,18 @@
 {
     for (const fleet::member_update& each : m_members.members())
     {
-        m_sightings[each.id.address] = {region_of(each.zone), time};
+        m_census.on_seen(each.id.address, region_of(each.zone), time);
         if (each.state == fleet::member_state::leaving)
             m_stopping_since.try_emplace(each.id, time);
     }
-    std::erase_if(m_stopping_since,
-                  [&](const auto& each) { return time - each.second > sighting_lifetime; });
-    std::erase_if(m_sightings,
-                  [&](const auto& each) { return time - each.second.at > sighting_lifetime; });
+    std::erase_if(m_stopping_since, [&](const auto& each)
+                  { return time - each.second > node_census::sighting_lifetime; });
+    m_census.forget(time);
 }
 
 std::size_t fleet_link::possible_nodes(bool in_region) const
 {
-    const auto counts = [&](const auto& each)
-    { return !in_region || each.second.region == m_options.region; };
-    const auto seen =
-        static_cast<std::size_t>(std::count_if(m_sightings.begin(), m_sightings.end(), counts));
-    const bool is_settled = !m_sightings.empty() && now() > m_started + settling_time;
-    const std::size_t possible = 1 + unseen_nodes + seen;
-    return is_settled ? possible : std::max(possible, nodes_before_known);
+    return m_census.possible(in_region ? std::optional(m_options.region) : std::nullopt, now());
 }
 
 } // namespace snipeplank::serving
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -20,6 +20,7 @@
 
 #include "entry_points.hpp"
 #include "exchange_turn.hpp"
+#include "node_census.hpp"
 
 namespace snipeplank::serving
 {
@@ -91,12 +92,6 @@
     void on_unreachable(const core::address& peer) override;
 
   private:
-    struct sighting
-    {
-        core::region_id region;
-        core::time_point at{};
-    };
-
     void tick();
     void schedule_tick();
     void handle_gossip(const fleet::gossip& received);
@@ -112,7 +107,6 @@
 
     boost::asio::io_context& m_loop;
     const node_options& m_options;
-    core::random_source& m_random;
     fleet_listener& m_listener;
     core::node_id m_self;
     fleet::membership m_members;
@@ -122,12 +116,11 @@
     std::set<core::address> m_silent;  ///< connection lost, and not heard since
     std::set<core::address> m_unready; ///< said that they have no configuration
     std::set<core::node_id> m_greeted;
-    std::map<core::address, sighting> m_sightings;
+    node_census m_census;
     std::map<core::node_id, core::time_point> m_stopping_since;
     core::time_point m_next_exchange{};
     exchange_turn m_near_turn{near_fanout};
     exchange_turn m_far_turn{far_fanout};
-    core::time_point m_started{};
     core::time_point m_left_at{};
     core::time_point m_last_tick{};
     bool m_is_leaving = false;
--- /dev/null
+++ b/packages/serving/tests/node_census_test.cpp
@@ -0,0 +1,80 @@
+/// Guards the number by which shared bounds are divided: nodes that start together, or are cut off.
+
+#include <CppUTest/TestHarness.h>
+
+#include "../src/node_census.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::serving;
+
+namespace
+{
+
+const core::time_point start{std::chrono::hours{1}};
+const core::region_id home{"home"};
+const core::region_id away{"away"};
+
+} // namespace
+
+TEST_GROUP(node_census)
+{
+    node_census subject;
+
+    void setup() override
+    {
+        subject.start(start);
+    }
+
+    void see(int nodes, const core::region_id& region, core::seconds at)
+    {
+        for (int i = 0; i < nodes; ++i)
+        {
+            subject.on_seen(core::address{region.get() + std::to_string(i)}, region, start + at);
+        }
+    }
+};
+
+// Fails when nodes that start at the same moment, and cannot know each other yet, take parts that
+// are too large (kalkofen scale-2, and larger fleets).
+TEST(node_census, nodes_that_start_together_count_on_many)
+{
+    struct row
+    {
+        const char* name;
+        int known;
+        core::seconds age;
+        std::size_t possible;
+    };
+    for (const row& each :
+         {row{"just started", 0, core::seconds{1}, 40},
+          row{"just started, some known", 5, core::seconds{2}, 40},
+          row{"joined, few known", 1, core::seconds{4}, 10},
+          row{"joined, many known", 29, core::seconds{4}, 31},
+          row{"settled", 1, core::seconds{16}, 3}, row{"alone", 0, core::seconds{16}, 10}})
+    {
+        subject = {};
+        subject.start(start);
+        see(each.known, home, each.age);
+        UNSIGNED_LONGS_EQUAL_TEXT(each.possible, subject.possible(home, start + each.age),
+                                  each.name);
+    }
+}
+
+// Fails when a node that went silent is no longer counted although it may run on its own.
+TEST(node_census, silent_nodes_count_for_a_while)
+{
+    see(3, home, core::seconds{20});
+    subject.forget(start + core::seconds{79});
+    UNSIGNED_LONGS_EQUAL(5, subject.possible(home, start + core::seconds{79}));
+    subject.forget(start + core::seconds{81});
+    UNSIGNED_LONGS_EQUAL(10, subject.possible(home, start + core::seconds{81}));
+}
+
+// Fails when another region's nodes share this region's bounds, or not those of the whole fleet.
+TEST(node_census, regions_are_counted_apart)
+{
+    see(2, home, core::seconds{20});
+    see(4, away, core::seconds{20});
+    UNSIGNED_LONGS_EQUAL(4, subject.possible(home, start + core::seconds{20}));
+    UNSIGNED_LONGS_EQUAL(8, subject.possible(std::nullopt, start + core::seconds{20}));
+}
