http, serving: a request that may run once uses a connection that was in use just now, or a new one

Cause: servers may drop idle connections unnoticed; what is sent next is reset, and a booking that was sent may have run, so it could only end as 502.

--- a/packages/http/include/snipeplank/http/client.hpp
+++ b/packages/http/include/snipeplank/http/client.hpp
@@ -92,7 +92,9 @@
     explicit connection_pool(boost::asio::io_context& loop) : m_loop(loop) {}
 
     /// @brief The most recently used good connection to a server, or nothing.
-    owned take(const core::address& server, core::time_point now);
+    /// @param longest_idle one that was idle for longer is not given out
+    owned take(const core::address& server, core::time_point now,
+               core::duration longest_idle = core::duration::max());
 
     /// @brief A new connection that is not yet open.
     owned create(const core::address& server);
@@ -113,6 +115,7 @@
     struct idle_connection
     {
         owned link;
+        core::time_point idle_since;
         core::time_point good_until;
     };
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -275,12 +275,13 @@
     m_state->close();
 }
 
-connection_pool::owned connection_pool::take(const core::address& server, core::time_point now)
+connection_pool::owned connection_pool::take(const core::address& server, core::time_point now,
+                                             core::duration longest_idle)
 {
     const auto found = m_idle.find(server);
     if (found == m_idle.end())
         return nullptr;
-    while (!found->second.empty())
+    while (!found->second.empty() && now - found->second.back().idle_since <= longest_idle)
     {
         idle_connection latest = std::move(found->second.back());
         found->second.pop_back();
@@ -303,7 +304,7 @@
     // The server's clock for the connection started earlier than this one.
     const core::time_point good_until = now + idle_time / 2;
     std::vector<idle_connection>& kept = m_idle[used->server()];
-    kept.push_back({std::move(used), good_until});
+    kept.push_back({std::move(used), now, good_until});
 }
 
 void connection_pool::sweep(core::time_point now)
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -138,6 +138,19 @@
     CHECK_TRUE(pool.take(server.address(), now) == nullptr);
 }
 
+// Fails when a request that may run once is sent on a connection that may have been dropped
+// unnoticed since its last use.
+TEST(connection_pool, a_request_may_ask_for_a_connection_that_was_in_use_just_now)
+{
+    constexpr core::milliseconds longest_idle{500};
+    keep_one(core::milliseconds{60'000});
+    CHECK_TRUE(pool.take(server.address(), now + core::milliseconds{600}, longest_idle) == nullptr);
+    UNSIGNED_LONGS_EQUAL(1, pool.size());
+    // The server may have closed it by now; it is taken out either way.
+    static_cast<void>(pool.take(server.address(), now + core::milliseconds{400}, longest_idle));
+    UNSIGNED_LONGS_EQUAL(0, pool.size());
+}
+
 // Fails when a connection is kept as long as its server says, so that requests meet its close.
 TEST(connection_pool, keeps_a_connection_half_as_long_as_its_server)
 {
--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -21,6 +21,10 @@
 /// An upstream ends its work at the deadline that it was given, and says so a little later.
 constexpr core::milliseconds answer_slack{300};
 
+/// Upstreams may drop idle connections unnoticed. A request that may run once could not be sent
+/// again then, so it uses connections that were in use just now, or a new one.
+constexpr core::milliseconds once_only_idle{500};
+
 /// An upstream may send a second answer to an earlier request first.
 constexpr int most_foreign_answers = 2;
 
@@ -30,7 +34,9 @@
 
 asio::awaitable<bool> upstream_attempt::open(attempt_start& result)
 {
-    m_link = m_parts.pool.take(m_parts.target.address, now());
+    const core::duration longest_idle =
+        m_parts.may_repeat ? core::duration::max() : core::duration(once_only_idle);
+    m_link = m_parts.pool.take(m_parts.target.address, now(), longest_idle);
     if (m_link)
         co_return true;
     m_link = m_parts.pool.create(m_parts.target.address);
--- a/packages/serving/src/upstream_attempt.hpp
+++ b/packages/serving/src/upstream_attempt.hpp
@@ -24,6 +24,7 @@
     upstream target;
     std::function<core::milliseconds()> remaining; ///< of the deadline
     std::function<bool()> may_send;                ///< asked right before the first byte
+    bool may_repeat = false; ///< the request may be sent again if its connection is lost
     unsigned priority = 5;
     std::string last_event_id;
 };
