--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -143,6 +143,10 @@
     /// this node: it is dark or cut off, rather than busy.
     bool is_silent(const upstream_id& target, core::time_point now) const;
 
+    /// @brief How many upstreams of the service are in which state, and which other regions could
+    /// be used, for the log line of a refusal. O(upstreams + regions).
+    std::string describe(const placement_request& request, core::time_point now) const;
+
     /// @brief Whether a repeat may be sent; takes it from the budget.
     bool take_repeat(const core::service_id& service, core::time_point now);
 
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -151,6 +151,7 @@
         const placement_decision where = m_environment.places.decide(next_request(), now());
         if (const auto* refused = std::get_if<policy::refusal>(&where))
         {
+            m_line.upstreams = m_environment.places.describe(next_request(), now());
             policy::refusal why = m_may_have_run ? final_refusal() : *refused;
             if (!m_may_have_run && m_sends > 0)
                 why.reason = policy::refusal_reason::upstream_refused;
@@ -200,6 +201,7 @@
                                  [this] { return remaining(); },
                                  [this, id = local.target.id]
                                  { return m_environment.places.may_send(id); },
+                                 m_route->may_repeat(),
                                  m_route->priority,
                                  m_resume_from};
     return std::make_unique<upstream_attempt>(std::move(parts));
--- a/packages/serving/src/call_outcome.hpp
+++ b/packages/serving/src/call_outcome.hpp
@@ -17,8 +17,9 @@
     std::string route;
     std::string service;
     std::uint64_t config_version = 0;
-    std::string attempts; ///< targets and results in order
-    std::string outcome;  ///< answered, or the reason of the refusal
+    std::string attempts;  ///< targets and results in order
+    std::string upstreams; ///< states of those that could serve it, when it was refused
+    std::string outcome;   ///< answered, or the reason of the refusal
     int status = 0;
     std::string executed;
     double predicted_ms = 0;
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 
 #include "attempt_ledger.hpp"
+#include "standing.hpp"
 
 namespace snipeplank::serving
 {
@@ -143,6 +144,27 @@
         return refuse(policy::refusal_reason::overloaded, excess, request);
     }
 
+    std::string describe(const placement_request& request, core::time_point now) const
+    {
+        std::map<standing, unsigned> counts;
+        for (const auto& [id, known] : m_upstreams)
+        {
+            if (known.info.service == request.service)
+                ++counts[standing_of(known, now)];
+        }
+        std::string text;
+        for (const auto& [state, count] : counts)
+        {
+            text += std::string(to_string(state)) + "=" + std::to_string(count) + " ";
+        }
+        for (const auto& [region, known] : m_regions)
+        {
+            const standing state = standing_of(region, known.known, request, now);
+            text += region.get() + "=" + std::string(to_string(state)) + " ";
+        }
+        return text;
+    }
+
     bool is_silent(const upstream_id& target, core::time_point now) const
     {
         const auto found = m_upstreams.find(target);
@@ -165,9 +187,7 @@
         std::map<core::service_id, region_load> loads;
         for (const auto& [id, known] : m_upstreams)
         {
-            if (known.info.is_leaving || m_evacuated.contains(known.info.zone) ||
-                known.avoid_until > now || known.cold_until > now ||
-                silence(known, now) > dark_time)
+            if (standing_of(known, now) != standing::good)
                 continue;
             const peer_load all = total(known);
             region_load& sum = loads[known.info.service];
@@ -179,6 +199,35 @@
     }
 
   private:
+    standing standing_of(const upstream_state& known, core::time_point now) const
+    {
+        if (known.info.is_leaving)
+            return standing::leaving;
+        if (m_evacuated.contains(known.info.zone))
+            return standing::evacuated;
+        if (known.avoid_until > now)
+            return standing::unreachable;
+        if (silence(known, now) > dark_time)
+            return standing::silent;
+        return known.cold_until > now ? standing::cold : standing::good;
+    }
+
+    static standing standing_of(const core::region_id& region, const other_region& known,
+                                const placement_request& request, core::time_point now)
+    {
+        if (!request.may_leave_region || !request.chosen->may_be_served_in(region))
+            return standing::not_allowed;
+        if (contains(request.tried_regions, region))
+            return standing::tried;
+        if (!known.is_reachable)
+            return standing::unreachable;
+        if (now - known.heard > region_lifetime)
+            return standing::silent;
+        const auto offered = known.services.find(request.service);
+        const bool offers = offered != known.services.end() && offered->second.upstreams > 0;
+        return offers ? standing::good : standing::no_upstream;
+    }
+
     /// Upstreams that may be sent this request now; the better group of those that exist.
     std::vector<upstream_state*> usable(const placement_request& request, core::time_point now)
     {
@@ -286,14 +335,11 @@
             return best;
         for (const auto& [region, known] : m_regions)
         {
-            const auto offered = known.known.services.find(request.service);
-            if (contains(request.tried_regions, region) || !known.known.is_reachable ||
-                now - known.known.heard > region_lifetime ||
-                !request.chosen->may_be_served_in(region) ||
-                offered == known.known.services.end() || offered->second.upstreams == 0)
+            if (standing_of(region, known.known, request, now) != standing::good)
                 continue;
-            const double ms = predict(known, offered->second, request);
-            const double cost = ms + crowding(offered->second, request);
+            const region_load& load = known.known.services.at(request.service);
+            const double ms = predict(known, load, request);
+            const double cost = ms + crowding(load, request);
             if (!best || cost < best->cost_ms)
                 best = to_region{region, ms, cost};
         }
@@ -380,6 +426,11 @@
     return m_state->may_send(target);
 }
 
+std::string placement::describe(const placement_request& request, core::time_point now) const
+{
+    return m_state->describe(request, now);
+}
+
 bool placement::is_silent(const upstream_id& target, core::time_point now) const
 {
     return m_state->is_silent(target, now);
--- /dev/null
+++ b/packages/serving/src/standing.hpp
@@ -0,0 +1,39 @@
+/// @file
+/// Why an upstream or a region may or may not be sent a request.
+
+#ifndef SNIPEPLANK_SERVING_SRC_STANDING_HPP
+#define SNIPEPLANK_SERVING_SRC_STANDING_HPP
+
+#include <array>
+#include <string_view>
+
+namespace snipeplank::serving
+{
+
+/// @brief State of an upstream or of another region, as far as a request is concerned.
+enum class standing
+{
+    good,
+    leaving,
+    evacuated,
+    unreachable,
+    silent, ///< nothing has come from it for long
+    cold,
+    not_allowed, ///< the request may not leave its region, or not to there
+    tried,       ///< by an earlier attempt
+    no_upstream, ///< the region offers none
+};
+
+constexpr std::size_t standing_count = static_cast<std::size_t>(standing::no_upstream) + 1;
+
+constexpr std::string_view to_string(standing state)
+{
+    constexpr std::array<std::string_view, standing_count> names{
+        "good", "leaving",     "evacuated", "unreachable", "silent",
+        "cold", "not_allowed", "tried",     "no_upstream"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+} // namespace snipeplank::serving
+
+#endif
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -136,6 +136,23 @@
     CHECK_FALSE(subject->may_send(upstream_id{"i-1"}));
 }
 
+// Fails when the log line of a refusal does not say why nobody could take the request.
+TEST(placement, a_refusal_can_be_explained)
+{
+    upstream_map upstreams = make_upstreams(4, model);
+    upstreams[upstream_id{"i-0"}].is_leaving = true;
+    upstreams[upstream_id{"i-1"}].cold_for = core::milliseconds{9'000};
+    subject->set_upstreams(upstreams, begin);
+    load_region(0, 0);
+    const std::string text = subject->describe(ask(), begin);
+    for (const char* part : {"good=2 ", "leaving=1 ", "cold=1 ", "=good "})
+    {
+        CHECK_TRUE_TEXT(text.find(part) != std::string::npos, text.c_str());
+    }
+    subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin);
+    CHECK_TRUE(subject->describe(ask(), begin).find("evacuated=3 ") != std::string::npos);
+}
+
 // Fails when an address that now belongs to another upstream passes the check before sending.
 TEST(placement, an_upstream_that_is_gone_may_not_be_sent_to)
 {
