--- a/standins/store/main.cpp
+++ b/standins/store/main.cpp
@@ -5,6 +5,7 @@
 #include <openssl/evp.h>
 #include <standins/support/http_server.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <mutex>
@@ -57,6 +58,13 @@
         m_server.Delete("/standin/item",
                         [this](const request& in, response& out) { write(in, out, true); });
         m_server.Post("/standin/compact", [this](const request&, response&) { compact(); });
+        m_server.Get("/standin/counts",
+                     [this](const request&, response& out)
+                     {
+                         const std::lock_guard lock(m_mutex);
+                         out.set_content(json{{"longest_wait_ms", m_longest_wait_ms}}.dump(),
+                                         "application/json");
+                     });
         m_server.Post("/standin/down",
                       [this](const request& in, response&) { m_is_down = in.body == "yes"; });
     }
@@ -107,8 +115,12 @@
             return;
         const std::string prefix = in.get_param_value("PathPrefix");
         const std::uint64_t after = std::stoull(in.get_param_value("after"));
-        const auto end = std::chrono::steady_clock::now() +
-                         std::chrono::milliseconds(std::stol(in.get_param_value("WaitMs")));
+        const long wait_ms = std::stol(in.get_param_value("WaitMs"));
+        const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms);
+        {
+            const std::lock_guard lock(m_mutex);
+            m_longest_wait_ms = std::max(m_longest_wait_ms, wait_ms);
+        }
         while (!answer_watch(prefix, after, out) && std::chrono::steady_clock::now() < end)
         {
             constexpr auto slice = 10ms;
@@ -170,6 +182,7 @@
     std::vector<change> m_history;
     std::uint64_t m_revision = 1;
     std::uint64_t m_compacted = 0;
+    long m_longest_wait_ms = 0;
     std::atomic<bool> m_is_down{false};
 };
 
--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -93,6 +93,25 @@
     fleet->wait_until_served(0, "/read/x");
 }
 
+// Fails when a node learns of a new configuration too late because its connection to the store fell
+// silent without an end (tamarack-lunar-grown trouble-3).
+TEST(machine_node, a_silent_connection_to_the_store_is_replaced)
+{
+    fleet = std::make_unique<machine_fleet>(std::vector<std::string>{home}, store_path::relayed);
+    fleet->publish_configuration(3);
+    fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    fleet->store_relay().set_faults({{"silence_existing", true}});
+    fleet->remove("servers/i-s");
+    fleet->add_server("i-t", "shop", home);
+    wait_until("the new server is known", [&]
+               { return call("GET", "/read/x", "later").body.find("i-t") != std::string::npos; });
+    // A watch that is waiting when its connection falls silent must end before the bound of 4 s.
+    constexpr long configuration_bound_ms = 4'000;
+    CHECK_TRUE(fleet->store().counts()["longest_wait_ms"].get<long>() < configuration_bound_ms);
+}
+
 // Fails when a request that may run at most once is sent again, or is said not to have run.
 TEST(machine_node, a_booking_whose_answer_is_lost_runs_once_and_is_not_denied)
 {
