--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -325,7 +325,7 @@
 
 std::size_t fleet_link::possible_nodes(bool in_region) const
 {
-    return m_census.possible(in_region ? std::optional(m_options.region) : std::nullopt, now());
+    return in_region ? m_census.possible_in(m_options.region, now()) : m_census.possible(now());
 }
 
 } // namespace snipeplank::serving
--- a/packages/serving/src/node_census.cpp
+++ b/packages/serving/src/node_census.cpp
@@ -17,18 +17,25 @@
                   [&](const auto& each) { return now - each.second.at > sighting_lifetime; });
 }
 
-std::size_t node_census::possible(const std::optional<core::region_id>& region,
-                                  core::time_point now) const
+std::size_t node_census::with_unknown(std::size_t seen, core::time_point now) const
 {
-    const auto counts = [&](const auto& each) { return !region || each.second.region == *region; };
-    const auto seen =
-        static_cast<std::size_t>(std::count_if(m_sightings.begin(), m_sightings.end(), counts));
     const std::size_t known = 1 + unseen_nodes + seen;
-    if (now < m_started + joining_time)
-        return std::max(known, nodes_while_joining);
-    if (m_sightings.empty() || is_settling(now))
-        return std::max(known, nodes_while_settling);
-    return known;
+    const bool may_know_too_few = m_sightings.empty() || is_settling(now);
+    return may_know_too_few ? std::max(known, nodes_while_settling) : known;
+}
+
+std::size_t node_census::possible(core::time_point now) const
+{
+    return with_unknown(m_sightings.size(), now);
+}
+
+std::size_t node_census::possible_in(const core::region_id& region, core::time_point now) const
+{
+    const auto seen = static_cast<std::size_t>(
+        std::count_if(m_sightings.begin(), m_sightings.end(),
+                      [&](const auto& each) { return each.second.region == region; }));
+    const std::size_t possible = with_unknown(seen, now);
+    return now < m_started + joining_time ? std::max(possible, nodes_while_joining) : possible;
 }
 
 } // namespace snipeplank::serving
--- a/packages/serving/src/node_census.hpp
+++ b/packages/serving/src/node_census.hpp
@@ -11,7 +11,6 @@
 #include <snipeplank/core/units.hpp>
 
 #include <map>
-#include <optional>
 
 namespace snipeplank::serving
 {
@@ -40,9 +39,12 @@
     /// @brief Drops sightings that have become too old. O(nodes).
     void forget(core::time_point now);
 
-    /// @brief Largest number of nodes that may be running, this one included. O(nodes).
-    /// @param region only there; everywhere if empty
-    std::size_t possible(const std::optional<core::region_id>& region, core::time_point now) const;
+    /// @brief Number of nodes of the whole fleet that may be running, this one included. O(nodes).
+    std::size_t possible(core::time_point now) const;
+
+    /// @brief The same for one region, and careful enough for a bound whose breach ends an
+    /// upstream: a node that is still joining counts on many.
+    std::size_t possible_in(const core::region_id& region, core::time_point now) const;
 
     /// @brief Whether members may still come to be known because this node has just started.
     bool is_settling(core::time_point now) const { return now < m_started + settling_time; }
@@ -54,6 +56,8 @@
         core::time_point at{};
     };
 
+    std::size_t with_unknown(std::size_t seen, core::time_point now) const;
+
     core::time_point m_started{};
     std::map<core::address, sighting> m_sightings;
 };
--- a/packages/serving/tests/node_census_test.cpp
+++ b/packages/serving/tests/node_census_test.cpp
@@ -55,7 +55,7 @@
         subject = {};
         subject.start(start);
         see(each.known, home, each.age);
-        UNSIGNED_LONGS_EQUAL_TEXT(each.possible, subject.possible(home, start + each.age),
+        UNSIGNED_LONGS_EQUAL_TEXT(each.possible, subject.possible_in(home, start + each.age),
                                   each.name);
     }
 }
@@ -65,9 +65,9 @@
 {
     see(3, home, core::seconds{20});
     subject.forget(start + core::seconds{79});
-    UNSIGNED_LONGS_EQUAL(5, subject.possible(home, start + core::seconds{79}));
+    UNSIGNED_LONGS_EQUAL(5, subject.possible_in(home, start + core::seconds{79}));
     subject.forget(start + core::seconds{81});
-    UNSIGNED_LONGS_EQUAL(10, subject.possible(home, start + core::seconds{81}));
+    UNSIGNED_LONGS_EQUAL(10, subject.possible_in(home, start + core::seconds{81}));
 }
 
 // Fails when another region's nodes share this region's bounds, or not those of the whole fleet.
@@ -75,6 +75,14 @@
 {
     see(2, home, core::seconds{20});
     see(4, away, core::seconds{20});
-    UNSIGNED_LONGS_EQUAL(4, subject.possible(home, start + core::seconds{20}));
-    UNSIGNED_LONGS_EQUAL(8, subject.possible(std::nullopt, start + core::seconds{20}));
+    UNSIGNED_LONGS_EQUAL(4, subject.possible_in(home, start + core::seconds{20}));
+    UNSIGNED_LONGS_EQUAL(8, subject.possible(start + core::seconds{20}));
+}
+
+// Fails when a node that has just started may hardly repeat anything: what it repeats is bounded
+// for the whole fleet and ends no upstream.
+TEST(node_census, repeats_are_not_cut_while_joining)
+{
+    UNSIGNED_LONGS_EQUAL(10, subject.possible(start + core::seconds{1}));
+    UNSIGNED_LONGS_EQUAL(40, subject.possible_in(home, start + core::seconds{1}));
 }
