--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -15,6 +15,7 @@
 DEFINE_string(id, "i-1", "name of this life of the server");
 DEFINE_int32(events, 5, "events of a streamed answer");
 DEFINE_int32(event_ms, 5, "time between two events");
+DEFINE_int32(work_ms, 0, "time from the start of a run to its answer, or to its fault");
 
 namespace snipeplank::standins
 {
@@ -88,6 +89,11 @@
             out.set_header("Not-Executed", "1");
             return;
         }
+        if (!m_server.wait_for(std::chrono::milliseconds(FLAGS_work_ms)))
+        {
+            note_cancelled(id);
+            return;
+        }
         if (fault == "reset")
         {
             connection::current().cut();
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -19,6 +19,8 @@
 const std::string away = "ennstal";
 constexpr std::size_t callers = 12;
 constexpr std::chrono::milliseconds tick = 20ms;
+/// Long enough that faults find requests under way.
+constexpr int work_ms = 60;
 /// A leaving server and an evacuated region may still get what callers sent in this time.
 constexpr std::chrono::milliseconds drain_time = 4s;
 constexpr std::chrono::milliseconds evacuation_time = 5s;
@@ -50,7 +52,7 @@
           std::tuple{"m3", "model", away}, std::tuple{"s3", "shop", away}})
     {
         soak_server made{id, service, region, nullptr, nullptr, false};
-        made.program = &m_fleet.start_server(id);
+        made.program = &m_fleet.start_server(id, work_ms);
         made.path = std::make_unique<standin>(
             "standin_relay", std::vector<std::string>{"--target", made.program->address()});
         publish(made, false);
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -103,10 +103,10 @@
     std::ofstream(node.settings_path) << settings.dump();
 }
 
-standin& machine_fleet::start_server(const std::string& id)
+standin& machine_fleet::start_server(const std::string& id, int work_ms)
 {
-    m_servers.push_back(
-        std::make_unique<standin>("standin_server", std::vector<std::string>{"--id", id}));
+    const std::vector<std::string> arguments{"--id", id, "--work_ms", std::to_string(work_ms)};
+    m_servers.push_back(std::make_unique<standin>("standin_server", arguments));
     return *m_servers.back();
 }
 
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -49,7 +49,8 @@
     machine_fleet& operator=(const machine_fleet&) = delete;
 
     /// @brief Starts a server without an entry in the store.
-    standin& start_server(const std::string& id);
+    /// @param work_ms time of each run
+    standin& start_server(const std::string& id, int work_ms = 0);
 
     /// @brief Writes the entry of a server.
     void publish_server(const std::string& id, const std::string& service,
