http, serving: give up answers and requests without end; read slow bodies, answer stalled ones

Cause, by reading and by tests that failed: interim answers, chunk headers and trailers were buffered without a bound on both sides, events without an end were buffered and searched from their start with each piece until the deadline (5 s of one core on loopback), and the whole body of a request had one idle timeout: a slow but steady body was cut, and a stalled one got no 408.

Now a part that is parsed as a unit has a bound on both sides, events and answers to other requests have one, eight interim answers at most; the idle timeout counts from the last part of a body, which also has a total timeout.

--- a/packages/http/include/snipeplank/http/event_stream.hpp
+++ b/packages/http/include/snipeplank/http/event_stream.hpp
@@ -4,6 +4,7 @@
 #ifndef SNIPEPLANK_HTTP_EVENT_STREAM_HPP
 #define SNIPEPLANK_HTTP_EVENT_STREAM_HPP
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -21,15 +22,19 @@
 class event_splitter
 {
   public:
+    /// Largest event; longer ones are treated as bytes that are no event.
+    static constexpr std::size_t max_event_bytes = 1'048'576;
+
     /// @brief Adds bytes.
     /// @return the events that are complete now, with their terminating blank lines; may be empty
-    /// O(n) in the buffered bytes.
+    /// O(n) in the added bytes and the completed events.
     std::string feed(std::string_view bytes);
 
     /// @brief Drops the partial event, before a resumed stream starts.
     void begin_resume()
     {
         m_pending.clear();
+        m_searched = 0;
         m_is_resumed = true;
     }
 
@@ -42,6 +47,10 @@
     /// @brief Buffered bytes of the incomplete event.
     std::size_t pending_size() const { return m_pending.size(); }
 
+    /// @brief Whether the incomplete event exceeds `max_event_bytes`. The caller gives up the
+    /// stream then.
+    bool is_too_large() const { return m_pending.size() > max_event_bytes; }
+
     /// @brief The `id` of the last whole event that had one.
     const std::string& last_event_id() const { return m_last_event_id; }
 
@@ -53,6 +62,7 @@
     void record_id(std::string_view id);
 
     std::string m_pending;
+    std::size_t m_searched = 0; ///< leading bytes of `m_pending` that contain no end of an event
     std::string m_first_event_id;
     std::string m_last_event_id;
     bool m_is_resumed = false;
--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -28,7 +28,8 @@
     std::size_t header_bytes = 16'384;
     std::size_t body_bytes = 4'194'304;
     core::milliseconds header_timeout{3'000}; ///< from the first byte to the end of the header
-    core::milliseconds idle_timeout{15'000};  ///< between requests; also for the whole of a body
+    core::milliseconds idle_timeout{15'000};  ///< between requests, and between parts of a body
+    core::milliseconds body_timeout{60'000};  ///< from the end of the header to the end of the body
     core::milliseconds write_timeout{10'000}; ///< of one write to the client
     std::size_t connections = 3'000;
 };
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -32,6 +32,10 @@
 
 constexpr std::size_t read_buffer_size = 4'096;
 constexpr int first_final_status = 200;
+/// Largest part of an answer that is parsed as a unit: the head, a chunk header or the trailers.
+constexpr std::size_t max_buffered_bytes = 131'072;
+/// Interim answers (1xx) before the final one.
+constexpr int max_interim_answers = 8;
 
 auto into(error_code& error)
 {
@@ -82,8 +86,7 @@
     asio::awaitable<core::result<response_head>> read_head()
     {
         const auto self = shared_from_this();
-        response_head head;
-        while (head.status < first_final_status)
+        for (int interim = 0; interim <= max_interim_answers; ++interim)
         {
             m_parser.emplace();
             m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -93,9 +96,13 @@
             co_await beast::http::async_read_header(m_socket, m_buffer, *m_parser, into(error));
             if (error)
                 co_return boost::outcome_v2::failure(failure(error, "no answer from "));
-            head = take_head();
+            response_head head = take_head();
+            if (head.status >= first_final_status)
+                co_return head;
         }
-        co_return head;
+        co_return core::fail(core::error_code::connection_closed,
+                             "no final answer from " + m_server.get() + ", only interim ones",
+                             "check that the server runs");
     }
 
     asio::awaitable<core::result<body_chunk>> read_chunk()
@@ -199,7 +206,7 @@
     core::address m_server;
     tcp::socket m_socket;
     asio::steady_timer m_timer;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_buffered_bytes};
     std::optional<parser_type> m_parser;
     std::string m_request_text;
     /// Identifies the current timer; the handler of an earlier one does nothing.
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -25,6 +25,12 @@
 namespace beast = boost::beast;
 using boost::system::error_code;
 
+/// Largest part of a request, besides its head, that is parsed as a unit: a chunk header or the
+/// trailers.
+constexpr std::size_t max_buffered_bytes = 131'072;
+/// What is read and dropped of a refused request before its connection is closed.
+constexpr std::size_t max_dropped_bytes = 1'048'576;
+
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int payload_too_large = 413;
@@ -106,6 +112,7 @@
 asio::awaitable<bool> connection::read_request()
 {
     const server_limits limits = m_handler.limits();
+    m_buffer.max_size(std::max(limits.header_bytes, max_buffered_bytes));
     if (!co_await wait_first_byte(limits.idle_timeout))
         co_return false;
     m_received_at = std::chrono::steady_clock::now();
@@ -131,10 +138,9 @@
     }
     if (!error && !parser.is_done())
     {
-        start_watchdog(limits.idle_timeout);
         if (find_header(m_head.headers, "Expect"))
             co_await write_text("HTTP/1.1 100 Continue\r\n\r\n");
-        co_await beast::http::async_read(m_socket, m_buffer, parser, into(error));
+        error = co_await read_body(parser, limits);
     }
     stop_watchdog();
     if (error)
@@ -147,6 +153,25 @@
     co_return true;
 }
 
+/// Reads the rest of a request. The client may be slow, but must keep sending.
+asio::awaitable<error_code> connection::read_body(parser_type& parser, const server_limits& limits)
+{
+    const core::time_point deadline = std::chrono::steady_clock::now() + limits.body_timeout;
+    m_has_read_timeout = false;
+    parser.eager(true);
+    error_code error;
+    while (!error && !parser.is_done())
+    {
+        const auto remaining = std::chrono::duration_cast<core::milliseconds>(
+            deadline - std::chrono::steady_clock::now());
+        start_watchdog(std::min(limits.idle_timeout, remaining), watchdog_action::cancel_read);
+        co_await beast::http::async_read_some(m_socket, m_buffer, parser, into(error));
+        if (m_has_read_timeout)
+            error = beast::http::error::partial_message;
+    }
+    co_return error;
+}
+
 void connection::take_head(const parser_type& parser)
 {
     const auto& message = parser.get();
@@ -190,9 +215,9 @@
     constexpr core::milliseconds linger_timeout{500};
     start_watchdog(linger_timeout);
     std::array<char, 4096> sink{};
-    while (!ended)
+    for (std::size_t dropped = 0; !ended && dropped < max_dropped_bytes;)
     {
-        co_await m_socket.async_read_some(asio::buffer(sink), into(ended));
+        dropped += co_await m_socket.async_read_some(asio::buffer(sink), into(ended));
     }
     stop_watchdog();
 }
@@ -322,15 +347,23 @@
         std::exchange(m_on_client_disconnected, nullptr)();
 }
 
-void connection::start_watchdog(core::milliseconds limit)
+void connection::start_watchdog(core::milliseconds limit, watchdog_action action)
 {
     m_watchdog.expires_after(limit);
     m_watchdog.async_wait(
-        [weak = weak_from_this(), generation = ++m_watchdog_generation](const error_code& error)
+        [weak = weak_from_this(), generation = ++m_watchdog_generation,
+         action](const error_code& error)
         {
             const auto self = weak.lock();
             if (error || !self || generation != self->m_watchdog_generation)
                 return;
+            if (action == watchdog_action::cancel_read)
+            {
+                self->m_has_read_timeout = true;
+                error_code ignored;
+                self->m_socket.cancel(ignored);
+                return;
+            }
             self->m_is_disconnected = true;
             self->close_socket();
             self->notify_client_disconnected();
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -49,9 +49,18 @@
     void on_client_disconnected(std::function<void()> action) override;
 
   private:
+    /// What the watchdog does when its time has passed.
+    enum class watchdog_action
+    {
+        close,
+        cancel_read, ///< the pending read fails, so that the request can be refused
+    };
+
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     boost::asio::awaitable<bool> read_request();
+    boost::asio::awaitable<boost::system::error_code> read_body(parser_type& parser,
+                                                                const server_limits& limits);
     boost::asio::awaitable<bool> wait_first_byte(core::milliseconds idle_timeout);
     boost::asio::awaitable<void> answer_request();
     boost::asio::awaitable<void> reject(const boost::system::error_code& error);
@@ -60,7 +69,7 @@
     void take_head(const parser_type& parser);
     void watch_client();
     void notify_client_disconnected();
-    void start_watchdog(core::milliseconds limit);
+    void start_watchdog(core::milliseconds limit, watchdog_action action = watchdog_action::close);
     void stop_watchdog();
     bool has_unread_bytes();
     void close_socket();
@@ -81,6 +90,7 @@
     bool m_has_begun = false;
     bool m_is_finished = false;
     bool m_is_disconnected = false;
+    bool m_has_read_timeout = false; ///< the watchdog cancelled the read of a body
     bool m_is_closing = false;
     bool m_close_after = false;
     bool m_keep_alive = true;
--- a/packages/http/src/event_stream.cpp
+++ b/packages/http/src/event_stream.cpp
@@ -1,5 +1,7 @@
 #include <snipeplank/http/event_stream.hpp>
 
+#include <algorithm>
+
 namespace snipeplank::http
 {
 
@@ -35,7 +37,7 @@
 {
     m_pending.append(bytes);
     std::size_t consumed = 0;
-    for (std::size_t end = end_of_event(m_pending, 0); end != std::string::npos;
+    for (std::size_t end = end_of_event(m_pending, m_searched); end != std::string::npos;
          end = end_of_event(m_pending, consumed))
     {
         parse_event(std::string_view(m_pending).substr(consumed, end - consumed));
@@ -43,6 +45,9 @@
     }
     std::string whole = m_starts_over ? std::string() : m_pending.substr(0, consumed);
     m_pending.erase(0, consumed);
+    // The last bytes may be the beginning of an end.
+    constexpr std::size_t longest_partial_end = event_end_crlf.size() - 1;
+    m_searched = m_pending.size() - std::min(m_pending.size(), longest_partial_end);
     return whole;
 }
 
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -107,6 +107,37 @@
     }
 }
 
+// Fails when a server that sends bytes without end fills the memory of the node until the request's
+// deadline.
+TEST(http_client, answers_without_end_are_given_up)
+{
+    struct endless_row
+    {
+        const char* name;
+        std::string prefix;
+        std::string pattern;
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const endless_row rows[] = {
+        {"status line", "", "a"},
+        {"fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+        {"one field", "HTTP/1.1 200 OK\r\nX-Field: ", "a"},
+        {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"chunk size", chunked, "0"},
+        {"chunk extension", chunked + "5;x=", "a"},
+        {"trailers", chunked + "0\r\n", "X-Field: value\r\n"},
+        {"one trailer", chunked + "0\r\nX-Field: ", "a"},
+    };
+    for (const endless_row& row : rows)
+    {
+        endless_server server(row.prefix, row.pattern);
+        CHECK_FALSE_TEXT(request_once(server.address()).is_complete, row.name);
+        const std::size_t written = server.written();
+        CHECK_TRUE_TEXT(written < endless_bytes_bound,
+                        (row.name + (": " + std::to_string(written)) + " bytes").c_str());
+    }
+}
+
 // A pool with one connection to a server that closes it after a complete answer.
 TEST_GROUP(connection_pool)
 {
--- a/packages/http/tests/event_stream_test.cpp
+++ b/packages/http/tests/event_stream_test.cpp
@@ -54,6 +54,25 @@
                    });
 }
 
+// Fails when the buffered bytes are searched again from their start with each piece, so that an
+// event without end takes quadratic time.
+TEST(event_stream, an_event_that_exceeds_the_limit_is_reported_at_once)
+{
+    event_splitter splitter;
+    const std::string piece(4'096, 'a');
+    STRCMP_EQUAL("id: 1\n\n", splitter.feed("id: 1\n\nid: 2\ndata: ").c_str());
+    while (splitter.pending_size() <= event_splitter::max_event_bytes)
+    {
+        CHECK_FALSE(splitter.is_too_large());
+        STRCMP_EQUAL("", splitter.feed(piece).c_str());
+    }
+    CHECK_TRUE(splitter.is_too_large());
+    STRCMP_EQUAL("1", splitter.last_event_id().c_str());
+    splitter.begin_resume();
+    CHECK_FALSE(splitter.is_too_large());
+    STRCMP_EQUAL("id: 2\n\n", splitter.feed("id: 2\n\n").c_str());
+}
+
 TEST(event_stream, the_done_event_is_recognized)
 {
     struct row
--- a/packages/http/tests/loopback.hpp
+++ b/packages/http/tests/loopback.hpp
@@ -90,6 +90,10 @@
 
     void close() { m_socket.close(); }
 
+    /// @brief Sends bytes that never end, until the server closes.
+    /// @return the number of bytes sent
+    std::size_t send_endlessly(const std::string& prefix, const std::string& pattern);
+
     /// @brief Closes with a TCP reset.
     void reset()
     {
@@ -171,6 +175,86 @@
     std::thread m_thread;
 };
 
+/// Upper bound of what an endless sender writes when the receiver never closes.
+constexpr std::size_t endless_bytes_cap = 67'108'864;
+
+/// What a receiver may accept of an endless message: its own limits and the socket buffers.
+constexpr std::size_t endless_bytes_bound = 16'777'216;
+
+/// @brief Writes `prefix` and then `pattern` again and again, until the receiver closes or
+/// `endless_bytes_cap` is reached.
+/// @return the number of bytes written
+inline std::size_t write_endlessly(tcp::socket& socket, const std::string& prefix,
+                                   const std::string& pattern)
+{
+    constexpr std::size_t block_size = 65'536;
+    std::string block;
+    while (block.size() < block_size)
+    {
+        block += pattern;
+    }
+    boost::system::error_code error;
+    std::size_t written = boost::asio::write(socket, boost::asio::buffer(prefix), error);
+    while (!error && written < endless_bytes_cap)
+    {
+        written += boost::asio::write(socket, boost::asio::buffer(block), error);
+    }
+    return written;
+}
+
+inline std::size_t raw_connection::send_endlessly(const std::string& prefix,
+                                                  const std::string& pattern)
+{
+    return write_endlessly(m_socket, prefix, pattern);
+}
+
+/// @brief Accepts one connection and answers with bytes that never end.
+class endless_server
+{
+  public:
+    endless_server(std::string prefix, std::string pattern)
+        : m_acceptor(m_loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+          m_thread([this, prefix = std::move(prefix), pattern = std::move(pattern)]
+                   { run(prefix, pattern); })
+    {
+    }
+
+    ~endless_server() { join(); }
+    endless_server(const endless_server&) = delete;
+    endless_server& operator=(const endless_server&) = delete;
+
+    core::address address() const
+    {
+        return core::address{"127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())};
+    }
+
+    /// @brief Waits until the client has closed and returns the bytes written.
+    std::size_t written()
+    {
+        join();
+        return m_written;
+    }
+
+  private:
+    void run(const std::string& prefix, const std::string& pattern)
+    {
+        tcp::socket socket(m_loop);
+        m_acceptor.accept(socket);
+        m_written = write_endlessly(socket, prefix, pattern);
+    }
+
+    void join()
+    {
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    boost::asio::io_context m_loop;
+    tcp::acceptor m_acceptor;
+    std::size_t m_written = 0;
+    std::thread m_thread;
+};
+
 } // namespace snipeplank::http::tests
 
 #endif
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -125,6 +125,90 @@
     STRCMP_EQUAL("", client.read_all().c_str());
 }
 
+// Fails when a client that sends a request without end fills the memory of the node.
+TEST(http_server, requests_without_end_are_refused)
+{
+    struct endless_row
+    {
+        const char* name;
+        std::string prefix;
+        std::string pattern;
+    };
+    const std::string chunked =
+        "POST /a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n";
+    const endless_row rows[] = {
+        {"request line", "GET /", "a"},
+        {"fields", "GET /a HTTP/1.1\r\n", "X-Field: value\r\n"},
+        {"empty lines", "", "\r\n"},
+        {"chunk size", chunked, "0"},
+        {"chunk extension", chunked + "5;x=", "a"},
+        {"chunks", chunked, "1\r\na\r\n"},
+        {"trailers", chunked + "0\r\n", "X-Field: value\r\n"},
+    };
+    server_limits limits;
+    limits.body_bytes = 1'048'576;
+    handler.set_limits(limits);
+    for (const endless_row& row : rows)
+    {
+        raw_connection client(address);
+        const std::size_t sent = client.send_endlessly(row.prefix, row.pattern);
+        CHECK_TRUE_TEXT(sent < endless_bytes_bound,
+                        (row.name + (": " + std::to_string(sent)) + " bytes").c_str());
+    }
+    CHECK_TRUE(handler.targets.empty());
+}
+
+// Fails when a client that sends slowly but steadily is cut off, although each part of its body
+// arrives within the idle timeout.
+TEST(http_server, a_slow_body_that_makes_progress_is_read)
+{
+    server_limits limits;
+    limits.idle_timeout = core::milliseconds{200};
+    handler.set_limits(limits);
+    raw_connection client(address);
+    client.send("POST /slow HTTP/1.1\r\n" + host +
+                "Connection: close\r\nContent-Length: 8\r\n\r\n");
+    for (int i = 0; i < 8; ++i)
+    {
+        std::this_thread::sleep_for(core::milliseconds{60});
+        client.send("x");
+    }
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.ends_with("POST /slow xxxxxxxx"), answer.c_str());
+}
+
+// Fails when a client that sends a byte now and then keeps a connection busy indefinitely.
+TEST(http_server, a_body_that_exceeds_its_timeout_is_answered_with_408)
+{
+    server_limits limits;
+    limits.idle_timeout = core::milliseconds{200};
+    limits.body_timeout = core::milliseconds{300};
+    handler.set_limits(limits);
+    raw_connection client(address);
+    client.send("POST /drip HTTP/1.1\r\n" + host + "Content-Length: 50\r\n\r\n");
+    for (int i = 0; i < 8; ++i)
+    {
+        std::this_thread::sleep_for(core::milliseconds{60});
+        client.send("x");
+    }
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 408"), answer.c_str());
+    CHECK_TRUE(handler.targets.empty());
+}
+
+// Fails when a client whose body stalls gets no answer that tells it that the request has not run.
+TEST(http_server, a_body_that_stalls_is_answered_with_408)
+{
+    server_limits limits;
+    limits.idle_timeout = core::milliseconds{100};
+    handler.set_limits(limits);
+    raw_connection client(address);
+    client.send("POST /stalled HTTP/1.1\r\n" + host + "Content-Length: 8\r\n\r\nabc");
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 408"), answer.c_str());
+    CHECK_TRUE(handler.targets.empty());
+}
+
 // Fails when `close_idle` drops a request that has arrived but was not read yet
 // (killed-while-rolling on tamarack-lunar, seed 735334683940).
 TEST(http_server, a_request_that_has_arrived_is_answered_before_its_connection_is_closed)
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -321,6 +321,11 @@
             co_return co_await on_broken_stream();
         }
         const std::string events = m_events.feed(chunk.value().data);
+        if (m_events.is_too_large())
+        {
+            m_line.attempts += "=event_too_large";
+            co_return co_await on_broken_stream();
+        }
         if (!events.empty())
         {
             m_environment.places.on_first_byte(*m_attempt_number, now());
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -70,7 +70,8 @@
         : m_loop(loop), m_options(std::move(options)), m_adapters(adapters),
           m_random(core::system_seed()), m_log(m_options.name), m_pool(loop),
           m_placement(m_options.region, m_options.bounds, m_random),
-          m_loads(m_options.region, m_placement), m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
+          m_loads(m_options.region, m_placement),
+          m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -27,6 +27,8 @@
 
 /// An upstream may first send a duplicate answer to an earlier request.
 constexpr int max_mismatched_answers = 2;
+/// Largest body of an answer to another request that is read and dropped.
+constexpr std::size_t max_mismatched_bytes = 262'144;
 
 } // namespace
 
@@ -99,21 +101,34 @@
             co_return;
         }
         m_is_reusable = false;
-        bool is_last = false;
-        while (!is_last)
+        const auto dropped = co_await drop_body();
+        if (!dropped)
         {
-            const auto chunk = co_await m_link->read_chunk();
-            if (!chunk)
-            {
-                result.cause = chunk.error().message;
-                co_return;
-            }
-            is_last = chunk.value().is_last;
+            result.cause = dropped.error().message;
+            co_return;
         }
     }
     result.cause = "answers to other requests only";
 }
 
+asio::awaitable<core::result<void>> upstream_attempt::drop_body()
+{
+    std::size_t dropped = 0;
+    for (bool is_last = false; !is_last;)
+    {
+        const auto chunk = co_await m_link->read_chunk();
+        if (!chunk)
+            co_return boost::outcome_v2::failure(chunk.error());
+        is_last = chunk.value().is_last;
+        dropped += chunk.value().data.size();
+        if (dropped > max_mismatched_bytes)
+            co_return core::fail(core::error_code::answer_truncated,
+                                 "the answer to another request is too large to be dropped",
+                                 "check that the server runs");
+    }
+    co_return boost::outcome_v2::success();
+}
+
 asio::awaitable<core::result<http::body_chunk>> upstream_attempt::next()
 {
     co_return co_await m_link->read_chunk();
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -1,10 +1,9 @@
 /// Tests which nodes the fleet link offers while connections between nodes are lost, without a
 /// network.
 
-#include <CppUTest/TestHarness.h>
-
 #include <snipeplank/core/random.hpp>
 
+#include <CppUTest/TestHarness.h>
 #include <boost/asio/io_context.hpp>
 
 #include <algorithm>
--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <standins/support/http_server.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <mutex>
@@ -47,6 +48,7 @@
                          out.set_content(json{{"runs", m_runs},
                                               {"cancelled", m_cancelled},
                                               {"deadlines", m_deadlines},
+                                              {"endless_bytes", m_endless_bytes},
                                               {"rejected", m_rejected}}
                                              .dump(),
                                          "application/json");
@@ -105,11 +107,14 @@
             record_cancelled(id);
             return;
         }
-        out.set_header("Attempt-Id", fault == "other_id" ? "0000" : id);
+        const bool is_other = fault == "other_id" || fault == "endless_other_id";
+        out.set_header("Attempt-Id", is_other ? "0000" : id);
         if (fault != "unsigned")
             out.set_header("Server-Signature", "3e1b.07." + id);
         out.status = fault == "error" ? server_error : 200;
-        if (in.path.find("/stream") != std::string::npos)
+        if (fault == "endless" || fault == "endless_other_id")
+            send_endlessly(out);
+        else if (in.path.find("/stream") != std::string::npos)
             stream(in, out, id, fault);
         else
             out.set_content("answer of " + FLAGS_id + " to " + in.method + " " + in.path + " " +
@@ -150,6 +155,25 @@
             });
     }
 
+    /// Sends bytes that contain no event until the caller closes, or up to a cap.
+    void send_endlessly(response& out)
+    {
+        constexpr std::size_t block_size = 65'536;
+        constexpr std::size_t cap = 268'435'456;
+        out.set_chunked_content_provider(
+            "text/event-stream",
+            [this, sent = std::size_t{0}](std::size_t, httplib::DataSink& sink) mutable
+            {
+                const std::string block(block_size, 'a');
+                if (sent >= cap || m_server.is_stopping() || !sink.write(block.data(), block_size))
+                    return false;
+                sent += block_size;
+                const std::lock_guard lock(m_mutex);
+                m_endless_bytes = std::max(m_endless_bytes, sent);
+                return true;
+            });
+    }
+
     void record_cancelled(const std::string& id)
     {
         const std::lock_guard lock(m_mutex);
@@ -162,6 +186,7 @@
     std::map<std::string, int> m_runs;
     std::map<std::string, long> m_deadlines;
     std::set<std::string> m_cancelled;
+    std::size_t m_endless_bytes = 0; ///< most bytes sent in one endless answer
     int m_rejected = 0;
 };
 
--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -228,6 +228,49 @@
     }
 }
 
+// Fails when a server that sends bytes without end occupies a node until the request's deadline.
+TEST(machine_node, an_answer_without_end_is_given_up)
+{
+    struct row
+    {
+        const char* fault;
+        const char* method;
+        const char* path;
+    };
+    const row rows[] = {
+        {"endless", "POST", "/stream/x"},
+        {"endless", "GET", "/read/x"},
+        {"endless", "POST", "/book/x"},
+        {"endless_other_id", "POST", "/book/x"},
+    };
+    set_up({home});
+    standin& model = fleet->add_server("i-m", "model", home);
+    standin& shop = fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    fleet->wait_until_served(0, "/stream/x");
+    constexpr std::size_t accepted_bytes_bound = 16'777'216;
+    constexpr int deadline_ms = 5'000;
+    for (const row& each : rows)
+    {
+        standin& server = std::string(each.path).starts_with("/stream") ? model : shop;
+        machine_fleet::set_fault(server, each.fault);
+        const auto began = std::chrono::steady_clock::now();
+        const http_answer answer =
+            call(each.method, each.path, std::string(each.fault) + each.path, deadline_ms);
+        const auto taken = std::chrono::steady_clock::now() - began;
+        machine_fleet::set_fault(server, "");
+        const std::string seen = std::string(each.fault) + " " + each.path + ": " +
+                                 answer.describe().substr(0, 500) + "\n" +
+                                 fleet->node(0).program->output();
+        CHECK_FALSE_TEXT(answer.is(200), seen.c_str());
+        CHECK_TRUE_TEXT(taken < std::chrono::milliseconds(deadline_ms / 2), seen.c_str());
+        const auto bytes = machine_fleet::seen(server)["endless_bytes"].get<std::size_t>();
+        CHECK_TRUE_TEXT(bytes < accepted_bytes_bound, seen.c_str());
+        CHECK_TRUE_TEXT(call("GET", "/read/x", "after" + seen.substr(0, 8)).is(200), seen.c_str());
+    }
+}
+
 // Fails when a server continues to work on a request after its client has disconnected.
 TEST(machine_node, a_client_disconnect_cancels_the_request)
 {
