serving, platform: two nodes of a region watch the store, the others follow them

Now the two nodes of a region that rank highest by rendezvous watch, and each other node asks one of them every 700 ms for what has changed. It changes to the second one, and then to the store itself, when a node does not answer or has state older than 2.5 s; in regions of up to three nodes all watch as before.

With all nodes watching, machine_node.most_nodes_of_a_region_follow_others fails.

--- a/packages/http/include/snipeplank/http/message.hpp
+++ b/packages/http/include/snipeplank/http/message.hpp
@@ -52,6 +52,9 @@
 /// @brief The path of a target, without its query.
 std::string_view path_of(std::string_view target);
 
+/// @brief The query of a request target, without the question mark; empty if there is none.
+std::string_view query_of(std::string_view target);
+
 /// @brief Text form of a request head with the empty line at its end.
 std::string to_text(const request_head& head);
 
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -104,9 +104,14 @@
     return target.substr(0, target.find('?'));
 }
 
+std::string_view query_of(std::string_view target)
+{
+    return target.substr(std::min(target.size(), path_of(target).size() + 1));
+}
+
 std::optional<std::string> query_value(std::string_view target, std::string_view name)
 {
-    std::string_view rest = target.substr(std::min(target.size(), path_of(target).size() + 1));
+    std::string_view rest = query_of(target);
     while (!rest.empty())
     {
         const std::string_view pair = rest.substr(0, rest.find('&'));
--- a/packages/serving/include/snipeplank/serving/replica.hpp
+++ b/packages/serving/include/snipeplank/serving/replica.hpp
@@ -35,6 +35,16 @@
     std::uint64_t revision = 0;
 };
 
+/// @brief Changes of a replica, for a replica that follows it.
+struct replica_changes
+{
+    /// Every item, when the follower's position is not known any more.
+    bool is_complete = false;
+    std::vector<replica_event> events;
+    std::uint64_t as_of = 0;    ///< revision of the store
+    std::uint64_t position = 0; ///< where the next changes begin
+};
+
 /// @brief Copy of the published items in which no item reverts to an older revision.
 ///
 /// Items that disappear while the store is unreachable, or shortly after, may only have expired
@@ -65,6 +75,14 @@
     /// @return whether the items changed
     bool on_tick(core::time_point now);
 
+    /// @brief Changes after a position that an earlier call returned; 0 for all items.
+    /// O(items + removals kept).
+    replica_changes changes_since(std::uint64_t position) const;
+
+    /// @brief Applies the changes of a replica that this one follows.
+    /// @return whether the items changed
+    bool on_changes(const replica_changes& changes, core::time_point now);
+
     const replica_items& items() const { return m_items; }
     std::uint64_t as_of() const { return m_as_of; }
     bool is_known() const { return m_is_known; }
@@ -76,8 +94,23 @@
   private:
     bool remove(const std::string& key, std::uint64_t revision, core::time_point now);
     bool may_have_expired(core::time_point now) const;
+    bool store(const std::string& key, const replica_item& item);
+    void erase(const std::string& key, std::uint64_t revision);
+
+    /// Removals kept for followers; a follower that is further behind receives every item.
+    static constexpr std::size_t max_removals = 1'024;
+
+    struct removal
+    {
+        std::uint64_t revision = 0;
+        std::uint64_t position = 0;
+    };
 
     replica_items m_items;
+    std::map<std::string, std::uint64_t> m_positions; ///< of the last change of each item
+    std::map<std::string, removal> m_removals;
+    std::uint64_t m_position = 0;
+    std::uint64_t m_first_position = 0; ///< removals up to here are not kept
     std::map<std::string, core::time_point> m_pending_removals; ///< when they take effect
     std::uint64_t m_as_of = 0;
     core::time_point m_recovered_at{};
--- /dev/null
+++ b/packages/serving/include/snipeplank/serving/state_feed.hpp
@@ -0,0 +1,85 @@
+/// @file
+/// Copies of the published state between nodes of a region. Pure.
+///
+/// Handles this load pattern: hundreds of nodes that each watch the same small state make the load
+/// on its source grow with the fleet. In each region a few nodes watch the source and the others
+/// follow one of them. A follower whose node stops answering, or answers with old state, reads the
+/// source itself, so no node depends on another.
+
+#ifndef SNIPEPLANK_SERVING_STATE_FEED_HPP
+#define SNIPEPLANK_SERVING_STATE_FEED_HPP
+
+#include <snipeplank/core/error.hpp>
+#include <snipeplank/core/ids.hpp>
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/serving/replica.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipeplank::serving
+{
+
+/// @brief Answer of a node to another that copies its state.
+struct state_feed
+{
+    std::uint64_t instance = 0; ///< identifies the process; positions are valid for one process
+    core::milliseconds age{0};  ///< since the source last answered
+    std::map<std::string, replica_changes> prefixes; ///< by key prefix; without unknown ones
+};
+
+/// @brief What a follower has received from a node so far.
+struct feed_position
+{
+    std::uint64_t instance = 0;
+    std::map<std::string, std::uint64_t> prefixes; ///< position by key prefix
+};
+
+/// @brief Encodes a feed as JSON; bytes that are not UTF-8 are replaced.
+std::string encode_feed(const state_feed& feed);
+
+/// @brief Decodes a feed.
+/// @return the feed, or an error that names the invalid field
+core::result<state_feed> decode_feed(const std::string& text);
+
+/// @brief Encodes a position as the query of a request.
+std::string encode_position(const feed_position& position);
+
+/// @brief Decodes the query of a request; an unknown or damaged one gives the empty position.
+feed_position decode_position(std::string_view query);
+
+/// @brief Chooses the node that a node follows. Not thread-safe.
+class feed_selector
+{
+  public:
+    /// Nodes of a region that watch the source.
+    static constexpr std::size_t watchers_per_region = 2;
+    /// In a region of at most this many nodes each one watches the source.
+    static constexpr std::size_t max_nodes_without_followers = 3;
+    /// A node that failed is not followed again for this long.
+    static constexpr core::milliseconds failure_backoff{3'000};
+
+    /// @param self how the nodes of the region address this node
+    explicit feed_selector(core::address self) : m_self(std::move(self)) {}
+
+    /// @brief The node to follow, or nothing when this node reads the source itself.
+    /// @param region_nodes live nodes of the region without this one, in any order
+    std::optional<core::address> choose(const std::vector<core::address>& region_nodes,
+                                        core::time_point now) const;
+
+    /// @brief Records that a node did not answer, or answered with old state.
+    void on_failed(const core::address& node, core::time_point now);
+
+  private:
+    core::address m_self;
+    std::map<core::address, core::time_point> m_failed; ///< with the end of the backoff
+};
+
+} // namespace snipeplank::serving
+
+#endif
--- a/packages/serving/include/snipeplank/serving/state_source.hpp
+++ b/packages/serving/include/snipeplank/serving/state_source.hpp
@@ -4,6 +4,7 @@
 #ifndef SNIPEPLANK_SERVING_STATE_SOURCE_HPP
 #define SNIPEPLANK_SERVING_STATE_SOURCE_HPP
 
+#include <snipeplank/core/ids.hpp>
 #include <snipeplank/core/units.hpp>
 #include <snipeplank/serving/routing_table.hpp>
 #include <snipeplank/serving/upstream.hpp>
@@ -11,6 +12,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace snipeplank::serving
 {
@@ -27,6 +30,14 @@
     virtual void on_evacuations(const zone_set& zones) = 0;
 };
 
+/// @brief Other nodes from which a node may copy the state.
+struct state_peers
+{
+    core::address self; ///< how the other nodes address this one
+    std::function<std::vector<core::address>()> all;
+    std::function<std::vector<core::address>()> in_region;
+};
+
 /// @brief Reads the state that operators and upstreams publish. Used on the event loop only.
 class state_source
 {
@@ -36,12 +47,12 @@
     /// @brief Starts to read and to notify `listener`, which outlives the source.
     virtual void start(state_listener& listener) = 0;
 
-    /// @brief Sets the function that returns the peers from which this node may copy the state
-    /// while it cannot read the source.
-    virtual void set_peers(std::function<std::vector<core::address>()> peers) = 0;
+    /// @brief Sets the nodes that this one follows, or copies while it cannot read the source.
+    virtual void set_peers(state_peers peers) = 0;
 
-    /// @brief Serialized copy of the known state, for a peer that cannot read the source.
-    virtual std::string snapshot() const = 0;
+    /// @brief Serialized state for a peer, see `encode_feed`.
+    /// @param query the peer's position, see `encode_position`; empty for everything
+    virtual std::string feed(std::string_view query) const = 0;
 
     /// @brief Whether the source was read successfully in the recent past.
     virtual bool is_reachable(core::time_point now) const = 0;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -109,7 +110,9 @@
         }
         if (auto started = m_fleet.start(); !started)
             return started;
-        m_adapters.source.set_peers([this] { return admin_addresses(); });
+        m_adapters.source.set_peers({m_options.admin_address,
+                                     [this] { return admin_addresses(std::nullopt); },
+                                     [this] { return admin_addresses(m_options.region); }});
         m_adapters.source.start(*this);
         on_members_changed();
         run_housekeeping();
@@ -309,7 +312,8 @@
             co_await request.send(status_answer(is_ready()));
         else if (path == "/v1/state")
             co_await request.send(
-                text_response(ok, m_adapters.source.snapshot(), "application/json"));
+                text_response(ok, m_adapters.source.feed(http::query_of(request.head().target)),
+                              "application/json"));
         else
             co_await request.send(text_response(not_found, "no such path\n"));
     }
@@ -328,14 +332,15 @@
         return choose_entry_points(asked, view);
     }
 
-    std::vector<core::address> admin_addresses() const
+    /// Admin addresses of the other live nodes, of one region or of all.
+    std::vector<core::address> admin_addresses(const std::optional<core::region_id>& region) const
     {
         const std::string own_port =
             m_options.admin_address.get().substr(m_options.admin_address.get().rfind(':'));
         std::vector<core::address> addresses;
         for (const live_node& each : m_nodes)
         {
-            if (each.peer == m_options.peer_address)
+            if (each.peer == m_options.peer_address || (region && each.region != *region))
                 continue;
             const std::string& peer = each.peer.get();
             addresses.emplace_back(peer.substr(0, peer.rfind(':')) + own_port);
--- a/packages/serving/src/replica.cpp
+++ b/packages/serving/src/replica.cpp
@@ -23,10 +23,70 @@
         return false;
     }
     m_pending_removals.erase(key);
-    m_items.erase(found);
+    erase(key, revision);
     return true;
 }
 
+bool replica::store(const std::string& key, const replica_item& item)
+{
+    m_pending_removals.erase(key);
+    replica_item& known = m_items[key];
+    if (known.revision >= item.revision)
+        return false;
+    known = item;
+    m_removals.erase(key);
+    m_positions[key] = ++m_position;
+    return true;
+}
+
+void replica::erase(const std::string& key, std::uint64_t revision)
+{
+    m_items.erase(key);
+    m_positions.erase(key);
+    m_removals[key] = {revision, ++m_position};
+    if (m_removals.size() <= max_removals)
+        return;
+    const auto oldest = std::min_element(m_removals.begin(), m_removals.end(),
+                                         [](const auto& a, const auto& b)
+                                         { return a.second.position < b.second.position; });
+    m_first_position = oldest->second.position;
+    m_removals.erase(oldest);
+}
+
+replica_changes replica::changes_since(std::uint64_t position) const
+{
+    replica_changes changes;
+    changes.is_complete = position == 0 || position < m_first_position;
+    changes.as_of = m_as_of;
+    changes.position = m_position;
+    for (const auto& [key, item] : m_items)
+    {
+        if (changes.is_complete || m_positions.at(key) > position)
+            changes.events.push_back({key, item.value, item.revision});
+    }
+    if (changes.is_complete)
+        return changes;
+    for (const auto& [key, removed] : m_removals)
+    {
+        if (removed.position > position)
+            changes.events.push_back({key, std::nullopt, removed.revision});
+    }
+    return changes;
+}
+
+bool replica::on_changes(const replica_changes& changes, core::time_point now)
+{
+    if (!changes.is_complete)
+        return on_events(changes.events, changes.as_of, now);
+    replica_items items;
+    for (const replica_event& event : changes.events)
+    {
+        if (event.value)
+            items[event.key] = {*event.value, event.revision};
+    }
+    return on_snapshot(items, changes.as_of, now);
+}
+
 bool replica::on_snapshot(const replica_items& items, std::uint64_t as_of, core::time_point now)
 {
     if (m_is_known && as_of < m_as_of)
@@ -46,12 +106,7 @@
     }
     for (const auto& [key, item] : items)
     {
-        m_pending_removals.erase(key);
-        replica_item& known = m_items[key];
-        if (known.revision >= item.revision)
-            continue;
-        known = item;
-        changed = true;
+        changed = store(key, item) || changed;
     }
     return changed;
 }
@@ -67,12 +122,7 @@
             changed = remove(event.key, event.revision, now) || changed;
             continue;
         }
-        m_pending_removals.erase(event.key);
-        replica_item& known = m_items[event.key];
-        if (known.revision >= event.revision)
-            continue;
-        known = {*event.value, event.revision};
-        changed = true;
+        changed = store(event.key, {*event.value, event.revision}) || changed;
     }
     m_as_of = std::max(m_as_of, as_of);
     return changed;
@@ -107,7 +157,11 @@
             ++each;
             continue;
         }
-        changed = m_items.erase(each->first) > 0 || changed;
+        if (m_items.contains(each->first))
+        {
+            erase(each->first, m_as_of);
+            changed = true;
+        }
         each = m_pending_removals.erase(each);
     }
     return changed;
--- /dev/null
+++ b/packages/serving/src/state_feed.cpp
@@ -0,0 +1,185 @@
+#include <snipeplank/core/rendezvous.hpp>
+#include <snipeplank/serving/state_feed.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace snipeplank::serving
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr char watcher_key[] = "state watchers";
+constexpr char separator = '&';
+
+auto invalid(const std::string& what)
+{
+    return core::fail(core::error_code::config_invalid, "the state of a peer: " + what,
+                      "run the same release on all nodes");
+}
+
+std::uint64_t number_of(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+bool bool_of(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_boolean() && found->get<bool>();
+}
+
+json to_json(const replica_changes& changes)
+{
+    json events = json::array();
+    for (const replica_event& event : changes.events)
+    {
+        json each = {{"key", event.key}, {"revision", event.revision}};
+        if (event.value)
+            each["value"] = *event.value;
+        events.push_back(std::move(each));
+    }
+    return {{"complete", changes.is_complete},
+            {"as_of", changes.as_of},
+            {"position", changes.position},
+            {"events", std::move(events)}};
+}
+
+core::result<replica_changes> to_changes(const json& object)
+{
+    const auto events = object.find("events");
+    if (!object.is_object() || events == object.end() || !events->is_array())
+        return invalid("a prefix lacks its events");
+    replica_changes changes;
+    changes.is_complete = bool_of(object, "complete");
+    changes.as_of = number_of(object, "as_of");
+    changes.position = number_of(object, "position");
+    for (const json& each : *events)
+    {
+        const auto key = each.find("key");
+        if (!each.is_object() || key == each.end() || !key->is_string())
+            return invalid("an event lacks its key");
+        replica_event event{key->get<std::string>(), std::nullopt, number_of(each, "revision")};
+        if (const auto value = each.find("value"); value != each.end())
+        {
+            if (!value->is_string())
+                return invalid("the value of '" + event.key + "' is not text");
+            event.value = value->get<std::string>();
+        }
+        changes.events.push_back(std::move(event));
+    }
+    return changes;
+}
+
+/// Parses a number that takes up the whole text; 0 for any other text.
+std::uint64_t parse_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return code == std::errc() && end == text.data() + text.size() ? value : 0;
+}
+
+} // namespace
+
+std::string encode_feed(const state_feed& feed)
+{
+    json prefixes = json::object();
+    for (const auto& [prefix, changes] : feed.prefixes)
+    {
+        prefixes[prefix] = to_json(changes);
+    }
+    const json document = {{"instance", feed.instance},
+                           {"age_ms", feed.age.count()},
+                           {"prefixes", std::move(prefixes)}};
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+core::result<state_feed> decode_feed(const std::string& text)
+{
+    const json document = json::parse(text, nullptr, false);
+    const auto prefixes = document.is_object() ? document.find("prefixes") : document.end();
+    if (!document.is_object() || prefixes == document.end() || !prefixes->is_object())
+        return invalid("not an object with prefixes");
+    state_feed feed;
+    feed.instance = number_of(document, "instance");
+    feed.age = core::milliseconds{static_cast<long>(number_of(document, "age_ms"))};
+    for (const auto& [prefix, object] : prefixes->items())
+    {
+        auto changes = to_changes(object);
+        if (!changes)
+            return boost::outcome_v2::failure(changes.error());
+        feed.prefixes[prefix] = std::move(changes.value());
+    }
+    return feed;
+}
+
+std::string encode_position(const feed_position& position)
+{
+    std::string text = "instance=" + std::to_string(position.instance);
+    for (const auto& [prefix, since] : position.prefixes)
+    {
+        text += separator + prefix + "=" + std::to_string(since);
+    }
+    return text;
+}
+
+feed_position decode_position(std::string_view query)
+{
+    feed_position position;
+    while (!query.empty())
+    {
+        const std::string_view field = query.substr(0, query.find(separator));
+        query.remove_prefix(std::min(query.size(), field.size() + 1));
+        const std::size_t equals = field.find('=');
+        if (equals == std::string_view::npos)
+            continue;
+        const std::string name(field.substr(0, equals));
+        const std::uint64_t value = parse_number(field.substr(equals + 1));
+        if (name == "instance")
+            position.instance = value;
+        else
+            position.prefixes[name] = value;
+    }
+    return position;
+}
+
+std::optional<core::address> feed_selector::choose(const std::vector<core::address>& region_nodes,
+                                                   core::time_point now) const
+{
+    if (region_nodes.size() + 1 <= max_nodes_without_followers)
+        return std::nullopt;
+    std::vector<core::address> nodes = region_nodes;
+    nodes.push_back(m_self);
+    const auto by_score = [](const std::string& key)
+    {
+        return [key](const core::address& a, const core::address& b)
+        { return core::rendezvous_score(key, a.get()) > core::rendezvous_score(key, b.get()); };
+    };
+    std::partial_sort(nodes.begin(), nodes.begin() + watchers_per_region, nodes.end(),
+                      by_score(watcher_key));
+    nodes.resize(watchers_per_region);
+    if (std::find(nodes.begin(), nodes.end(), m_self) != nodes.end())
+        return std::nullopt;
+    std::sort(nodes.begin(), nodes.end(), by_score(m_self.get()));
+    for (const core::address& each : nodes)
+    {
+        const auto failed = m_failed.find(each);
+        if (failed == m_failed.end() || failed->second <= now)
+            return each;
+    }
+    return std::nullopt;
+}
+
+void feed_selector::on_failed(const core::address& node, core::time_point now)
+{
+    std::erase_if(m_failed, [&](const auto& each) { return each.second <= now; });
+    m_failed[node] = now + failure_backoff;
+}
+
+} // namespace snipeplank::serving
--- /dev/null
+++ b/packages/serving/tests/state_feed_test.cpp
@@ -0,0 +1,193 @@
+/// Tests which node a node follows, and that followers receive every change.
+
+#include <snipeplank/serving/state_feed.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <property.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+using namespace snipeplank;
+using namespace snipeplank::serving;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const core::time_point begin = core::time_point{} + 1h;
+
+core::address node(std::size_t index)
+{
+    return core::address{"10.0.0." + std::to_string(index) + ":7"};
+}
+
+/// The nodes of a region without one of them.
+std::vector<core::address> others(std::size_t count, std::size_t self)
+{
+    std::vector<core::address> nodes;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        if (i != self)
+            nodes.push_back(node(i));
+    }
+    return nodes;
+}
+
+bool equal(const replica& a, const replica& b)
+{
+    return a.items() == b.items();
+}
+
+} // namespace
+
+TEST_GROUP(state_feed){};
+
+// Fails when the load on the source grows with the number of nodes, or all nodes follow one.
+TEST(state_feed, two_nodes_of_a_region_watch_and_share_the_followers)
+{
+    struct row
+    {
+        std::size_t nodes;
+        std::size_t watchers;
+    };
+    const row rows[] = {{1, 1}, {3, 3}, {4, 2}, {30, 2}, {100, 2}, {300, 2}};
+    for (const row& each : rows)
+    {
+        std::map<core::address, std::size_t> followers;
+        std::set<core::address> watchers;
+        for (std::size_t i = 0; i < each.nodes; ++i)
+        {
+            const auto followed = feed_selector(node(i)).choose(others(each.nodes, i), begin);
+            if (followed)
+                ++followers[*followed];
+            else
+                watchers.insert(node(i));
+        }
+        LONGS_EQUAL(each.watchers, watchers.size());
+        for (const auto& [watcher, count] : followers)
+        {
+            CHECK_TRUE(watchers.contains(watcher));
+            CHECK_TRUE(count <= each.nodes * 2 / 3 + 1);
+        }
+    }
+}
+
+// Fails when a follower whose node failed keeps asking it, or reads the source while another node
+// could be followed.
+TEST(state_feed, a_follower_changes_to_the_other_watcher_and_then_to_the_source)
+{
+    constexpr std::size_t count = 20;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        feed_selector subject(node(i));
+        const auto first = subject.choose(others(count, i), begin);
+        if (!first)
+            continue;
+        subject.on_failed(*first, begin);
+        const auto second = subject.choose(others(count, i), begin);
+        CHECK_TRUE(second && *second != *first);
+        subject.on_failed(*second, begin + 1s);
+        CHECK_FALSE(subject.choose(others(count, i), begin + 1s).has_value());
+        CHECK_TRUE(subject.choose(others(count, i), begin + feed_selector::failure_backoff) ==
+                   first);
+    }
+}
+
+// Fails when a follower misses a change or a removal, in any order of changes and polls, also when
+// it reads the source itself in between.
+TEST(state_feed, a_follower_reaches_the_state_of_its_node)
+{
+    snipeplank::tests::check_property(
+        "a follower has the items of the node that it follows",
+        []
+        {
+            replica watcher;
+            replica follower;
+            std::uint64_t revision = 1;
+            std::uint64_t position = 0;
+            watcher.on_snapshot({{"a", {"first", 1}}}, revision, begin);
+            const auto steps = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 100));
+            for (const int step : steps)
+            {
+                ++revision;
+                const std::string key(1, static_cast<char>('a' + step % 5));
+                const replica_event written{key, "v" + std::to_string(revision), revision};
+                const replica_event removed{key, std::nullopt, revision};
+                if (step < 40)
+                    watcher.on_events({written}, revision, begin);
+                else if (step < 70)
+                    watcher.on_events({removed}, revision, begin);
+                else if (step < 75)
+                    follower.on_snapshot(watcher.items(), watcher.as_of(), begin);
+                else
+                {
+                    const auto feed = decode_feed(
+                        encode_feed({7, 0ms, {{"p/", watcher.changes_since(position)}}}));
+                    const replica_changes& changes = feed.value().prefixes.at("p/");
+                    follower.on_changes(changes, begin);
+                    position = changes.position;
+                    RC_ASSERT(equal(watcher, follower));
+                }
+            }
+        });
+}
+
+// Fails when a follower that is further behind than the removals kept misses a removal.
+TEST(state_feed, a_follower_that_is_far_behind_receives_every_item)
+{
+    replica watcher;
+    watcher.on_snapshot({{"kept", {"v", 1}}}, 1, begin);
+    const std::uint64_t position = watcher.changes_since(0).position;
+    constexpr std::uint64_t removals = 2'000;
+    for (std::uint64_t i = 0; i < removals; ++i)
+    {
+        const std::string key = "k" + std::to_string(i);
+        const std::uint64_t revision = 2 + 2 * i;
+        watcher.on_events({{key, "v", revision}, {key, std::nullopt, revision + 1}}, revision + 1,
+                          begin);
+    }
+    const replica_changes changes = watcher.changes_since(position);
+    CHECK_TRUE(changes.is_complete);
+    LONGS_EQUAL(1, changes.events.size());
+}
+
+// Fails when a damaged copy of the state throws, or is applied in part.
+TEST(state_feed, damaged_feeds_are_errors)
+{
+    const char* rows[] = {
+        "",
+        "[]",
+        "{}",
+        R"({"prefixes":[]})",
+        R"({"prefixes":{"op/":7}})",
+        R"({"prefixes":{"op/":{}}})",
+        R"({"prefixes":{"op/":{"events":{}}}})",
+        R"({"prefixes":{"op/":{"events":[7]}}})",
+        R"({"prefixes":{"op/":{"events":[{"key":7}]}}})",
+        R"({"prefixes":{"op/":{"events":[{"key":"a","value":7}]}}})",
+    };
+    for (const char* row : rows)
+    {
+        CHECK_FALSE_TEXT(decode_feed(row).has_value(), row);
+    }
+    const auto odd =
+        decode_feed(R"({"instance":"x","age_ms":-1,"prefixes":{"op/":{"events":[],"as_of":"y"}}})");
+    CHECK_TRUE(odd.has_value());
+    LONGS_EQUAL(0, odd.value().prefixes.at("op/").as_of);
+}
+
+TEST(state_feed, a_position_survives_its_encoding)
+{
+    const feed_position sent{12, {{"op/", 3}, {"servers/", 18'446'744'073'709'551'615U}}};
+    const feed_position received = decode_position(encode_position(sent));
+    CHECK_TRUE(received.instance == sent.instance && received.prefixes == sent.prefixes);
+    for (const char* damaged : {"", "&&", "instance", "instance=x", "op/=-1", "op/=9z"})
+    {
+        const feed_position read = decode_position(damaged);
+        LONGS_EQUAL_TEXT(0, read.instance, damaged);
+        CHECK_TRUE_TEXT(read.prefixes.empty() || read.prefixes.begin()->second == 0, damaged);
+    }
+}
--- a/standins/store/main.cpp
+++ b/standins/store/main.cpp
@@ -59,13 +59,15 @@
         m_server.Delete("/standin/item",
                         [this](const request& in, response& out) { write(in, out, true); });
         m_server.Post("/standin/compact", [this](const request&, response&) { compact(); });
-        m_server.Get("/standin/counts",
-                     [this](const request&, response& out)
-                     {
-                         const std::lock_guard lock(m_mutex);
-                         out.set_content(json{{"longest_wait_ms", m_longest_wait_ms}}.dump(),
-                                         "application/json");
-                     });
+        m_server.Get(
+            "/standin/counts",
+            [this](const request&, response& out)
+            {
+                const std::lock_guard lock(m_mutex);
+                out.set_content(
+                    json{{"longest_wait_ms", m_longest_wait_ms}, {"calls", m_calls.load()}}.dump(),
+                    "application/json");
+            });
         m_server.Post("/standin/down",
                       [this](const request& in, response&) { m_is_down = in.body == "yes"; });
     }
@@ -96,6 +98,7 @@
 
     void read_range(const request& in, response& out)
     {
+        ++m_calls;
         if (refuse_when_down())
             return;
         const std::string prefix = in.get_param_value("PathPrefix");
@@ -112,6 +115,7 @@
 
     void watch(const request& in, response& out)
     {
+        ++m_calls;
         if (refuse_when_down())
             return;
         const std::string prefix = in.get_param_value("PathPrefix");
@@ -184,6 +188,7 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_compacted = 0;
     long m_longest_wait_ms = 0;
+    std::atomic<long> m_calls{0}; ///< reads and watches
     std::atomic<bool> m_is_down{false};
 };
 
--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <thread>
 
 #include "machine_fleet.hpp"
 
@@ -17,6 +18,9 @@
 const std::string home = "salzkammer";
 const std::string remote = "ennstal";
 
+/// Nodes of a region in which some follow others.
+constexpr std::size_t region_size = 6;
+
 std::string whole_stream(int from, int to)
 {
     std::string events;
@@ -424,6 +428,75 @@
     wait_until("the stopped node is not listed", [&] { return !lists_first(); });
 }
 
+// Fails when every node of a region watches the store, so that its load grows with the fleet
+// (kalkofen-slots-large: a third of the worth of a calm day).
+TEST(machine_node, most_nodes_of_a_region_follow_others)
+{
+    set_up(std::vector<std::string>(region_size, home));
+    fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    for (std::size_t i = 0; i < region_size; ++i)
+    {
+        fleet->wait_until_served(i, "/read/x");
+    }
+    constexpr std::chrono::seconds observed{3};
+    // Two watchers, each with two watches of 1.5 s that may begin or end in the observed time.
+    constexpr long max_calls = 12;
+    wait_until("the store is called by two nodes only",
+               [&]
+               {
+                   const long before = fleet->store().counts()["calls"].get<long>();
+                   std::this_thread::sleep_for(observed);
+                   return fleet->store().counts()["calls"].get<long>() - before <= max_calls;
+               });
+    fleet->remove("servers/i-s");
+    fleet->add_server("i-t", "shop", home);
+    for (std::size_t i = 0; i < region_size; ++i)
+    {
+        wait_until("a follower uses the new server",
+                   [&] {
+                       return call("GET", "/read/x", "new", 5'000, i).body.find("i-t") !=
+                              std::string::npos;
+                   });
+    }
+}
+
+// Fails when nodes that follow a frozen node learn of a configuration too late.
+TEST(machine_node, a_frozen_node_delays_no_other)
+{
+    set_up(std::vector<std::string>(region_size, home));
+    fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    for (std::size_t i = 0; i < region_size; ++i)
+    {
+        fleet->wait_until_served(i, "/read/x");
+    }
+    constexpr std::chrono::milliseconds configuration_bound{4'000};
+    const auto has_version = [&](std::size_t index, int version)
+    {
+        const std::string wanted = "snipeplank_config_version " + std::to_string(version) + "\n";
+        return http_get(fleet->node(index).admin, "/metrics").body.find(wanted) !=
+               std::string::npos;
+    };
+    for (std::size_t frozen = 0; frozen < region_size; ++frozen)
+    {
+        const int version = 10 + static_cast<int>(frozen);
+        fleet->node(frozen).program->send_signal(SIGSTOP);
+        fleet->publish_configuration(version);
+        const auto published = std::chrono::steady_clock::now();
+        for (std::size_t i = 0; i < region_size; ++i)
+        {
+            if (i != frozen)
+                wait_until("the configuration is in force",
+                           [&] { return has_version(i, version); });
+        }
+        CHECK_TRUE(std::chrono::steady_clock::now() - published < configuration_bound);
+        fleet->node(frozen).program->send_signal(SIGCONT);
+        wait_until("the node that was frozen follows",
+                   [&] { return has_version(frozen, version); });
+    }
+}
+
 // Fails when a node starts with incomplete settings, or does not report the missing field.
 TEST(machine_node, a_start_without_settings_reports_the_missing_field)
 {
