wire: work per step grows with the events, not with the connections

Cause: each step of the loop between nodes polled, checked and wrote all connections and walked all known addresses, and every heartbeat of every peer is a step, so a node's processor time grew with the square of the fleet. Now epoll reports the sockets that are ready, an ordered set holds the time at which each connection may be due, and only connections with queued bytes and addresses with pending frames are visited.

--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -2,9 +2,12 @@
 
 #include <snipeplank/core/hash.hpp>
 
+#include <sys/epoll.h>
+
 #include <poll.h>
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <utility>
 
@@ -22,6 +25,11 @@
 /// Maximum time for writing queued frames after `stop`.
 constexpr core::milliseconds stop_timeout{500};
 
+constexpr int max_events_per_step = 256;
+
+/// How often the states of unused addresses are removed.
+constexpr core::seconds removal_interval{5};
+
 /// How long the state of an unused address is retained after `dial_after`, to preserve the backoff.
 constexpr core::seconds peer_state_retention{60};
 
@@ -41,8 +49,11 @@
 peer_loop::peer_loop(peer_settings settings, unique_fd listener, peer_handler& handler,
                      mailbox& box, counter_set& counters, const clock& time)
     : m_settings(std::move(settings)), m_listener(std::move(listener)), m_handler(handler),
-      m_mailbox(box), m_counters(counters), m_time(time), m_random(core::system_seed())
+      m_mailbox(box), m_counters(counters), m_time(time), m_random(core::system_seed()),
+      m_epoll(::epoll_create1(EPOLL_CLOEXEC))
 {
+    watch(m_mailbox.wake_fd(), mailbox_event, EPOLLIN);
+    watch(m_listener.get(), listener_event, EPOLLIN);
 }
 
 void peer_loop::run()
@@ -58,52 +69,102 @@
 
 void peer_loop::step()
 {
-    std::vector<pollfd> sockets;
-    std::vector<connection_id> ids;
-    wait_for_events(sockets, ids);
+    const std::vector<socket_event> events = wait_for_events();
     drain_mailbox();
-    const std::size_t fixed_sockets = sockets.size() - ids.size();
-    m_is_accept_paused = false;
-    if (sockets[1].revents != 0)
+    if (std::exchange(m_is_accept_paused, false))
     {
-        accept_all();
+        watch(m_listener.get(), listener_event, EPOLLIN);
     }
-    for (std::size_t i = 0; i < ids.size(); ++i)
+    for (const socket_event& event : events)
     {
-        on_events(ids[i], sockets[fixed_sockets + i].revents);
+        if (event.id == listener_event)
+        {
+            accept_all();
+        }
+        else if (event.id != mailbox_event)
+        {
+            on_events(event);
+        }
     }
     check_timers();
     dial_pending_peers();
+    remove_idle_peers();
     write_all();
 }
 
-void peer_loop::wait_for_events(std::vector<pollfd>& sockets, std::vector<connection_id>& ids)
+std::vector<peer_loop::socket_event> peer_loop::wait_for_events()
 {
-    sockets.push_back({m_mailbox.wake_fd(), POLLIN, 0});
-    sockets.push_back({m_listener.get(), static_cast<short>(m_is_accept_paused ? 0 : POLLIN), 0});
-    for (const auto& [id, connection] : m_connections)
+    std::array<epoll_event, max_events_per_step> ready{};
+    const int count =
+        ::epoll_wait(m_epoll.get(), ready.data(), max_events_per_step, poll_timeout());
+    std::vector<socket_event> events;
+    for (int i = 0; i < count; ++i)
+    {
+        const epoll_event& each = ready.at(static_cast<std::size_t>(i));
+        events.push_back({each.data.u64, each.events});
+    }
+    return events;
+}
+
+/// Registers a socket, or changes the events that are reported of it.
+void peer_loop::watch(int fd, connection_id id, std::uint32_t events)
+{
+    epoll_event wanted{};
+    wanted.events = events;
+    wanted.data.u64 = id;
+    if (::epoll_ctl(m_epoll.get(), EPOLL_CTL_MOD, fd, &wanted) != 0)
+    {
+        ::epoll_ctl(m_epoll.get(), EPOLL_CTL_ADD, fd, &wanted);
+    }
+}
+
+void peer_loop::update_interest(connection_id id)
+{
+    const peer_connection& connection = m_connections.at(id);
+    const std::uint32_t wanted = connection.wants_write() ? EPOLLIN | EPOLLOUT : EPOLLIN;
+    std::uint32_t& registered = m_interests[id];
+    if (registered != wanted)
+    {
+        watch(connection.fd(), id, wanted);
+        registered = wanted;
+    }
+}
+
+void peer_loop::schedule_timer(connection_id id)
+{
+    const core::time_point due = m_connections.at(id).session().due_at();
+    const auto scheduled = m_timer_of.find(id);
+    if (scheduled != m_timer_of.end() && scheduled->second <= due)
     {
-        const int events = connection.wants_write() ? POLLIN | POLLOUT : POLLIN;
-        sockets.push_back({connection.fd(), static_cast<short>(events), 0});
-        ids.push_back(id);
+        return;
+    }
+    cancel_timer(id);
+    m_timers.emplace(due, id);
+    m_timer_of.emplace(id, due);
+}
+
+void peer_loop::cancel_timer(connection_id id)
+{
+    const auto scheduled = m_timer_of.find(id);
+    if (scheduled == m_timer_of.end())
+    {
+        return;
     }
-    ::poll(sockets.data(), sockets.size(), poll_timeout());
+    m_timers.erase({scheduled->second, id});
+    m_timer_of.erase(scheduled);
 }
 
 int peer_loop::poll_timeout() const
 {
     const core::time_point now = m_time.now();
     core::milliseconds wait = max_poll_wait;
-    for (const auto& [id, connection] : m_connections)
+    if (!m_timers.empty())
     {
-        wait = std::min(wait, round_up(connection.session().due_at() - now));
+        wait = std::min(wait, round_up(m_timers.begin()->first - now));
     }
-    for (const auto& [address, peer] : m_peers)
+    for (const core::address& address : m_to_dial)
     {
-        if (!peer.pending.empty() && peer.dialing == 0)
-        {
-            wait = std::min(wait, round_up(peer.dial_after - now));
-        }
+        wait = std::min(wait, round_up(m_peers.at(address).dial_after - now));
     }
     return static_cast<int>(std::max(wait, core::milliseconds(0)).count());
 }
@@ -133,6 +194,7 @@
             return;
         }
         peer.pending_bytes += item.frame.size();
+        m_to_dial.insert(item.to);
         peer.pending.push_back(std::move(item));
         return;
     }
@@ -160,6 +222,7 @@
 {
     peer_connection& connection = m_connections.at(id);
     connection.queue(frame);
+    m_to_write.insert(id);
     connection.session().on_sent(m_time.now());
     m_counters.add(&peer_counters::frames_sent);
 }
@@ -177,20 +240,42 @@
 void peer_loop::dial_pending_peers()
 {
     const core::time_point now = m_time.now();
-    for (auto at = m_peers.begin(); at != m_peers.end();)
+    for (auto at = m_to_dial.begin(); at != m_to_dial.end();)
     {
-        auto& [address, peer] = *at;
+        const core::address address = *at;
+        peer_state& peer = m_peers[address];
         const bool is_unconnected = peer.current == 0 && peer.dialing == 0;
-        if (is_unconnected && !peer.pending.empty() && now >= peer.dial_after)
+        if (is_unconnected && !peer.pending.empty() && now < peer.dial_after)
+        {
+            ++at;
+            continue;
+        }
+        at = m_to_dial.erase(at);
+        if (is_unconnected && !peer.pending.empty())
         {
             start_dialing(address, peer);
         }
-        const bool is_idle = is_unconnected && peer.pending.empty();
-        at = is_idle && now > peer.dial_after + peer_state_retention ? m_peers.erase(at)
-                                                                     : std::next(at);
     }
 }
 
+void peer_loop::remove_idle_peers()
+{
+    const core::time_point now = m_time.now();
+    if (now < m_next_removal)
+    {
+        return;
+    }
+    m_next_removal = now + removal_interval;
+    std::erase_if(m_peers,
+                  [now](const auto& entry)
+                  {
+                      const peer_state& peer = entry.second;
+                      const bool is_idle =
+                          peer.current == 0 && peer.dialing == 0 && peer.pending.empty();
+                      return is_idle && now > peer.dial_after + peer_state_retention;
+                  });
+}
+
 void peer_loop::start_dialing(const core::address& to, peer_state& peer)
 {
     core::result<unique_fd> socket = dial(to);
@@ -234,6 +319,10 @@
         {
             // Without free descriptors the listener stays readable and poll() would return at once.
             m_is_accept_paused = i == 0;
+            if (m_is_accept_paused)
+            {
+                watch(m_listener.get(), listener_event, 0);
+            }
             return;
         }
         evict_unknown_peer();
@@ -277,30 +366,35 @@
                                                         std::move(session), m_counters))
                            .first;
     added->second.queue(first.bytes);
+    m_to_write.insert(id);
+    update_interest(id);
+    schedule_timer(id);
     return id;
 }
 
-void peer_loop::on_events(connection_id id, short events)
+void peer_loop::on_events(const socket_event& event)
 {
-    const auto found = m_connections.find(id);
-    if (events == 0 || found == m_connections.end())
+    const auto found = m_connections.find(event.id);
+    if (found == m_connections.end())
     {
         return;
     }
+    m_to_write.insert(event.id);
     if (!found->second.finish_connecting())
     {
-        close(id, nullptr);
+        close(event.id, nullptr);
         return;
     }
-    if ((events & (POLLIN | POLLHUP | POLLERR)) != 0)
+    if ((event.events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
     {
-        apply(id, found->second.read_some(m_time));
+        apply(event.id, found->second.read_some(m_time));
     }
 }
 
 void peer_loop::apply(connection_id id, session_output output)
 {
     m_connections.at(id).queue(output.bytes);
+    m_to_write.insert(id);
     const peer_identity peer = m_connections.at(id).session().peer();
     if (output.has_opened)
     {
@@ -333,6 +427,7 @@
         // Sending on the same connection until it closes keeps messages in order.
         peer.current = id;
     }
+    schedule_timer(id);
     publish_connected();
     flush_pending(peer);
 }
@@ -366,44 +461,46 @@
 void peer_loop::check_timers()
 {
     const core::time_point now = m_time.now();
-    for (const connection_id id : connection_ids())
+    while (!m_timers.empty() && m_timers.begin()->first <= now)
     {
-        const auto found = m_connections.find(id);
-        if (found != m_connections.end() && found->second.session().due_at() <= now)
+        const connection_id id = m_timers.begin()->second;
+        cancel_timer(id);
+        if (m_connections.at(id).session().due_at() <= now)
+        {
+            apply(id, m_connections.at(id).session().on_timer(now));
+        }
+        if (m_connections.contains(id))
         {
-            apply(id, found->second.session().on_timer(now));
+            schedule_timer(id);
         }
     }
 }
 
 void peer_loop::write_all()
 {
-    for (const connection_id id : connection_ids())
+    for (const connection_id id : std::exchange(m_to_write, {}))
     {
         const auto found = m_connections.find(id);
-        if (found != m_connections.end() && !found->second.write_some())
+        if (found == m_connections.end())
+        {
+            continue;
+        }
+        if (!found->second.write_some())
         {
             const session_output ended = found->second.session().on_closed();
             close(id, &*ended.failure);
+            continue;
         }
+        update_interest(id);
     }
 }
 
-std::vector<peer_loop::connection_id> peer_loop::connection_ids() const
-{
-    std::vector<connection_id> ids;
-    ids.reserve(m_connections.size());
-    for (const auto& [id, connection] : m_connections)
-    {
-        ids.push_back(id);
-    }
-    return ids;
-}
-
 void peer_loop::close(connection_id id, const session_failure* failure)
 {
     const session_failure cause = failure == nullptr ? session_failure{} : *failure;
     const auto node = m_connections.extract(id);
+    cancel_timer(id);
+    m_interests.erase(id);
     const peer_connection& closed = node.mapped();
     m_counters.add(&peer_counters::connections_closed);
     if (failure != nullptr)
--- a/packages/wire/src/peer_loop.hpp
+++ b/packages/wire/src/peer_loop.hpp
@@ -11,16 +11,16 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "counter_set.hpp"
 #include "mailbox.hpp"
 #include "peer_connection.hpp"
 
-struct pollfd;
-
 namespace snipeplank::wire
 {
 
@@ -49,19 +49,34 @@
         core::milliseconds backoff{0};
     };
 
+    /// Ids of the epoll events that do not belong to a connection.
+    static constexpr connection_id mailbox_event = 0;
+    static constexpr connection_id listener_event = 1;
+
+    struct socket_event
+    {
+        connection_id id = 0;
+        std::uint32_t events = 0; ///< EPOLL* flags
+    };
+
     void step();
-    void wait_for_events(std::vector<pollfd>& sockets, std::vector<connection_id>& ids);
+    std::vector<socket_event> wait_for_events();
+    void watch(int fd, connection_id id, std::uint32_t events);
+    void update_interest(connection_id id);
+    void schedule_timer(connection_id id);
+    void cancel_timer(connection_id id);
     int poll_timeout() const;
     void drain_mailbox();
     void send_to(peer_state& peer, outgoing_frame item);
     void write_frame(connection_id id, const std::string& frame);
     void flush_pending(peer_state& peer);
     void dial_pending_peers();
+    void remove_idle_peers();
     void start_dialing(const core::address& to, peer_state& peer);
     void on_dial_failed(const core::address& to, peer_state& peer, const core::error& cause);
     void accept_all();
     void evict_unknown_peer();
-    void on_events(connection_id id, short events);
+    void on_events(const socket_event& event);
     void apply(connection_id id, session_output output);
     void on_opened(connection_id id);
     void close_superseded(connection_id newest);
@@ -69,7 +84,6 @@
     void write_all();
     void close(connection_id id, const session_failure* failure);
     void on_connection_lost(connection_id id, const peer_identity& lost);
-    std::vector<connection_id> connection_ids() const;
     void publish_connected();
     void finish_writing();
     connection_id add_connection(unique_fd fd, session_role role, core::address remote);
@@ -81,9 +95,18 @@
     counter_set& m_counters;
     const clock& m_time;
     core::seeded_random m_random;
+    unique_fd m_epoll;
     connection_map m_connections;
+    std::unordered_map<connection_id, std::uint32_t> m_interests; ///< registered EPOLL* flags
+    /// When the timer of each connection is checked. A connection is due at this time or later,
+    /// since sent and received bytes only postpone it.
+    std::set<std::pair<core::time_point, connection_id>> m_timers;
+    std::unordered_map<connection_id, core::time_point> m_timer_of;
+    std::set<connection_id> m_to_write; ///< may have queued bytes
+    std::set<core::address> m_to_dial;  ///< have pending frames and no connection
+    core::time_point m_next_removal{};  ///< of idle peers
     std::unordered_map<core::address, peer_state> m_peers;
-    connection_id m_last_id = 0;
+    connection_id m_last_id = listener_event;
     bool m_is_stopping = false;
     bool m_is_accept_paused = false;
 };
