--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -436,7 +436,7 @@
 }
 
 /// Periodically checks for a silent upstream, so that a request that may be retried does not wait
-/// for it until the deadline.
+/// for it until the deadline. The last allowed attempt is never given up for silence.
 void call::schedule_silence_check()
 {
     m_silence_timer.expires_after(silence_check_interval);
@@ -451,7 +451,7 @@
 
 void call::on_silence_check()
 {
-    if (m_attempt && m_attempt_number && m_current_upstream && m_runs < m_route->max_attempts &&
+    if (m_attempt && m_attempt_number && m_current_upstream && m_runs + 1 < m_route->max_attempts &&
         m_environment.places.is_silent(*m_current_upstream, now()))
     {
         m_line.attempts += "=silent";
--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -270,6 +270,28 @@
     CHECK_TRUE_TEXT(answer.body.find("i-far") != std::string::npos, seen.c_str());
 }
 
+// Fails when a slow upstream is given up for its silence although no other attempt is allowed (LOST
+// on kalkofen-slots-grown, scale-1 seed 175641894).
+TEST(machine_node, the_last_allowed_attempt_is_not_given_up_for_silence)
+{
+    set_up({home});
+    standin& first = fleet->add_server("i-1", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    machine_fleet::set_fault(first, "mute");
+    constexpr int deadline_ms = 8'000;
+    http_exchange request(fleet->node(0).callers,
+                          machine_fleet::request("GET", "/read/x", "slow", deadline_ms));
+    wait_until("the first server has the request", [&] { return runs_of(first, "slow") == 1; });
+    constexpr int work_ms = 2'500;
+    standin& second = fleet->start_server("i-2", work_ms);
+    fleet->publish_server("i-2", "shop", home, second.address(), "ready");
+    const http_answer answer = request.finish();
+    const std::string seen = answer.describe() + "\n" + fleet->node(0).program->output();
+    CHECK_TRUE_TEXT(answer.is(200), seen.c_str());
+    CHECK_TRUE_TEXT(answer.body.find("i-2") != std::string::npos, seen.c_str());
+}
+
 // Fails when a server continues to work on a request after its client has disconnected.
 TEST(machine_node, a_client_disconnect_cancels_the_request)
 {
