serving, wire: what a follower accepts is decided outside the adapter; an unwatched socket is an error

The loop between nodes ignored a socket that epoll refused, so its connection would have been mute: it is closed with a log line now, and a start that cannot watch its first sockets fails.

--- a/packages/serving/include/snipeplank/serving/state_feed.hpp
+++ b/packages/serving/include/snipeplank/serving/state_feed.hpp
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace snipeplank::serving
@@ -80,6 +81,55 @@
     std::map<core::address, core::time_point> m_failed; ///< with the end of the backoff
 };
 
+/// @brief Decides whether a node follows another, and what it accepts from it. Not thread-safe.
+class feed_follower
+{
+  public:
+    /// A node whose own state is older than this is not followed.
+    static constexpr core::milliseconds max_age{2'500};
+    /// A node reads the source itself when it received no changes for this long.
+    static constexpr core::milliseconds lease{1'500};
+
+    /// @param self how the nodes of the region address this node
+    /// @param prefixes key prefixes that a feed must have
+    feed_follower(core::address self, std::vector<std::string> prefixes)
+        : m_selector(std::move(self)), m_prefixes(std::move(prefixes))
+    {
+    }
+
+    /// @brief The node to ask for changes, or nothing when this node reads the source itself.
+    /// @param region_nodes live nodes of the region without this one, in any order
+    std::optional<core::address> choose(const std::vector<core::address>& region_nodes,
+                                        core::time_point now) const
+    {
+        return m_selector.choose(region_nodes, now);
+    }
+
+    /// @brief Records a node's answer; one that is too old or incomplete counts as a failure.
+    /// @return whether its changes are to be applied
+    bool on_feed(const core::address& node, const state_feed& feed, core::time_point now);
+
+    /// @brief Records that a node did not answer.
+    void on_failed(const core::address& node, core::time_point now)
+    {
+        m_selector.on_failed(node, now);
+    }
+
+    /// @brief Whether this node received recent changes and need not read the source itself.
+    bool is_following(core::time_point now) const { return now < m_following_until; }
+
+    /// @brief What was received so far, for the next request.
+    const feed_position& position() const { return m_position; }
+
+  private:
+    bool is_usable(const state_feed& feed) const;
+
+    feed_selector m_selector;
+    std::vector<std::string> m_prefixes;
+    feed_position m_position;
+    core::time_point m_following_until{};
+};
+
 } // namespace snipeplank::serving
 
 #endif
--- a/packages/serving/src/state_feed.cpp
+++ b/packages/serving/src/state_feed.cpp
@@ -182,4 +182,27 @@
     m_failed[node] = now + failure_backoff;
 }
 
+bool feed_follower::is_usable(const state_feed& feed) const
+{
+    return feed.age <= max_age &&
+           std::all_of(m_prefixes.begin(), m_prefixes.end(),
+                       [&](const std::string& prefix) { return feed.prefixes.contains(prefix); });
+}
+
+bool feed_follower::on_feed(const core::address& node, const state_feed& feed, core::time_point now)
+{
+    if (!is_usable(feed))
+    {
+        on_failed(node, now);
+        return false;
+    }
+    m_position.instance = feed.instance;
+    for (const auto& [prefix, changes] : feed.prefixes)
+    {
+        m_position.prefixes[prefix] = changes.position;
+    }
+    m_following_until = now + lease;
+    return true;
+}
+
 } // namespace snipeplank::serving
--- a/packages/serving/tests/state_feed_test.cpp
+++ b/packages/serving/tests/state_feed_test.cpp
@@ -191,3 +191,36 @@
         CHECK_TRUE_TEXT(read.prefixes.empty() || read.prefixes.begin()->second == 0, damaged);
     }
 }
+
+// Fails when a node keeps following one that is silent, behind or incomplete, and so learns of a
+// change of the published state too late.
+TEST(state_feed, a_follower_reads_the_source_itself_without_recent_feeds)
+{
+    constexpr std::size_t count = 20;
+    const std::vector<core::address> nodes = others(count, count);
+    const core::address self = node(count);
+    feed_follower subject(self, {"op/", "servers/"});
+    const auto followed = subject.choose(nodes, begin);
+    CHECK_TRUE(followed.has_value());
+    CHECK_FALSE(subject.is_following(begin));
+    const state_feed good{
+        7, feed_follower::max_age, {{"op/", {}}, {"servers/", {false, {}, 9, 4}}}};
+    CHECK_TRUE(subject.on_feed(*followed, good, begin));
+    LONGS_EQUAL(7, subject.position().instance);
+    LONGS_EQUAL(4, subject.position().prefixes.at("servers/"));
+    CHECK_TRUE(subject.is_following(begin + feed_follower::lease - 1ms));
+    CHECK_FALSE(subject.is_following(begin + feed_follower::lease));
+    const state_feed unusable[] = {
+        {8, feed_follower::max_age + 1ms, good.prefixes},
+        {8, 0ms, {{"op/", {}}}},
+        {8, 0ms, {}},
+    };
+    for (const state_feed& each : unusable)
+    {
+        feed_follower fresh(self, {"op/", "servers/"});
+        CHECK_FALSE(fresh.on_feed(*followed, each, begin));
+        CHECK_FALSE(fresh.is_following(begin));
+        LONGS_EQUAL(0, fresh.position().instance);
+        CHECK_TRUE(fresh.choose(nodes, begin) != followed);
+    }
+}
--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -52,8 +52,8 @@
       m_mailbox(box), m_counters(counters), m_time(time), m_random(core::system_seed()),
       m_epoll(::epoll_create1(EPOLL_CLOEXEC))
 {
-    watch(m_mailbox.wake_fd(), mailbox_event, EPOLLIN);
-    watch(m_listener.get(), listener_event, EPOLLIN);
+    m_is_ready = watch(m_mailbox.wake_fd(), mailbox_event, EPOLLIN) &&
+                 watch(m_listener.get(), listener_event, EPOLLIN);
 }
 
 void peer_loop::run()
@@ -107,27 +107,28 @@
 }
 
 /// Registers a socket, or changes the events that are reported of it.
-void peer_loop::watch(int fd, connection_id id, std::uint32_t events)
+/// @return whether the system accepted it
+bool peer_loop::watch(int fd, connection_id id, std::uint32_t events)
 {
     epoll_event wanted{};
     wanted.events = events;
     wanted.data.u64 = id;
-    if (::epoll_ctl(m_epoll.get(), EPOLL_CTL_MOD, fd, &wanted) != 0)
-    {
-        ::epoll_ctl(m_epoll.get(), EPOLL_CTL_ADD, fd, &wanted);
-    }
+    return ::epoll_ctl(m_epoll.get(), EPOLL_CTL_MOD, fd, &wanted) == 0 ||
+           ::epoll_ctl(m_epoll.get(), EPOLL_CTL_ADD, fd, &wanted) == 0;
 }
 
-void peer_loop::update_interest(connection_id id)
+/// @return whether the events of the connection are reported; otherwise it must be closed
+bool peer_loop::update_interest(connection_id id)
 {
     const peer_connection& connection = m_connections.at(id);
     const std::uint32_t wanted = connection.wants_write() ? EPOLLIN | EPOLLOUT : EPOLLIN;
     std::uint32_t& registered = m_interests[id];
-    if (registered != wanted)
+    if (registered == wanted)
     {
-        watch(connection.fd(), id, wanted);
-        registered = wanted;
+        return true;
     }
+    registered = wanted;
+    return watch(connection.fd(), id, wanted);
 }
 
 void peer_loop::schedule_timer(connection_id id)
@@ -367,7 +368,6 @@
                            .first;
     added->second.queue(first.bytes);
     m_to_write.insert(id);
-    update_interest(id);
     schedule_timer(id);
     return id;
 }
@@ -491,7 +491,14 @@
             close(id, &*ended.failure);
             continue;
         }
-        update_interest(id);
+        if (!update_interest(id))
+        {
+            m_handler.on_connection_error(found->second.remote(),
+                                          {core::error_code::connection_failed,
+                                           "the events of a connection cannot be watched",
+                                           "raise the limit of open files"});
+            close(id, nullptr);
+        }
     }
 }
 
--- a/packages/wire/src/peer_loop.hpp
+++ b/packages/wire/src/peer_loop.hpp
@@ -31,6 +31,10 @@
     peer_loop(peer_settings settings, unique_fd listener, peer_handler& handler, mailbox& box,
               counter_set& counters, const clock& time);
 
+    /// @brief Whether the sockets that exist from the start can be watched; the loop must not run
+    /// otherwise.
+    bool is_ready() const { return m_is_ready; }
+
     /// @brief Runs until the mailbox is stopped, then writes queued frames for a limited time.
     void run();
 
@@ -61,8 +65,8 @@
 
     void step();
     std::vector<socket_event> wait_for_events();
-    void watch(int fd, connection_id id, std::uint32_t events);
-    void update_interest(connection_id id);
+    bool watch(int fd, connection_id id, std::uint32_t events);
+    bool update_interest(connection_id id);
     void schedule_timer(connection_id id);
     void cancel_timer(connection_id id);
     int poll_timeout() const;
@@ -107,6 +111,7 @@
     core::time_point m_next_removal{};  ///< of idle peers
     std::unordered_map<core::address, peer_state> m_peers;
     connection_id m_last_id = listener_event;
+    bool m_is_ready = false;
     bool m_is_stopping = false;
     bool m_is_accept_paused = false;
 };
--- a/packages/wire/src/tcp_peer_network.cpp
+++ b/packages/wire/src/tcp_peer_network.cpp
@@ -43,6 +43,13 @@
         m_self = self.address;
         m_loop.emplace(std::move(settings), std::move(listener), handler, m_mailbox, m_counters,
                        m_time);
+        if (!m_loop->is_ready())
+        {
+            m_loop.reset();
+            return core::fail(core::error_code::connection_failed,
+                              "the sockets between nodes cannot be watched",
+                              "raise the limit of open files");
+        }
         m_thread = std::thread([this] { m_loop->run(); });
         return self;
     }
