tests: the total time of a body, and a node whose peers are all frozen

Without the total timeout the former test of it passed, since its client stopped before the end; it now sends the whole body. A longer lease passed the test with one frozen node, because the second watcher answers: the new test freezes all other nodes.

--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -200,8 +200,8 @@
     limits.body_timeout = core::milliseconds{300};
     handler.set_limits(limits);
     raw_connection client(address);
-    client.send("POST /drip HTTP/1.1\r\n" + host + "Content-Length: 50\r\n\r\n");
-    send_slowly(client, 8);
+    client.send("POST /drip HTTP/1.1\r\n" + host + "Content-Length: 12\r\n\r\n");
+    send_slowly(client, 12);
     check_timed_out(client);
 }
 
--- a/tests/machine_state_test.cpp
+++ b/tests/machine_state_test.cpp
@@ -16,6 +16,15 @@
 {
     /// Nodes of a region in which some follow others.
     static constexpr std::size_t region_size = 6;
+    /// Time from the publication of a configuration until it must be in force.
+    static constexpr std::chrono::milliseconds configuration_bound{4'000};
+
+    bool has_version(std::size_t index, int version)
+    {
+        const std::string wanted = "snipeplank_config_version " + std::to_string(version) + "\n";
+        return http_get(fleet->node(index).admin, "/metrics").body.find(wanted) !=
+               std::string::npos;
+    }
 
     void start_region()
     {
@@ -153,13 +162,6 @@
 TEST(machine_state, a_frozen_node_delays_no_other)
 {
     start_region();
-    constexpr std::chrono::milliseconds configuration_bound{4'000};
-    const auto has_version = [&](std::size_t index, int version)
-    {
-        const std::string wanted = "snipeplank_config_version " + std::to_string(version) + "\n";
-        return http_get(fleet->node(index).admin, "/metrics").body.find(wanted) !=
-               std::string::npos;
-    };
     for (std::size_t frozen = 0; frozen < region_size; ++frozen)
     {
         const int version = 10 + static_cast<int>(frozen);
@@ -179,6 +181,41 @@
     }
 }
 
+// Fails when a node whose watchers both stopped answering does not read the store itself in time.
+TEST(machine_state, a_node_whose_peers_are_all_frozen_reads_the_store)
+{
+    start_region();
+    const auto signal_others = [&](std::size_t spared, int signal)
+    {
+        for (std::size_t i = 0; i < region_size; ++i)
+        {
+            if (i != spared)
+                fleet->node(i).program->send_signal(signal);
+        }
+    };
+    for (std::size_t spared = 0; spared < region_size; ++spared)
+    {
+        const int version = 10 + static_cast<int>(spared);
+        signal_others(spared, SIGSTOP);
+        fleet->publish_configuration(version);
+        const auto published = std::chrono::steady_clock::now();
+        while (!has_version(spared, version) &&
+               std::chrono::steady_clock::now() - published < configuration_bound)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        CHECK_TRUE(has_version(spared, version));
+        signal_others(spared, SIGCONT);
+        for (std::size_t i = 0; i < region_size; ++i)
+        {
+            wait_until("the nodes that were frozen follow",
+                       [&] { return has_version(i, version); });
+        }
+        fleet->wait_until_served(spared, "/read/x");
+        std::this_thread::sleep_for(std::chrono::seconds(2));
+    }
+}
+
 // Fails when a node starts with incomplete settings, or does not report the missing field.
 TEST(machine_state, a_start_without_settings_reports_the_missing_field)
 {
