serving: say who ended an answer that had begun

Cause: a call line names the last failure, but not whether part of an answer had gone out when the connection was closed, nor whether the upstream, another region, the deadline or the check for silence ended it. Change: field cut_by of the call line and counter snipeplank_cut_answers_total.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -125,7 +125,10 @@
     m_line.retry_after_ms = static_cast<double>(why.retry_after.count());
     m_line.remaining_ms = static_cast<double>(remaining().count());
     if (m_exchange.has_begun())
+    {
+        m_line.cut_by = who_cut_answer();
         m_exchange.abort();
+    }
     else if (m_forwarded)
         m_forwarded->refuse(why);
     else
@@ -141,6 +144,7 @@
         if (m_client_is_gone)
         {
             m_line.outcome = "caller_left";
+            m_line.cut_by = m_exchange.has_begun() ? cut_cause::caller : cut_cause::none;
             co_return;
         }
         if (m_is_expired)
@@ -212,6 +216,7 @@
 asio::awaitable<call::next_step> call::attempt_once(const placement_decision& where)
 {
     const placement_request request = next_request();
+    m_given_up_for = cut_cause::none;
     m_attempt = make_attempt(where);
     if (!m_attempt)
     {
@@ -455,7 +460,7 @@
         m_environment.places.is_silent(*m_current_upstream, now()))
     {
         m_line.attempts += "=silent";
-        m_attempt->cancel();
+        give_up_attempt(cut_cause::silence);
     }
     schedule_silence_check();
 }
@@ -463,17 +468,29 @@
 void call::on_deadline()
 {
     m_is_expired = true;
-    if (m_attempt)
-        m_attempt->cancel();
+    give_up_attempt(cut_cause::deadline);
 }
 
 void call::on_client_disconnected()
 {
     m_client_is_gone = true;
+    give_up_attempt(cut_cause::caller);
+}
+
+void call::give_up_attempt(cut_cause why)
+{
+    m_given_up_for = why;
     if (m_attempt)
         m_attempt->cancel();
 }
 
+cut_cause call::who_cut_answer() const
+{
+    if (m_given_up_for != cut_cause::none)
+        return m_given_up_for;
+    return m_current_upstream ? cut_cause::upstream : cut_cause::region;
+}
+
 core::milliseconds call::remaining() const
 {
     return std::chrono::duration_cast<core::milliseconds>(m_deadline - now());
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -102,6 +102,8 @@
     void schedule_silence_check();
     void on_silence_check();
     void on_client_disconnected();
+    void give_up_attempt(cut_cause why);
+    cut_cause who_cut_answer() const;
     core::milliseconds remaining() const;
     policy::refusal final_refusal() const;
 
@@ -124,8 +126,9 @@
     std::string m_resume_from;
     call_outcome_line m_line;
     core::time_point m_last_event{};
-    unsigned m_runs = 0;  ///< attempts that may have run
-    unsigned m_sends = 0; ///< attempts of which a byte may have been received
+    cut_cause m_given_up_for = cut_cause::none; ///< why this node gave up the current attempt
+    unsigned m_runs = 0;                        ///< attempts that may have run
+    unsigned m_sends = 0;                       ///< attempts of which a byte may have been received
     bool m_may_have_run = false;
     bool m_is_expired = false;
     bool m_client_is_gone = false;
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -99,6 +99,7 @@
                   {"outcome", line.outcome},
                   {"status", line.status},
                   {"executed", line.executed},
+                  {"cut_by", to_string(line.cut_by)},
                   {"route", line.route},
                   {"service", line.service},
                   {"config_version", line.config_version},
--- a/packages/serving/src/call_outcome.hpp
+++ b/packages/serving/src/call_outcome.hpp
@@ -4,12 +4,32 @@
 #ifndef SNIPEPLANK_SERVING_SRC_CALL_OUTCOME_HPP
 #define SNIPEPLANK_SERVING_SRC_CALL_OUTCOME_HPP
 
+#include <array>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace snipeplank::serving
 {
 
+/// @brief Who ended an answer that had begun.
+enum class cut_cause
+{
+    none, ///< the answer is whole, or it had not begun
+    upstream,
+    region, ///< a node of another region
+    deadline,
+    silence, ///< this node gave up a silent upstream
+    caller,
+};
+
+constexpr std::string_view to_string(cut_cause cause)
+{
+    constexpr std::array<std::string_view, 6> names{"none",     "upstream", "region",
+                                                    "deadline", "silence",  "caller"};
+    return names.at(static_cast<std::size_t>(cause));
+}
+
 /// @brief How a request ended, for its log line and the metrics.
 struct call_outcome_line
 {
@@ -22,6 +42,7 @@
     std::string outcome;   ///< answered, or the reason of the refusal
     int status = 0;
     std::string executed;
+    cut_cause cut_by = cut_cause::none;
     double predicted_ms = 0;
     double remaining_ms = 0;
     double retry_after_ms = 0;
--- a/packages/serving/src/call_statistics.cpp
+++ b/packages/serving/src/call_statistics.cpp
@@ -42,6 +42,8 @@
 void call_statistics::add(const call_outcome_line& ended)
 {
     ++m_outcomes[ended.outcome];
+    if (ended.cut_by != cut_cause::none)
+        ++m_cut_answers[ended.cut_by];
     if (ended.first_byte_ms > 0)
         m_first_byte.add(ended.first_byte_ms);
     if (ended.longest_pause_ms > 0)
@@ -63,6 +65,13 @@
         text += fmt::format("snipeplank_retries_total{{reason=\"{}\"}} {}\n",
                             policy::to_string(reason), count);
     }
+    text += "# HELP snipeplank_cut_answers_total Answers that ended early, by who ended them.\n"
+            "# TYPE snipeplank_cut_answers_total counter\n";
+    for (const auto& [cause, count] : m_cut_answers)
+    {
+        text +=
+            fmt::format("snipeplank_cut_answers_total{{by=\"{}\"}} {}\n", to_string(cause), count);
+    }
     return text + m_first_byte.render("snipeplank_first_byte_ms") +
            m_longest_pause.render("snipeplank_longest_pause_ms") +
            m_whole_call.render("snipeplank_whole_call_ms");
--- a/packages/serving/src/call_statistics.hpp
+++ b/packages/serving/src/call_statistics.hpp
@@ -54,6 +54,7 @@
   private:
     std::map<std::string, std::uint64_t> m_outcomes;
     std::map<policy::retry_reason, std::uint64_t> m_retries;
+    std::map<cut_cause, std::uint64_t> m_cut_answers;
     latency_histogram m_first_byte;
     latency_histogram m_longest_pause;
     latency_histogram m_whole_call;
--- a/packages/serving/tests/call_statistics_test.cpp
+++ b/packages/serving/tests/call_statistics_test.cpp
@@ -62,3 +62,16 @@
     expect_line("snipeplank_retries_total{reason=\"upstream_failed\"} 2");
     expect_line("snipeplank_retries_total{reason=\"connect_failed\"} 1");
 }
+
+// Fails when an answer that ended early is not counted by who ended it, or a whole one is.
+TEST(call_statistics, cut_answers_are_counted_by_cause)
+{
+    for (const cut_cause cause : {cut_cause::none, cut_cause::silence, cut_cause::silence})
+    {
+        call_outcome_line ended;
+        ended.cut_by = cause;
+        subject.add(ended);
+    }
+    expect_line("snipeplank_cut_answers_total{by=\"silence\"} 2");
+    CHECK_TRUE(subject.render().find("by=\"none\"") == std::string::npos);
+}
