serving: silence ends no request that nothing else could answer

Callers saw: 502 after 1.2 s, with seconds left, for a request at a sound upstream that had paused; with two upstreams the request ran twice. Cause: the check for silence cancelled the attempt first and asked afterwards whether another one may follow. On a fleet of 71 nodes a node's share of the retry budget is small; with one upstream the retry went to the same one. One silent check was enough, and a pause of the node itself, which reads nothing meanwhile, counted as silence of the upstream. Change: an attempt that awaits its answer is given up after four silent checks in a row (2.1 to 2.4 s), and only when its retry is reserved first: another upstream that is not silent, or another region, within the attempt limits and the budget.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -28,6 +28,10 @@
 constexpr std::size_t max_buffered_bytes = 8'388'608;
 constexpr int first_server_error = 500;
 constexpr core::milliseconds silence_check_interval{300};
+/// Consecutive checks that find the upstream silent before the attempt may be given up. A sound
+/// upstream may pause for a second or so. Everything that has arrived is read between two checks,
+/// so a pause of this node is not taken for one of the upstream.
+constexpr int max_silent_checks = 4;
 
 /// Maps a request id to [0, 1), so that all attempts of one request use the same value.
 double uniform_value(const std::string& request_id)
@@ -228,7 +232,10 @@
         region != nullptr
             ? m_environment.places.on_sent(request, region->region, now())
             : m_environment.places.on_sent(request, std::get<to_upstream>(where).target.id, now());
+    m_awaits_answer = true;
+    m_silent_checks = 0;
     attempt_start result = co_await m_attempt->start();
+    m_awaits_answer = false;
     if (region != nullptr && result.kind == answer_kind::success)
         result.kind = m_environment.upstreams.read(result.head, m_caller.id).kind;
     const next_step next = co_await on_start(result);
@@ -297,11 +304,19 @@
 {
     if (m_client_is_gone || m_is_expired || m_forwarded)
         return false;
-    if (m_tried.size() + m_tried_regions.size() >= max_attempts_per_request)
+    if (!is_within_attempt_limits(proven_not_run ? 0 : m_runs))
         return false;
-    if (!proven_not_run && (!m_route->may_retry() || m_runs >= m_route->max_attempts))
+    if (!proven_not_run && !m_route->may_retry())
         return false;
-    return m_environment.places.take_retry(m_service, now());
+    return std::exchange(m_has_reserved_retry, false) ||
+           m_environment.places.take_retry(m_service, now());
+}
+
+/// @param runs attempts so far that may have run
+bool call::is_within_attempt_limits(unsigned runs) const
+{
+    return m_tried.size() + m_tried_regions.size() < max_attempts_per_request &&
+           runs < m_route->max_attempts;
 }
 
 call::next_step call::retry(policy::retry_reason reason)
@@ -441,7 +456,7 @@
 }
 
 /// Periodically checks for a silent upstream, so that a request that may be retried does not wait
-/// for it until the deadline. The last allowed attempt is never given up for silence.
+/// for it until the deadline.
 void call::schedule_silence_check()
 {
     m_silence_timer.expires_after(silence_check_interval);
@@ -456,15 +471,40 @@
 
 void call::on_silence_check()
 {
-    if (m_attempt && m_attempt_number && m_current_upstream && m_runs + 1 < m_route->max_attempts &&
-        m_environment.places.is_silent(*m_current_upstream, now()))
+    m_silent_checks = is_upstream_silent() ? m_silent_checks + 1 : 0;
+    if (m_silent_checks >= max_silent_checks && reserve_other_attempt())
     {
+        m_silent_checks = 0;
         m_line.attempts += "=silent";
         give_up_attempt(cut_cause::silence);
     }
     schedule_silence_check();
 }
 
+bool call::is_upstream_silent() const
+{
+    return m_awaits_answer && m_current_upstream &&
+           m_environment.places.is_silent(*m_current_upstream, now());
+}
+
+/// Reserves a retry at another upstream that is not silent, or in another region.
+/// @return false if there is none; the current attempt must go on then
+bool call::reserve_other_attempt()
+{
+    // The current attempt counts as a run only once it has ended.
+    if (m_exchange.has_begun() || !is_within_attempt_limits(m_runs + 1))
+        return false;
+    const placement_decision next = m_environment.places.decide(next_request(), now());
+    if (std::holds_alternative<policy::refusal>(next))
+        return false;
+    const auto* local = std::get_if<to_upstream>(&next);
+    if (local != nullptr &&
+        (local->was_tried || m_environment.places.is_silent(local->target.id, now())))
+        return false;
+    m_has_reserved_retry = m_environment.places.take_retry(m_service, now());
+    return m_has_reserved_retry;
+}
+
 void call::on_deadline()
 {
     m_is_expired = true;
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -94,6 +94,7 @@
     std::unique_ptr<attempt> make_attempt(const placement_decision& where);
     placement_request next_request() const;
     bool may_retry(bool proven_not_run);
+    bool is_within_attempt_limits(unsigned runs) const;
     next_step retry(policy::retry_reason reason);
     void report();
     void end_attempt(attempt_end how);
@@ -101,6 +102,8 @@
     void on_deadline();
     void schedule_silence_check();
     void on_silence_check();
+    bool is_upstream_silent() const;
+    bool reserve_other_attempt();
     void on_client_disconnected();
     void give_up_attempt(cut_cause why);
     cut_cause who_cut_answer() const;
@@ -127,8 +130,11 @@
     call_outcome_line m_line;
     core::time_point m_last_event{};
     cut_cause m_given_up_for = cut_cause::none; ///< why this node gave up the current attempt
+    int m_silent_checks = 0;                    ///< consecutive ones that found silence
     unsigned m_runs = 0;                        ///< attempts that may have run
     unsigned m_sends = 0;                       ///< attempts of which a byte may have been received
+    bool m_awaits_answer = false;               ///< the current attempt has no answer head yet
+    bool m_has_reserved_retry = false;          ///< taken from the retry budget, not used yet
     bool m_may_have_run = false;
     bool m_is_expired = false;
     bool m_client_is_gone = false;
--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -286,6 +286,45 @@
     CHECK_TRUE_TEXT(answer.body.find("i-2") != std::string::npos, seen.c_str());
 }
 
+// Fails when the silence of a sound server ends a request, or moves it although no other server
+// could answer it (LOST on tamarack-lunar-grown, beside a change of the configuration).
+TEST(machine_node, a_request_stays_at_a_sound_server_that_falls_silent)
+{
+    struct row
+    {
+        const char* what;
+        int silent_ms;
+        bool has_second_server;
+        bool may_retry;
+    };
+    const row rows[] = {
+        {"a second or so, and another server is free", 1'500, true, true},
+        {"longer, and there is no other server", 3'500, false, true},
+        {"longer, and no retry is allowed", 3'500, true, false},
+    };
+    for (const row& each : rows)
+    {
+        set_up({home});
+        if (!each.may_retry)
+            fleet->forbid_retries();
+        standin& first = fleet->start_server("i-1", each.silent_ms);
+        fleet->publish_server("i-1", "shop", home, first.address(), "ready");
+        fleet->start_nodes();
+        http_exchange request(fleet->node(0).callers,
+                              machine_fleet::request("GET", "/read/x", "quiet", 8'000));
+        wait_until("the first server has the request",
+                   [&] { return runs_of(first, "quiet") == 1; });
+        if (each.has_second_server)
+            fleet->add_server("i-2", "shop", home);
+        const http_answer answer = request.finish();
+        const std::string seen = std::string(each.what) + ": " + answer.describe() + "\n" +
+                                 fleet->node(0).program->output();
+        CHECK_TRUE_TEXT(answer.is(200), seen.c_str());
+        CHECK_TRUE_TEXT(answer.body.find("i-1") != std::string::npos, seen.c_str());
+        LONGS_EQUAL_TEXT(1, runs_of(first, "quiet"), seen.c_str());
+    }
+}
+
 // Fails when a server continues to work on a request after its client has disconnected.
 TEST(machine_node, a_client_disconnect_cancels_the_request)
 {
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -18,6 +18,7 @@
 
 /// A node that has just started uses a tenth of it, enough to retry each request of a test.
 constexpr int retry_slack = 100;
+constexpr double retry_ratio = 0.2;
 
 std::string zone_of(const std::string& region)
 {
@@ -102,11 +103,23 @@
         {"PortRange", {admin_port, admin_port}},
         {"Seeds", seeds},
         {"Bounds",
-         {{"GraceS", 8}, {"RetryRatio", 0.2}, {"RetrySlack", retry_slack}, {"RetryWindowS", 10}}},
+         {{"GraceS", 8},
+          {"RetryRatio", m_allows_retries ? retry_ratio : 0},
+          {"RetrySlack", m_allows_retries ? retry_slack : 0},
+          {"RetryWindowS", 10}}},
         {"Provider", {{"Address", (m_store_relay ? m_store_relay : m_store)->address()}}}};
     std::ofstream(node.settings_path) << settings.dump();
 }
 
+void machine_fleet::forbid_retries()
+{
+    m_allows_retries = false;
+    for (const machine_node& each : m_nodes)
+    {
+        write_settings(each);
+    }
+}
+
 standin& machine_fleet::start_server(const std::string& id, int work_ms)
 {
     const std::vector<std::string> arguments{"--id", id, "--work_ms", std::to_string(work_ms)};
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -72,6 +72,9 @@
     /// @brief The relay in front of the store; only with `store_path::relayed`.
     standin& store_relay() { return *m_store_relay; }
 
+    /// @brief Starts nodes without any retry budget from now on.
+    void forbid_retries();
+
     void start_node(std::size_t index);
     void start_nodes();
     machine_node& node(std::size_t index) { return m_nodes.at(index); }
@@ -91,6 +94,7 @@
     void write_settings(const machine_node& node) const;
 
     std::string m_directory;
+    bool m_allows_retries = true;
     std::unique_ptr<standin> m_store;
     std::unique_ptr<standin> m_store_relay;
     std::vector<std::unique_ptr<standin>> m_servers;
