--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <map>
 #include <mutex>
 #include <set>
@@ -134,14 +135,28 @@
             delay);
     }
 
+    /// Whether the fault `crash_on:PART` applies: the prompt has this part, and not as the last.
+    static bool crashes_on_prompt(const request& in, const std::string& fault)
+    {
+        const std::string prefix = "crash_on:";
+        if (!fault.starts_with(prefix))
+            return false;
+        const std::string prompt = "," + in.get_header_value("Prefix-Hash");
+        const std::size_t part = prompt.find("," + fault.substr(prefix.size()) + ":");
+        return part != std::string::npos && prompt.find(',', part + 1) != std::string::npos;
+    }
+
     void stream(const request& in, response& out, const std::string& id, const std::string& fault)
     {
+        const bool crashes = crashes_on_prompt(in, fault);
         const std::string last = in.get_header_value("Last-Event-Id");
         int next = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
         out.set_chunked_content_provider(
             "text/event-stream",
-            [this, next, id, fault](std::size_t, httplib::DataSink& sink) mutable
+            [this, next, id, fault, crashes](std::size_t, httplib::DataSink& sink) mutable
             {
+                if (crashes)
+                    std::_Exit(EXIT_FAILURE);
                 if (fault == "break_stream" && next == 3)
                 {
                     const std::string half = "id: 3\ndata: to";
