policy: quarantine of prompt parts under which upstreams crash

Each node adds the crashes and answers that it sees and merges those of others. An answer clears a part; three crashes since the last answer, not all at one moment, make it suspect; of parts with the same crashes the one answered longest ago is quarantined, so the first part that sound prompts share is not.

--- /dev/null
+++ b/packages/policy/include/snipeplank/policy/prompt_quarantine.hpp
@@ -0,0 +1,124 @@
+/// @file
+/// Quarantine of prompt parts under which upstreams crash ("queries of death").
+
+#ifndef SNIPEPLANK_POLICY_PROMPT_QUARANTINE_HPP
+#define SNIPEPLANK_POLICY_PROMPT_QUARANTINE_HPP
+
+#include <snipeplank/core/strong_type.hpp>
+#include <snipeplank/core/units.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace snipeplank::policy
+{
+
+/// Hash of the id of a prompt part.
+using prompt_part_key = core::strong_type<std::uint64_t, struct prompt_part_key_tag>;
+
+/// Hash of the id of one run of an upstream process.
+using upstream_run_key = core::strong_type<std::uint64_t, struct upstream_run_key_tag>;
+
+/// @brief An upstream crashed while it began to answer a prompt with this part.
+struct prompt_crash
+{
+    prompt_part_key part;
+    upstream_run_key upstream;
+    core::time_point sent;      ///< when the request was sent
+    core::time_point at;        ///< when the upstream crashed
+    std::uint16_t position = 0; ///< of the part in the prompt, from 0
+
+    friend bool operator==(const prompt_crash&, const prompt_crash&) = default;
+};
+
+/// @brief An upstream answered a prompt with this part.
+struct prompt_answer
+{
+    prompt_part_key part;
+    core::time_point at;
+
+    friend bool operator==(const prompt_answer&, const prompt_answer&) = default;
+};
+
+/// @brief What one node knows of suspected parts, for the other nodes.
+struct prompt_evidence
+{
+    std::vector<prompt_crash> crashes;
+    std::vector<prompt_answer> answers;
+
+    bool is_empty() const { return crashes.empty() && answers.empty(); }
+};
+
+/// @brief Decides under which parts of a prompt upstreams crash, from the evidence of all nodes.
+///
+/// A part that crashes every upstream is never answered; the other parts of the same prompts, and
+/// the parts of prompts that were lost with them, soon are. So an answer clears a part, and a part
+/// with several crashes since its last answer is suspected. Crashes at one moment, as when a host
+/// fails, are no independent evidence: at least one request must have been sent after a crash.
+/// Of suspected parts with the same crashes, only the one that was answered longest ago (of equal
+/// ones, the one furthest back in the prompt) is quarantined: prompts share their first parts.
+/// Merging evidence is commutative and idempotent. Pure; not thread-safe.
+class prompt_quarantine
+{
+  public:
+    /// Crashes since the last answer that quarantine a part.
+    static constexpr std::size_t crashes_to_quarantine = 3;
+    /// How long a crash counts.
+    static constexpr core::seconds crash_lifetime{600};
+    /// How long an answer to a part that was suspected is reported to other nodes.
+    static constexpr core::seconds answer_report_time{30};
+    /// Parts known at a time; the least suspect ones are forgotten first.
+    static constexpr std::size_t max_parts = 2'048;
+    /// Crashes kept for one part.
+    static constexpr std::size_t max_crashes = 8;
+
+    /// @brief Records a crash, of this node or of another. O(1) amortised.
+    void add(const prompt_crash& crash, core::time_point now);
+
+    /// @brief Records an answer, of this node or of another. O(1) amortised.
+    void add(const prompt_answer& answer, core::time_point now);
+
+    /// @brief Merges the evidence of another node.
+    void merge(const prompt_evidence& received, core::time_point now);
+
+    /// @brief How long prompts with these parts are not to be sent; nothing when they may be.
+    std::optional<core::milliseconds> time_left(std::span<const prompt_part_key> parts,
+                                                core::time_point now) const;
+
+    /// @brief Whether an upstream crashed under one of the parts since its last answer.
+    bool is_suspect(std::span<const prompt_part_key> parts, core::time_point now) const;
+
+    /// @brief What the other nodes should know, most suspect parts first. O(parts).
+    /// @param max_items limit of the crashes, and of the answers
+    prompt_evidence evidence(std::size_t max_items, core::time_point now) const;
+
+    /// @brief Number of parts in quarantine. O(parts).
+    std::size_t quarantined(core::time_point now) const;
+
+  private:
+    using crash_list = std::vector<prompt_crash>;
+
+    struct part_state
+    {
+        crash_list crashes; ///< since the last answer, oldest first
+        core::time_point answered_at{};
+        core::time_point suspected_at{}; ///< last crash, cleared ones included
+    };
+
+    static std::optional<core::time_point> suspicion_end(const crash_list& crashes,
+                                                         core::time_point now);
+    std::optional<core::time_point> quarantine_end(const part_state& part,
+                                                   core::time_point now) const;
+    bool is_explained_by_other(const part_state& part, core::time_point now) const;
+    void limit_size(core::time_point now);
+
+    std::unordered_map<prompt_part_key, part_state> m_parts;
+};
+
+} // namespace snipeplank::policy
+
+#endif
