serving, wire: prompts with a part that crashes servers are refused on every node

Cause: nothing remembered under which part of a prompt servers had ended. Limits on attempts and retries hold for one request; each of these is a new one, and each node sees a few of the ends only. Change: prompt_guard notes a request whose server broke off before the first event of its answer, and connects to that server once: only one that cannot be connected to has crashed. The crash counts against the parts of the prompt but the last. Nodes exchange crashes, and answers to suspected parts, with their load reports (300 ms, to six nodes of the region and four of others; nothing is sent in calm times). policy::prompt_quarantine decides, on each node alike; a quarantined prompt gets 503 with the time that is left, here and at the receiver of a forwarded call. A request that broke off under a suspected part is not sent again. New log line upstream_crashed, counter snipeplank_upstream_crashes_total, gauge snipeplank_quarantined_prompt_parts. The estimate of a gossip message was 4 bytes short with the new vectors (codec.encoded_gossip_does_not_exceed_its_estimated_size failed) and counts their alignment now.

--- a/packages/fleet/include/snipeplank/fleet/messages.hpp
+++ b/packages/fleet/include/snipeplank/fleet/messages.hpp
@@ -3,8 +3,8 @@
 ///
 /// The codec is in `wire`. The size of gossip is bounded: `estimated_size` is an upper bound for
 /// the encoded size, provided that strings are in tables and that `upstream_load`,
-/// `upstream_leaving` and `service_load` are encoded as FlatBuffers structs of 24, 16 and 16 bytes.
-/// Hashes may be encoded as 32 raw bytes.
+/// `upstream_leaving`, `service_load`, `prompt_crash` and `prompt_answer` are encoded as
+/// FlatBuffers structs of 24, 16, 16, 32 and 16 bytes. Hashes may be encoded as 32 raw bytes.
 
 #ifndef SNIPEPLANK_FLEET_MESSAGES_HPP
 #define SNIPEPLANK_FLEET_MESSAGES_HPP
@@ -77,6 +77,27 @@
     friend bool operator==(const upstream_leaving&, const upstream_leaving&) = default;
 };
 
+/// @brief An upstream crashed while it began to answer a prompt with this part. 32 bytes encoded.
+struct prompt_crash
+{
+    std::uint64_t part_key = 0;     ///< hash of the part's id
+    std::uint64_t upstream_key = 0; ///< hash of the id of the upstream's run
+    std::uint32_t sent_ms_ago = 0;  ///< since the request was sent
+    std::uint32_t ms_ago = 0;       ///< since the crash
+    std::uint16_t position = 0;     ///< of the part in the prompt, from 0
+
+    friend bool operator==(const prompt_crash&, const prompt_crash&) = default;
+};
+
+/// @brief An upstream answered a prompt with a part that was suspected. 16 bytes encoded.
+struct prompt_answer
+{
+    std::uint64_t part_key = 0; ///< hash of the part's id
+    std::uint32_t ms_ago = 0;   ///< since the answer
+
+    friend bool operator==(const prompt_answer&, const prompt_answer&) = default;
+};
+
 /// @brief Total load of the upstreams of one service in one region. 16 bytes encoded.
 struct service_load
 {
@@ -136,6 +157,8 @@
     std::vector<upstream_load> loads;
     std::vector<upstream_leaving> leaving;
     std::vector<region_summary> regions;
+    std::vector<prompt_crash> prompt_crashes;
+    std::vector<prompt_answer> prompt_answers;
 
     friend bool operator==(const gossip&, const gossip&) = default;
 };
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -8,14 +8,18 @@
 {
 
 /// Frame length, root, `frame` table with protocol version, and vtables shared by all items.
-constexpr std::size_t frame_bytes = 96;
+constexpr std::size_t frame_bytes = 100;
 /// Offset in the owner's vector or table, vtable offset and alignment of one table.
 constexpr std::size_t table_bytes = 12;
 constexpr std::size_t small_table_bytes = 8;
 constexpr std::size_t vector_bytes = 8;
+/// Offset, length and alignment of a vector of structs with 64-bit members.
+constexpr std::size_t struct_vector_bytes = 12;
 constexpr std::size_t load_bytes = 24;
 constexpr std::size_t leaving_bytes = 16;
 constexpr std::size_t service_load_bytes = 16;
+constexpr std::size_t prompt_crash_bytes = 32;
+constexpr std::size_t prompt_answer_bytes = 16;
 
 /// Offset, length, terminating zero and alignment.
 std::size_t string_bytes(const std::string& text)
@@ -37,13 +41,17 @@
 std::size_t size_of(const gossip& value)
 {
     constexpr std::size_t scalars = 8;
-    constexpr std::size_t vectors = 4;
-    std::size_t total = frame_bytes + table_bytes + scalars + vectors * vector_bytes;
+    constexpr std::size_t vectors = 2;
+    constexpr std::size_t struct_vectors = 4;
+    std::size_t total = frame_bytes + table_bytes + scalars + vectors * vector_bytes +
+                        struct_vectors * struct_vector_bytes;
     total += string_bytes(value.target.get()) + string_bytes(value.sender_region.get());
     total += estimated_size(value.sender) + size_of(value.digest);
     for (const member_update& item : value.members)
         total += estimated_size(item);
     total += value.loads.size() * load_bytes + value.leaving.size() * leaving_bytes;
+    total += value.prompt_crashes.size() * prompt_crash_bytes +
+             value.prompt_answers.size() * prompt_answer_bytes;
     for (const region_summary& item : value.regions)
         total += estimated_size(item);
     return total;
--- a/packages/policy/include/snipeplank/policy/refusal.hpp
+++ b/packages/policy/include/snipeplank/policy/refusal.hpp
@@ -42,9 +42,11 @@
     answer_not_kept,
     outcome_unknown,
     internal,
+    prompt_quarantined, ///< upstreams crashed under a part of the prompt
 };
 
-constexpr std::size_t refusal_reason_count = static_cast<std::size_t>(refusal_reason::internal) + 1;
+constexpr std::size_t refusal_reason_count =
+    static_cast<std::size_t>(refusal_reason::prompt_quarantined) + 1;
 
 /// @brief Whether an upstream executed the refused request.
 enum class execution
--- a/packages/serving/src/attempt.hpp
+++ b/packages/serving/src/attempt.hpp
@@ -24,6 +24,8 @@
     bool was_sent = false;                  ///< some byte may have reached the other end
     bool is_unreachable = false;            ///< no connection could be made
     std::string cause;                      ///< why there is no answer
+    /// Refusal of a node of another region.
+    std::optional<policy::refusal> refused;
 
     /// @brief Whether the upstream has certainly not run the request and never will.
     bool is_proven_not_run() const
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -88,6 +88,7 @@
     m_caller = std::move(read.value());
     m_line.request_id = m_caller.id;
     m_line.prompt_tokens = m_caller.prompt_tokens;
+    m_prompt_parts = shared_parts_of(m_caller);
     if (!m_table)
     {
         why = {policy::refusal_reason::not_ready, policy::execution::no,
@@ -156,6 +157,11 @@
             co_await refuse(final_refusal());
             co_return;
         }
+        if (std::optional<policy::refusal> quarantined = quarantine_refusal())
+        {
+            co_await refuse(std::move(*quarantined));
+            co_return;
+        }
         const placement_decision where = m_environment.places.decide(next_request(), now());
         if (const auto* refused = std::get_if<policy::refusal>(&where))
         {
@@ -198,7 +204,7 @@
         return m_environment.regions.call(region->region, head, m_exchange.body(), remaining());
     }
     const auto& local = std::get<to_upstream>(where);
-    m_current_upstream = local.target.id;
+    m_current_upstream = local.target;
     m_tried.push_back(local.target.id);
     m_line.predicted_ms = local.predicted_ms;
     m_line.attempts += local.target.id.get() + "@" + local.target.address.get();
@@ -232,6 +238,8 @@
         region != nullptr
             ? m_environment.places.on_sent(request, region->region, now())
             : m_environment.places.on_sent(request, std::get<to_upstream>(where).target.id, now());
+    m_attempt_sent = now();
+    m_has_event = false;
     m_awaits_answer = true;
     m_silent_checks = 0;
     attempt_start result = co_await m_attempt->start();
@@ -285,11 +293,19 @@
 {
     const bool is_proven = result.is_proven_not_run();
     m_line.attempts += "=" + (result.cause.empty() ? std::string("not_run") : result.cause) + " ";
+    if (result.kind == answer_kind::broken && result.was_sent)
+        report_broken_upstream();
     if (result.is_unreachable)
         end_attempt(attempt_end::unreachable);
     else
         end_attempt(is_proven ? attempt_end::rejected : attempt_end::failed);
     m_attempt->cancel();
+    if (is_quarantined_elsewhere(result))
+    {
+        policy::refusal why = refusal_of(result);
+        co_await refuse(std::move(why));
+        co_return next_step::done;
+    }
     if (!result.was_sent && m_tried.size() < max_attempts_per_request)
         co_return retry(policy::retry_reason::connect_failed);
     if (may_retry(is_proven))
@@ -306,7 +322,7 @@
         return false;
     if (!is_within_attempt_limits(proven_not_run ? 0 : m_runs))
         return false;
-    if (!proven_not_run && !m_route->may_retry())
+    if (!proven_not_run && (!m_route->may_retry() || may_have_crashed_upstream()))
         return false;
     return std::exchange(m_has_reserved_retry, false) ||
            m_environment.places.take_retry(m_service, now());
@@ -351,6 +367,7 @@
         if (!events.empty())
         {
             m_environment.places.on_first_byte(*m_attempt_number, now());
+            m_has_event = true;
             record_event();
             const bool is_written = co_await m_exchange.write(events);
             if (!is_written)
@@ -363,6 +380,7 @@
         break;
     }
     m_attempt->finish();
+    m_environment.prompts.on_answered(m_prompt_parts);
     end_attempt(attempt_end::answered);
     m_line.outcome = "answered";
     m_line.executed = "yes";
@@ -392,6 +410,7 @@
 
 asio::awaitable<call::next_step> call::on_broken_stream()
 {
+    report_broken_upstream();
     m_attempt->cancel();
     end_attempt(attempt_end::failed);
     m_line.attempts += "=broken ";
@@ -428,6 +447,8 @@
     m_environment.places.on_first_byte(*m_attempt_number, now());
     m_attempt->finish();
     const bool is_success = result.kind == answer_kind::success;
+    if (is_success)
+        m_environment.prompts.on_answered(m_prompt_parts);
     end_attempt(is_success || result.head.status < first_server_error ? attempt_end::answered
                                                                       : attempt_end::failed);
     m_line.outcome = is_success ? "answered" : "upstream_answer";
@@ -437,6 +458,43 @@
     co_return next_step::done;
 }
 
+/// The refusal of a prompt under which upstreams crash; nothing when it may be sent.
+std::optional<policy::refusal> call::quarantine_refusal() const
+{
+    const auto left = m_environment.prompts.quarantine_left(m_prompt_parts);
+    if (!left)
+        return std::nullopt;
+    if (m_may_have_run)
+        return final_refusal();
+    return policy::refusal{policy::refusal_reason::prompt_quarantined, policy::execution::no,
+                           "change the prompt: servers crashed under one of its parts", *left};
+}
+
+/// Whether a node of another region knows that upstreams crash under the prompt.
+bool call::is_quarantined_elsewhere(const attempt_start& result)
+{
+    return result.refused && result.refused->reason == policy::refusal_reason::prompt_quarantined;
+}
+
+policy::refusal call::refusal_of(const attempt_start& result) const
+{
+    return m_may_have_run ? final_refusal() : *result.refused;
+}
+
+/// Whether the upstream broke off before it delivered an event, and an earlier one crashed under a
+/// part of this prompt.
+bool call::may_have_crashed_upstream() const
+{
+    return !m_has_event && m_environment.prompts.is_suspect(m_prompt_parts);
+}
+
+void call::report_broken_upstream()
+{
+    if (m_current_upstream && !m_has_event && m_given_up_for == cut_cause::none)
+        m_environment.prompts.on_broken(*m_current_upstream,
+                                        {m_caller.id, m_prompt_parts, m_attempt_sent});
+}
+
 void call::end_attempt(attempt_end how)
 {
     if (const auto number = std::exchange(m_attempt_number, std::nullopt))
@@ -484,7 +542,7 @@
 bool call::is_upstream_silent() const
 {
     return m_awaits_answer && m_current_upstream &&
-           m_environment.places.is_silent(*m_current_upstream, now());
+           m_environment.places.is_silent(m_current_upstream->id, now());
 }
 
 /// Reserves a retry at another upstream that is not silent, or in another region.
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -23,6 +23,7 @@
 #include "attempt.hpp"
 #include "call_log.hpp"
 #include "call_statistics.hpp"
+#include "prompt_guard.hpp"
 
 namespace snipeplank::serving
 {
@@ -49,6 +50,7 @@
     const caller_protocol& callers;
     const upstream_protocol& upstreams;
     region_caller& regions;
+    prompt_guard& prompts;
     call_log& log;
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
@@ -96,6 +98,11 @@
     bool may_retry(bool proven_not_run);
     bool is_within_attempt_limits(unsigned runs) const;
     next_step retry(policy::retry_reason reason);
+    std::optional<policy::refusal> quarantine_refusal() const;
+    static bool is_quarantined_elsewhere(const attempt_start& result);
+    policy::refusal refusal_of(const attempt_start& result) const;
+    bool may_have_crashed_upstream() const;
+    void report_broken_upstream();
     void report();
     void end_attempt(attempt_end how);
     void start_deadline();
@@ -122,7 +129,9 @@
     boost::asio::steady_timer m_silence_timer;
     std::unique_ptr<attempt> m_attempt;
     std::optional<std::uint64_t> m_attempt_number;
-    std::optional<upstream_id> m_current_upstream; ///< none for a call to another region
+    shared_prompt_parts m_prompt_parts;
+    std::optional<upstream> m_current_upstream; ///< none for a call to another region
+    core::time_point m_attempt_sent{};
     std::vector<upstream_id> m_tried;
     std::vector<core::region_id> m_tried_regions;
     http::event_splitter m_events;
@@ -133,6 +142,7 @@
     int m_silent_checks = 0;                    ///< consecutive ones that found silence
     unsigned m_runs = 0;                        ///< attempts that may have run
     unsigned m_sends = 0;                       ///< attempts of which a byte may have been received
+    bool m_has_event = false;                   ///< the current attempt has delivered an event
     bool m_awaits_answer = false;               ///< the current attempt has no answer head yet
     bool m_has_reserved_retry = false;          ///< taken from the retry budget, not used yet
     bool m_may_have_run = false;
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -208,15 +208,21 @@
     }
     fleet::gossip loads = compose(fleet::gossip_kind::announce);
     loads.loads = m_listener.own_loads();
+    fleet::gossip summary = compose(fleet::gossip_kind::announce);
+    summary.regions = {m_listener.own_region()};
+    fleet::gossip evidence = compose(fleet::gossip_kind::announce);
+    const bool has_evidence = m_listener.add_prompt_evidence(evidence);
     for (const core::address& each : m_local_selector.next(local))
     {
         send_gossip(each, loads);
+        if (has_evidence)
+            send_gossip(each, evidence);
     }
-    fleet::gossip summary = compose(fleet::gossip_kind::announce);
-    summary.regions = {m_listener.own_region()};
     for (const core::address& each : m_remote_selector.next(remote))
     {
         send_gossip(each, summary);
+        if (has_evidence)
+            send_gossip(each, evidence);
     }
 }
 
@@ -250,6 +256,8 @@
         m_listener.on_members_changed();
     if (!received.regions.empty() || !received.loads.empty())
         m_listener.on_peer_loads(received);
+    if (!received.prompt_crashes.empty() || !received.prompt_answers.empty())
+        m_listener.on_prompt_evidence(received);
 }
 
 void fleet_link::record_received(const core::address& peer)
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -44,7 +44,13 @@
     virtual void on_peer_lost(const core::address& peer) = 0;
     virtual void on_peer_unreachable(const core::address& peer) = 0;
     virtual void on_peer_loads(const fleet::gossip& received) = 0;
+    virtual void on_prompt_evidence(const fleet::gossip& received) = 0;
     virtual std::vector<fleet::upstream_load> own_loads() = 0;
+
+    /// @brief Adds what this node knows of prompts that crash upstreams.
+    /// @return whether there was anything
+    virtual bool add_prompt_evidence(fleet::gossip& message) = 0;
+
     virtual fleet::region_summary own_region() = 0;
 
     /// @brief Version of the configuration in force; 0 while there is none.
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -19,6 +19,7 @@
 #include "fleet_link.hpp"
 #include "load_exchange.hpp"
 #include "peer_calls.hpp"
+#include "prompt_guard.hpp"
 
 namespace snipeplank::serving
 {
@@ -70,15 +71,15 @@
     state(asio::io_context& loop, node_options options, node_adapters adapters)
         : m_loop(loop), m_options(std::move(options)), m_adapters(adapters),
           m_random(core::system_seed()), m_log(m_options.name), m_pool(loop),
-          m_placement(m_options.region, m_options.bounds, m_random),
+          m_prompts(loop, m_pool, m_log), m_placement(m_options.region, m_options.bounds, m_random),
           m_loads(m_options.region, m_placement),
           m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
               m_random),
-          m_environment{loop,    m_pool, m_placement,  adapters.callers, adapters.upstreams,
-                        m_peers, m_log,  m_statistics, nullptr},
+          m_environment{loop,    m_pool,    m_placement, adapters.callers, adapters.upstreams,
+                        m_peers, m_prompts, m_log,       m_statistics,     nullptr},
           m_calls([this](http::exchange& request) { return serve_call(request); }),
           m_control([this](http::exchange& request) { return serve_control(request); }),
           m_admin([this](http::exchange& request) { return serve_admin(request); }),
@@ -225,6 +226,16 @@
         refresh_regions();
     }
 
+    void on_prompt_evidence(const fleet::gossip& received) override
+    {
+        m_prompts.on_evidence(received);
+    }
+
+    bool add_prompt_evidence(fleet::gossip& message) override
+    {
+        return m_prompts.add_evidence(message);
+    }
+
     std::vector<fleet::upstream_load> own_loads() override { return m_loads.own_upstreams(); }
 
     core::config_version version_in_force() const override
@@ -408,6 +419,10 @@
               m_environment.table ? m_environment.table->version.get() : 0);
         gauge("snipeplank_state_source_reachable", m_adapters.source.is_reachable(now()) ? 1 : 0);
         gauge("snipeplank_log_lines_dropped", m_log.dropped());
+        gauge("snipeplank_quarantined_prompt_parts", m_prompts.quarantined());
+        text +=
+            "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
+            std::to_string(m_prompts.crashes()) + "\n";
         return text;
     }
 
@@ -418,6 +433,7 @@
     call_log m_log;
     call_statistics m_statistics;
     http::connection_pool m_pool;
+    prompt_guard m_prompts;
     placement m_placement;
     load_exchange m_loads;
     fleet_link m_fleet;
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -70,6 +70,7 @@
             result.kind = is_proven ? answer_kind::not_run : answer_kind::broken;
             result.was_sent = !m_was_dropped;
             result.cause = std::string(policy::to_string(refused->why.reason));
+            result.refused = refused->why;
             co_return result;
         }
         result.cause = "unexpected message";
--- /dev/null
+++ b/packages/serving/src/prompt_guard.cpp
@@ -0,0 +1,161 @@
+#include "prompt_guard.hpp"
+
+#include <snipeplank/core/hash.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <utility>
+
+#include "clock.hpp"
+
+namespace snipeplank::serving
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Upstreams are in the own region, a few milliseconds away.
+constexpr core::milliseconds connect_timeout{400};
+/// Limit of the crashes, and of the answers, in one message to another node.
+constexpr std::size_t max_evidence_items = 20;
+
+std::uint32_t ms_ago(core::time_point at, core::time_point now)
+{
+    constexpr auto max_value = std::numeric_limits<std::uint32_t>::max();
+    const auto ms = std::chrono::duration_cast<core::milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, max_value));
+}
+
+core::time_point before(core::time_point now, std::uint32_t ms_ago)
+{
+    return now - core::milliseconds{ms_ago};
+}
+
+} // namespace
+
+shared_prompt_parts shared_parts_of(const caller_request& request)
+{
+    shared_prompt_parts parts;
+    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
+    {
+        parts.emplace_back(core::hash64(request.prompt[i].id));
+    }
+    return parts;
+}
+
+prompt_guard::prompt_guard(asio::io_context& loop, http::connection_pool& pool, call_log& log)
+    : m_loop(loop), m_pool(pool), m_log(log)
+{
+}
+
+std::optional<core::milliseconds>
+prompt_guard::quarantine_left(const shared_prompt_parts& parts) const
+{
+    return m_quarantine.time_left(parts, now());
+}
+
+bool prompt_guard::is_suspect(const shared_prompt_parts& parts) const
+{
+    return m_quarantine.is_suspect(parts, now());
+}
+
+void prompt_guard::on_answered(const shared_prompt_parts& parts)
+{
+    const core::time_point time = now();
+    for (const policy::prompt_part_key& each : parts)
+    {
+        m_quarantine.add(policy::prompt_answer{each, time}, time);
+    }
+}
+
+void prompt_guard::on_broken(const upstream& target, broken_request request)
+{
+    if (request.parts.empty())
+        return;
+    const auto [pending, is_first] = m_checks.try_emplace(target.id);
+    pending->second.requests.push_back(std::move(request));
+    if (!is_first)
+        return;
+    pending->second.broken_at = now();
+    asio::co_spawn(m_loop, check(target), asio::detached);
+}
+
+asio::awaitable<void> prompt_guard::check(upstream target)
+{
+    const auto connection = m_pool.create(target.address);
+    const auto connected = co_await connection->connect(connect_timeout);
+    const auto checked = m_checks.extract(target.id);
+    if (!connected && !checked.empty())
+        record_crash(target, checked.mapped());
+}
+
+void prompt_guard::record_crash(const upstream& target, const crash_check& checked)
+{
+    ++m_crashes;
+    const policy::upstream_run_key run{core::hash64(target.id.get())};
+    nlohmann::json requests = nlohmann::json::array();
+    for (const broken_request& each : checked.requests)
+    {
+        requests.push_back(each.id);
+        for (std::size_t i = 0; i < each.parts.size(); ++i)
+        {
+            const policy::prompt_crash crash{each.parts[i], run, each.sent, checked.broken_at,
+                                             static_cast<std::uint16_t>(i)};
+            m_quarantine.add(crash, now());
+        }
+    }
+    m_log.event(line_kind::failure, "upstream_crashed",
+                {{"id", target.id.get()},
+                 {"address", target.address.get()},
+                 {"request_ids", requests},
+                 {"quarantined_parts", quarantined()}});
+}
+
+bool prompt_guard::add_evidence(fleet::gossip& message) const
+{
+    const core::time_point time = now();
+    const policy::prompt_evidence known = m_quarantine.evidence(max_evidence_items, time);
+    for (const policy::prompt_crash& each : known.crashes)
+    {
+        message.prompt_crashes.push_back({each.part.get(), each.upstream.get(),
+                                          ms_ago(each.sent, time), ms_ago(each.at, time),
+                                          each.position});
+    }
+    for (const policy::prompt_answer& each : known.answers)
+    {
+        message.prompt_answers.push_back({each.part.get(), ms_ago(each.at, time)});
+    }
+    return !known.is_empty();
+}
+
+void prompt_guard::on_evidence(const fleet::gossip& received)
+{
+    const core::time_point time = now();
+    policy::prompt_evidence evidence;
+    for (const fleet::prompt_crash& each : received.prompt_crashes)
+    {
+        evidence.crashes.push_back(
+            {policy::prompt_part_key{each.part_key}, policy::upstream_run_key{each.upstream_key},
+             before(time, each.sent_ms_ago), before(time, each.ms_ago), each.position});
+    }
+    for (const fleet::prompt_answer& each : received.prompt_answers)
+    {
+        evidence.answers.push_back(
+            {policy::prompt_part_key{each.part_key}, before(time, each.ms_ago)});
+    }
+    m_quarantine.merge(evidence, time);
+}
+
+std::size_t prompt_guard::quarantined() const
+{
+    return m_quarantine.quarantined(now());
+}
+
+} // namespace snipeplank::serving
--- /dev/null
+++ b/packages/serving/src/prompt_guard.hpp
@@ -0,0 +1,98 @@
+/// @file
+/// Keeps prompts under which upstreams crash away from them.
+
+#ifndef SNIPEPLANK_SERVING_SRC_PROMPT_GUARD_HPP
+#define SNIPEPLANK_SERVING_SRC_PROMPT_GUARD_HPP
+
+#include <snipeplank/fleet/messages.hpp>
+#include <snipeplank/http/client.hpp>
+#include <snipeplank/policy/prompt_quarantine.hpp>
+#include <snipeplank/serving/protocols.hpp>
+#include <snipeplank/serving/upstream.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "call_log.hpp"
+
+namespace snipeplank::serving
+{
+
+/// Hashes of the parts of a prompt that other prompts may share, in sequence.
+using shared_prompt_parts = std::vector<policy::prompt_part_key>;
+
+/// @brief The parts of a request's prompt without the last one, which no other request shares.
+shared_prompt_parts shared_parts_of(const caller_request& request);
+
+/// @brief A request whose upstream broke off before the first event of its answer.
+struct broken_request
+{
+    std::string id;
+    shared_prompt_parts parts;
+    core::time_point sent;
+};
+
+/// @brief Learns from broken answers which upstreams crashed, and refuses the prompts under which
+/// they do. Used on the event loop only.
+///
+/// Only an upstream that cannot be connected to right after it broke off an answer has crashed; one
+/// that accepts a connection has failed this request only.
+class prompt_guard
+{
+  public:
+    /// @param pool, log outlive the object
+    prompt_guard(boost::asio::io_context& loop, http::connection_pool& pool, call_log& log);
+
+    /// @brief How long prompts with these parts are not to be sent; nothing when they may be.
+    std::optional<core::milliseconds> quarantine_left(const shared_prompt_parts& parts) const;
+
+    /// @brief Whether an upstream crashed under one of the parts since its last answer.
+    bool is_suspect(const shared_prompt_parts& parts) const;
+
+    /// @brief Records a whole answer to a prompt with these parts.
+    void on_answered(const shared_prompt_parts& parts);
+
+    /// @brief Checks whether the upstream crashed, and records it under the parts of the request.
+    void on_broken(const upstream& target, broken_request request);
+
+    /// @brief Adds to a message what the other nodes should know; nothing in calm times.
+    /// @return whether there was anything
+    bool add_evidence(fleet::gossip& message) const;
+
+    /// @brief Handles the evidence of another node.
+    void on_evidence(const fleet::gossip& received);
+
+    /// @brief Crashes of upstreams that this node saw under prompts.
+    std::uint64_t crashes() const { return m_crashes; }
+
+    /// @brief Number of prompt parts in quarantine.
+    std::size_t quarantined() const;
+
+  private:
+    /// Requests that broke off at one upstream, until it is known whether that crashed.
+    struct crash_check
+    {
+        core::time_point broken_at;
+        std::vector<broken_request> requests;
+    };
+
+    boost::asio::awaitable<void> check(upstream target);
+    void record_crash(const upstream& target, const crash_check& checked);
+
+    boost::asio::io_context& m_loop;
+    http::connection_pool& m_pool;
+    call_log& m_log;
+    policy::prompt_quarantine m_quarantine;
+    std::map<upstream_id, crash_check> m_checks;
+    std::uint64_t m_crashes = 0;
+};
+
+} // namespace snipeplank::serving
+
+#endif
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -74,6 +74,15 @@
     void on_peer_lost(const core::address&) override {}
     void on_peer_unreachable(const core::address&) override {}
     void on_peer_loads(const fleet::gossip&) override {}
+    void on_prompt_evidence(const fleet::gossip& received) override
+    {
+        crashes_received += received.prompt_crashes.size();
+    }
+    bool add_prompt_evidence(fleet::gossip& message) override
+    {
+        message.prompt_crashes = known_crashes;
+        return !known_crashes.empty();
+    }
     std::vector<fleet::upstream_load> own_loads() override { return {}; }
     fleet::region_summary own_region() override { return {}; }
     core::config_version version_in_force() const override { return core::config_version{1}; }
@@ -86,6 +95,8 @@
 
     fleet_link* link = nullptr;
     std::vector<live_node> nodes;
+    std::vector<fleet::prompt_crash> known_crashes;
+    std::size_t crashes_received = 0;
 };
 
 } // namespace
@@ -131,6 +142,17 @@
         run_for(core::milliseconds{0});
     }
 
+    std::size_t crashes_sent() const
+    {
+        std::size_t count = 0;
+        for (const auto& [to, message] : network->sent)
+        {
+            const auto* body = std::get_if<fleet::gossip>(&message);
+            count += body != nullptr ? body->prompt_crashes.size() : 0;
+        }
+        return count;
+    }
+
     void run_for(core::milliseconds span)
     {
         loop.restart();
@@ -170,3 +192,22 @@
     run_for(2 * fleet::tick_interval);
     CHECK_TRUE(network->pings_to(peer) > before);
 }
+
+// Fails when what a node learns of prompts that crash upstreams stays in its region, costs messages
+// in calm times, or is not handed on when it is received.
+TEST(fleet_link, evidence_of_crashes_reaches_the_nodes_of_other_regions)
+{
+    constexpr core::milliseconds exchange_interval{300};
+    run_for(2 * exchange_interval);
+    LONGS_EQUAL(0, crashes_sent());
+    listener.known_crashes = {{1, 2, 300, 200, 1}};
+    run_for(2 * exchange_interval);
+    CHECK_TRUE(crashes_sent() > 0);
+    fleet::gossip received;
+    received.sender = {identity.node, core::address{"10.0.0.2:2"}, remote_zone};
+    received.digest.version = core::config_version{1};
+    received.prompt_crashes = listener.known_crashes;
+    link->on_message(identity, received);
+    run_for(core::milliseconds{0});
+    LONGS_EQUAL(1, listener.crashes_received);
+}
--- a/packages/wire/src/decoder_fleet.cpp
+++ b/packages/wire/src/decoder_fleet.cpp
@@ -75,6 +75,17 @@
                   [&](const fb::UpstreamLeaving* item) {
                       to.leaving.push_back({item->upstream_key(), item->age_ms()});
                   });
+    for_each_item(from.prompt_crashes(), sizeof(fb::PromptCrash),
+                  [&](const fb::PromptCrash* item)
+                  {
+                      to.prompt_crashes.push_back({item->part_key(), item->upstream_key(),
+                                                   item->sent_ms_ago(), item->ms_ago(),
+                                                   item->position()});
+                  });
+    for_each_item(from.prompt_answers(), sizeof(fb::PromptAnswer),
+                  [&](const fb::PromptAnswer* item) {
+                      to.prompt_answers.push_back({item->part_key(), item->ms_ago()});
+                  });
     for_each_item(from.regions(), min_table_bytes,
                   [&](const fb::RegionSummary* item) { to.regions.push_back(region(item)); });
     return to;
--- a/packages/wire/src/encoder_fleet.cpp
+++ b/packages/wire/src/encoder_fleet.cpp
@@ -56,6 +56,21 @@
     {
         leaving.emplace_back(item.upstream_key, item.age_ms);
     }
+    std::vector<fb::PromptCrash> crashes;
+    crashes.reserve(value.prompt_crashes.size());
+    for (const fleet::prompt_crash& item : value.prompt_crashes)
+    {
+        crashes.emplace_back(item.part_key, item.upstream_key, item.sent_ms_ago, item.ms_ago,
+                             item.position);
+    }
+    std::vector<fb::PromptAnswer> answers;
+    answers.reserve(value.prompt_answers.size());
+    for (const fleet::prompt_answer& item : value.prompt_answers)
+    {
+        answers.emplace_back(item.part_key, item.ms_ago);
+    }
+    const auto crash_structs = crashes.empty() ? 0 : m_builder.CreateVectorOfStructs(crashes);
+    const auto answer_structs = answers.empty() ? 0 : m_builder.CreateVectorOfStructs(answers);
     const auto load_structs = loads.empty() ? 0 : m_builder.CreateVectorOfStructs(loads);
     const auto leaving_structs = leaving.empty() ? 0 : m_builder.CreateVectorOfStructs(leaving);
     const auto regions = list<fb::RegionSummary>(
@@ -65,11 +80,11 @@
     fb::Sha256 sha256;
     std::memcpy(&sha256, raw.data(), raw.size());
     const auto hash_text = raw.empty() ? text(value.digest.manifest_hash) : 0;
-    const auto table =
-        fb::CreateGossip(m_builder, static_cast<std::uint8_t>(value.kind), value.sequence, target,
-                         sender, sender_region, value.digest.version.get(),
-                         raw.empty() ? nullptr : &sha256, hash_text, value.digest.in_force,
-                         value.wants_members, members, load_structs, leaving_structs, regions);
+    const auto table = fb::CreateGossip(
+        m_builder, static_cast<std::uint8_t>(value.kind), value.sequence, target, sender,
+        sender_region, value.digest.version.get(), raw.empty() ? nullptr : &sha256, hash_text,
+        value.digest.in_force, value.wants_members, members, load_structs, leaving_structs, regions,
+        crash_structs, answer_structs);
     return {fb::Body::Gossip, table.Union()};
 }
 
--- a/packages/wire/tests/arbitrary_message.hpp
+++ b/packages/wire/tests/arbitrary_message.hpp
@@ -74,7 +74,7 @@
 
 inline policy::refusal any_refusal()
 {
-    return {any_enumerator(policy::refusal_reason::internal),
+    return {any_enumerator(policy::refusal_reason::prompt_quarantined),
             any_enumerator(policy::execution::yes), any<std::string>(), any_duration()};
 }
 
@@ -155,6 +155,17 @@
                                         any<std::uint16_t>(), any<std::uint16_t>(),
                                         any<std::uint16_t>()};
         });
+    to.prompt_crashes = any_list(
+        []
+        {
+            return fleet::prompt_crash{any<std::uint64_t>(), any<std::uint64_t>(),
+                                       any<std::uint32_t>(), any<std::uint32_t>(),
+                                       any<std::uint16_t>()};
+        });
+    to.prompt_answers = any_list(
+        [] {
+            return fleet::prompt_answer{any<std::uint64_t>(), any<std::uint32_t>()};
+        });
     to.leaving = any_list(
         [] {
             return fleet::upstream_leaving{any<std::uint64_t>(), any<std::uint32_t>()};
--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -113,3 +113,24 @@
         std::to_string(before) + " crashes, then " + std::to_string(crashes - before) + " more\n";
     CHECK_TRUE_TEXT(crashes <= before + allowed_later, seen.c_str());
 }
+
+// Fails when answers that break off at servers that go on running make a prompt part suspect.
+TEST(crashing_prompt, broken_answers_of_running_servers_quarantine_nothing)
+{
+    set_up({home});
+    standin& model = fleet->add_server("i-m", "model", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/stream/x");
+    for (const char* fault : {"reset", "unsigned", "error"})
+    {
+        machine_fleet::set_fault(model, fault);
+        for (int i = 0; i < 6; ++i)
+        {
+            const http_answer broken = send_prompt(fault, 0);
+            CHECK_FALSE_TEXT(broken.status == 503, broken.describe().c_str());
+        }
+        machine_fleet::set_fault(model, "");
+        const http_answer served = send_prompt(fault, 0);
+        CHECK_TRUE_TEXT(served.is(200), served.describe().c_str());
+    }
+}
