tests: calls on one event loop with scripted upstreams, and what an audit of lost requests refuted

These pass: answers without length (whole, empty, reset, inside an event), directly and through a node of another region; a client that waits on a kept connection, also with requests sent early, never counts as disconnected; a stall of the event loop is no connect timeout and no silence of an upstream (few sockets); a call that could not be sent is proven not run; an error is passed on when the retry budget is spent.

The fixture of the http server destroyed the event loop before the server, which then closed its acceptor in freed memory (found with -fsanitize=address in the first test that ran). No former check is changed.

--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -22,9 +22,11 @@
     bool is_reusable = false;
 };
 
-boost::asio::awaitable<void> exchange_once(client_connection& connection, outcome& result)
+boost::asio::awaitable<void> exchange_once(client_connection& connection, outcome& result,
+                                           core::milliseconds connect_timeout = core::milliseconds{
+                                               2'000})
 {
-    const auto connected = co_await connection.connect(core::milliseconds{2'000});
+    const auto connected = co_await connection.connect(connect_timeout);
     if (!connected)
         co_return;
     request_head head;
@@ -139,6 +141,23 @@
     STRCMP_EQUAL("", read_on.c_str());
 }
 
+// Fails when a stall of the event loop counts as time that the server took to accept a connection.
+TEST(http_client, a_connection_that_opens_during_a_stall_is_used)
+{
+    for (int i = 0; i < 5; ++i)
+    {
+        scripted_server server({"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"}, false);
+        boost::asio::io_context loop;
+        client_connection connection(loop, server.address());
+        outcome result;
+        boost::asio::co_spawn(loop, exchange_once(connection, result, core::milliseconds{100}),
+                              [&](const std::exception_ptr&) { loop.stop(); });
+        boost::asio::post(loop, [] { std::this_thread::sleep_for(core::milliseconds{400}); });
+        loop.run();
+        CHECK_TRUE(result.is_complete);
+    }
+}
+
 // A pool with one connection to a server that closes it after a complete answer.
 TEST_GROUP(connection_pool)
 {
--- a/packages/http/tests/loopback.hpp
+++ b/packages/http/tests/loopback.hpp
@@ -112,13 +112,17 @@
   public:
     loop_thread() : m_work(boost::asio::make_work_guard(loop)), m_thread([this] { loop.run(); }) {}
 
-    ~loop_thread()
+    ~loop_thread() { stop(); }
+    loop_thread(const loop_thread&) = delete;
+    loop_thread& operator=(const loop_thread&) = delete;
+
+    /// @brief Ends the thread, so that objects which use the loop can be destroyed before it.
+    void stop()
     {
         loop.stop();
-        m_thread.join();
+        if (m_thread.joinable())
+            m_thread.join();
     }
-    loop_thread(const loop_thread&) = delete;
-    loop_thread& operator=(const loop_thread&) = delete;
 
     boost::asio::io_context loop;
 
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -1,6 +1,14 @@
 /// Tests the defence against request smuggling, the limits, and the closing of connections.
 
 #include <CppUTest/TestHarness.h>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <vector>
 
 #include "loopback.hpp"
 
@@ -91,8 +99,9 @@
 
     void teardown() override
     {
-        thread.reset();
+        thread->stop();
         subject.reset();
+        thread.reset();
     }
 };
 
@@ -251,6 +260,52 @@
     CHECK_TRUE_TEXT(answer.find("POST /1") != std::string::npos, answer.c_str());
 }
 
+namespace
+{
+
+/// Answers each request late, and records the clients that it believes to have disconnected.
+class late_handler final : public request_handler
+{
+  public:
+    boost::asio::awaitable<void> handle(exchange& request) override
+    {
+        request.on_client_disconnected([this] { ++disconnected; });
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                        core::milliseconds{100});
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        request.on_client_disconnected(nullptr);
+        response answer;
+        answer.head.status = 200;
+        answer.body = request.head().target;
+        co_await request.send(std::move(answer));
+    }
+
+    std::atomic<int> disconnected{0};
+};
+
+} // namespace
+
+// Fails when a client counts as disconnected while it waits, on a connection that carries several
+// requests, one after the other or sent early.
+TEST(http_server, a_client_that_waits_does_not_count_as_disconnected)
+{
+    late_handler late;
+    server other(thread->loop, late);
+    const core::address where = other.listen(core::address{"127.0.0.1:0"}).value();
+    raw_connection client(where);
+    for (const char* target : {"/1", "/2", "/3"})
+    {
+        client.send("GET " + std::string(target) + " HTTP/1.1\r\n" + host + "\r\n");
+        CHECK_TRUE(client.read_until(target).ends_with(target));
+    }
+    client.send("GET /4 HTTP/1.1\r\n" + host + "\r\n");
+    std::this_thread::sleep_for(core::milliseconds{30});
+    client.send("GET /5 HTTP/1.1\r\n" + host + "\r\nGET /6 HTTP/1.1\r\n" + host + "\r\n");
+    CHECK_TRUE(client.read_until("/6").ends_with("/6"));
+    LONGS_EQUAL(0, late.disconnected.load());
+    thread->stop();
+}
+
 // Fails when a closing server drops a connection without announcing it by `Connection: close`.
 TEST(http_server, a_closing_server_sends_connection_close_with_its_next_answer)
 {
--- /dev/null
+++ b/packages/serving/tests/call_fixture.hpp
@@ -0,0 +1,443 @@
+/// @file
+/// Runs calls on one event loop, with scripted upstreams on loopback and a recorded exchange.
+
+#ifndef SNIPEPLANK_SERVING_TESTS_CALL_FIXTURE_HPP
+#define SNIPEPLANK_SERVING_TESTS_CALL_FIXTURE_HPP
+
+#include <snipeplank/core/random.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <limits>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "../src/call.hpp"
+
+namespace snipeplank::serving::tests
+{
+
+namespace asio = boost::asio;
+
+/// @brief Suspends the current coroutine.
+inline asio::awaitable<void> pause_for(asio::io_context& loop, core::milliseconds span)
+{
+    asio::steady_timer timer(loop, span);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+/// @brief Bytes that an upstream sends, after a pause.
+struct answer_part
+{
+    core::milliseconds pause{0};
+    std::string bytes;
+};
+
+/// @brief What an upstream does after the last part of an answer.
+enum class answer_end
+{
+    keep,
+    close,
+    reset,
+};
+
+/// @brief The answer to one request.
+struct scripted_answer
+{
+    std::vector<answer_part> parts;
+    answer_end end = answer_end::keep;
+};
+
+/// @brief Answers requests without a body, each with the next scripted answer; the last one
+/// repeats.
+class scripted_upstream
+{
+  public:
+    scripted_upstream(asio::io_context& loop, std::vector<scripted_answer> answers)
+        : m_loop(loop), m_answers(std::move(answers)),
+          m_acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        asio::co_spawn(loop, accept_all(), asio::detached);
+    }
+    scripted_upstream(const scripted_upstream&) = delete;
+    scripted_upstream& operator=(const scripted_upstream&) = delete;
+
+    core::address address() const
+    {
+        return core::address{"127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())};
+    }
+
+    /// @brief A later request on a connection finds it closed.
+    unsigned requests_per_connection = std::numeric_limits<unsigned>::max();
+
+    /// @brief The heads of the requests that were received.
+    const std::vector<std::string>& requests() const { return m_requests; }
+
+  private:
+    using tcp = asio::ip::tcp;
+
+    asio::awaitable<void> accept_all()
+    {
+        for (;;)
+        {
+            auto socket = std::make_shared<tcp::socket>(m_loop);
+            boost::system::error_code error;
+            co_await m_acceptor.async_accept(*socket,
+                                             asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            asio::co_spawn(m_loop, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
+    {
+        std::string received;
+        for (unsigned served = 0;; ++served)
+        {
+            boost::system::error_code error;
+            const std::size_t size =
+                co_await asio::async_read_until(*socket, asio::dynamic_buffer(received), "\r\n\r\n",
+                                                asio::redirect_error(asio::use_awaitable, error));
+            if (error || served == requests_per_connection)
+                co_return;
+            m_requests.push_back(received.substr(0, size));
+            received.erase(0, size);
+            const std::size_t index = std::min(m_requests.size(), m_answers.size()) - 1;
+            for (const answer_part& part : m_answers[index].parts)
+            {
+                co_await pause_for(m_loop, part.pause);
+                co_await asio::async_write(*socket, asio::buffer(part.bytes),
+                                           asio::redirect_error(asio::use_awaitable, error));
+            }
+            if (m_answers[index].end == answer_end::reset)
+                socket->set_option(asio::socket_base::linger(true, 0), error);
+            if (m_answers[index].end == answer_end::keep)
+                continue;
+            // The destructor would close without a reset.
+            socket->close(error);
+            co_return;
+        }
+    }
+
+    asio::io_context& m_loop;
+    std::vector<scripted_answer> m_answers;
+    tcp::acceptor m_acceptor;
+    std::vector<std::string> m_requests;
+};
+
+/// @brief A request of a client, and what the client receives.
+class recorded_exchange final : public http::exchange
+{
+  public:
+    recorded_exchange(asio::io_context& loop, http::request_head head)
+        : m_loop(loop), m_head(std::move(head)), m_received(std::chrono::steady_clock::now())
+    {
+    }
+
+    const http::request_head& head() const override { return m_head; }
+    const std::string& body() const override { return m_body; }
+    core::time_point received_at() const override { return m_received; }
+    bool has_begun() const override { return status != 0; }
+
+    asio::awaitable<bool> send(http::response answer) override
+    {
+        status = answer.head.status;
+        written = std::move(answer.body);
+        is_finished = true;
+        co_return true;
+    }
+
+    asio::awaitable<bool> begin(http::response_head head) override
+    {
+        status = head.status;
+        co_return true;
+    }
+
+    asio::awaitable<bool> write(std::string_view data) override
+    {
+        written += data;
+        co_await pause_for(m_loop, std::exchange(next_write_takes, core::milliseconds{0}));
+        co_return true;
+    }
+
+    asio::awaitable<bool> finish() override
+    {
+        is_finished = true;
+        co_return true;
+    }
+
+    void abort() override {}
+    void on_client_disconnected(std::function<void()>) override {}
+
+    /// @brief Whether the client has a whole answer with this status and body.
+    bool is(int wanted, std::string_view body) const
+    {
+        return is_finished && status == wanted && written == body;
+    }
+
+    /// @brief The received answer, for messages of failed checks.
+    std::string describe() const
+    {
+        return "status " + std::to_string(status) + (is_finished ? ", whole: '" : ", cut: '") +
+               written + "'";
+    }
+
+    int status = 0;
+    std::string written;
+    bool is_finished = false;               ///< the client sees a whole answer
+    bool is_over = false;                   ///< the call has returned
+    core::milliseconds next_write_takes{0}; ///< how long the client blocks the next write
+
+  private:
+    asio::io_context& m_loop;
+    http::request_head m_head;
+    std::string m_body;
+    core::time_point m_received;
+};
+
+/// @brief Reads the headers `Id` and `Host`; a refusal has status 503 if it proves "not run".
+class plain_caller_protocol final : public caller_protocol
+{
+  public:
+    core::result<caller_request> read(const http::request_head& head) const override
+    {
+        caller_request request;
+        request.id = std::string(http::find_header(head.headers, "Id").value_or(""));
+        request.host = std::string(http::find_header(head.headers, "Host").value_or(""));
+        return request;
+    }
+
+    http::response refuse(const caller_request&, const policy::refusal& why) const override
+    {
+        constexpr int unavailable = 503;
+        constexpr int bad_gateway = 502;
+        http::response answer;
+        answer.head.status = why.executed == policy::execution::no ? unavailable : bad_gateway;
+        answer.body = policy::to_string(why.reason);
+        return answer;
+    }
+
+    http::response_head forward(const http::response_head& answer) const override
+    {
+        return {answer.status, {}};
+    }
+};
+
+/// @brief Passes requests on unchanged; status 503 proves "not run", 500 is a failure.
+class plain_upstream_protocol final : public upstream_protocol
+{
+  public:
+    http::request_head compose(const http::request_head& request, std::size_t,
+                               const send_options& options) const override
+    {
+        return resume(request, options.last_event_id);
+    }
+
+    http::request_head resume(const http::request_head& request,
+                              const std::string& last_event_id) const override
+    {
+        http::request_head resumed = request;
+        if (!last_event_id.empty())
+            resumed.headers.emplace_back("Last-Event-Id", last_event_id);
+        return resumed;
+    }
+
+    upstream_answer_head read(const http::response_head& answer, std::string_view) const override
+    {
+        constexpr int ok = 200;
+        constexpr int unavailable = 503;
+        constexpr core::milliseconds idle_time{10'000};
+        upstream_answer_head read;
+        read.idle_time = idle_time;
+        read.kind = answer.status == ok            ? answer_kind::success
+                    : answer.status == unavailable ? answer_kind::not_run
+                                                   : answer_kind::failure;
+        return read;
+    }
+};
+
+/// @brief Passes calls of other regions on; without a target, none can be called.
+class region_link final : public region_caller
+{
+  public:
+    std::unique_ptr<attempt> call(const core::region_id& region, const http::request_head& request,
+                                  const std::string& body, core::milliseconds remaining) override
+    {
+        return target != nullptr ? target->call(region, request, body, remaining) : nullptr;
+    }
+
+    region_caller* target = nullptr;
+};
+
+const core::region_id own_region{"salzkammer"};
+const core::zone_id own_zone{"salzkammer-a"};
+const core::service_id own_service{"shop"};
+
+/// @brief One node's calls, without a node.
+class call_fixture
+{
+  public:
+    /// @param retries budget of retries
+    explicit call_fixture(policy::retry_bound retries)
+        : m_places(own_region, bounds_with(retries), m_random),
+          m_log("test"), m_environment{
+                             loop,      m_pool, m_places,     m_callers, m_upstream_protocol,
+                             m_regions, m_log,  m_statistics, nullptr}
+    {
+    }
+
+    /// @brief Puts a configuration with one route in force.
+    void set_route(route only)
+    {
+        only.host = "shop.example";
+        only.path_prefix = "/";
+        only.services = {{own_service, 1}};
+        auto table = std::make_shared<routing_table>();
+        table->version = core::config_version{1};
+        table->routes.push_back(std::move(only));
+        service offered;
+        offered.name = own_service;
+        table->services[own_service] = offered;
+        m_environment.table = table;
+        m_places.set_table(table);
+    }
+
+    /// @brief Publishes an upstream at an address, or changes its entry.
+    void publish(const std::string& id, const core::address& address, bool is_leaving = false)
+    {
+        upstream entry;
+        entry.id = upstream_id{id};
+        entry.service = own_service;
+        entry.address = address;
+        entry.zone = own_zone;
+        entry.region = own_region;
+        entry.is_leaving = is_leaving;
+        m_published[entry.id] = entry;
+        m_places.set_upstreams(m_published, std::chrono::steady_clock::now());
+    }
+
+    /// @brief Makes another region known, with one idle upstream.
+    void add_region(const core::region_id& region, region_caller& caller)
+    {
+        m_regions.target = &caller;
+        remote_region known;
+        known.services[own_service] = {1, 0, 0};
+        known.last_received = std::chrono::steady_clock::now();
+        known.is_reachable = true;
+        m_places.set_region(region, known);
+    }
+
+    /// @brief Starts a call; it runs while the loop runs.
+    recorded_exchange& start(const std::string& id,
+                             std::optional<forwarded_from> forwarded = std::nullopt)
+    {
+        m_exchanges.push_back(std::make_unique<recorded_exchange>(
+            loop, http::request_head{"GET", "/" + id, {{"Host", "shop.example"}, {"Id", id}}}));
+        recorded_exchange& started = *m_exchanges.back();
+        asio::co_spawn(loop, serve(started, std::move(forwarded)), asio::detached);
+        return started;
+    }
+
+    /// @brief Serves an exchange and destroys it.
+    asio::awaitable<void> serve_owned(std::unique_ptr<http::exchange> request,
+                                      std::optional<forwarded_from> forwarded)
+    {
+        call served(m_environment, *request, std::move(forwarded));
+        co_await served.run();
+    }
+
+    /// @brief Runs the loop for a time.
+    void run_for(core::milliseconds span)
+    {
+        loop.restart();
+        loop.run_for(span);
+    }
+
+    /// @brief Runs the loop until the call has returned, for at most 20 s.
+    void finish(const recorded_exchange& started)
+    {
+        constexpr int max_steps = 2'000;
+        constexpr core::milliseconds step{10};
+        for (int i = 0; i < max_steps && !started.is_over; ++i)
+        {
+            run_for(step);
+        }
+    }
+
+    asio::io_context loop;
+
+  private:
+    static placement_bounds bounds_with(policy::retry_bound retries)
+    {
+        placement_bounds bounds;
+        bounds.retries = retries;
+        return bounds;
+    }
+
+    asio::awaitable<void> serve(recorded_exchange& started, std::optional<forwarded_from> forwarded)
+    {
+        call served(m_environment, started, std::move(forwarded));
+        co_await served.run();
+        started.is_over = true;
+    }
+
+    core::seeded_random m_random{1};
+    http::connection_pool m_pool{loop};
+    placement m_places;
+    plain_caller_protocol m_callers;
+    plain_upstream_protocol m_upstream_protocol;
+    region_link m_regions;
+    call_log m_log;
+    call_statistics m_statistics;
+    call_environment m_environment;
+    upstream_map m_published;
+    std::vector<std::unique_ptr<recorded_exchange>> m_exchanges;
+};
+
+/// @brief The answer "ok", sent after a pause.
+inline scripted_answer plain_answer(core::milliseconds pause)
+{
+    return {{{pause, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}}, answer_end::keep};
+}
+
+/// @brief The events `from` to `to` of a stream.
+inline std::string events(int from, int to)
+{
+    std::string text;
+    for (int i = from; i <= to; ++i)
+    {
+        text += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) + "\n\n";
+    }
+    return text;
+}
+
+/// @brief Bytes as one chunk of the chunked transfer coding.
+inline std::string chunk(const std::string& bytes)
+{
+    std::array<char, 2 * sizeof(std::size_t) + 1> size{};
+    std::snprintf(size.data(), size.size(), "%zx", bytes.size());
+    return std::string(size.data()) + "\r\n" + bytes + "\r\n";
+}
+
+inline const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline const std::string last_chunk = "0\r\n\r\n";
+
+} // namespace snipeplank::serving::tests
+
+#endif
--- /dev/null
+++ b/packages/serving/tests/call_test.cpp
@@ -0,0 +1,109 @@
+/// Tests that a call which a sound upstream answers is answered whole, whatever the retry budget
+/// and the other requests of the upstream.
+
+#include <CppUTest/TestHarness.h>
+
+#include <thread>
+
+#include "../../http/tests/loopback.hpp"
+#include "call_fixture.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::serving;
+using namespace snipeplank::serving::tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const policy::retry_bound no_retries{0, 0, 10s};
+const policy::retry_bound many_retries{0, 100, 10s};
+
+route make_route(request_kind kind, unsigned max_attempts)
+{
+    route made;
+    made.kind = kind;
+    made.max_attempts = max_attempts;
+    made.is_resumable = kind == request_kind::streaming;
+    made.timeout = 10s;
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(call){};
+
+// Fails when a stall of the node's own event loop counts as silence of an upstream whose answer has
+// arrived meanwhile.
+TEST(call, a_stall_of_the_node_is_no_silence_of_the_upstream)
+{
+    call_fixture node(no_retries);
+    http::tests::loop_thread other;
+    scripted_upstream upstream(other.loop, {plain_answer(300ms)});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    const recorded_exchange& request = node.start("a");
+    node.run_for(100ms);
+    std::this_thread::sleep_for(2s);
+    node.finish(request);
+    other.stop();
+    CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+}
+
+// Fails when the error of an upstream is not passed on although the retry budget is spent. With
+// -D_GLIBCXX_ASSERTIONS it also fails when the number of an ended attempt is used.
+TEST(call, an_error_is_passed_on_when_the_retry_budget_is_spent)
+{
+    call_fixture node(no_retries);
+    scripted_upstream upstream(node.loop,
+                               {{{{0ms, "HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nno"}}}});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    const recorded_exchange& request = node.start("a");
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(500, "no"), request.describe().c_str());
+}
+
+// Fails when an answer that ends with its connection is cut, or when a part of one looks whole.
+TEST(call, an_answer_without_length_is_whole_only_when_its_connection_is_closed)
+{
+    struct row
+    {
+        const char* name;
+        request_kind kind;
+        std::string bytes;
+        answer_end end;
+        bool is_whole;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    const std::string kept_head = "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\n";
+    const row rows[] = {
+        {"plain", request_kind::idempotent, head + "abc", answer_end::close, true},
+        {"plain, kept", request_kind::idempotent, kept_head + "abc", answer_end::close, true},
+        {"empty", request_kind::idempotent, head, answer_end::close, true},
+        {"plain, reset", request_kind::idempotent, head + "abc", answer_end::reset, false},
+        {"empty, reset", request_kind::idempotent, head, answer_end::reset, false},
+        {"stream", request_kind::streaming, head + events(1, 3), answer_end::close, true},
+        {"stream, kept", request_kind::streaming, kept_head + events(1, 3), answer_end::close,
+         true},
+        {"stream, empty", request_kind::streaming, head, answer_end::close, true},
+        {"stream, reset", request_kind::streaming, head + events(1, 3), answer_end::reset, false},
+        {"stream inside an event", request_kind::streaming, head + events(1, 3) + "id: 4\nda",
+         answer_end::close, false},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture node(no_retries);
+        scripted_upstream upstream(node.loop, {{{{0ms, each.bytes}}, each.end}});
+        node.set_route(make_route(each.kind, 1));
+        node.publish("i-1", upstream.address());
+        const recorded_exchange& request = node.start("a");
+        node.finish(request);
+        const std::string body = each.bytes.substr(each.bytes.find("\r\n\r\n") + 4);
+        const std::string seen = std::string(each.name) + ": " + request.describe();
+        CHECK_TRUE_TEXT(request.is_over, seen.c_str());
+        CHECK_EQUAL_TEXT(each.is_whole, request.is(200, body), seen.c_str());
+        if (!each.is_whole)
+            CHECK_FALSE_TEXT(request.is_finished && request.status == 200, seen.c_str());
+    }
+}
--- /dev/null
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -0,0 +1,232 @@
+/// Tests calls between two regions over a network in memory.
+
+#include <CppUTest/TestHarness.h>
+
+#include "../src/peer_calls.hpp"
+#include "call_fixture.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::serving;
+using namespace snipeplank::serving::tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const core::region_id near_region{"salzkammer"};
+const core::region_id far_region{"ennstal"};
+const core::node_id near_id{core::address{"10.0.0.1:1"}, core::incarnation{1}};
+const core::node_id far_id{core::address{"10.0.0.2:1"}, core::incarnation{1}};
+
+/// Delivers each message to the other end on the event loop, unless it is told to drop them.
+class memory_network final : public wire::peer_network
+{
+  public:
+    memory_network(boost::asio::io_context& loop, core::node_id self)
+        : m_loop(loop), m_self(std::move(self))
+    {
+    }
+
+    void connect(peer_calls& other_end) { m_other_end = &other_end; }
+
+    core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
+    {
+        return settings.self;
+    }
+
+    bool send(const core::address&, const wire::message& msg) override
+    {
+        if (m_other_end != nullptr)
+            boost::asio::post(m_loop,
+                              [this, msg] {
+                                  m_other_end->on_message({m_self, {}, {}}, msg);
+                              });
+        return true;
+    }
+
+    bool reply(const core::node_id& to, const wire::message& msg) override
+    {
+        return send(to.address, msg);
+    }
+
+    void set_fleet_keys(std::vector<std::string>) override {}
+    std::vector<wire::peer_identity> connected() const override { return {}; }
+    wire::peer_counters counters() const override { return {}; }
+    void stop() override {}
+
+  private:
+    boost::asio::io_context& m_loop;
+    core::node_id m_self;
+    peer_calls* m_other_end = nullptr;
+};
+
+/// Answers each call, after a while, as a node that has not sent it to any upstream.
+class refusing_network final : public wire::peer_network
+{
+  public:
+    static constexpr core::milliseconds delay{200};
+
+    explicit refusing_network(boost::asio::io_context& loop) : m_loop(loop) {}
+
+    void connect(peer_calls& caller) { m_caller = &caller; }
+
+    core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
+    {
+        return settings.self;
+    }
+
+    bool send(const core::address&, const wire::message& msg) override
+    {
+        if (const auto* received = std::get_if<wire::call>(&msg))
+            boost::asio::co_spawn(m_loop, refuse(received->number), boost::asio::detached);
+        return true;
+    }
+
+    bool reply(const core::node_id&, const wire::message&) override { return true; }
+    void set_fleet_keys(std::vector<std::string>) override {}
+    std::vector<wire::peer_identity> connected() const override { return {}; }
+    wire::peer_counters counters() const override { return {}; }
+    void stop() override {}
+
+  private:
+    boost::asio::awaitable<void> refuse(core::call_number number)
+    {
+        co_await pause_for(m_loop, delay);
+        policy::refusal why;
+        why.reason = policy::refusal_reason::no_upstream;
+        why.executed = policy::execution::no;
+        wire::call_refused refused;
+        refused.number = number;
+        refused.why = why;
+        m_caller->on_message({far_id, far_region, {}}, refused);
+    }
+
+    boost::asio::io_context& m_loop;
+    peer_calls* m_caller = nullptr;
+};
+
+/// An answer, as the node that sent a call receives it.
+struct read_answer
+{
+    std::string body;
+    bool is_whole = false;
+    bool is_over = false;
+};
+
+boost::asio::awaitable<void> read_whole(attempt& sent, read_answer& received)
+{
+    const attempt_start started = co_await sent.start();
+    bool is_readable = started.kind == answer_kind::success;
+    while (is_readable && !received.is_whole)
+    {
+        const auto chunk = co_await sent.next();
+        is_readable = chunk.has_value();
+        if (!is_readable)
+            continue;
+        received.body += chunk.value().data;
+        received.is_whole = chunk.value().is_last;
+    }
+    received.is_over = true;
+}
+
+} // namespace
+
+TEST_GROUP(peer_calls)
+{
+    boost::asio::io_context loop;
+    core::seeded_random random{1};
+    memory_network network{loop, near_id};
+    peer_calls calls{loop, network, {near_region, own_zone, near_id}, random};
+    attempt_start result;
+    bool is_over = false;
+
+    boost::asio::awaitable<void> run_attempt(attempt & started)
+    {
+        result = co_await started.start();
+        is_over = true;
+    }
+
+    void run_for(core::milliseconds span)
+    {
+        loop.restart();
+        loop.run_for(span);
+    }
+};
+
+// Fails when a call that reached no socket counts as one that may have run.
+TEST(peer_calls, a_call_that_could_not_be_sent_is_proven_not_run)
+{
+    calls.set_nodes({{far_id.address, far_region}});
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
+    run_for(50ms);
+    calls.on_unreachable(far_id.address);
+    run_for(50ms);
+    CHECK_TRUE(is_over);
+    CHECK_TRUE(result.is_proven_not_run());
+}
+
+TEST_GROUP(forwarded_call){};
+
+// Fails when an answer without length that passes through a node of another region is cut, or when
+// a part of one looks whole.
+TEST(forwarded_call, an_answer_without_length_is_whole_only_when_its_connection_is_closed)
+{
+    struct row
+    {
+        const char* name;
+        request_kind kind;
+        std::string body;
+        answer_end end;
+        bool is_whole;
+    };
+    const row rows[] = {
+        {"plain", request_kind::idempotent, "abc", answer_end::close, true},
+        {"empty", request_kind::idempotent, "", answer_end::close, true},
+        {"plain, reset", request_kind::idempotent, "abc", answer_end::reset, false},
+        {"stream", request_kind::streaming, events(1, 3), answer_end::close, true},
+        {"stream, empty", request_kind::streaming, "", answer_end::close, true},
+        {"stream, reset", request_kind::streaming, events(1, 3), answer_end::reset, false},
+        {"stream inside an event", request_kind::streaming, events(1, 3) + "id: 4\nda",
+         answer_end::close, false},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture fixture({0, 0, 10s});
+        core::seeded_random random{1};
+        memory_network near_network(fixture.loop, near_id);
+        memory_network far_network(fixture.loop, far_id);
+        peer_calls near_calls(fixture.loop, near_network, {near_region, own_zone, near_id}, random);
+        peer_calls far_calls(fixture.loop, far_network, {far_region, own_zone, far_id}, random);
+        near_network.connect(far_calls);
+        far_network.connect(near_calls);
+        near_calls.set_nodes({{far_id.address, far_region}});
+        scripted_upstream upstream(fixture.loop,
+                                   {{{{0ms, "HTTP/1.1 200 OK\r\n\r\n" + each.body}}, each.end}});
+        route only;
+        only.kind = each.kind;
+        fixture.set_route(only);
+        fixture.publish("i-1", upstream.address());
+        far_calls.set_server(
+            [&](std::unique_ptr<http::exchange> request, forwarded_from from)
+            {
+                boost::asio::co_spawn(fixture.loop,
+                                      fixture.serve_owned(std::move(request), std::move(from)),
+                                      boost::asio::detached);
+            });
+        const auto sent = near_calls.call(
+            far_region, {"GET", "/a", {{"Host", "shop.example"}, {"Id", "a"}}}, "", 5s);
+        read_answer received;
+        boost::asio::co_spawn(fixture.loop, read_whole(*sent, received), boost::asio::detached);
+        for (int i = 0; i < 500 && !received.is_over; ++i)
+        {
+            fixture.run_for(10ms);
+        }
+        const std::string seen = std::string(each.name) + ": '" + received.body + "'";
+        CHECK_TRUE_TEXT(received.is_over, seen.c_str());
+        CHECK_EQUAL_TEXT(each.is_whole, received.is_whole && received.body == each.body,
+                         seen.c_str());
+        if (!each.is_whole)
+            CHECK_FALSE_TEXT(received.is_whole, seen.c_str());
+    }
+}
