tests: a call of another region cut at the local timeout

call::prepare (call.cpp:115) bounds a forwarded call by the timeout of its own route. When the two nodes have different configurations, the node that serves cuts an answer for which the entry node still waits: the caller gets 502, or a stream that ends midway. Seen to fail:

Errors (1 failures, 69 tests, 1 ran, 1 checks, 0 ignored, 68 filtered out, 608 ms)

--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -50,6 +50,40 @@
     CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
 }
 
+// Fails when a node cuts a call of another region at its own route's timeout, although the node
+// that took the request, whose configuration may be another one, still waits for the answer.
+TEST(call, a_forwarded_call_has_the_time_that_its_entry_node_gives)
+{
+    struct row
+    {
+        request_kind kind;
+        scripted_answer answer;
+        std::string body;
+    };
+    const row rows[] = {
+        {request_kind::idempotent, plain_answer(800ms), "ok"},
+        {request_kind::streaming,
+         {{{0ms, chunked_head + chunk(events(1, 2))}, {800ms, chunk(events(3, 4)) + last_chunk}}},
+         events(1, 4)},
+    };
+    std::string cut; // what was received of the answers that were cut
+    for (const row& each : rows)
+    {
+        call_fixture node(many_retries);
+        scripted_upstream upstream(node.loop, {each.answer});
+        route shorter = make_route(each.kind, 1);
+        shorter.timeout = 300ms;
+        node.set_route(shorter);
+        node.publish("i-1", upstream.address());
+        const recorded_exchange& request =
+            node.start("a", forwarded_from{3s, [](const policy::refusal&) {}});
+        node.finish(request);
+        if (!request.is(200, each.body))
+            cut += request.describe() + "; ";
+    }
+    STRCMP_EQUAL("", cut.c_str());
+}
+
 // Fails when the error of an upstream is not passed on although the retry budget is spent. With
 // -D_GLIBCXX_ASSERTIONS it also fails when the number of an ended attempt is used.
 TEST(call, an_error_is_passed_on_when_the_retry_budget_is_spent)
