tests: a resumed stream cut by a refusal of another region

A refusal of a node that sent the request to no upstream costs a retry of the budget (call::on_failed_start, call::may_retry). With the small share of a large deployment the stream is cut, although the own region can go on with it.

--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -230,3 +230,28 @@
             CHECK_FALSE_TEXT(received.is_whole, seen.c_str());
     }
 }
+
+// Fails when a stream that its upstream broke off is cut, because a node of another region, which
+// has not sent it to any upstream, refuses to go on with it and the retry budget is spent.
+TEST(forwarded_call, a_broken_stream_that_another_region_refuses_goes_on_in_the_own_region)
+{
+    call_fixture node({0, 1, 10s});
+    core::seeded_random random{1};
+    refusing_network network(node.loop);
+    peer_calls calls(node.loop, network, {near_region, own_zone, near_id}, random);
+    network.connect(calls);
+    calls.set_nodes({{far_id.address, far_region}});
+    scripted_upstream upstream(
+        node.loop, {{{{0ms, chunked_head + chunk(events(1, 2))}}, answer_end::reset},
+                    {{{0ms, chunked_head + chunk(events(3, 4)) + last_chunk}}, answer_end::keep}});
+    route only;
+    only.kind = request_kind::streaming;
+    only.is_resumable = true;
+    only.max_attempts = 2;
+    node.set_route(only);
+    node.publish("i-1", upstream.address());
+    node.add_region(far_region, calls);
+    const recorded_exchange& stream = node.start("a");
+    node.finish(stream);
+    CHECK_TRUE_TEXT(stream.is(200, events(1, 4)), stream.describe().c_str());
+}
