tests: a lost call in another region that counts as not run

peer_calls::on_unreachable (peer_calls.cpp:394) marks every pending call of the address as dropped, also one whose connection was lost a moment before and whose coroutine has not run yet. Such a call may have run; it is sent again, or answered with 503. Seen to fail:

packages/serving/tests/peer_calls_test.cpp:169: error: Failure in TEST(peer_calls, a_call_whose_connection_was_lost_is_not_proven_not_run) CHECK_FALSE(result.is_proven_not_run()) failed

Errors (1 failures, 69 tests, 1 ran, 3 checks, 0 ignored, 68 filtered out, 50 ms)

--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -153,6 +153,22 @@
     }
 };
 
+// Fails when a call that may have run in another region counts as not run, because the connection
+// was lost and could not be opened again before the event loop came to the first of the two events.
+TEST(peer_calls, a_call_whose_connection_was_lost_is_not_proven_not_run)
+{
+    calls.set_nodes({{far_id.address, far_region}});
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
+    run_for(50ms);
+    CHECK_FALSE(is_over);
+    calls.on_connection_lost(far_id.address);
+    calls.on_unreachable(far_id.address);
+    run_for(50ms);
+    CHECK_TRUE(is_over);
+    CHECK_FALSE(result.is_proven_not_run());
+}
+
 // Fails when a call that reached no socket counts as one that may have run.
 TEST(peer_calls, a_call_that_could_not_be_sent_is_proven_not_run)
 {
