tests: a silent upstream given up without a retry left

call::on_silence_check cancels the attempt before it has a retry of the budget for the next one. Seen to fail:

packages/serving/tests/call_test.cpp:46: error: Failure in TEST(call, a_silent_upstream_is_waited_for_when_the_retry_budget_is_spent) Message: status 502, whole: 'upstream_failed' CHECK_TRUE(request.is(200, "ok")) failed

Errors (1 failures, 69 tests, 1 ran, 1 checks, 0 ignored, 68 filtered out, 1205 ms)

--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -33,6 +33,19 @@
 
 TEST_GROUP(call){};
 
+// Fails when a request whose upstream is silent for a while is given up although the retry budget
+// has nothing left for another attempt (LOST on a large deployment).
+TEST(call, a_silent_upstream_is_waited_for_when_the_retry_budget_is_spent)
+{
+    call_fixture node(no_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(2s)});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    recorded_exchange& request = node.start("a");
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+}
+
 // Fails when a stall of the node's own event loop counts as silence of an upstream whose answer has
 // arrived meanwhile.
 TEST(call, a_stall_of_the_node_is_no_silence_of_the_upstream)
