tests: a silent upstream given up although no other takes the request

call::on_silence_check cancels the attempt before placement was asked for another upstream. Seen to fail:

packages/serving/tests/call_test.cpp:61: error: Failure in TEST(call, a_silent_upstream_is_waited_for_when_no_other_takes_the_request) Message: status 502, whole: 'upstream_failed' CHECK_TRUE(request.is(200, "ok")) failed

Errors (1 failures, 69 tests, 1 ran, 1 checks, 0 ignored, 68 filtered out, 1211 ms)

--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -46,6 +46,21 @@
     CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
 }
 
+// Fails when a request whose upstream is silent for a while is given up although no upstream takes
+// another attempt, because the only one has begun to leave.
+TEST(call, a_silent_upstream_is_waited_for_when_no_other_takes_the_request)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(2s)});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    recorded_exchange& request = node.start("a");
+    node.run_for(500ms);
+    node.publish("i-1", upstream.address(), true);
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+}
+
 // Fails when a stall of the node's own event loop counts as silence of an upstream whose answer has
 // arrived meanwhile.
 TEST(call, a_stall_of_the_node_is_no_silence_of_the_upstream)
