tests: a new request given up for an earlier silence

load_model::silence is measured for the upstream, from its last event of any request; a request that was sent 300 ms ago is cancelled and sent once more, to the same upstream. Seen to fail:

packages/serving/tests/call_test.cpp:79: error: Failure in TEST(call, a_new_request_is_not_given_up_for_the_silence_before_it) Message: requests at the upstream expected <2 (0x2)> but was <3 (0x3)>

Errors (1 failures, 69 tests, 1 ran, 3 checks, 0 ignored, 68 filtered out, 2303 ms)

--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -61,6 +61,24 @@
     CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
 }
 
+// Fails when a request is given up for a silence that began before it was sent.
+TEST(call, a_new_request_is_not_given_up_for_the_silence_before_it)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(5s), plain_answer(700ms)});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    // A call of another region is not checked for silence.
+    const recorded_exchange& earlier =
+        node.start("earlier", forwarded_from{10s, [](const policy::refusal&) {}});
+    node.run_for(1'300ms);
+    const recorded_exchange& later = node.start("later");
+    node.finish(later);
+    CHECK_TRUE_TEXT(later.is(200, "ok"), later.describe().c_str());
+    CHECK_FALSE(earlier.is_over);
+    UNSIGNED_LONGS_EQUAL_TEXT(2, upstream.requests().size(), "requests at the upstream");
+}
+
 // Fails when a stall of the node's own event loop counts as silence of an upstream whose answer has
 // arrived meanwhile.
 TEST(call, a_stall_of_the_node_is_no_silence_of_the_upstream)
