tests: a stream cut while its upstream or its client pauses

With three attempts allowed, on_silence_check cancels a stream that has begun. The time of the last event is not moved while forward_stream waits for a slow client, so the client counts as a silent upstream. Not with MaxAttempts of 1 or 2. Seen to fail:

packages/serving/tests/call_test.cpp:144: error: Failure in TEST(call, a_stream_that_pauses_is_not_cut) expected <> but was <the upstream pauses, the client reads slowly, > difference starts at position 0 at: < the upstre> ^

Errors (1 failures, 69 tests, 1 ran, 1 checks, 0 ignored, 68 filtered out, 3308 ms)

--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -96,6 +96,35 @@
     CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
 }
 
+// Fails when a stream is cut because its upstream pauses for a while, or because its client reads
+// slowly, although the upstream would go on with it.
+TEST(call, a_stream_that_pauses_is_not_cut)
+{
+    struct row
+    {
+        const char* name;
+        core::milliseconds upstream_pause;
+        core::milliseconds client_pause;
+    };
+    std::string cut; // the rows whose stream was cut
+    for (const row& each :
+         {row{"the upstream pauses", 1'800ms, 0ms}, row{"the client reads slowly", 10ms, 1'800ms}})
+    {
+        call_fixture node(no_retries);
+        scripted_upstream upstream(node.loop,
+                                   {{{{0ms, chunked_head + chunk(events(1, 2))},
+                                      {each.upstream_pause, chunk(events(3, 4)) + last_chunk}}}});
+        node.set_route(make_route(request_kind::streaming, 3));
+        node.publish("i-1", upstream.address());
+        recorded_exchange& stream = node.start("a");
+        stream.next_write_takes = each.client_pause;
+        node.finish(stream);
+        if (!stream.is(200, events(1, 4)))
+            cut += std::string(each.name) + ", ";
+    }
+    STRCMP_EQUAL("", cut.c_str());
+}
+
 // Fails when a node cuts a call of another region at its own route's timeout, although the node
 // that took the request, whose configuration may be another one, still waits for the answer.
 TEST(call, a_forwarded_call_has_the_time_that_its_entry_node_gives)
