tests: a stream that starts over and looks whole

call::forward_stream never asks event_splitter::starts_over(): all events of the second upstream are dropped, and the answer is finished with its last chunk. Seen to fail:

Errors (1 failures, 69 tests, 1 ran, 3 checks, 0 ignored, 68 filtered out, 11 ms)

--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -125,6 +125,24 @@
     STRCMP_EQUAL("", cut.c_str());
 }
 
+// Fails when a stream that an upstream begins anew, instead of resuming it, ends as if it were
+// whole.
+TEST(call, a_stream_that_starts_over_has_no_clean_end)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(
+        node.loop, {{{{0ms, chunked_head + chunk(events(1, 2))}}, answer_end::reset},
+                    {{{0ms, chunked_head + chunk(events(1, 5)) + last_chunk}}, answer_end::keep}});
+    node.set_route(make_route(request_kind::streaming, 2));
+    node.publish("i-1", upstream.address());
+    const recorded_exchange& stream = node.start("a");
+    node.finish(stream);
+    CHECK_TRUE(stream.is_over);
+    UNSIGNED_LONGS_EQUAL(2, upstream.requests().size());
+    CHECK_TRUE_TEXT(!stream.is_finished || stream.written == events(1, 5),
+                    stream.describe().c_str());
+}
+
 // Fails when a node cuts a call of another region at its own route's timeout, although the node
 // that took the request, whose configuration may be another one, still waits for the answer.
 TEST(call, a_forwarded_call_has_the_time_that_its_entry_node_gives)
