tests: a refusal of another region that costs a retry

As for the stream above: the first attempt went to a node that sent it to no upstream. Seen to fail:

packages/serving/tests/peer_calls_test.cpp:270: error: Failure in TEST(forwarded_call, a_refusal_before_any_upstream_costs_no_retry) Message: status 503, whole: 'upstream_refused' CHECK_TRUE(request.is(200, "ok")) failed

Errors (1 failures, 69 tests, 1 ran, 2 checks, 0 ignored, 68 filtered out, 202 ms)

--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -247,6 +247,29 @@
     }
 }
 
+// Fails when a request that a node of another region refuses without having sent it to an upstream
+// is refused for want of a retry, although an upstream of the own region is free by now.
+TEST(forwarded_call, a_refusal_before_any_upstream_costs_no_retry)
+{
+    call_fixture node({0, 0, 10s});
+    core::seeded_random random{1};
+    refusing_network network(node.loop);
+    peer_calls calls(node.loop, network, {near_region, own_zone, near_id}, random);
+    network.connect(calls);
+    calls.set_nodes({{far_id.address, far_region}});
+    scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+    route only;
+    only.kind = request_kind::non_idempotent;
+    node.set_route(only);
+    node.add_region(far_region, calls);
+    const recorded_exchange& request = node.start("a");
+    node.run_for(refusing_network::delay / 2);
+    CHECK_FALSE(request.is_over);
+    node.publish("i-1", upstream.address());
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+}
+
 // Fails when a stream that its upstream broke off is cut, because a node of another region, which
 // has not sent it to any upstream, refuses to go on with it and the retry budget is spent.
 TEST(forwarded_call, a_broken_stream_that_another_region_refuses_goes_on_in_the_own_region)
