tests: the only attempt on a connection that was idle for long

call::make_attempt (call.cpp:206) lets a request of an idempotent route use any pooled connection, also when MaxAttempts leaves no second attempt. Seen to fail:

packages/serving/tests/call_test.cpp:97: error: Failure in TEST(call, the_only_attempt_uses_no_connection_that_was_idle_for_long) Message: status 502, whole: 'upstream_failed' CHECK_TRUE(request.is(200, "ok")) failed

Errors (1 failures, 69 tests, 1 ran, 2 checks, 0 ignored, 68 filtered out, 1444 ms)

--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -79,6 +79,25 @@
     UNSIGNED_LONGS_EQUAL_TEXT(2, upstream.requests().size(), "requests at the upstream");
 }
 
+// Fails when a request that may not be sent again goes on a connection that has been idle for long,
+// which its upstream closes at that moment.
+TEST(call, the_only_attempt_uses_no_connection_that_was_idle_for_long)
+{
+    for (const request_kind kind : {request_kind::non_idempotent, request_kind::idempotent})
+    {
+        call_fixture node(many_retries);
+        scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+        upstream.requests_per_connection = 1;
+        node.set_route(make_route(kind, 1));
+        node.publish("i-1", upstream.address());
+        node.finish(node.start("a"));
+        node.run_for(700ms);
+        const recorded_exchange& request = node.start("b");
+        node.finish(request);
+        CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+    }
+}
+
 // Fails when a stall of the node's own event loop counts as silence of an upstream whose answer has
 // arrived meanwhile.
 TEST(call, a_stall_of_the_node_is_no_silence_of_the_upstream)
