tests: connections in the backlog of a closed listener

server::close_listener resets the connections that the kernel has accepted and the node has not taken yet. Seen to fail:

packages/http/tests/server_test.cpp:369: error: Failure in TEST(http_server, connections_that_wait_when_the_listener_closes_are_served) CHECK_TRUE(answer.find("HTTP/1.1 ") == 0) failed

Errors (1 failures, 31 tests, 1 ran, 1 checks, 0 ignored, 30 filtered out, 200 ms)

--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -260,6 +260,25 @@
     CHECK_TRUE_TEXT(answer.find("POST /1") != std::string::npos, answer.c_str());
 }
 
+// Fails when a request on a connection that the kernel has accepted is dropped, because the
+// listener closes before the node has taken the connection.
+TEST(http_server, connections_that_wait_when_the_listener_closes_are_served)
+{
+    std::promise<void> has_stalled;
+    boost::asio::post(thread->loop,
+                      [&]
+                      {
+                          has_stalled.set_value();
+                          std::this_thread::sleep_for(core::milliseconds{200});
+                          subject->close_listener();
+                      });
+    has_stalled.get_future().wait();
+    raw_connection client(address);
+    client.send("GET /1 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.find("HTTP/1.1 ") == 0, answer.c_str());
+}
+
 namespace
 {
 
