tests: a connection closed by the idle timeout of a former configuration

connection::wait_first_byte starts its timer with the limit of that moment. Seen to fail:

packages/http/tests/server_test.cpp:278: error: Failure in TEST(http_server, a_longer_idle_timeout_holds_for_connections_that_are_idle_already) Message: CHECK_TRUE(answer.find("GET /2") != std::string::npos) failed

Errors (1 failures, 31 tests, 1 ran, 1 checks, 0 ignored, 30 filtered out, 1001 ms)

--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -260,6 +260,24 @@
     CHECK_TRUE_TEXT(answer.find("POST /1") != std::string::npos, answer.c_str());
 }
 
+// Fails when a connection is closed after the idle timeout of a former configuration, although its
+// client may use it for longer now.
+TEST(http_server, a_longer_idle_timeout_holds_for_connections_that_are_idle_already)
+{
+    server_limits limits;
+    limits.idle_timeout = core::milliseconds{500};
+    handler.set_limits(limits);
+    raw_connection client(address);
+    client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+    client.read_until("GET /1");
+    limits.idle_timeout = core::milliseconds{10'000};
+    boost::asio::post(thread->loop, [&] { handler.set_limits(limits); });
+    std::this_thread::sleep_for(core::milliseconds{1'000});
+    client.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.find("GET /2") != std::string::npos, answer.c_str());
+}
+
 // Fails when a request on a connection that the kernel has accepted is dropped, because the
 // listener closes before the node has taken the connection.
 TEST(http_server, connections_that_wait_when_the_listener_closes_are_served)
