tests: a request refused by the limits of a former configuration

connection::read_request (connection.cpp:114) copies the limits before it waits for the first byte, so the first request of each kept connection after a change is refused by the former ones. Seen to fail:

packages/http/tests/server_test.cpp:318: error: Failure in TEST(http_server, larger_limits_hold_for_connections_that_are_idle_already) expected <> but was <body: HTTP/1.1 413 Payload Too Large Content; header: HTTP/1.1 431 Request Header Fields Too ; > difference starts at position 0 at: < body: HTT> ^

Errors (1 failures, 31 tests, 1 ran, 1 checks, 0 ignored, 30 filtered out, 1 ms)

--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -278,6 +278,46 @@
     CHECK_TRUE_TEXT(answer.find("GET /2") != std::string::npos, answer.c_str());
 }
 
+// Fails when the first request of a connection after a change of the configuration is refused by
+// the former limits on its size.
+TEST(http_server, larger_limits_hold_for_connections_that_are_idle_already)
+{
+    struct row
+    {
+        const char* name;
+        std::string head;
+        std::string body;
+    };
+    const row rows[] = {
+        {"body", "POST /2 HTTP/1.1\r\n" + host + "Content-Length: 100\r\n", std::string(100, 'x')},
+        {"header", "POST /2 HTTP/1.1\r\n" + host + "X: " + std::string(300, 'x') + "\r\n", ""},
+    };
+    std::string refused; // the rows that were answered by the former limits
+    for (const row& each : rows)
+    {
+        server_limits limits;
+        limits.header_bytes = 200;
+        limits.body_bytes = 10;
+        std::promise<void> has_changed;
+        boost::asio::post(thread->loop, [&] { handler.set_limits(limits); });
+        raw_connection client(address);
+        client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+        client.read_until("GET /1");
+        boost::asio::post(thread->loop,
+                          [&]
+                          {
+                              handler.set_limits(server_limits());
+                              has_changed.set_value();
+                          });
+        has_changed.get_future().wait();
+        client.send(each.head + "Connection: close\r\n\r\n" + each.body);
+        const std::string answer = client.read_all();
+        if (answer.find("POST /2") == std::string::npos)
+            refused += std::string(each.name) + ": " + answer.substr(0, 40) + "; ";
+    }
+    STRCMP_EQUAL("", refused.c_str());
+}
+
 // Fails when a request on a connection that the kernel has accepted is dropped, because the
 // listener closes before the node has taken the connection.
 TEST(http_server, connections_that_wait_when_the_listener_closes_are_served)
