tests: timers that fire before sockets are read after a stall

epoll returns at most 128 events a call; after a stall, all expired timers are handled with the first 127 sockets, before the requests of the others are read. The same holds for every timer of the event loop. Seen to fail:

packages/http/tests/server_test.cpp:349: error: Failure in TEST(http_server, requests_that_arrive_during_a_stall_are_answered) expected <200 (0xc8)> but was <127 (0x7f)>

Errors (1 failures, 31 tests, 1 ran, 2 checks, 0 ignored, 30 filtered out, 5080 ms)

--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -318,6 +318,38 @@
     STRCMP_EQUAL("", refused.c_str());
 }
 
+// Fails when a stall of the event loop counts as idle time of clients whose requests have arrived
+// meanwhile, however many these are.
+TEST(http_server, requests_that_arrive_during_a_stall_are_answered)
+{
+    server_limits limits;
+    limits.idle_timeout = core::milliseconds{1'000};
+    handler.set_limits(limits);
+    for (const std::size_t count : {1, 200})
+    {
+        std::vector<std::unique_ptr<raw_connection>> clients;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            clients.push_back(std::make_unique<raw_connection>(address));
+            clients.back()->send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+            clients.back()->read_until("GET /1");
+        }
+        boost::asio::post(thread->loop,
+                          [] { std::this_thread::sleep_for(core::milliseconds{2'500}); });
+        std::this_thread::sleep_for(core::milliseconds{1'700});
+        for (const auto& client : clients)
+        {
+            client->send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+        }
+        std::size_t answered = 0;
+        for (const auto& client : clients)
+        {
+            answered += client->read_all().find("GET /2") != std::string::npos ? 1 : 0;
+        }
+        UNSIGNED_LONGS_EQUAL(count, answered);
+    }
+}
+
 // Fails when a request on a connection that the kernel has accepted is dropped, because the
 // listener closes before the node has taken the connection.
 TEST(http_server, connections_that_wait_when_the_listener_closes_are_served)
