tests: peers that count as silent after a suspension

After SIGCONT epoll_wait ends with EINTR, so peer_loop::step checks the timers of the peers before it reads their sockets. Seen to fail:

tests/machine_peer_test.cpp:151: error: Failure in TEST(machine_peer, a_suspended_node_reads_its_peers_before_it_counts_them_as_silent) LONGS_EQUAL(0, peer.handler.lost()) failed expected <0 (0x0)> but was <1 (0x1)>

Errors (1 failures, 2 tests, 1 ran, 3 checks, 0 ignored, 1 filtered out, 5096 ms)

--- a/tests/machine_peer_test.cpp
+++ b/tests/machine_peer_test.cpp
@@ -135,3 +135,18 @@
     const auto refused = peer.handler.refusal();
     CHECK_TRUE(refused.has_value() && refused->executed == policy::execution::no);
 }
+
+// Fails when a node that was suspended for some seconds drops the calls of a peer as silent,
+// although what the peer has sent meanwhile waits in its socket.
+TEST(machine_peer, a_suspended_node_reads_its_peers_before_it_counts_them_as_silent)
+{
+    start_with("i-s", "shop", "/read/x");
+    test_peer peer(remote);
+    peer.network->send(core::address{fleet->node(0).peer}, wire::cancel{only_call, {}});
+    wait_until("the peer is connected", [&] { return !peer.network->connected().empty(); });
+    fleet->node(0).program->pause();
+    std::this_thread::sleep_for(4s);
+    fleet->node(0).program->resume();
+    std::this_thread::sleep_for(1s);
+    LONGS_EQUAL(0, peer.handler.lost());
+}
