tests: a connection beyond the limit

server::accept_loop (server.cpp:126) drops the socket of a connection beyond the limit, without a word. Seen to fail:

packages/http/tests/server_test.cpp:386: error: Failure in TEST(http_server, a_request_beyond_the_connection_limit_is_answered) CHECK_TRUE(answer.find("HTTP/1.1 ") == 0) failed

Errors (1 failures, 31 tests, 1 ran, 1 checks, 0 ignored, 30 filtered out, 201 ms)

--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -369,6 +369,23 @@
     CHECK_TRUE_TEXT(answer.find("HTTP/1.1 ") == 0, answer.c_str());
 }
 
+// Fails when a request on a connection beyond the limit gets neither an answer nor a refusal.
+TEST(http_server, a_request_beyond_the_connection_limit_is_answered)
+{
+    server_limits limits;
+    limits.connections = 1;
+    handler.set_limits(limits);
+    raw_connection first(address);
+    first.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+    first.read_until("GET /1");
+    raw_connection second(address);
+    second.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    std::this_thread::sleep_for(core::milliseconds{200});
+    first.close();
+    const std::string answer = second.read_all();
+    CHECK_TRUE_TEXT(answer.find("HTTP/1.1 ") == 0, answer.c_str());
+}
+
 namespace
 {
 
