--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -1,6 +1,14 @@
 /// Tests the defence against request smuggling, the limits, and the closing of connections.
 
 #include <CppUTest/TestHarness.h>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <vector>
 
 #include "loopback.hpp"
 
@@ -91,8 +99,9 @@
 
     void teardown() override
     {
-        thread.reset();
+        thread->stop();
         subject.reset();
+        thread.reset();
     }
 };
 
@@ -251,6 +260,178 @@
     CHECK_TRUE_TEXT(answer.find("POST /1") != std::string::npos, answer.c_str());
 }
 
+// Fails when a connection is closed after the idle timeout of a former configuration, although its
+// client may use it for longer now.
+TEST(http_server, a_longer_idle_timeout_holds_for_connections_that_are_idle_already)
+{
+    server_limits limits;
+    limits.idle_timeout = core::milliseconds{500};
+    handler.set_limits(limits);
+    raw_connection client(address);
+    client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+    client.read_until("GET /1");
+    limits.idle_timeout = core::milliseconds{10'000};
+    boost::asio::post(thread->loop, [&] { handler.set_limits(limits); });
+    std::this_thread::sleep_for(core::milliseconds{1'000});
+    client.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.find("GET /2") != std::string::npos, answer.c_str());
+}
+
+// Fails when the first request of a connection after a change of the configuration is refused by
+// the former limits on its size.
+TEST(http_server, larger_limits_hold_for_connections_that_are_idle_already)
+{
+    struct row
+    {
+        const char* name;
+        std::string head;
+        std::string body;
+    };
+    const row rows[] = {
+        {"body", "POST /2 HTTP/1.1\r\n" + host + "Content-Length: 100\r\n", std::string(100, 'x')},
+        {"header", "POST /2 HTTP/1.1\r\n" + host + "X: " + std::string(300, 'x') + "\r\n", ""},
+    };
+    std::string refused; // the rows that were answered by the former limits
+    for (const row& each : rows)
+    {
+        server_limits limits;
+        limits.header_bytes = 200;
+        limits.body_bytes = 10;
+        std::promise<void> has_changed;
+        boost::asio::post(thread->loop, [&] { handler.set_limits(limits); });
+        raw_connection client(address);
+        client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+        client.read_until("GET /1");
+        boost::asio::post(thread->loop,
+                          [&]
+                          {
+                              handler.set_limits(server_limits());
+                              has_changed.set_value();
+                          });
+        has_changed.get_future().wait();
+        client.send(each.head + "Connection: close\r\n\r\n" + each.body);
+        const std::string answer = client.read_all();
+        if (answer.find("POST /2") == std::string::npos)
+            refused += std::string(each.name) + ": " + answer.substr(0, 40) + "; ";
+    }
+    STRCMP_EQUAL("", refused.c_str());
+}
+
+// Fails when a stall of the event loop counts as idle time of clients whose requests have arrived
+// meanwhile, however many these are.
+TEST(http_server, requests_that_arrive_during_a_stall_are_answered)
+{
+    server_limits limits;
+    limits.idle_timeout = core::milliseconds{1'000};
+    handler.set_limits(limits);
+    for (const std::size_t count : {1, 200})
+    {
+        std::vector<std::unique_ptr<raw_connection>> clients;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            clients.push_back(std::make_unique<raw_connection>(address));
+            clients.back()->send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+            clients.back()->read_until("GET /1");
+        }
+        boost::asio::post(thread->loop,
+                          [] { std::this_thread::sleep_for(core::milliseconds{2'500}); });
+        std::this_thread::sleep_for(core::milliseconds{1'700});
+        for (const auto& client : clients)
+        {
+            client->send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+        }
+        std::size_t answered = 0;
+        for (const auto& client : clients)
+        {
+            answered += client->read_all().find("GET /2") != std::string::npos ? 1 : 0;
+        }
+        UNSIGNED_LONGS_EQUAL(count, answered);
+    }
+}
+
+// Fails when a request on a connection that the kernel has accepted is dropped, because the
+// listener closes before the node has taken the connection.
+TEST(http_server, connections_that_wait_when_the_listener_closes_are_served)
+{
+    std::promise<void> has_stalled;
+    boost::asio::post(thread->loop,
+                      [&]
+                      {
+                          has_stalled.set_value();
+                          std::this_thread::sleep_for(core::milliseconds{200});
+                          subject->close_listener();
+                      });
+    has_stalled.get_future().wait();
+    raw_connection client(address);
+    client.send("GET /1 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.find("HTTP/1.1 ") == 0, answer.c_str());
+}
+
+// Fails when a request on a connection beyond the limit gets neither an answer nor a refusal.
+TEST(http_server, a_request_beyond_the_connection_limit_is_answered)
+{
+    server_limits limits;
+    limits.connections = 1;
+    handler.set_limits(limits);
+    raw_connection first(address);
+    first.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+    first.read_until("GET /1");
+    raw_connection second(address);
+    second.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    std::this_thread::sleep_for(core::milliseconds{200});
+    first.close();
+    const std::string answer = second.read_all();
+    CHECK_TRUE_TEXT(answer.find("HTTP/1.1 ") == 0, answer.c_str());
+}
+
+namespace
+{
+
+/// Answers each request late, and records the clients that it believes to have disconnected.
+class late_handler final : public request_handler
+{
+  public:
+    boost::asio::awaitable<void> handle(exchange& request) override
+    {
+        request.on_client_disconnected([this] { ++disconnected; });
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                        core::milliseconds{100});
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        request.on_client_disconnected(nullptr);
+        response answer;
+        answer.head.status = 200;
+        answer.body = request.head().target;
+        co_await request.send(std::move(answer));
+    }
+
+    std::atomic<int> disconnected{0};
+};
+
+} // namespace
+
+// Fails when a client counts as disconnected while it waits, on a connection that carries several
+// requests, one after the other or sent early.
+TEST(http_server, a_client_that_waits_does_not_count_as_disconnected)
+{
+    late_handler late;
+    server other(thread->loop, late);
+    const core::address where = other.listen(core::address{"127.0.0.1:0"}).value();
+    raw_connection client(where);
+    for (const char* target : {"/1", "/2", "/3"})
+    {
+        client.send("GET " + std::string(target) + " HTTP/1.1\r\n" + host + "\r\n");
+        CHECK_TRUE(client.read_until(target).ends_with(target));
+    }
+    client.send("GET /4 HTTP/1.1\r\n" + host + "\r\n");
+    std::this_thread::sleep_for(core::milliseconds{30});
+    client.send("GET /5 HTTP/1.1\r\n" + host + "\r\nGET /6 HTTP/1.1\r\n" + host + "\r\n");
+    CHECK_TRUE(client.read_until("/6").ends_with("/6"));
+    LONGS_EQUAL(0, late.disconnected.load());
+    thread->stop();
+}
+
 // Fails when a closing server drops a connection without announcing it by `Connection: close`.
 TEST(http_server, a_closing_server_sends_connection_close_with_its_next_answer)
 {
--- /dev/null
+++ b/packages/serving/tests/call_test.cpp
@@ -0,0 +1,255 @@
+/// Tests that a call which a sound upstream answers is answered whole, whatever the retry budget
+/// and the other requests of the upstream.
+
+#include <CppUTest/TestHarness.h>
+
+#include <thread>
+
+#include "../../http/tests/loopback.hpp"
+#include "call_fixture.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::serving;
+using namespace snipeplank::serving::tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const policy::retry_bound no_retries{0, 0, 10s};
+const policy::retry_bound many_retries{0, 100, 10s};
+
+route make_route(request_kind kind, unsigned max_attempts)
+{
+    route made;
+    made.kind = kind;
+    made.max_attempts = max_attempts;
+    made.is_resumable = kind == request_kind::streaming;
+    made.timeout = 10s;
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(call){};
+
+// Fails when a request whose upstream is silent for a while is given up although the retry budget
+// has nothing left for another attempt (LOST on a large deployment).
+TEST(call, a_silent_upstream_is_waited_for_when_the_retry_budget_is_spent)
+{
+    call_fixture node(no_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(2s)});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    recorded_exchange& request = node.start("a");
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+}
+
+// Fails when a request whose upstream is silent for a while is given up although no upstream takes
+// another attempt, because the only one has begun to leave.
+TEST(call, a_silent_upstream_is_waited_for_when_no_other_takes_the_request)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(2s)});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    recorded_exchange& request = node.start("a");
+    node.run_for(500ms);
+    node.publish("i-1", upstream.address(), true);
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+}
+
+// Fails when a request is given up for a silence that began before it was sent.
+TEST(call, a_new_request_is_not_given_up_for_the_silence_before_it)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(5s), plain_answer(700ms)});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    // A call of another region is not checked for silence.
+    const recorded_exchange& earlier =
+        node.start("earlier", forwarded_from{10s, [](const policy::refusal&) {}});
+    node.run_for(1'300ms);
+    const recorded_exchange& later = node.start("later");
+    node.finish(later);
+    CHECK_TRUE_TEXT(later.is(200, "ok"), later.describe().c_str());
+    CHECK_FALSE(earlier.is_over);
+    UNSIGNED_LONGS_EQUAL_TEXT(2, upstream.requests().size(), "requests at the upstream");
+}
+
+// Fails when a request that may not be sent again goes on a connection that has been idle for long,
+// which its upstream closes at that moment.
+TEST(call, the_only_attempt_uses_no_connection_that_was_idle_for_long)
+{
+    for (const request_kind kind : {request_kind::non_idempotent, request_kind::idempotent})
+    {
+        call_fixture node(many_retries);
+        scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+        upstream.requests_per_connection = 1;
+        node.set_route(make_route(kind, 1));
+        node.publish("i-1", upstream.address());
+        node.finish(node.start("a"));
+        node.run_for(700ms);
+        const recorded_exchange& request = node.start("b");
+        node.finish(request);
+        CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+    }
+}
+
+// Fails when a stall of the node's own event loop counts as silence of an upstream whose answer has
+// arrived meanwhile.
+TEST(call, a_stall_of_the_node_is_no_silence_of_the_upstream)
+{
+    call_fixture node(no_retries);
+    http::tests::loop_thread other;
+    scripted_upstream upstream(other.loop, {plain_answer(300ms)});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    const recorded_exchange& request = node.start("a");
+    node.run_for(100ms);
+    std::this_thread::sleep_for(2s);
+    node.finish(request);
+    other.stop();
+    CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+}
+
+// Fails when a stream is cut because its upstream pauses for a while, or because its client reads
+// slowly, although the upstream would go on with it.
+TEST(call, a_stream_that_pauses_is_not_cut)
+{
+    struct row
+    {
+        const char* name;
+        core::milliseconds upstream_pause;
+        core::milliseconds client_pause;
+    };
+    std::string cut; // the rows whose stream was cut
+    for (const row& each :
+         {row{"the upstream pauses", 1'800ms, 0ms}, row{"the client reads slowly", 10ms, 1'800ms}})
+    {
+        call_fixture node(no_retries);
+        scripted_upstream upstream(node.loop,
+                                   {{{{0ms, chunked_head + chunk(events(1, 2))},
+                                      {each.upstream_pause, chunk(events(3, 4)) + last_chunk}}}});
+        node.set_route(make_route(request_kind::streaming, 3));
+        node.publish("i-1", upstream.address());
+        recorded_exchange& stream = node.start("a");
+        stream.next_write_takes = each.client_pause;
+        node.finish(stream);
+        if (!stream.is(200, events(1, 4)))
+            cut += std::string(each.name) + ", ";
+    }
+    STRCMP_EQUAL("", cut.c_str());
+}
+
+// Fails when a stream that an upstream begins anew, instead of resuming it, ends as if it were
+// whole.
+TEST(call, a_stream_that_starts_over_has_no_clean_end)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(
+        node.loop, {{{{0ms, chunked_head + chunk(events(1, 2))}}, answer_end::reset},
+                    {{{0ms, chunked_head + chunk(events(1, 5)) + last_chunk}}, answer_end::keep}});
+    node.set_route(make_route(request_kind::streaming, 2));
+    node.publish("i-1", upstream.address());
+    const recorded_exchange& stream = node.start("a");
+    node.finish(stream);
+    CHECK_TRUE(stream.is_over);
+    UNSIGNED_LONGS_EQUAL(2, upstream.requests().size());
+    CHECK_TRUE_TEXT(!stream.is_finished || stream.written == events(1, 5),
+                    stream.describe().c_str());
+}
+
+// Fails when a node cuts a call of another region at its own route's timeout, although the node
+// that took the request, whose configuration may be another one, still waits for the answer.
+TEST(call, a_forwarded_call_has_the_time_that_its_entry_node_gives)
+{
+    struct row
+    {
+        request_kind kind;
+        scripted_answer answer;
+        std::string body;
+    };
+    const row rows[] = {
+        {request_kind::idempotent, plain_answer(800ms), "ok"},
+        {request_kind::streaming,
+         {{{0ms, chunked_head + chunk(events(1, 2))}, {800ms, chunk(events(3, 4)) + last_chunk}}},
+         events(1, 4)},
+    };
+    std::string cut; // what was received of the answers that were cut
+    for (const row& each : rows)
+    {
+        call_fixture node(many_retries);
+        scripted_upstream upstream(node.loop, {each.answer});
+        route shorter = make_route(each.kind, 1);
+        shorter.timeout = 300ms;
+        node.set_route(shorter);
+        node.publish("i-1", upstream.address());
+        const recorded_exchange& request =
+            node.start("a", forwarded_from{3s, [](const policy::refusal&) {}});
+        node.finish(request);
+        if (!request.is(200, each.body))
+            cut += request.describe() + "; ";
+    }
+    STRCMP_EQUAL("", cut.c_str());
+}
+
+// Fails when the error of an upstream is not passed on although the retry budget is spent. With
+// -D_GLIBCXX_ASSERTIONS it also fails when the number of an ended attempt is used.
+TEST(call, an_error_is_passed_on_when_the_retry_budget_is_spent)
+{
+    call_fixture node(no_retries);
+    scripted_upstream upstream(node.loop,
+                               {{{{0ms, "HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nno"}}}});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", upstream.address());
+    const recorded_exchange& request = node.start("a");
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(500, "no"), request.describe().c_str());
+}
+
+// Fails when an answer that ends with its connection is cut, or when a part of one looks whole.
+TEST(call, an_answer_without_length_is_whole_only_when_its_connection_is_closed)
+{
+    struct row
+    {
+        const char* name;
+        request_kind kind;
+        std::string bytes;
+        answer_end end;
+        bool is_whole;
+    };
+    const std::string head = "HTTP/1.1 200 OK\r\n\r\n";
+    const std::string kept_head = "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\n";
+    const row rows[] = {
+        {"plain", request_kind::idempotent, head + "abc", answer_end::close, true},
+        {"plain, kept", request_kind::idempotent, kept_head + "abc", answer_end::close, true},
+        {"empty", request_kind::idempotent, head, answer_end::close, true},
+        {"plain, reset", request_kind::idempotent, head + "abc", answer_end::reset, false},
+        {"empty, reset", request_kind::idempotent, head, answer_end::reset, false},
+        {"stream", request_kind::streaming, head + events(1, 3), answer_end::close, true},
+        {"stream, kept", request_kind::streaming, kept_head + events(1, 3), answer_end::close,
+         true},
+        {"stream, empty", request_kind::streaming, head, answer_end::close, true},
+        {"stream, reset", request_kind::streaming, head + events(1, 3), answer_end::reset, false},
+        {"stream inside an event", request_kind::streaming, head + events(1, 3) + "id: 4\nda",
+         answer_end::close, false},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture node(no_retries);
+        scripted_upstream upstream(node.loop, {{{{0ms, each.bytes}}, each.end}});
+        node.set_route(make_route(each.kind, 1));
+        node.publish("i-1", upstream.address());
+        const recorded_exchange& request = node.start("a");
+        node.finish(request);
+        const std::string body = each.bytes.substr(each.bytes.find("\r\n\r\n") + 4);
+        const std::string seen = std::string(each.name) + ": " + request.describe();
+        CHECK_TRUE_TEXT(request.is_over, seen.c_str());
+        CHECK_EQUAL_TEXT(each.is_whole, request.is(200, body), seen.c_str());
+        if (!each.is_whole)
+            CHECK_FALSE_TEXT(request.is_finished && request.status == 200, seen.c_str());
+    }
+}
