serving: the silence of an upstream counts from the request that waits for it

Callers saw: a request at a sound upstream that answered 1.6 s later was moved to another one, so it ran twice, because an earlier request had kept the upstream silent before. Cause: silence is counted for an upstream, from its last byte to any request; a new request inherited it. Change: for a waiting request it counts from when that was sent. Evidence: call.a_new_request_waits_at_a_silent_upstream_as_long_as_the_others failed before (1 request at the other upstream) and passes.

--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -143,8 +143,10 @@
     bool may_send(const upstream_id& target) const;
 
     /// @brief Whether the upstream has sent nothing for longer than the silence timeout while it
-    /// has requests of this node. A busy upstream sends data; a silent one is down or cut off.
-    bool is_silent(const upstream_id& target, core::time_point now) const;
+    /// has requests of this node. A busy upstream sends data; a silent one pauses, is down or cut
+    /// off.
+    /// @param since earlier silence does not count
+    bool is_silent(const upstream_id& target, core::time_point since, core::time_point now) const;
 
     /// @brief Number of the service's upstreams in each state and the state of each other region,
     /// for the log line of a refusal. O(upstreams + regions).
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -542,7 +542,7 @@
 bool call::is_upstream_silent() const
 {
     return m_awaits_answer && m_current_upstream &&
-           m_environment.places.is_silent(m_current_upstream->id, now());
+           m_environment.places.is_silent(m_current_upstream->id, m_attempt_sent, now());
 }
 
 /// Reserves a retry at another upstream that is not silent, or in another region.
@@ -556,8 +556,8 @@
     if (std::holds_alternative<policy::refusal>(next))
         return false;
     const auto* local = std::get_if<to_upstream>(&next);
-    if (local != nullptr &&
-        (local->was_tried || m_environment.places.is_silent(local->target.id, now())))
+    if (local != nullptr && (local->was_tried || m_environment.places.is_silent(
+                                                     local->target.id, core::time_point{}, now())))
         return false;
     m_has_reserved_retry = m_environment.places.take_retry(m_service, now());
     return m_has_reserved_retry;
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -167,10 +167,11 @@
         return text;
     }
 
-    bool is_silent(const upstream_id& target, core::time_point now) const
+    bool is_silent(const upstream_id& target, core::time_point since, core::time_point now) const
     {
         const auto found = m_upstreams.find(target);
-        return found != m_upstreams.end() && silence(found->second, now) > silence_timeout;
+        return found != m_upstreams.end() &&
+               std::min(silence(found->second, now), now - since) > silence_timeout;
     }
 
     std::map<std::uint64_t, peer_load> own_loads() const
@@ -438,9 +439,10 @@
     return m_state->describe(request, now);
 }
 
-bool placement::is_silent(const upstream_id& target, core::time_point now) const
+bool placement::is_silent(const upstream_id& target, core::time_point since,
+                          core::time_point now) const
 {
-    return m_state->is_silent(target, now);
+    return m_state->is_silent(target, since, now);
 }
 
 bool placement::take_retry(const core::service_id& service, core::time_point now)
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -79,6 +79,25 @@
     UNSIGNED_LONGS_EQUAL_TEXT(2, upstream.requests().size(), "requests at the upstream");
 }
 
+// Fails when a request at a sound upstream is moved to another one for a silence that began before
+// it was sent.
+TEST(call, a_new_request_waits_at_a_silent_upstream_as_long_as_the_others)
+{
+    call_fixture node(many_retries);
+    scripted_upstream first(node.loop, {plain_answer(5s), plain_answer(1'600ms)});
+    scripted_upstream second(node.loop, {plain_answer(0ms)});
+    node.set_route(make_route(request_kind::idempotent, 2));
+    node.publish("i-1", first.address());
+    node.start("earlier", forwarded_from{10s, [](const policy::refusal&) {}});
+    node.run_for(1'300ms);
+    const recorded_exchange& later = node.start("later");
+    node.run_for(100ms);
+    node.publish("i-2", second.address());
+    node.finish(later);
+    CHECK_TRUE_TEXT(later.is(200, "ok"), later.describe().c_str());
+    UNSIGNED_LONGS_EQUAL_TEXT(0, second.requests().size(), "requests at the other upstream");
+}
+
 // Fails when a request that may not be sent again goes on a connection that has been idle for long,
 // which its upstream closes at that moment.
 TEST(call, the_only_attempt_uses_no_connection_that_was_idle_for_long)
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -307,8 +307,9 @@
 {
     const upstream_id silent = decide_upstream();
     subject->on_sent(ask(), silent, begin);
-    CHECK_FALSE(subject->is_silent(silent, begin + 500ms));
-    CHECK_TRUE(subject->is_silent(silent, begin + 2s));
+    CHECK_FALSE(subject->is_silent(silent, begin, begin + 500ms));
+    CHECK_TRUE(subject->is_silent(silent, begin, begin + 2s));
+    CHECK_FALSE(subject->is_silent(silent, begin + 1s, begin + 2s));
     for (int i = 0; i < 50; ++i)
     {
         CHECK_FALSE(silent == decide_upstream(begin + 1s));
@@ -324,7 +325,7 @@
     const std::uint64_t stream = subject->on_sent(ask(), busy, begin);
     subject->on_first_byte(stream, begin + 1s);
     subject->on_pause(stream, 900, begin + 1900ms);
-    CHECK_FALSE(subject->is_silent(busy, begin + 2500ms));
+    CHECK_FALSE(subject->is_silent(busy, begin, begin + 2500ms));
 }
 
 // Fails when new streams are sent to an upstream whose events have become slow.
