serving: a forwarded call ends when its entry node says

Callers saw: a stream cut in the middle, or 502, beside a change of the configuration, though their node still waited. Cause: the node that serves a call for another region also applied its own route's timeout. Versions differ for up to seconds beside a change, and a shorter timeout there ended the call early. Change: a forwarded call has the time that its entry node gives, which has applied the timeout already.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -107,20 +107,23 @@
     m_line.route = m_route->name;
     m_line.service = m_service.get();
     m_resume_from = m_caller.last_event_id;
-    core::milliseconds timeout =
-        m_caller.timeout ? *m_caller.timeout - answer_margin : default_timeout;
-    if (m_forwarded)
-    {
-        timeout = m_forwarded->remaining;
-    }
-    else
-    {
+    if (!m_forwarded)
         m_environment.places.on_request(m_service, now());
-    }
-    m_deadline = m_exchange.received_at() + std::min(timeout, m_route->timeout);
+    m_deadline = m_exchange.received_at() + time_limit();
     return true;
 }
 
+/// Time from the receipt of the request to its deadline. The node that took a forwarded request
+/// has applied the route's timeout, perhaps of another version of the configuration.
+core::milliseconds call::time_limit() const
+{
+    if (m_forwarded)
+        return m_forwarded->remaining;
+    const core::milliseconds timeout =
+        m_caller.timeout ? *m_caller.timeout - answer_margin : default_timeout;
+    return std::min(timeout, m_route->timeout);
+}
+
 asio::awaitable<void> call::refuse(policy::refusal why)
 {
     const http::response answer = m_environment.callers.refuse(m_caller, why);
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -83,6 +83,7 @@
     };
 
     bool prepare(policy::refusal& why);
+    core::milliseconds time_limit() const;
     boost::asio::awaitable<void> refuse(policy::refusal why);
     boost::asio::awaitable<void> attempt_until_answered();
     boost::asio::awaitable<next_step> attempt_once(const placement_decision& where);
