serving: a call whose connection was lost is not proven not run

Callers would see: a booking run twice, or refused as not run although it ran, when another region's node is killed. Cause: the loss of a connection and a failed new one may both be queued before the call's coroutine runs. The second event said 'dropped before any byte reached a socket' of a call that had been sent on the lost connection. Change: the second event proves nothing about a call for which something was received already. Evidence: peer_calls.a_call_whose_connection_was_lost_is_not_proven_not_run failed before; a_call_that_could_not_be_sent passes before and after.

--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -119,6 +119,7 @@
 
     void deliver(wire::message received)
     {
+        m_has_received = true;
         m_received.push_back(std::move(received));
         m_wake.cancel();
     }
@@ -126,10 +127,12 @@
     /// Called when the connection was lost; the call may have run.
     void on_connection_lost() { deliver(broken(policy::refusal_reason::peer_unreachable)); }
 
-    /// Called when the call was dropped before any byte reached a socket.
+    /// Called when messages to the peer were dropped before any byte of them reached a socket. The
+    /// call was one of them unless something was received for it: an answer, or the loss of the
+    /// connection on which it had been sent.
     void on_dropped()
     {
-        m_was_dropped = true;
+        m_was_dropped = m_was_dropped || !m_has_received;
         on_connection_lost();
     }
 
@@ -170,6 +173,7 @@
     std::deque<wire::message> m_received;
     policy::answer_assembly m_assembly;
     bool m_is_finished = false;
+    bool m_has_received = false;
     bool m_was_dropped = false;
 };
 
