serving: a stream that an upstream begins anew is broken

Callers saw: a stream with missing events that ended as if it were whole. Cause: when an upstream ignores the event id of a resumed stream, its events are dropped, and the end of the answer then ended the caller's stream cleanly. Change: such an answer counts as broken; the stream is resumed elsewhere or ends without a clean end. Evidence: call.a_stream_that_starts_over_has_no_clean_end failed before (2 of 5 events and a clean end) and passes.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -362,9 +362,9 @@
             co_return co_await on_broken_stream();
         }
         const std::string events = m_events.feed(chunk.value().data);
-        if (m_events.is_too_large())
+        if (m_events.is_too_large() || m_events.starts_over())
         {
-            m_line.attempts += "=event_too_large";
+            m_line.attempts += m_events.starts_over() ? "=starts_over" : "=event_too_large";
             co_return co_await on_broken_stream();
         }
         if (!events.empty())
