serving, wire: a refusal by another region that sent nothing costs no retry

Callers saw: a stream that its upstream had broken off was cut although an upstream of the own region could go on with it; and 503 although one was free. Cause: a call that another region refused before it sent anything counted as an attempt that had reached an upstream, so the next one needed a second token of the retry budget. On a large fleet a node has few. Change: a refusal says whether any byte of the request reached an upstream (has_reached_upstream; absent means yes). If not, the next attempt is no retry. Evidence: forwarded_call.a_broken_stream_that_another_region_refuses_goes_on_in_the_own_region (cut after 2 of 4 events) and .a_refusal_before_any_upstream_costs_no_retry (503) failed before and pass. Their network in memory says now in the new field what its comment says, that nothing was sent.

--- a/packages/policy/include/snipeplank/policy/refusal.hpp
+++ b/packages/policy/include/snipeplank/policy/refusal.hpp
@@ -63,6 +63,7 @@
     execution executed = execution::no;
     std::string remedy;
     core::milliseconds retry_after{0};
+    bool has_reached_upstream = true; ///< false: no byte of the request was sent to an upstream
 };
 
 /// @brief Name of the reason in answers and metrics.
--- a/packages/serving/src/attempt.hpp
+++ b/packages/serving/src/attempt.hpp
@@ -21,7 +21,7 @@
 {
     answer_kind kind = answer_kind::broken; ///< `success` for any answer from another region
     http::response_head head;               ///< of the answer, for `success` and `failure`
-    bool was_sent = false;                  ///< some byte may have reached the other end
+    bool was_sent = false;                  ///< some byte may have reached an upstream
     bool is_unreachable = false;            ///< no connection could be made
     std::string cause;                      ///< why there is no answer
     /// Refusal of a node of another region.
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -126,6 +126,7 @@
 
 asio::awaitable<void> call::refuse(policy::refusal why)
 {
+    why.has_reached_upstream = m_sends > 0;
     const http::response answer = m_environment.callers.refuse(m_caller, why);
     m_line.outcome = policy::to_string(why.reason);
     m_line.executed = policy::to_string(why.executed);
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -68,7 +68,7 @@
         {
             const bool is_proven = refused->why.executed == policy::execution::no;
             result.kind = is_proven ? answer_kind::not_run : answer_kind::broken;
-            result.was_sent = !m_was_dropped;
+            result.was_sent = refused->why.has_reached_upstream && !m_was_dropped;
             result.cause = std::string(policy::to_string(refused->why.reason));
             result.refused = refused->why;
             co_return result;
@@ -335,7 +335,8 @@
                                                       {policy::refusal_reason::loop,
                                                        policy::execution::no,
                                                        "send the call from its entry node",
-                                                       {}}});
+                                                       {},
+                                                       false}});
         return;
     }
     auto request = std::make_unique<served_exchange>(*this, key, received.request);
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -95,6 +95,7 @@
         policy::refusal why;
         why.reason = policy::refusal_reason::no_upstream;
         why.executed = policy::execution::no;
+        why.has_reached_upstream = false;
         wire::call_refused refused;
         refused.number = number;
         refused.why = why;
--- a/packages/wire/src/decoder.cpp
+++ b/packages/wire/src/decoder.cpp
@@ -24,6 +24,7 @@
     to.executed = enumerator(from->executed(), policy::execution::yes);
     to.remedy = text(from->remedy());
     to.retry_after = milliseconds(from->retry_after_ms());
+    to.has_reached_upstream = from->has_reached_upstream();
     return to;
 }
 
--- a/packages/wire/src/encoder.cpp
+++ b/packages/wire/src/encoder.cpp
@@ -21,7 +21,7 @@
 {
     return fb::CreateRefusal(m_builder, static_cast<std::uint8_t>(value.reason),
                              static_cast<std::uint8_t>(value.executed), text(value.remedy),
-                             value.retry_after.count());
+                             value.retry_after.count(), value.has_reached_upstream);
 }
 
 encoder::table_list<fb::Header> encoder::headers(const policy::header_list& value)
--- a/packages/wire/tests/arbitrary_message.hpp
+++ b/packages/wire/tests/arbitrary_message.hpp
@@ -75,7 +75,8 @@
 inline policy::refusal any_refusal()
 {
     return {any_enumerator(policy::refusal_reason::prompt_quarantined),
-            any_enumerator(policy::execution::yes), any<std::string>(), any_duration()};
+            any_enumerator(policy::execution::yes), any<std::string>(), any_duration(),
+            any<bool>()};
 }
 
 inline policy::call_outcome any_outcome()
