serving: an attempt that cannot be repeated uses no connection that was idle for long

Callers saw: 502 for a request at a sound upstream. Cause: an upstream may close an idle connection at the moment at which a request goes out on it. Routes that may be repeated used such connections also when their limit allows no other attempt. Change: the last attempt that the route allows uses a recent connection or a new one, as requests that run once do. Evidence: call.the_only_attempt_uses_no_connection_that_was_idle_for_long failed before in its idempotent row.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -221,7 +221,7 @@
                                  [this] { return remaining(); },
                                  [this, id = local.target.id]
                                  { return m_environment.places.may_send(id); },
-                                 m_route->may_retry(),
+                                 m_route->may_retry() && is_within_attempt_limits(m_runs + 1),
                                  m_route->priority,
                                  m_resume_from};
     return std::make_unique<upstream_attempt>(std::move(parts));
