serving: the number of an ended attempt is not used

Cause: an error of an upstream that is passed on because the retry budget is spent had ended its attempt before its body was read, and the empty number was read then: undefined, harmless in the normal build.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -448,7 +448,9 @@
         answer.body += chunk.value().data;
         is_last = chunk.value().is_last;
     }
-    m_environment.places.on_first_byte(*m_attempt_number, now());
+    // The attempt has ended already if the answer is an error that was to be retried.
+    if (m_attempt_number)
+        m_environment.places.on_first_byte(*m_attempt_number, now());
     m_attempt->finish();
     const bool is_success = result.kind == answer_kind::success;
     if (is_success)
