serving: a stopping node refuses late calls of other regions

Callers saw: an answer cut by the end of a node that they had not used. Cause: 2.6 s after the signal a stopping node refuses its clients, but it went on taking calls of other regions, which its end cut off. Change: such a call is refused as not run and not sent, so its entry node tries another one at once. Evidence: machine_peer.a_stopping_node_refuses_late_calls_of_other_regions failed before (the call ran at the server 3 s after SIGTERM) and passes.

--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -249,9 +249,21 @@
     }
 
   private:
+    bool serves_new() const
+    {
+        return !m_is_stopping || m_stopping.serves_new(now() - m_stop_began);
+    }
+
+    static policy::refusal stopping_refusal()
+    {
+        constexpr core::milliseconds retry_after{50};
+        return {policy::refusal_reason::draining, policy::execution::no,
+                "send the request to another node", retry_after, false};
+    }
+
     asio::awaitable<void> serve_call(http::exchange& request)
     {
-        if (m_is_stopping && !m_stopping.serves_new(now() - m_stop_began))
+        if (!serves_new())
         {
             co_await refuse_while_stopping(request);
             co_return;
@@ -262,9 +274,7 @@
 
     asio::awaitable<void> refuse_while_stopping(http::exchange& request)
     {
-        constexpr core::milliseconds retry_after{50};
-        const policy::refusal why{policy::refusal_reason::draining, policy::execution::no,
-                                  "send the request to another node", retry_after};
+        const policy::refusal why = stopping_refusal();
         const auto caller = m_adapters.callers.read(request.head());
         const http::response answer =
             m_adapters.callers.refuse(caller ? caller.value() : caller_request(), why);
@@ -273,7 +283,7 @@
         line.outcome = policy::to_string(why.reason);
         line.executed = policy::to_string(why.executed);
         line.status = answer.head.status;
-        line.retry_after_ms = static_cast<double>(retry_after.count());
+        line.retry_after_ms = static_cast<double>(why.retry_after.count());
         m_statistics.add(line);
         m_log.call_ended(line);
         co_await request.send(answer);
@@ -281,6 +291,11 @@
 
     void serve_peer(std::unique_ptr<http::exchange> request, forwarded_from from)
     {
+        if (!serves_new())
+        {
+            from.refuse(stopping_refusal());
+            return;
+        }
         asio::co_spawn(m_loop, run_peer_call(std::move(request), std::move(from)), asio::detached);
     }
 
