wire: a node that was suspended reads its peers before it counts them as silent

Callers saw: forwarded calls cut when a node that had been suspended went on. Cause: a stopped process that continues is interrupted in epoll_wait, which then reports no events; the loop checked its timers first and gave up every connection as silent, though the peers had sent all the while. Change: the wait is repeated when it was interrupted. Evidence: machine_peer.a_suspended_node_reads_its_peers_before_it_counts_them_as_silent failed before (1 connection lost) and passed three times of three.

--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <iterator>
 #include <utility>
 
@@ -95,8 +96,14 @@
 std::vector<peer_loop::socket_event> peer_loop::wait_for_events()
 {
     std::array<epoll_event, max_events_per_step> ready{};
-    const int count =
-        ::epoll_wait(m_epoll.get(), ready.data(), max_events_per_step, poll_timeout());
+    int count = -1;
+    errno = EINTR;
+    // A process that was stopped and continues is interrupted here: what has arrived meanwhile is
+    // read before the timers are checked.
+    while (count < 0 && errno == EINTR)
+    {
+        count = ::epoll_wait(m_epoll.get(), ready.data(), max_events_per_step, poll_timeout());
+    }
     std::vector<socket_event> events;
     for (int i = 0; i < count; ++i)
     {
