http: the first request after a change of the limits is read with the new ones

Callers saw: 413 or 431 for a proper request, beside a change of the configuration. Cause: the limits were copied before the wait for the request, so each kept connection refused its next request by the former ones. Change: they are read once the first byte is there. Evidence: http_server.larger_limits_hold_for_connections_that_are_idle_already failed before (413 and 431) and passes.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -111,10 +111,10 @@
 
 asio::awaitable<bool> connection::read_request()
 {
+    if (!co_await wait_first_byte(m_handler.limits().idle_timeout))
+        co_return false;
     const server_limits limits = m_handler.limits();
     m_buffer.max_size(std::max(limits.header_bytes, max_buffered_bytes));
-    if (!co_await wait_first_byte(limits.idle_timeout))
-        co_return false;
     m_received_at = std::chrono::steady_clock::now();
     m_has_begun = false;
     m_is_finished = false;
--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -96,14 +96,13 @@
 std::vector<peer_loop::socket_event> peer_loop::wait_for_events()
 {
     std::array<epoll_event, max_events_per_step> ready{};
-    int count = -1;
-    errno = EINTR;
+    int count = 0;
     // A process that was stopped and continues is interrupted here: what has arrived meanwhile is
     // read before the timers are checked.
-    while (count < 0 && errno == EINTR)
+    do
     {
         count = ::epoll_wait(m_epoll.get(), ready.data(), max_events_per_step, poll_timeout());
-    }
+    } while (count < 0 && errno == EINTR);
     std::vector<socket_event> events;
     for (int i = 0; i < count; ++i)
     {
