http: a longer idle timeout holds for connections that are idle already

Callers saw: no answer to a request on a kept connection, beside a change of the configuration. Cause: an idle connection was closed after the idle timeout at the start of its wait. When a version raises it, clients use connections for longer, and the close crossed their requests. Change: when the time has passed, the timeout in force decides. Evidence: http_server.a_longer_idle_timeout_holds_for_connections_that_are_idle_already failed before (no answer) and passes.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -96,12 +96,13 @@
         close_socket();
 }
 
-asio::awaitable<bool> connection::wait_first_byte(core::milliseconds idle_timeout)
+asio::awaitable<bool> connection::wait_first_byte()
 {
     if (m_buffer.size() > 0)
         co_return true;
     error_code error;
-    start_watchdog(idle_timeout);
+    m_idle_since = std::chrono::steady_clock::now();
+    start_watchdog(m_handler.limits().idle_timeout, watchdog_action::check_idle);
     m_is_idle = true;
     co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, into(error));
     m_is_idle = false;
@@ -111,7 +112,7 @@
 
 asio::awaitable<bool> connection::read_request()
 {
-    if (!co_await wait_first_byte(m_handler.limits().idle_timeout))
+    if (!co_await wait_first_byte())
         co_return false;
     const server_limits limits = m_handler.limits();
     m_buffer.max_size(std::max(limits.header_bytes, max_buffered_bytes));
@@ -355,21 +356,39 @@
          action](const error_code& error)
         {
             const auto self = weak.lock();
-            if (error || !self || generation != self->m_watchdog_generation)
-                return;
-            if (action == watchdog_action::cancel_read)
-            {
-                self->m_has_read_timeout = true;
-                error_code ignored;
-                self->m_socket.cancel(ignored);
-                return;
-            }
-            self->m_is_disconnected = true;
-            self->close_socket();
-            self->notify_client_disconnected();
+            if (!error && self && generation == self->m_watchdog_generation)
+                self->on_watchdog(action);
         });
 }
 
+void connection::on_watchdog(watchdog_action action)
+{
+    if (action == watchdog_action::cancel_read)
+    {
+        m_has_read_timeout = true;
+        error_code ignored;
+        m_socket.cancel(ignored);
+        return;
+    }
+    if (action == watchdog_action::check_idle && may_stay_idle())
+        return;
+    m_is_disconnected = true;
+    close_socket();
+    notify_client_disconnected();
+}
+
+/// Whether the limits allow the connection to stay idle for longer; waits for the rest then.
+bool connection::may_stay_idle()
+{
+    const core::time_point until = m_idle_since + m_handler.limits().idle_timeout;
+    const auto rest =
+        std::chrono::ceil<core::milliseconds>(until - std::chrono::steady_clock::now());
+    if (rest.count() <= 0)
+        return false;
+    start_watchdog(rest, watchdog_action::check_idle);
+    return true;
+}
+
 void connection::stop_watchdog()
 {
     ++m_watchdog_generation;
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -54,6 +54,7 @@
     {
         close,
         cancel_read, ///< the pending read fails, so that the request can be refused
+        check_idle,  ///< close, unless the idle timeout has grown meanwhile
     };
 
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -61,7 +62,7 @@
     boost::asio::awaitable<bool> read_request();
     boost::asio::awaitable<boost::system::error_code> read_body(parser_type& parser,
                                                                 const server_limits& limits);
-    boost::asio::awaitable<bool> wait_first_byte(core::milliseconds idle_timeout);
+    boost::asio::awaitable<bool> wait_first_byte();
     boost::asio::awaitable<void> answer_request();
     boost::asio::awaitable<void> reject(const boost::system::error_code& error);
     boost::asio::awaitable<void> refuse_request(int status, std::string why);
@@ -71,6 +72,8 @@
     void notify_client_disconnected();
     void start_watchdog(core::milliseconds limit, watchdog_action action = watchdog_action::close);
     void stop_watchdog();
+    void on_watchdog(watchdog_action action);
+    bool may_stay_idle();
     bool has_unread_bytes();
     void close_socket();
     std::string frame_head(response_head head, std::optional<std::size_t> length);
@@ -82,6 +85,7 @@
     request_head m_head;
     std::string m_body;
     core::time_point m_received_at{};
+    core::time_point m_idle_since{};
     std::function<void()> m_on_client_disconnected;
     /// Identifies the current timer; the handler of an earlier one does nothing.
     std::uint64_t m_watchdog_generation = 0;
