http: requests that arrive while the event loop stalls are answered

Callers saw: no answer to requests on kept connections of a busy node. Cause: one wait of the event loop reports 128 sockets at most and then all timers that are due. With more connections, after a stall, the idle timeout closed connections whose requests had arrived. Change: the idle timeout looks at the socket before it closes. Evidence: http_server.requests_that_arrive_during_a_stall_are_answered failed before (127 or 128 of 200 answered) and passes.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -377,9 +377,12 @@
     notify_client_disconnected();
 }
 
-/// Whether the limits allow the connection to stay idle for longer; waits for the rest then.
+/// Whether a request has arrived, or the limits allow the connection to stay idle for longer; waits
+/// for the rest then. After a stall of the event loop timers may be handled before sockets.
 bool connection::may_stay_idle()
 {
+    if (has_unread_bytes())
+        return true;
     const core::time_point until = m_idle_since + m_handler.limits().idle_timeout;
     const auto rest =
         std::chrono::ceil<core::milliseconds>(until - std::chrono::steady_clock::now());
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -54,7 +54,7 @@
     {
         close,
         cancel_read, ///< the pending read fails, so that the request can be refused
-        check_idle,  ///< close, unless the idle timeout has grown meanwhile
+        check_idle,  ///< close, unless a request has arrived or the idle timeout has grown
     };
 
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
