http: connections that wait when the listener closes are served

Callers saw: no answer to a request that they had sent to a stopping node. Cause: a stopping node closes its listener 2.6 s after the signal. The kernel resets connections that it has opened and the node has not taken yet, and a request may have arrived on them. Change: what waits is accepted before the listener closes; such a request is refused or answered like any other. Evidence: http_server.connections_that_wait_when_the_listener_closes_are_served failed before (reset, no answer) and passes.

--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -103,7 +103,8 @@
     /// @return the bound address, or `connection_failed`
     core::result<core::address> listen(const core::address& where);
 
-    /// @brief Stops accepting connections; open connections are kept.
+    /// @brief Stops accepting connections; open connections are kept, and those that wait to be
+    /// accepted are served.
     void close_listener();
 
     /// @brief Closes each connection after its next answer, and idle connections after `grace`.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -69,6 +69,21 @@
         return to_address(m_acceptor.local_endpoint());
     }
 
+    /// Accepts the connections that the kernel has opened already, then stops listening.
+    void drain_listener()
+    {
+        error_code error;
+        m_acceptor.non_blocking(true, error);
+        while (m_acceptor.is_open() && !error)
+        {
+            tcp::socket socket(m_loop);
+            m_acceptor.accept(socket, error);
+            if (!error)
+                begin_serving(std::move(socket));
+        }
+        close_listener();
+    }
+
     void close_listener()
     {
         error_code ignored;
@@ -125,7 +140,7 @@
                 asio::redirect_error(asio::use_awaitable, error));
             if (!error && self->m_connections.size() < self->m_handler.limits().connections)
             {
-                asio::co_spawn(self->m_loop, serve(self, std::move(socket)), asio::detached);
+                self->begin_serving(std::move(socket));
                 continue;
             }
             if (!error)
@@ -135,12 +150,18 @@
         }
     }
 
-    static asio::awaitable<void> serve(std::shared_ptr<state> self, tcp::socket socket)
+    void begin_serving(tcp::socket socket)
     {
-        const auto open = std::make_shared<connection>(std::move(socket), self->m_handler);
-        self->m_connections.insert(open.get());
-        if (self->m_is_closing)
+        const auto open = std::make_shared<connection>(std::move(socket), m_handler);
+        m_connections.insert(open.get());
+        if (m_is_closing)
             open->announce_close();
+        asio::co_spawn(m_loop, serve(shared_from_this(), open), asio::detached);
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<state> self,
+                                       std::shared_ptr<connection> open)
+    {
         co_await open->run();
         self->m_connections.erase(open.get());
     }
@@ -170,7 +191,7 @@
 
 void server::close_listener()
 {
-    m_state->close_listener();
+    m_state->drain_listener();
 }
 
 void server::begin_closing(core::milliseconds grace)
