http: requests on connections beyond the limit are refused with 503

Callers saw: no answer on a connection beyond the 3,000 that a node keeps. Cause: the server accepted such a connection and closed it at once. Change: up to 100 of them are kept for one request, which gets 503 with Retry-After; further ones wait to be accepted. Evidence: http_server.a_request_beyond_the_connection_limit_is_answered failed before (closed, no answer) and passes.

--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -22,6 +22,9 @@
 namespace snipeplank::http
 {
 
+/// Status of a refusal that proves that the request was not executed.
+constexpr int service_unavailable = 503;
+
 /// @brief Limits on the size of requests, the time that a client takes, and open connections.
 struct server_limits
 {
@@ -31,7 +34,7 @@
     core::milliseconds idle_timeout{15'000};  ///< between requests, and between parts of a body
     core::milliseconds body_timeout{60'000};  ///< from the end of the header to the end of the body
     core::milliseconds write_timeout{10'000}; ///< of one write to the client
-    std::size_t connections = 3'000;
+    std::size_t connections = 3'000; ///< requests on further ones are refused with 503
 };
 
 /// @brief A complete answer.
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -71,6 +71,11 @@
     {
         if (!co_await read_request())
             break;
+        if (m_is_refusing)
+        {
+            co_await refuse_request(service_unavailable, "too many connections");
+            break;
+        }
         m_is_active = true;
         co_await answer_request();
         m_is_active = false;
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -35,6 +35,9 @@
     /// @brief Adds `Connection: close` to the next answer.
     void announce_close() { m_close_after = true; }
 
+    /// @brief Refuses the request of this connection, which is beyond the limit.
+    void refuse_requests() { m_is_refusing = true; }
+
     bool is_active() const { return m_is_active; }
 
     const request_head& head() const override { return m_head; }
@@ -97,6 +100,7 @@
     bool m_has_read_timeout = false; ///< the watchdog cancelled the read of a body
     bool m_is_closing = false;
     bool m_close_after = false;
+    bool m_is_refusing = false;
     bool m_keep_alive = true;
     bool m_is_watching_client = false;
     bool m_chunked = false; ///< the client supports the chunked transfer coding (HTTP/1.1)
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -26,6 +26,9 @@
 
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr core::milliseconds accept_retry_delay{50};
+/// Connections beyond the limit that are open at a time, to refuse their requests. Further ones
+/// wait to be accepted.
+constexpr std::size_t max_refusing = 100;
 
 } // namespace
 
@@ -34,6 +37,8 @@
     response answer;
     answer.head.status = status;
     answer.head.headers.emplace_back("Content-Type", "text/plain");
+    if (status == service_unavailable)
+        answer.head.headers.emplace_back("Retry-After", "1");
     answer.body.assign(why).append("\n");
     return answer;
 }
@@ -136,15 +141,16 @@
         while (self->m_acceptor.is_open())
         {
             error_code error;
-            tcp::socket socket = co_await self->m_acceptor.async_accept(
-                asio::redirect_error(asio::use_awaitable, error));
-            if (!error && self->m_connections.size() < self->m_handler.limits().connections)
+            if (self->m_connections.size() < self->m_handler.limits().connections + max_refusing)
             {
-                self->begin_serving(std::move(socket));
-                continue;
+                tcp::socket socket = co_await self->m_acceptor.async_accept(
+                    asio::redirect_error(asio::use_awaitable, error));
+                if (!error)
+                {
+                    self->begin_serving(std::move(socket));
+                    continue;
+                }
             }
-            if (!error)
-                continue;
             retry_timer.expires_after(accept_retry_delay);
             co_await retry_timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
         }
@@ -153,6 +159,8 @@
     void begin_serving(tcp::socket socket)
     {
         const auto open = std::make_shared<connection>(std::move(socket), m_handler);
+        if (m_connections.size() >= m_handler.limits().connections)
+            open->refuse_requests();
         m_connections.insert(open.get());
         if (m_is_closing)
             open->announce_close();
