http, serving: line ends after the last event of a stream belong to the answer

Callers saw: a whole stream cut at its end, when its upstream sends line ends after the last event. Cause: bytes that end no event counted as a partial event, whatever they are. Change: pending line ends are passed on at the end of the answer. Evidence: a new row of call.an_answer_without_length_is_whole_only_when_its_connection_is_closed failed before ('cut') and passes.

--- a/packages/http/src/event_stream.cpp
+++ b/packages/http/src/event_stream.cpp
@@ -1,6 +1,7 @@
 #include <snipeplank/http/event_stream.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace snipeplank::http
 {
@@ -51,6 +52,14 @@
     return whole;
 }
 
+std::string event_splitter::take_line_ends()
+{
+    if (m_pending.find_first_not_of("\r\n") != std::string::npos)
+        return {};
+    m_searched = 0;
+    return std::exchange(m_pending, {});
+}
+
 void event_splitter::parse_event(std::string_view event)
 {
     while (!event.empty())
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -379,7 +379,9 @@
         }
         if (!chunk.value().is_last)
             continue;
-        if (m_events.pending_size() > 0)
+        const std::string line_ends = m_events.take_line_ends();
+        const bool is_written = co_await m_exchange.write(line_ends);
+        if (!is_written || m_events.pending_size() > 0)
             co_return co_await on_broken_stream();
         break;
     }
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -252,6 +252,8 @@
         {"stream, kept", request_kind::streaming, kept_head + events(1, 3), answer_end::close,
          true},
         {"stream, empty", request_kind::streaming, head, answer_end::close, true},
+        {"stream, line ends after it", request_kind::streaming, head + events(1, 3) + "\n\r\n",
+         answer_end::close, true},
         {"stream, reset", request_kind::streaming, head + events(1, 3), answer_end::reset, false},
         {"stream inside an event", request_kind::streaming, head + events(1, 3) + "id: 4\nda",
          answer_end::close, false},
