serving: an upstream may crash after the first event of its answer

Cause: the guard suspected a prompt only if its upstream had broken off before any whole event. One that writes an event and then crashes was not seen on routes that are not resumed. Change: an answer counts as just begun until its second event. Evidence: call.a_prompt_under_which_upstreams_crash_is_refused failed before in its row with one event (a fourth upstream got the prompt).

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -243,7 +243,7 @@
             ? m_environment.places.on_sent(request, region->region, now())
             : m_environment.places.on_sent(request, std::get<to_upstream>(where).target.id, now());
     m_attempt_sent = now();
-    m_has_event = false;
+    m_events_received = 0;
     m_awaits_answer = true;
     m_silent_checks = 0;
     attempt_start result = co_await m_attempt->start();
@@ -371,7 +371,7 @@
         if (!events.empty())
         {
             m_environment.places.on_first_byte(*m_attempt_number, now());
-            m_has_event = true;
+            ++m_events_received;
             record_event();
             const bool is_written = co_await m_exchange.write(events);
             if (!is_written)
@@ -489,16 +489,24 @@
     return m_may_have_run ? final_refusal() : *result.refused;
 }
 
-/// Whether the upstream broke off before it delivered an event, and an earlier one crashed under a
-/// part of this prompt.
+/// Whether the upstream has only begun to answer. One that crashes under a prompt does so then; the
+/// other streams that break off with it are mostly further on.
+bool call::is_beginning_of_answer() const
+{
+    constexpr unsigned max_events = 1;
+    return m_events_received <= max_events;
+}
+
+/// Whether the upstream broke off at the beginning of its answer, and an earlier one crashed under
+/// a part of this prompt.
 bool call::may_have_crashed_upstream() const
 {
-    return !m_has_event && m_environment.prompts.is_suspect(m_prompt_parts);
+    return is_beginning_of_answer() && m_environment.prompts.is_suspect(m_prompt_parts);
 }
 
 void call::report_broken_upstream()
 {
-    if (m_current_upstream && !m_has_event && m_given_up_for == cut_cause::none)
+    if (m_current_upstream && is_beginning_of_answer() && m_given_up_for == cut_cause::none)
         m_environment.prompts.on_broken(*m_current_upstream,
                                         {m_caller.id, m_prompt_parts, m_attempt_sent});
 }
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -102,6 +102,7 @@
     std::optional<policy::refusal> quarantine_refusal() const;
     static bool is_quarantined_elsewhere(const attempt_start& result);
     policy::refusal refusal_of(const attempt_start& result) const;
+    bool is_beginning_of_answer() const;
     bool may_have_crashed_upstream() const;
     void report_broken_upstream();
     void report();
@@ -143,9 +144,9 @@
     int m_silent_checks = 0;                    ///< consecutive ones that found silence
     unsigned m_runs = 0;                        ///< attempts that may have run
     unsigned m_sends = 0;                       ///< attempts of which a byte may have been received
-    bool m_has_event = false;                   ///< the current attempt has delivered an event
-    bool m_awaits_answer = false;               ///< the current attempt has no answer head yet
-    bool m_has_reserved_retry = false;          ///< taken from the retry budget, not used yet
+    unsigned m_events_received = 0;    ///< reads of the current attempt that completed events
+    bool m_awaits_answer = false;      ///< the current attempt has no answer head yet
+    bool m_has_reserved_retry = false; ///< taken from the retry budget, not used yet
     bool m_may_have_run = false;
     bool m_is_expired = false;
     bool m_client_is_gone = false;
--- a/packages/serving/src/prompt_guard.hpp
+++ b/packages/serving/src/prompt_guard.hpp
@@ -30,7 +30,7 @@
 /// @brief The parts of a request's prompt without the last one, which no other request shares.
 shared_prompt_parts shared_parts_of(const caller_request& request);
 
-/// @brief A request whose upstream broke off before the first event of its answer.
+/// @brief A request whose upstream broke off at the beginning of its answer.
 struct broken_request
 {
     std::string id;
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -22,6 +22,7 @@
 #include <limits>
 #include <memory>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,6 +55,7 @@
     keep,
     close,
     reset,
+    crash, ///< close, and accept no connection any more
 };
 
 /// @brief The answer to one request.
@@ -70,17 +72,15 @@
   public:
     scripted_upstream(asio::io_context& loop, std::vector<scripted_answer> answers)
         : m_loop(loop), m_answers(std::move(answers)),
-          m_acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0})
+          m_acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0}),
+          m_address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
     {
         asio::co_spawn(loop, accept_all(), asio::detached);
     }
     scripted_upstream(const scripted_upstream&) = delete;
     scripted_upstream& operator=(const scripted_upstream&) = delete;
 
-    core::address address() const
-    {
-        return core::address{"127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port())};
-    }
+    const core::address& address() const { return m_address; }
 
     /// @brief A later request on a connection finds it closed.
     unsigned requests_per_connection = std::numeric_limits<unsigned>::max();
@@ -129,6 +129,8 @@
                 socket->set_option(asio::socket_base::linger(true, 0), error);
             if (m_answers[index].end == answer_end::keep)
                 continue;
+            if (m_answers[index].end == answer_end::crash)
+                m_acceptor.close(error);
             // The destructor would close without a reset.
             socket->close(error);
             co_return;
@@ -138,6 +140,7 @@
     asio::io_context& m_loop;
     std::vector<scripted_answer> m_answers;
     tcp::acceptor m_acceptor;
+    core::address m_address;
     std::vector<std::string> m_requests;
 };
 
@@ -211,7 +214,8 @@
     core::time_point m_received;
 };
 
-/// @brief Reads the headers `Id` and `Host`; a refusal has status 503 if it proves "not run".
+/// @brief Reads the headers `Id`, `Host` and `Prompt` (its parts, separated by spaces); a refusal
+/// has status 503 if it proves "not run".
 class plain_caller_protocol final : public caller_protocol
 {
   public:
@@ -220,6 +224,12 @@
         caller_request request;
         request.id = std::string(http::find_header(head.headers, "Id").value_or(""));
         request.host = std::string(http::find_header(head.headers, "Host").value_or(""));
+        std::istringstream prompt{
+            std::string(http::find_header(head.headers, "Prompt").value_or(""))};
+        for (std::string part; prompt >> part;)
+        {
+            request.prompt.push_back({part, 1});
+        }
         return request;
     }
 
@@ -345,10 +355,13 @@
 
     /// @brief Starts a call; it runs while the loop runs.
     recorded_exchange& start(const std::string& id,
-                             std::optional<forwarded_from> forwarded = std::nullopt)
+                             std::optional<forwarded_from> forwarded = std::nullopt,
+                             const std::string& prompt = "")
     {
         m_exchanges.push_back(std::make_unique<recorded_exchange>(
-            loop, http::request_head{"GET", "/" + id, {{"Host", "shop.example"}, {"Id", id}}}));
+            loop, http::request_head{"GET",
+                                     "/" + id,
+                                     {{"Host", "shop.example"}, {"Id", id}, {"Prompt", prompt}}}));
         recorded_exchange& started = *m_exchanges.back();
         asio::co_spawn(loop, serve(started, std::move(forwarded)), asio::detached);
         return started;
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -229,6 +229,40 @@
     CHECK_TRUE_TEXT(request.is(500, "no"), request.describe().c_str());
 }
 
+// Fails when a prompt part goes on being sent although upstreams crashed under it, with or without
+// an event of their answers, or when the first part of the prompts is refused with it.
+TEST(call, a_prompt_under_which_upstreams_crash_is_refused)
+{
+    for (const int events_sent : {0, 1})
+    {
+        call_fixture node(no_retries);
+        node.set_route(make_route(request_kind::streaming, 1));
+        std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+        for (int i = 1; i <= 4; ++i)
+        {
+            const std::string begun =
+                chunked_head + (events_sent > 0 ? chunk(events(1, events_sent)) : "");
+            upstreams.push_back(std::make_unique<scripted_upstream>(
+                node.loop, std::vector<scripted_answer>{{{{0ms, begun}}, answer_end::crash}}));
+            const std::string id = "i-" + std::to_string(i);
+            node.publish(id, upstreams.back()->address());
+            const recorded_exchange& request = node.start(id, std::nullopt, "first bad " + id);
+            node.finish(request);
+            node.run_for(50ms);
+            node.publish(id, upstreams.back()->address(), true);
+            const std::string seen =
+                std::to_string(events_sent) + " events, " + id + ": " + request.describe();
+            CHECK_EQUAL_TEXT(i <= 3 ? 1 : 0, upstreams.back()->requests().size(), seen.c_str());
+        }
+        scripted_upstream sound(node.loop,
+                                {{{{0ms, chunked_head + chunk(events(1, 2)) + last_chunk}}}});
+        node.publish("i-5", sound.address());
+        const recorded_exchange& served = node.start("served", std::nullopt, "first good served");
+        node.finish(served);
+        CHECK_TRUE_TEXT(served.is(200, events(1, 2)), served.describe().c_str());
+    }
+}
+
 // Fails when an answer that ends with its connection is cut, or when a part of one looks whole.
 TEST(call, an_answer_without_length_is_whole_only_when_its_connection_is_closed)
 {
