--- a/packages/http/include/snipeplank/http/event_stream.hpp
+++ b/packages/http/include/snipeplank/http/event_stream.hpp
@@ -44,8 +44,8 @@
     /// because the caller would receive the start of the answer twice.
     bool starts_over() const { return m_starts_over; }
 
-    /// @brief Removes and returns the buffered bytes if they are line ends only. Such bytes after the
-    /// last event belong to no event, but to the answer.
+    /// @brief Removes and returns the buffered bytes if they are line ends only. Such bytes after
+    /// the last event belong to no event, but to the answer.
     std::string take_line_ends();
 
     /// @brief Buffered bytes of the incomplete event.
--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -34,7 +34,7 @@
     core::milliseconds idle_timeout{15'000};  ///< between requests, and between parts of a body
     core::milliseconds body_timeout{60'000};  ///< from the end of the header to the end of the body
     core::milliseconds write_timeout{10'000}; ///< of one write to the client
-    std::size_t connections = 3'000; ///< requests on further ones are refused with 503
+    std::size_t connections = 3'000;          ///< requests on further ones are refused with 503
 };
 
 /// @brief A complete answer.
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -255,7 +255,7 @@
             CHECK_EQUAL_TEXT(i <= 3 ? 1 : 0, upstreams.back()->requests().size(), seen.c_str());
         }
         scripted_upstream sound(node.loop,
-                                {{{{0ms, chunked_head + chunk(events(1, 2)) + last_chunk}}}});
+                                {{{{0ms, chunked_head + chunk(events(1, 2)).append(last_chunk)}}}});
         node.publish("i-5", sound.address());
         const recorded_exchange& served = node.start("served", std::nullopt, "first good served");
         node.finish(served);
