--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,7 +6,7 @@
 first=${1:?give the first seed}
 failed=()
 for ((seed = first; seed < first + ${2:-1}; ++seed)); do
-  SNIPEPLANK_SOAK_FIRST_SEED=$seed SNIPEPLANK_SOAK_SEEDS=1 SNIPEPLANK_SOAK_MS=${3:-20000} \
+  SNIPEPLANK_SOAK_LARGE=1 SNIPEPLANK_SOAK_FIRST_SEED=$seed SNIPEPLANK_SOAK_SEEDS=1 SNIPEPLANK_SOAK_MS=${3:-20000} \
     "$bin/fault_soak_tests" -sg fault_soak -sn random_faults_break_no_promise || failed+=("$seed")
 done
 echo "failed seeds: ${failed[*]:-none}"
--- a/standins/relay/main.cpp
+++ b/standins/relay/main.cpp
@@ -12,6 +12,7 @@
 
 DEFINE_string(address, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
 DEFINE_string(target, "", "IP:PORT to relay connections to");
+DEFINE_bool(ends_by_reset, false, "end cut connections, and those with lost bytes, with a reset");
 DEFINE_string(control, "127.0.0.1:0", "IP:PORT of the HTTP interface that sets faults");
 
 namespace snipeplank::standins
@@ -82,7 +83,7 @@
 {
     const host_port listen = parse_host_port(FLAGS_address);
     http_server server;
-    tcp_relay relay(listen, parse_host_port(FLAGS_target));
+    tcp_relay relay(listen, parse_host_port(FLAGS_target), FLAGS_ends_by_reset);
     add_routes(server, relay);
     return server.run(FLAGS_control, listen.host + ":" + std::to_string(relay.port()));
 }
--- a/standins/relay/tcp_relay.cpp
+++ b/standins/relay/tcp_relay.cpp
@@ -77,6 +77,12 @@
         }
         // Forwards a half-close; the other direction may still transfer bytes.
         const bool ended_cleanly = !m_reading && m_chunks.empty();
+        if (m_link.ends_by_reset && (m_has_lost_bytes || !ended_cleanly))
+        {
+            connection(m_to).reset();
+            connection(m_from).reset();
+            return;
+        }
         ::shutdown(m_to, ended_cleanly ? SHUT_WR : SHUT_RDWR);
         if (!ended_cleanly)
         {
@@ -109,6 +115,7 @@
         if (count <= 0)
         {
             m_reading = false;
+            m_has_lost_bytes = m_has_lost_bytes || count < 0;
             return;
         }
         if (m_number >= m_link.mute_before)
@@ -124,6 +131,7 @@
         (to_target ? m_link.bytes_to_target : m_link.bytes_to_client) += bytes.size();
         if (to_target ? m_link.drop_to_target : m_link.drop_to_client)
         {
+            m_has_lost_bytes = true;
             return;
         }
         auto due = steady::now() + std::chrono::milliseconds(m_link.delay_ms);
@@ -170,6 +178,7 @@
     const int m_to;
     const std::uint64_t m_number;
     bool m_reading = true;
+    bool m_has_lost_bytes = false;
     std::deque<chunk> m_chunks;
     steady::time_point m_last_due;
     std::string m_tail;
@@ -177,9 +186,10 @@
 
 } // namespace
 
-tcp_relay::tcp_relay(const host_port& listen, host_port target)
+tcp_relay::tcp_relay(const host_port& listen, host_port target, bool ends_by_reset)
     : m_listen(listen), m_target(std::move(target))
 {
+    m_link.ends_by_reset = ends_by_reset;
     open_listener();
     if (m_listener < 0)
     {
--- a/standins/relay/tcp_relay.hpp
+++ b/standins/relay/tcp_relay.hpp
@@ -37,6 +37,8 @@
     std::atomic<std::uint64_t> cut_before{0};  ///< cut connections with a lower number
     std::atomic<std::uint64_t> mute_before{0}; ///< stop forwarding for lower numbers
     std::atomic<bool> stopping{false};
+    /// A connection that is cut, or that has lost bytes, ends with a reset instead of a clean end.
+    bool ends_by_reset = false;
 
     std::atomic<std::uint64_t> connections{0};
     std::atomic<std::uint64_t> open{0};
@@ -52,7 +54,8 @@
   public:
     /// @brief Starts to listen and accept connections.
     /// @throws std::runtime_error when the address is taken
-    tcp_relay(const host_port& listen, host_port target);
+    /// @param ends_by_reset see `link_state`
+    tcp_relay(const host_port& listen, host_port target, bool ends_by_reset = false);
 
     /// @brief Closes all connections and joins the threads.
     ~tcp_relay();
--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -4,9 +4,14 @@
 #include <nlohmann/json.hpp>
 #include <standins/support/http_server.hpp>
 
+#include <unistd.h>
+
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdlib>
+#include <functional>
+#include <iostream>
 #include <map>
 #include <mutex>
 #include <set>
@@ -25,6 +30,7 @@
 {
 
 using nlohmann::json;
+using std::chrono::milliseconds;
 
 constexpr int wrong_server = 421;
 constexpr int unavailable = 503;
@@ -35,25 +41,29 @@
   public:
     server()
     {
-        const auto serve = [this](const request& in, response& out) { answer(in, out); };
+        const auto serve = [this](const request& in, response& out)
+        {
+            answer(in, out);
+            stay_silent_if_told();
+        };
         m_server.Post("/standin/fault",
                       [this](const request& in, response&)
                       {
                           const std::lock_guard lock(m_mutex);
                           m_fault = in.body;
                       });
-        m_server.Get("/standin/seen",
-                     [this](const request&, response& out)
-                     {
-                         const std::lock_guard lock(m_mutex);
-                         out.set_content(json{{"runs", m_runs},
-                                              {"cancelled", m_cancelled},
-                                              {"deadlines", m_deadlines},
-                                              {"endless_bytes", m_endless_bytes},
-                                              {"rejected", m_rejected}}
-                                             .dump(),
-                                         "application/json");
-                     });
+        m_server.Get("/standin/seen", [this](const request&, response& out)
+                     { out.set_content(seen(), "application/json"); });
+        m_server.Post("/standin/silence", [this](const request& in, response&)
+                      { m_silent_until = now() + milliseconds(std::atol(in.body.c_str())); });
+        m_server.Post("/standin/close_ended",
+                      [this](const request& in, response&) { m_is_close_ended = in.body == "1"; });
+        m_server.Post("/standin/fatal_part",
+                      [this](const request& in, response&)
+                      {
+                          const std::lock_guard lock(m_mutex);
+                          m_fatal_part = in.body;
+                      });
         m_server.Get("/.*", serve);
         m_server.Post("/.*", serve);
     }
@@ -63,6 +73,49 @@
   private:
     using request = httplib::Request;
     using response = httplib::Response;
+    using time_point = std::chrono::steady_clock::time_point;
+
+    static time_point now() { return std::chrono::steady_clock::now(); }
+
+    std::string seen()
+    {
+        const std::lock_guard lock(m_mutex);
+        return json{{"runs", m_runs},
+                    {"cancelled", m_cancelled},
+                    {"deadlines", m_deadlines},
+                    {"endless_bytes", m_endless_bytes},
+                    {"rejected", m_rejected}}
+            .dump();
+    }
+
+    /// Sends nothing while `/standin/silence` applies; then everything goes on.
+    void stay_silent_if_told()
+    {
+        const time_point until = m_silent_until;
+        if (now() < until)
+            m_server.wait_for(std::chrono::duration_cast<std::chrono::microseconds>(until - now()));
+    }
+
+    /// Whether the prompt has the part that ends this program.
+    bool is_fatal(const request& in)
+    {
+        const std::lock_guard lock(m_mutex);
+        return !m_fatal_part.empty() &&
+               in.get_header_value("Prefix-Hash").find(m_fatal_part + ":") != std::string::npos;
+    }
+
+    /// Ends the program as a crash does, after a last line with what it has seen. Its connections
+    /// are reset: a clean end would complete the answers that end with their connection.
+    [[noreturn]] void crash()
+    {
+        std::cout << "crashed " << seen() << std::endl;
+        constexpr int max_sockets = 1'024;
+        for (int socket = STDERR_FILENO + 1; socket < max_sockets; ++socket)
+        {
+            connection(socket).reset();
+        }
+        std::_Exit(EXIT_FAILURE);
+    }
 
     void answer(const request& in, response& out)
     {
@@ -113,14 +166,16 @@
         if (fault != "unsigned")
             out.set_header("Server-Signature", "3e1b.07." + id);
         out.status = fault == "error" ? server_error : 200;
+        const bool is_stream = in.path.find("/stream") != std::string::npos;
         if (fault == "endless" || fault == "endless_other_id")
             send_endlessly(out);
-        else if (in.path.find("/stream") != std::string::npos)
+        else if (is_stream)
             stream(in, out, id, fault);
+        else if (is_fatal(in))
+            crash();
         else
-            out.set_content("answer of " + FLAGS_id + " to " + in.method + " " + in.path + " " +
-                                in.body,
-                            "text/plain");
+            send_whole(out, "answer of " + FLAGS_id + " to " + in.method + " " + in.path + " " +
+                                in.body);
         if (fault == "answer_twice")
             send_copy_later(id, out.body);
     }
@@ -135,51 +190,74 @@
             delay);
     }
 
-    /// Whether the fault `crash_on:PART` applies: the prompt has this part, and not as the last.
-    static bool crashes_on_prompt(const request& in, const std::string& fault)
+    void send_whole(response& out, const std::string& body) const
     {
-        const std::string prefix = "crash_on:";
-        if (!fault.starts_with(prefix))
-            return false;
-        const std::string prompt = "," + in.get_header_value("Prefix-Hash");
-        const std::size_t part = prompt.find("," + fault.substr(prefix.size()) + ":");
-        return part != std::string::npos && prompt.find(',', part + 1) != std::string::npos;
+        if (!m_is_close_ended)
+        {
+            out.set_content(body, "text/plain");
+            return;
+        }
+        out.set_header("Connection", "close");
+        out.set_content_provider("text/plain",
+                                 [body](std::size_t, httplib::DataSink& sink)
+                                 {
+                                     sink.write(body.data(), body.size());
+                                     connection::current().cut();
+                                     return false;
+                                 });
     }
 
     void stream(const request& in, response& out, const std::string& id, const std::string& fault)
     {
-        const bool crashes = crashes_on_prompt(in, fault);
         const std::string last = in.get_header_value("Last-Event-Id");
-        int next = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
-        out.set_chunked_content_provider(
-            "text/event-stream",
-            [this, next, id, fault, crashes](std::size_t, httplib::DataSink& sink) mutable
+        const int next = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
+        const bool is_close_ended = m_is_close_ended;
+        auto write = event_writer(next, id, fault, is_fatal(in), is_close_ended);
+        if (!is_close_ended)
+        {
+            out.set_chunked_content_provider("text/event-stream", std::move(write));
+            return;
+        }
+        out.set_header("Connection", "close");
+        out.set_content_provider("text/event-stream", std::move(write));
+    }
+
+    std::function<bool(std::size_t, httplib::DataSink&)>
+    event_writer(int next, const std::string& id, const std::string& fault, bool is_fatal,
+                 bool is_close_ended)
+    {
+        return [this, next, id, fault, is_fatal, is_close_ended](std::size_t,
+                                                                 httplib::DataSink& sink) mutable
+        {
+            if (is_fatal)
+                crash();
+            if (fault == "break_stream" && next == 3)
+            {
+                const std::string half = "id: 3\ndata: to";
+                sink.write(half.data(), half.size());
+                connection::current().cut();
+                return false;
+            }
+            stay_silent_if_told();
+            if (next > FLAGS_events)
             {
-                if (crashes)
-                    std::_Exit(EXIT_FAILURE);
-                if (fault == "break_stream" && next == 3)
-                {
-                    const std::string half = "id: 3\ndata: to";
-                    sink.write(half.data(), half.size());
+                if (is_close_ended)
                     connection::current().cut();
-                    return false;
-                }
-                if (next > FLAGS_events)
-                {
+                else
                     sink.done();
-                    return true;
-                }
-                const std::string event = "id: " + std::to_string(next) + "\ndata: token " +
-                                          std::to_string(next) + "\n\n";
-                ++next;
-                if (!m_server.wait_for(std::chrono::milliseconds(FLAGS_event_ms)) ||
-                    !sink.write(event.data(), event.size()))
-                {
-                    record_cancelled(id);
-                    return false;
-                }
-                return true;
-            });
+                return !is_close_ended;
+            }
+            const std::string event =
+                "id: " + std::to_string(next) + "\ndata: token " + std::to_string(next) + "\n\n";
+            ++next;
+            if (!m_server.wait_for(std::chrono::milliseconds(FLAGS_event_ms)) ||
+                !sink.write(event.data(), event.size()))
+            {
+                record_cancelled(id);
+                return false;
+            }
+            return true;
+        };
     }
 
     /// Sends bytes that contain no event until the caller closes, or up to a cap.
@@ -215,6 +293,9 @@
     std::set<std::string> m_cancelled;
     std::size_t m_endless_bytes = 0; ///< most bytes sent in one endless answer
     int m_rejected = 0;
+    std::atomic<time_point> m_silent_until{time_point{}};
+    std::atomic<bool> m_is_close_ended{false}; ///< answers end with their connection
+    std::string m_fatal_part;                  ///< part of a prompt that ends this program
 };
 
 } // namespace
--- a/standins/support/http_server.cpp
+++ b/standins/support/http_server.cpp
@@ -177,6 +177,13 @@
     ::shutdown(m_socket, SHUT_RDWR);
 }
 
+void connection::reset() const
+{
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    static_cast<void>(::connect(m_socket, &none, sizeof(none)));
+}
+
 http_server::http_server()
 {
     // Threads inherit the mask, so only sigwait() in run() receives these signals.
--- a/standins/support/http_server.hpp
+++ b/standins/support/http_server.hpp
@@ -42,6 +42,9 @@
     /// @brief Shuts down both directions of the connection.
     void cut() const;
 
+    /// @brief Ends the connection with a TCP reset.
+    void reset() const;
+
     /// @brief Sends bytes on the connection after a delay, from another thread.
     void send_later(std::string bytes, std::chrono::milliseconds delay) const;
 
--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -36,7 +36,7 @@
         server.id = "i-" + std::to_string(servers.size()) + "-" + std::to_string(crashes) + "-" +
                     server.region;
         server.program = &fleet->start_server(server.id);
-        machine_fleet::set_fault(*server.program, "crash_on:bad");
+        CHECK_TRUE(http_post(server.program->address(), "/standin/fatal_part", "bad").is(200));
         fleet->publish_server(server.id, "model", server.region, server.program->address(),
                               "ready");
     }
--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -6,9 +6,11 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <map>
 
 #include "soak/fault_plan.hpp"
 #include "soak/soak_fleet.hpp"
+#include "soak/soak_shape.hpp"
 
 using namespace snipeplank::tests;
 
@@ -25,12 +27,6 @@
     return text == nullptr ? otherwise : std::stoull(text);
 }
 
-/// Every third seed has planned operations only, for which the guarantees are stricter.
-bool is_planned(std::uint64_t seed)
-{
-    return seed % 3 == 0;
-}
-
 std::string describe(const std::vector<planned_fault>& plan)
 {
     std::string text;
@@ -43,24 +39,52 @@
     return text;
 }
 
-void soak(std::uint64_t seed, milliseconds length)
+/// Returns how many calls were served.
+std::size_t print_summary(std::uint64_t seed, const std::string& faults, const soak_record& seen,
+                          std::size_t violations)
 {
-    const std::vector<planned_fault> plan = make_fault_plan(seed, length, is_planned(seed));
-    soak_fleet fleet(seed);
-    const soak_record seen = fleet.run(plan, is_planned(seed));
-    const std::vector<std::string> violations = find_violations(seen);
     std::size_t served = 0;
+    std::map<int, std::size_t> others;
     for (const call_record& each : seen.calls)
     {
-        served += each.answer.is(200) ? 1 : 0;
+        if (each.answer.is(200))
+            ++served;
+        else
+            ++others[each.answer.end == answer_end::truncated ? -1 : each.answer.status];
     }
-    std::cout << "seed " << seed << ": " << plan.size() << " faults, " << seen.calls.size()
-              << " calls, " << served << " served, " << violations.size() << " promises broken\n";
+    std::cout << "seed " << seed << (seen.is_planned ? " (planned): " : ": ") << faults << ", "
+              << seen.calls.size() << " calls, " << served << " served, ";
+    for (const auto& [status, count] : others)
+    {
+        std::cout << count << (status < 0 ? std::string(" cut") : " with " + std::to_string(status))
+                  << ", ";
+    }
+    std::cout << violations << " promises broken\n";
+    return served;
+}
+
+void soak(std::uint64_t seed, milliseconds length)
+{
+    const soak_shape shape = make_soak_shape(seed, number_from("SNIPEPLANK_SOAK_LARGE", 0) > 0);
+    const std::vector<planned_fault> plan = make_fault_plan(seed, length, shape.kinds);
+    soak_fleet fleet(seed, shape);
+    const soak_record seen = fleet.run(plan);
+    const std::vector<std::string> violations = find_violations(seen);
+    const std::string faults = std::to_string(plan.size()) + " faults, " +
+                               std::to_string(seen.servers.size() - shape.servers.size()) +
+                               " servers crashed";
+    const std::size_t served = print_summary(seed, faults, seen, violations.size());
     CHECK_TRUE_TEXT(served > 0, "nothing was served");
     if (violations.empty())
         return;
     const std::string log = "soak-" + std::to_string(seed) + ".log";
-    std::ofstream(log) << describe(plan) << fleet.logs();
+    std::ofstream file(log);
+    file << describe(plan);
+    for (const std::string& each : violations)
+    {
+        file << each << "\n";
+    }
+    file << fleet.logs();
     std::string text = "plan and logs are in " + log + "\n";
     constexpr std::size_t max_shown = 20;
     for (std::size_t i = 0; i < std::min(violations.size(), max_shown); ++i)
@@ -92,6 +116,19 @@
     soak(3, short_run);
 }
 
+// Fails when a change of the configuration, a server that stands still for a second, or answers
+// that end with their connection cost a request.
+TEST(fault_soak, newer_planned_operations_violate_no_guarantee)
+{
+    soak(5'001, short_run);
+}
+
+// Fails when a guarantee is violated while some requests end each server that answers them.
+TEST(fault_soak, newer_faults_violate_no_guarantee)
+{
+    soak(5'002, short_run);
+}
+
 // Fails when a seed that failed in the past fails again.
 TEST(fault_soak, former_failures_stay_fixed)
 {
--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -325,6 +325,56 @@
     }
 }
 
+// Fails when a sound server that sends nothing for a second costs some of its requests, because not
+// all of them may be sent again (soak seed 5031).
+TEST(machine_node, a_server_that_pauses_for_a_second_costs_no_request)
+{
+    struct row
+    {
+        const char* path;
+        std::size_t received; ///< bytes of each answer before the pause
+        std::string whole;    ///< what each answer contains
+    };
+    const row rows[] = {{"/read/x", 0, "answer of i-1 to POST /read/x "},
+                        {"/stream/x", whole_stream(1, 2).size(), whole_stream(1, 12)}};
+    constexpr int no_retry_slack = 0;
+    constexpr int work_ms = 100;
+    std::string broken;
+    for (const row& each : rows)
+    {
+        fleet = std::make_unique<machine_fleet>(std::vector<std::string>{home}, store_path::direct,
+                                                no_retry_slack);
+        fleet_configuration config;
+        config.max_attempts = 3;
+        config.stream_service = "shop";
+        fleet->publish_configuration(config);
+        const std::vector<std::string> events{"--events", "12", "--event_ms", "100"};
+        standin& server = fleet->start_server("i-1", work_ms, events);
+        fleet->publish_server("i-1", "shop", home, server.address(), "ready");
+        fleet->start_nodes();
+        fleet->wait_until_served(0, each.path);
+        std::vector<std::unique_ptr<http_exchange>> open;
+        for (int i = 0; i < 8; ++i)
+        {
+            open.push_back(std::make_unique<http_exchange>(
+                fleet->node(0).callers,
+                machine_fleet::request("POST", each.path, "id" + std::to_string(i))));
+        }
+        for (const auto& exchange : open)
+        {
+            CHECK_TRUE(exchange->read_body(each.received));
+        }
+        machine_fleet::silence(server, 1'500ms);
+        for (const auto& exchange : open)
+        {
+            const http_answer answer = exchange->finish();
+            if (!answer.is(200) || answer.body != each.whole)
+                broken += std::string(each.path) + " " + answer.describe() + "\n";
+        }
+    }
+    CHECK_TRUE_TEXT(broken.empty(), (broken + fleet->node(0).program->output()).c_str());
+}
+
 // Fails when a server continues to work on a request after its client has disconnected.
 TEST(machine_node, a_client_disconnect_cancels_the_request)
 {
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -1,7 +1,6 @@
 #include "fault_plan.hpp"
 
 #include <algorithm>
-#include <array>
 #include <random>
 
 namespace snipeplank::tests
@@ -10,30 +9,76 @@
 namespace
 {
 
+using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
 constexpr milliseconds mean_gap{900};
-constexpr milliseconds min_fault_duration{100};
-constexpr milliseconds max_fault_duration{3'000};
-/// Planned operations outlast the time limits that are checked for them (4 s and 5 s).
-constexpr milliseconds min_planned_duration{6'000};
-constexpr milliseconds max_planned_duration{8'000};
+
+struct kind_row
+{
+    fault_kind kind;
+    const char* name;
+    bool is_planned;
+    bool is_newer;
+    milliseconds min_duration;
+    milliseconds max_duration;
+};
+
+/// Drains and evacuations outlast the time limits that are checked for them (4 s and 5 s).
+const std::vector<kind_row> rows{
+    {fault_kind::stop_node, "stop_node", true, false, 6s, 8s},
+    {fault_kind::reload_node, "reload_node", true, false, 6s, 8s},
+    {fault_kind::new_configuration, "new_configuration", true, false, 6s, 8s},
+    {fault_kind::drain_server, "drain_server", true, false, 6s, 8s},
+    {fault_kind::evacuate_region, "evacuate_region", true, false, 6s, 8s},
+    {fault_kind::kill_node, "kill_node", false, false, 100ms, 3s},
+    {fault_kind::freeze_node, "freeze_node", false, false, 100ms, 3s},
+    {fault_kind::freeze_server, "freeze_server", false, false, 100ms, 3s},
+    {fault_kind::faulty_server, "faulty_server", false, false, 100ms, 3s},
+    {fault_kind::delay_path, "delay_path", false, false, 100ms, 3s},
+    {fault_kind::cut_path, "cut_path", false, false, 100ms, 3s},
+    {fault_kind::silence_path, "silence_path", false, false, 100ms, 3s},
+    {fault_kind::drop_to_target, "drop_to_target", false, false, 100ms, 3s},
+    {fault_kind::drop_to_client, "drop_to_client", false, false, 100ms, 3s},
+    {fault_kind::refuse_path, "refuse_path", false, false, 100ms, 3s},
+    {fault_kind::forget_history, "forget_history", false, false, 100ms, 3s},
+    {fault_kind::pause_server, "pause_server", true, true, 700ms, 1'500ms},
+    {fault_kind::mute_server, "mute_server", true, true, 700ms, 1'500ms},
+    {fault_kind::close_ended_answers, "close_ended_answers", true, true, 2s, 5s},
+    {fault_kind::change_timeouts, "change_timeouts", true, true, 500ms, 4s},
+    {fault_kind::change_idle_limit, "change_idle_limit", true, true, 500ms, 4s},
+    {fault_kind::move_routes, "move_routes", true, true, 500ms, 4s},
+    {fault_kind::version_storm, "version_storm", true, true, 3s, 3'001ms},
+    // Kinds that stand here again are drawn more often.
+    {fault_kind::stop_node, "stop_node", true, true, 6s, 8s},
+    {fault_kind::pause_server, "pause_server", true, true, 700ms, 1'500ms},
+    {fault_kind::mute_server, "mute_server", true, true, 700ms, 1'500ms},
+    {fault_kind::close_ended_answers, "close_ended_answers", true, true, 2s, 5s},
+    {fault_kind::move_routes, "move_routes", true, true, 500ms, 4s},
+    {fault_kind::crash_servers, "crash_servers", false, true, 2s, 5s},
+};
+
+std::vector<kind_row> drawn_from(plan_kinds kinds)
+{
+    std::vector<kind_row> drawn;
+    for (const kind_row& each : rows)
+    {
+        if ((each.is_planned || !kinds.planned_only) && (!each.is_newer || kinds.with_newer))
+            drawn.push_back(each);
+    }
+    return drawn;
+}
 
 } // namespace
 
 std::string to_string(fault_kind kind)
 {
-    static constexpr std::array<const char*, static_cast<std::size_t>(fault_kind::last) + 1> names{
-        "stop_node",       "reload_node",    "new_configuration", "drain_server",
-        "evacuate_region", "kill_node",      "freeze_node",       "freeze_server",
-        "faulty_server",   "delay_path",     "cut_path",          "silence_path",
-        "drop_to_target",  "drop_to_client", "refuse_path",       "forget_history",
-    };
-    return names.at(static_cast<std::size_t>(kind));
+    return std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.kind == kind; })
+        ->name;
 }
 
 std::vector<planned_fault> make_fault_plan(std::uint64_t seed, milliseconds length,
-                                           bool planned_only)
+                                           plan_kinds kinds)
 {
     std::mt19937_64 random(seed);
     const auto below = [&](std::uint64_t bound) { return random() % bound; };
@@ -42,18 +87,16 @@
         const auto span = static_cast<std::uint64_t>((max_value - min_value).count());
         return min_value + milliseconds{static_cast<long>(below(span))};
     };
-    const auto kinds =
-        static_cast<std::uint64_t>(planned_only ? fault_kind::last_planned : fault_kind::last) + 1;
+    const std::vector<kind_row> drawn = drawn_from(kinds);
     std::vector<planned_fault> plan;
     milliseconds at{0};
     while (at < length)
     {
+        const kind_row& row = drawn[below(drawn.size())];
         planned_fault each;
         each.at = at;
-        each.kind = static_cast<fault_kind>(below(kinds));
-        each.duration = each.kind <= fault_kind::last_planned
-                            ? between(min_planned_duration, max_planned_duration)
-                            : between(min_fault_duration, max_fault_duration);
+        each.kind = row.kind;
+        each.duration = between(row.min_duration, row.max_duration);
         each.draw = random();
         plan.push_back(each);
         // A third of the faults start at the same time as the previous one.
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -20,7 +20,6 @@
     new_configuration,
     drain_server,
     evacuate_region,
-    last_planned = evacuate_region, ///< kinds up to here are planned operations
     kill_node,
     freeze_node,
     freeze_server,
@@ -32,7 +31,14 @@
     drop_to_client,
     refuse_path,
     forget_history,
-    last = forget_history,
+    pause_server,        ///< a sound server stands still for about a second
+    mute_server,         ///< as `pause_server`, but it accepts connections meanwhile
+    close_ended_answers, ///< answers end with their connection
+    change_timeouts,     ///< of the routes
+    change_idle_limit,   ///< of the clients' connections
+    move_routes,         ///< to another service and back
+    version_storm,       ///< a changed configuration every 250 ms
+    crash_servers,       ///< a part of a prompt ends each server that answers it
 };
 
 /// @brief Name of the kind in messages.
@@ -47,10 +53,16 @@
     std::uint64_t draw = 0; ///< random number that selects the target and the variant
 };
 
+/// @brief Which kinds a plan draws from.
+struct plan_kinds
+{
+    bool planned_only = false; ///< planned operations, and what sound servers do
+    bool with_newer = false;   ///< all kinds; the plans of older seeds lack the newer ones
+};
+
 /// @brief Single, successive and overlapping faults, ordered by their start.
-/// @param planned_only limits the plan to planned operations
 std::vector<planned_fault> make_fault_plan(std::uint64_t seed, std::chrono::milliseconds length,
-                                           bool planned_only);
+                                           plan_kinds kinds);
 
 } // namespace snipeplank::tests
 
--- /dev/null
+++ b/tests/soak/soak_caller.cpp
@@ -0,0 +1,113 @@
+#include "soak_caller.hpp"
+
+#include <array>
+#include <utility>
+
+#include "machine_fleet.hpp"
+
+namespace snipeplank::tests
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+/// A node that is down refuses connections immediately, so wait longer.
+constexpr milliseconds pause_while_down = 200ms;
+
+soak_time now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+soak_caller::soak_caller(std::size_t number, std::uint64_t seed, std::size_t node,
+                         std::string address, const caller_view& view)
+    : m_number(number), m_node(node), m_address(std::move(address)), m_view(view), m_random(seed),
+      m_thread([this] { run(); })
+{
+}
+
+std::vector<call_record> soak_caller::finish()
+{
+    if (m_thread.joinable())
+        m_thread.join();
+    return std::move(m_calls);
+}
+
+void soak_caller::run()
+{
+    for (int number = 0; !m_view.is_stopped; ++number)
+    {
+        call_record made =
+            send(std::to_string(m_number) + "-" + std::to_string(number), m_random());
+        std::this_thread::sleep_for(pause_after(made));
+        m_calls.push_back(std::move(made));
+    }
+}
+
+/// Some callers send the next request as soon as they have an answer, and some pauses end when the
+/// node is about to close the idle connection.
+milliseconds soak_caller::pause_after(const call_record& made)
+{
+    constexpr std::uint64_t max_pause_ms = 60;
+    const auto draw = m_random();
+    if (made.answer.end == answer_end::no_connection)
+        return pause_while_down;
+    constexpr std::size_t eager_share = 3;
+    if (m_view.sends_long_requests && m_number % eager_share == 0 && made.answer.is(200))
+        return 0ms;
+    constexpr std::uint64_t idle_share = 4;
+    constexpr milliseconds longest_idle = 1s;
+    const milliseconds limit = m_view.idle_limit();
+    if (limit > 0ms && limit <= longest_idle && draw / 64 % idle_share == 0)
+        return limit - 1ms + milliseconds{draw / 1'024 % 3};
+    return milliseconds{draw % max_pause_ms};
+}
+
+milliseconds soak_caller::deadline_of(call_kind kind, std::uint64_t draw) const
+{
+    constexpr std::uint64_t min_ms = 500;
+    constexpr std::uint64_t range_ms = 3'500;
+    constexpr std::uint64_t min_stream_ms = 3'000;
+    const bool is_long = m_view.sends_long_requests && kind == call_kind::stream;
+    return milliseconds{(is_long ? min_stream_ms : min_ms) + draw / 7 % range_ms};
+}
+
+bool soak_caller::has_fatal_part(std::uint64_t draw) const
+{
+    constexpr std::uint64_t share = 4;
+    return m_view.sends_fatal_part && m_number % share == 1 && draw / 128 % share == 0;
+}
+
+call_record soak_caller::send(const std::string& id, std::uint64_t draw)
+{
+    static constexpr std::array kinds{call_kind::book, call_kind::read, call_kind::stream};
+    call_record made;
+    made.id = id;
+    made.node = m_node;
+    made.kind = kinds[draw % kinds.size()];
+    made.deadline = deadline_of(made.kind, draw);
+    http_request request = machine_fleet::request("POST", path_of(made.kind, id), id,
+                                                  static_cast<int>(made.deadline.count()));
+    if (has_fatal_part(draw))
+        request.headers["Prefix-Hash"] = "a:50," + fatal_part + ":50,b:50";
+    request.keep_alive = true;
+    made.sent = now();
+    if (m_open && m_open->can_send_again())
+    {
+        made.idle = std::chrono::duration_cast<milliseconds>(made.sent - m_last_answer);
+        m_open->send_again(request);
+    }
+    else
+        m_open = std::make_unique<http_exchange>(m_address, request);
+    made.answer = m_open->finish();
+    made.ended = now();
+    m_last_answer = made.ended;
+    return made;
+}
+
+} // namespace snipeplank::tests
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <random>
-#include <tuple>
+#include <set>
+#include <utility>
 
 namespace snipeplank::tests
 {
@@ -15,12 +15,7 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-const std::string home = "salzkammer";
-const std::string remote = "ennstal";
-constexpr std::size_t callers = 12;
 constexpr std::chrono::milliseconds poll_interval = 20ms;
-/// Long enough that faults hit requests in flight.
-constexpr int work_ms = 60;
 /// Time limits within which a leaving server or an evacuated region may still get new requests.
 constexpr std::chrono::milliseconds drain_limit = 4s;
 constexpr std::chrono::milliseconds evacuation_limit = 5s;
@@ -30,9 +25,10 @@
     return std::chrono::steady_clock::now();
 }
 
-std::string evacuated_region(const planned_fault& fault)
+/// Drains of one server have the same key, also when it comes back under another id meanwhile.
+std::string drain_key(std::size_t server)
 {
-    return fault.draw % 2 == 0 ? home : remote;
+    return "drain " + std::to_string(server);
 }
 
 std::string evacuation_key(const std::string& region)
@@ -42,21 +38,14 @@
 
 } // namespace
 
-soak_fleet::soak_fleet(std::uint64_t seed)
-    : m_seed(seed), m_fleet({home, home, remote}, store_path::relayed), m_nodes(3), m_calls(callers)
+soak_fleet::soak_fleet(std::uint64_t seed, soak_shape shape)
+    : m_seed(seed), m_shape(std::move(shape)),
+      m_fleet(m_shape.regions, store_path::relayed, m_shape.retry_slack),
+      m_configuration(m_fleet, m_shape.max_attempts), m_nodes(m_shape.regions.size())
 {
-    m_fleet.publish_configuration(m_version, home);
-    for (const auto& [id, service, region] :
-         {std::tuple{"m1", "model", home}, std::tuple{"m2", "model", home},
-          std::tuple{"s1", "shop", home}, std::tuple{"s2", "shop", home},
-          std::tuple{"m3", "model", remote}, std::tuple{"s3", "shop", remote}})
+    for (const server_place& each : m_shape.servers)
     {
-        soak_server made{id, service, region, nullptr, nullptr, false};
-        made.program = &m_fleet.start_server(id, work_ms);
-        made.path = std::make_unique<standin>(
-            "standin_relay", std::vector<std::string>{"--target", made.program->address()});
-        publish(made, false);
-        m_servers.push_back(std::move(made));
+        m_servers.emplace_back(m_fleet, each, m_shape.events, m_shape.kinds.with_newer);
     }
     m_fleet.start_nodes();
     wait_until_served();
@@ -64,19 +53,28 @@
 
 soak_fleet::~soak_fleet()
 {
-    m_is_stopped = true;
-    for (std::thread& each : m_callers)
+    m_view.is_stopped = true;
+    for (soak_caller& each : m_callers)
     {
-        each.join();
+        static_cast<void>(each.finish());
     }
 }
 
-soak_record soak_fleet::run(const std::vector<planned_fault>& plan, bool planned_only)
+void soak_fleet::start_callers()
 {
-    for (std::size_t caller = 0; caller < callers; ++caller)
+    m_view.sends_long_requests = m_shape.kinds.with_newer;
+    m_view.idle_limit = [this] { return m_configuration.idle_limit(); };
+    for (std::size_t caller = 0; caller < m_shape.callers; ++caller)
     {
-        m_callers.emplace_back([this, caller] { call_until_stopped(caller); });
+        const std::size_t node = caller % m_nodes.size();
+        m_callers.emplace_back(caller, m_seed * m_shape.callers + caller, node,
+                               m_fleet.node(node).callers, m_view);
     }
+}
+
+soak_record soak_fleet::run(const std::vector<planned_fault>& plan)
+{
+    start_callers();
     const soak_time start = now();
     std::vector<planned_fault> active;
     for (auto next = plan.begin(); next != plan.end() || !active.empty();)
@@ -95,27 +93,35 @@
                               end(each);
                           return is_over;
                       });
-        restart_stopped_nodes();
+        tend();
         std::this_thread::sleep_for(poll_interval);
     }
     restore();
     wait_until_served();
-    m_is_stopped = true;
+    return collect();
+}
+
+soak_record soak_fleet::collect()
+{
+    m_view.is_stopped = true;
     soak_record seen;
-    seen.home = home;
-    seen.is_planned = planned_only;
-    seen.exclusions = planned_only ? m_exclusions : std::vector<exclusion_period>{};
-    for (std::size_t caller = 0; caller < callers; ++caller)
+    seen.home = home_region;
+    seen.is_planned = m_shape.kinds.planned_only;
+    seen.events = m_shape.events;
+    seen.timeouts = m_configuration.timeouts();
+    seen.stops = m_stops;
+    if (seen.is_planned)
+        seen.exclusions = m_exclusions;
+    for (soak_caller& each : m_callers)
     {
-        m_callers[caller].join();
-        seen.calls.insert(seen.calls.end(), m_calls[caller].begin(), m_calls[caller].end());
+        const std::vector<call_record> calls = each.finish();
+        seen.calls.insert(seen.calls.end(), calls.begin(), calls.end());
     }
     m_callers.clear();
     for (const soak_server& each : m_servers)
     {
-        seen.servers.push_back(
-            {each.id, each.region,
-             machine_fleet::seen(*each.program)["runs"].get<std::map<std::string, int>>()});
+        const std::vector<server_record> records = each.records();
+        seen.servers.insert(seen.servers.end(), records.begin(), records.end());
     }
     return seen;
 }
@@ -135,14 +141,13 @@
         m_fleet.node(node).program->pause();
         break;
     case fault_kind::freeze_server:
-        server.program->process().pause();
-        server.is_paused = true;
+        server.pause();
         break;
     case fault_kind::faulty_server:
     {
         static constexpr std::array answers{"shed",     "error",    "reset",
                                             "unsigned", "other_id", "break_stream"};
-        set_fault(server, answers[fault.draw / 7 % answers.size()]);
+        server.set_fault(answers[fault.draw / 7 % answers.size()]);
         break;
     }
     case fault_kind::forget_history:
@@ -156,6 +161,10 @@
     case fault_kind::refuse_path:
         begin_path_fault(fault, path_at(fault.draw));
         break;
+    case fault_kind::crash_servers:
+        ++m_active_operations[fatal_part];
+        set_fatal_part(fatal_part);
+        break;
     default:
         begin_planned_operation(fault);
         break;
@@ -165,51 +174,87 @@
 void soak_fleet::begin_planned_operation(const planned_fault& fault)
 {
     const std::size_t node = fault.draw % m_nodes.size();
-    const soak_server& server = m_servers[fault.draw % m_servers.size()];
+    soak_server& server = m_servers[fault.draw % m_servers.size()];
     switch (fault.kind)
     {
     case fault_kind::stop_node:
-        if (m_nodes[node] != node_state::down)
-        {
-            m_fleet.node(node).program->send_signal(SIGTERM);
-            m_nodes[node] = node_state::stopping;
-        }
+        stop(node);
         break;
     case fault_kind::reload_node:
         if (m_nodes[node] == node_state::running)
             m_fleet.node(node).program->send_signal(SIGHUP);
         break;
-    case fault_kind::new_configuration:
-        m_fleet.publish_configuration(++m_version, home);
-        break;
     case fault_kind::drain_server:
-        ++m_active_operations[server.id];
-        publish(server, true);
+        ++m_active_operations[drain_key(fault.draw % m_servers.size())];
+        server.set_leaving(true);
         m_exclusions.push_back(
-            {server.id, now() + drain_limit, now() - poll_interval + fault.duration});
+            {server.id(), now() + drain_limit, now() - poll_interval + fault.duration});
         break;
     case fault_kind::evacuate_region:
-    {
-        const std::string region = evacuated_region(fault);
-        ++m_active_operations[region];
-        m_fleet.put(evacuation_key(region), "{}");
-        for (const soak_server& each : m_servers)
-        {
-            if (each.region == region)
-                m_exclusions.push_back(
-                    {each.id, now() + evacuation_limit, now() - poll_interval + fault.duration});
-        }
+        evacuate(fault);
+        break;
+    default:
+        begin_sound_behaviour(fault);
         break;
     }
+}
+
+void soak_fleet::begin_sound_behaviour(const planned_fault& fault)
+{
+    soak_server& server = m_servers[fault.draw % m_servers.size()];
+    switch (fault.kind)
+    {
+    case fault_kind::pause_server:
+        server.stand_still(fault.duration, false);
+        break;
+    case fault_kind::mute_server:
+        server.stand_still(fault.duration, true);
+        break;
+    case fault_kind::close_ended_answers:
+        server.set_close_ended(true);
+        break;
     default:
+        m_configuration.begin(fault);
         break;
     }
 }
 
+void soak_fleet::stop(std::size_t node)
+{
+    if (m_nodes[node] == node_state::down)
+        return;
+    m_fleet.node(node).program->send_signal(SIGTERM);
+    if (m_nodes[node] == node_state::running)
+        m_stops.push_back({node, now(), soak_time::max()});
+    m_nodes[node] = node_state::stopping;
+}
+
+std::string soak_fleet::evacuated_region(const planned_fault& fault) const
+{
+    const std::set<std::string> all(m_shape.regions.begin(), m_shape.regions.end());
+    // The home region comes first.
+    std::vector<std::string> regions{home_region};
+    std::copy_if(all.begin(), all.end(), std::back_inserter(regions),
+                 [](const std::string& each) { return each != home_region; });
+    return regions[fault.draw % regions.size()];
+}
+
+void soak_fleet::evacuate(const planned_fault& fault)
+{
+    const std::string region = evacuated_region(fault);
+    ++m_active_operations[region];
+    m_fleet.put(evacuation_key(region), "{}");
+    for (const soak_server& each : m_servers)
+    {
+        if (each.region() == region)
+            m_exclusions.push_back(
+                {each.id(), now() + evacuation_limit, now() - poll_interval + fault.duration});
+    }
+}
+
 void soak_fleet::end(const planned_fault& fault)
 {
     const std::size_t node = fault.draw % m_nodes.size();
-    soak_server& server = m_servers[fault.draw % m_servers.size()];
     switch (fault.kind)
     {
     case fault_kind::kill_node:
@@ -219,32 +264,74 @@
     case fault_kind::freeze_node:
         m_fleet.node(node).program->resume();
         break;
-    case fault_kind::freeze_server:
-        server.program->process().resume();
-        server.is_paused = false;
-        break;
-    case fault_kind::faulty_server:
-        set_fault(server, "");
-        break;
-    case fault_kind::drain_server:
-        // Drains of one server may overlap; the last one to end makes it ready again.
-        if (--m_active_operations[server.id] == 0)
-            publish(server, false);
-        break;
     case fault_kind::evacuate_region:
         if (--m_active_operations[evacuated_region(fault)] == 0)
             m_fleet.remove(evacuation_key(evacuated_region(fault)));
         break;
     case fault_kind::delay_path:
     case fault_kind::silence_path:
-    case fault_kind::drop_to_target:
-    case fault_kind::drop_to_client:
     case fault_kind::refuse_path:
         path_at(fault.draw).set_faults(json::object());
         break;
+    case fault_kind::drop_to_target:
+    case fault_kind::drop_to_client:
+        end_drop(path_at(fault.draw));
+        break;
+    case fault_kind::crash_servers:
+        if (--m_active_operations[fatal_part] == 0)
+            set_fatal_part("");
+        break;
+    case fault_kind::change_timeouts:
+    case fault_kind::change_idle_limit:
+    case fault_kind::move_routes:
+        m_configuration.end(fault);
+        break;
     default:
+        end_server_fault(fault);
+        break;
+    }
+}
+
+void soak_fleet::end_server_fault(const planned_fault& fault)
+{
+    soak_server& server = m_servers[fault.draw % m_servers.size()];
+    switch (fault.kind)
+    {
+    case fault_kind::freeze_server:
+    case fault_kind::pause_server:
+        server.resume();
+        break;
+    case fault_kind::faulty_server:
+        server.set_fault("");
         break;
+    case fault_kind::drain_server:
+        // Drains of one server may overlap; the last one to end makes it ready again.
+        if (--m_active_operations[drain_key(fault.draw % m_servers.size())] == 0)
+            server.set_leaving(false);
+        break;
+    case fault_kind::close_ended_answers:
+        server.set_close_ended(false);
+        break;
+    default:
+        break;
+    }
+}
+
+/// TCP never goes on behind lost bytes, so connections with lost bytes end. Streams that outlast
+/// the fault would have gaps between their events otherwise.
+void soak_fleet::end_drop(standin& path) const
+{
+    path.set_faults(m_shape.kinds.with_newer ? json{{"cut", true}} : json::object());
+}
+
+/// All servers have the same fault, so each of them ends at the same part of a prompt.
+void soak_fleet::set_fatal_part(const std::string& part)
+{
+    for (soak_server& each : m_servers)
+    {
+        each.set_fatal_part(part);
     }
+    m_view.sends_fatal_part = !part.empty();
 }
 
 void soak_fleet::begin_path_fault(const planned_fault& fault, standin& path)
@@ -277,23 +364,7 @@
 standin& soak_fleet::path_at(std::uint64_t draw)
 {
     const std::size_t chosen = draw % (m_servers.size() + 1);
-    return chosen == m_servers.size() ? m_fleet.store_relay() : *m_servers[chosen].path;
-}
-
-/// A paused server cannot receive the request that sets the fault, so it is resumed for it.
-void soak_fleet::set_fault(soak_server& server, const std::string& fault)
-{
-    if (server.is_paused)
-        server.program->process().resume();
-    machine_fleet::set_fault(*server.program, fault);
-    if (server.is_paused)
-        server.program->process().pause();
-}
-
-void soak_fleet::publish(const soak_server& server, bool is_leaving) const
-{
-    m_fleet.publish_server(server.id, server.service, server.region, server.path->address(),
-                           is_leaving ? "draining" : "ready");
+    return chosen == m_servers.size() ? m_fleet.store_relay() : m_servers[chosen].path();
 }
 
 void soak_fleet::start_node(std::size_t index)
@@ -302,12 +373,27 @@
     m_nodes[index] = node_state::running;
 }
 
+void soak_fleet::tend()
+{
+    restart_stopped_nodes();
+    m_configuration.tend();
+    for (soak_server& each : m_servers)
+    {
+        each.tend();
+    }
+}
+
 void soak_fleet::restart_stopped_nodes()
 {
     for (std::size_t node = 0; node < m_nodes.size(); ++node)
     {
         if (m_nodes[node] != node_state::stopping || m_fleet.node(node).program->is_running())
             continue;
+        for (node_stop& each : m_stops)
+        {
+            if (each.node == node)
+                each.gone = std::min(each.gone, now());
+        }
         save_log(node);
         start_node(node);
     }
@@ -322,7 +408,7 @@
         wait_until("a stopping node has ended",
                    [&]
                    {
-                       restart_stopped_nodes();
+                       tend();
                        return m_nodes[node] != node_state::stopping;
                    });
         if (m_nodes[node] == node_state::down)
@@ -330,14 +416,11 @@
     }
     for (soak_server& each : m_servers)
     {
-        each.program->process().resume();
-        each.is_paused = false;
-        set_fault(each, "");
-        each.path->set_faults(json::object());
-        publish(each, false);
+        each.restore();
     }
+    m_configuration.restore();
     m_fleet.store_relay().set_faults(json::object());
-    for (const std::string& region : {home, remote})
+    for (const std::string& region : m_shape.regions)
     {
         m_fleet.remove(evacuation_key(region));
     }
@@ -354,45 +437,6 @@
     }
 }
 
-void soak_fleet::call_until_stopped(std::size_t caller)
-{
-    std::mt19937_64 random(m_seed * callers + caller);
-    const std::size_t node = caller % m_nodes.size();
-    std::unique_ptr<http_exchange> open;
-    for (int number = 0; !m_is_stopped; ++number)
-    {
-        const std::string id = std::to_string(caller) + "-" + std::to_string(number);
-        call_record made = send_call(open, node, id, random());
-        constexpr auto max_pause_ms = 60;
-        const auto pause = std::chrono::milliseconds(random() % max_pause_ms);
-        // A node that is down refuses connections immediately, so wait longer.
-        std::this_thread::sleep_for(
-            made.answer.end == answer_end::no_connection ? 10 * poll_interval : pause);
-        m_calls[caller].push_back(std::move(made));
-    }
-}
-
-call_record soak_fleet::send_call(std::unique_ptr<http_exchange>& open, std::size_t node,
-                                  const std::string& id, std::uint64_t draw)
-{
-    static constexpr std::array kinds{call_kind::book, call_kind::read, call_kind::stream};
-    call_record made;
-    made.id = id;
-    made.kind = kinds[draw % kinds.size()];
-    constexpr int min_deadline_ms = 500;
-    constexpr int deadline_range_ms = 3'500;
-    const int deadline_ms = min_deadline_ms + static_cast<int>(draw / 7 % deadline_range_ms);
-    http_request request = machine_fleet::request("POST", path_of(made.kind, id), id, deadline_ms);
-    request.keep_alive = true;
-    made.sent = now();
-    if (open && open->can_send_again())
-        open->send_again(request);
-    else
-        open = std::make_unique<http_exchange>(m_fleet.node(node).callers, request);
-    made.answer = open->finish();
-    return made;
-}
-
 void soak_fleet::save_log(std::size_t node)
 {
     m_logs += m_fleet.node(node).program->output();
--- /dev/null
+++ b/tests/soak/soak_server.cpp
@@ -0,0 +1,188 @@
+#include "soak_server.hpp"
+
+#include <utility>
+
+namespace snipeplank::tests
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds lease_time = 3s;
+constexpr std::chrono::milliseconds min_down_time = 1s;
+constexpr std::chrono::milliseconds max_down_time = 3s;
+/// Between two times at which a server stands still, so that they do not add up.
+constexpr std::chrono::milliseconds min_pause_gap = 1s;
+/// Line of a stand-in that ends by itself, before what it has seen.
+const std::string last_words = "crashed ";
+
+soak_time now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+soak_server::soak_server(machine_fleet& fleet, server_place place, int events, bool ends_by_reset)
+    : m_fleet(fleet), m_place(std::move(place)), m_events(events), m_ends_by_reset(ends_by_reset),
+      m_id(m_place.name)
+{
+    start("127.0.0.1:0");
+}
+
+/// A server at the former address keeps its relay.
+void soak_server::start(const std::string& address)
+{
+    const bool is_at_new_address = !m_program || address != m_program->address();
+    m_program = std::make_unique<standin>(
+        "standin_server", std::vector<std::string>{"--id", m_id, "--address", address, "--work_ms",
+                                                   std::to_string(m_place.work_ms), "--events",
+                                                   std::to_string(m_events), "--event_ms",
+                                                   std::to_string(m_place.event_ms)});
+    if (is_at_new_address)
+        m_path = std::make_unique<standin>(
+            "standin_relay",
+            std::vector<std::string>{"--target", m_program->address(),
+                                     m_ends_by_reset ? "--ends_by_reset" : "--noends_by_reset"});
+    m_is_down = false;
+    publish();
+    if (m_is_close_ended)
+        set_close_ended(true);
+    if (!m_fatal_part.empty())
+        set_fatal_part(m_fatal_part);
+}
+
+void soak_server::publish() const
+{
+    m_fleet.publish_server(m_id, m_place.service, m_place.region, m_path->address(),
+                           m_is_leaving ? "draining" : "ready");
+}
+
+void soak_server::set_leaving(bool is_leaving)
+{
+    m_is_leaving = is_leaving;
+    if (!m_is_down)
+        publish();
+}
+
+void soak_server::pause()
+{
+    m_program->process().pause();
+    m_is_paused = true;
+}
+
+void soak_server::resume()
+{
+    m_program->process().resume();
+    m_is_paused = false;
+}
+
+void soak_server::stand_still(std::chrono::milliseconds duration, bool stays_up)
+{
+    if (now() < m_still_until + min_pause_gap)
+        return;
+    m_still_until = now() + duration;
+    if (stays_up)
+        control("/standin/silence", std::to_string(duration.count()));
+    else
+        pause();
+}
+
+void soak_server::set_close_ended(bool is_close_ended)
+{
+    m_is_close_ended = is_close_ended;
+    control("/standin/close_ended", is_close_ended ? "1" : "0");
+}
+
+void soak_server::set_fatal_part(const std::string& part)
+{
+    m_fatal_part = part;
+    control("/standin/fatal_part", part);
+}
+
+/// A paused server cannot receive the request, so it is resumed for it. One that has crashed
+/// receives none.
+void soak_server::control(const std::string& path, const std::string& body)
+{
+    if (m_is_paused)
+        m_program->process().resume();
+    const http_answer answer = http_post(m_program->address(), path, body);
+    if (m_is_paused)
+        m_program->process().pause();
+    constexpr int ok = 200;
+    if (!answer.is(ok) && m_program->process().is_running())
+        fail_test(m_id + " refused " + path + ": " + answer.describe());
+}
+
+void soak_server::tend()
+{
+    if (!m_is_down && !m_program->process().is_running())
+        on_ended();
+    if (m_is_down && now() >= m_starts_at)
+    {
+        ++m_incarnation;
+        m_id = m_place.name + "-" + std::to_string(m_incarnation);
+        // Every other incarnation gets a new address.
+        start(m_incarnation % 2 == 0 ? m_program->address() : "127.0.0.1:0");
+    }
+    while (!m_expired.empty() && now() >= m_expired.front().at)
+    {
+        m_fleet.remove("servers/" + m_expired.front().id);
+        m_expired.pop_front();
+    }
+}
+
+void soak_server::on_ended()
+{
+    m_is_down = true;
+    m_is_paused = false;
+    const auto draw = std::hash<std::string>{}(m_id) %
+                      static_cast<std::size_t>((max_down_time - min_down_time).count());
+    m_starts_at = now() + min_down_time + std::chrono::milliseconds{static_cast<long>(draw)};
+    m_expired.push_back({m_id, now() + lease_time});
+    json seen;
+    wait_until("the last words of " + m_id,
+               [&]
+               {
+                   const std::string output = m_program->process().output();
+                   const auto begin = output.find(last_words);
+                   if (begin == std::string::npos || output.back() != '\n')
+                       return false;
+                   seen = json::parse(output.substr(begin + last_words.size()));
+                   return true;
+               });
+    m_ended.push_back(record_of(seen));
+}
+
+server_record soak_server::record_of(const json& seen) const
+{
+    return {m_id, m_place.region, seen["runs"].get<std::map<std::string, int>>()};
+}
+
+void soak_server::restore()
+{
+    wait_until(m_place.name + " runs again",
+               [&]
+               {
+                   tend();
+                   return !m_is_down && m_expired.empty();
+               });
+    resume();
+    set_fault("");
+    set_close_ended(false);
+    set_fatal_part("");
+    m_path->set_faults(json::object());
+    set_leaving(false);
+}
+
+std::vector<server_record> soak_server::records() const
+{
+    std::vector<server_record> all = m_ended;
+    all.push_back(record_of(machine_fleet::seen(*m_program)));
+    return all;
+}
+
+} // namespace snipeplank::tests
--- a/tests/soak/soak_verdict.cpp
+++ b/tests/soak/soak_verdict.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace snipeplank::tests
 {
@@ -9,12 +10,23 @@
 namespace
 {
 
-/// Number of events in a complete streamed answer of `standin_server`.
-constexpr int events = 5;
+using namespace std::chrono_literals;
+
+/// The answer to a request that is out of time comes this much earlier, so that it is in time.
+constexpr std::chrono::milliseconds deadline_margin = 50ms;
+/// A node may still follow a version that was replaced this long ago.
+constexpr std::chrono::milliseconds max_configuration_age = 3s;
+/// From the stop signal until the platform may kill a node.
+constexpr std::chrono::milliseconds stop_grace = 8s;
 /// Statuses that guarantee that the request has not run and will not run.
 constexpr std::array not_run_statuses{408, 421, 429, 503};
 
-std::string whole_stream()
+long to_ms(soak_time::duration span)
+{
+    return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+std::string whole_stream(int events)
 {
     std::string text;
     for (int i = 1; i <= events; ++i)
@@ -37,13 +49,13 @@
 }
 
 /// Whether a complete successful answer was given by a server to this request.
-bool is_own_answer(const call_record& call)
+bool is_own_answer(const soak_record& record, const call_record& call)
 {
     const auto signature = call.answer.headers.find("server-signature");
     if (signature == call.answer.headers.end() || signature->second != "3e1b.07." + call.id)
         return false;
     if (call.kind == call_kind::stream)
-        return call.answer.body == whole_stream();
+        return call.answer.body == whole_stream(record.events);
     return call.answer.body.find(" " + path_of(call.kind, call.id) + " ") != std::string::npos;
 }
 
@@ -57,21 +69,95 @@
         return "ran " + std::to_string(runs) + " times";
     if (call.kind == call_kind::book && says_not_run && runs > 0)
         return "was answered as not run, but ran";
-    if (answer.is(200) && !is_own_answer(call))
+    if (answer.is(200) && !is_own_answer(record, call))
         return "got a success that is not its server's whole answer";
     if (answer.is(200) && runs == 0)
         return "got a success, but no server ran it";
     if (call.kind == call_kind::stream && answer.status == 200 &&
-        whole_stream().rfind(answer.body, 0) != 0)
+        whole_stream(record.events).rfind(answer.body, 0) != 0)
         return "got events that are missing, repeated or joined";
     if (answer.end == answer_end::silent)
         return "got no end of its answer";
-    const bool was_cut = answer.end == answer_end::truncated;
-    if (record.is_planned && was_cut && runs > 0)
-        return "was cut off by planned work after a server had run it";
     return {};
 }
 
+/// Shortest route timeout that a node may have applied to the call.
+std::chrono::milliseconds shortest_timeout(const soak_record& record, const call_record& call)
+{
+    auto shortest = std::chrono::milliseconds::max();
+    for (auto each = record.timeouts.begin(); each != record.timeouts.end(); ++each)
+    {
+        const auto next = std::next(each);
+        const bool was_replaced =
+            next != record.timeouts.end() && next->published + max_configuration_age < call.sent;
+        if (!was_replaced && each->published < call.ended)
+            shortest = std::min(shortest, each->timeout);
+    }
+    return shortest;
+}
+
+/// A request whose deadline, or the shortest route timeout in force, has passed may be given up.
+bool is_past_limit(const soak_record& record, const call_record& call)
+{
+    const auto limit = std::min(call.deadline, shortest_timeout(record, call));
+    return call.ended - call.sent >= limit - deadline_margin;
+}
+
+/// A node that stops may be killed after its grace.
+bool is_past_grace(const soak_record& record, const call_record& call)
+{
+    return std::any_of(record.stops.begin(), record.stops.end(),
+                       [&](const node_stop& stop) {
+                           return stop.node == call.node && stop.gone >= call.sent &&
+                                  stop.at + stop_grace <= call.ended;
+                       });
+}
+
+std::string describe_stop(const soak_record& record, const call_record& call)
+{
+    std::string text;
+    for (const node_stop& stop : record.stops)
+    {
+        if (stop.node == call.node && stop.at < call.ended && stop.gone >= call.sent)
+            text = " (sent " + std::to_string(to_ms(call.sent - stop.at)) + " and lost " +
+                   std::to_string(to_ms(call.ended - stop.at)) +
+                   " ms after its node was told to stop)";
+    }
+    return text;
+}
+
+std::string check_planned_cut(const soak_record& record, const call_record& call)
+{
+    // The node had closed the connection before the request arrived, so it never accepted it.
+    const bool was_accepted =
+        call.answer.close != connection_close::before_request || runs_of(record, call.id) > 0;
+    if (!was_accepted || is_past_limit(record, call) || is_past_grace(record, call))
+        return {};
+    const std::string where = call.answer.status == 0 ? "got neither an answer nor a refusal"
+                                                      : "was cut off inside its answer";
+    return where + " beside planned work" + describe_stop(record, call);
+}
+
+/// With planned work alone a sound server is there for each request: it ends with a complete answer
+/// of a server, or with a refusal that says when to come back.
+std::string check_planned(const soak_record& record, const call_record& call)
+{
+    const http_answer& answer = call.answer;
+    // A node that is down accepts no connection, so it has accepted no request.
+    if (!record.is_planned || answer.end == answer_end::no_connection || answer.is(200))
+        return {};
+    if (answer.end == answer_end::truncated)
+        return check_planned_cut(record, call);
+    constexpr std::array refusals{429, 503};
+    constexpr std::array failures{502, 504};
+    if (std::find(refusals.begin(), refusals.end(), answer.status) != refusals.end())
+        return answer.headers.contains("retry-after") ? std::string()
+                                                      : "was refused without Retry-After";
+    if (std::find(failures.begin(), failures.end(), answer.status) == failures.end())
+        return "got an unexpected status beside planned work";
+    return is_past_limit(record, call) ? std::string() : "was given up beside planned work";
+}
+
 std::string check_home_region(const soak_record& record, const call_record& call)
 {
     for (const server_record& each : record.servers)
@@ -96,6 +182,15 @@
     return {};
 }
 
+std::string describe_times(const call_record& call)
+{
+    const std::string connection =
+        call.idle ? "a connection that was idle for " + std::to_string(call.idle->count()) + " ms"
+                  : "a new connection";
+    return "after " + std::to_string(to_ms(call.ended - call.sent)) + " of " +
+           std::to_string(call.deadline.count()) + " ms on " + connection + ", ";
+}
+
 } // namespace
 
 std::string path_of(call_kind kind, const std::string& id)
@@ -109,12 +204,13 @@
     std::vector<std::string> violations;
     for (const call_record& call : record.calls)
     {
-        for (const auto check : {check_call, check_home_region, check_exclusions})
+        for (const auto check : {check_call, check_planned, check_home_region, check_exclusions})
         {
             const std::string what = check(record, call);
             if (!what.empty())
-                violations.push_back(path_of(call.kind, call.id) + " " + what + "; " +
-                                     call.answer.describe());
+                violations.push_back(path_of(call.kind, call.id) + " at node " +
+                                     std::to_string(call.node + 1) + " " + what + "; " +
+                                     describe_times(call) + call.answer.describe());
         }
     }
     return violations;
--- a/tests/soak/soak_verdict.hpp
+++ b/tests/soak/soak_verdict.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,11 @@
     call_kind kind = call_kind::book;
     soak_time sent{};
     http_answer answer;
+    soak_time ended{};
+    std::chrono::milliseconds deadline{0}; ///< that the caller sent with it
+    std::size_t node = 0;                  ///< index of the node that it was sent to
+    /// Since the former answer on the same connection; none on a new connection.
+    std::optional<std::chrono::milliseconds> idle;
 };
 
 /// @brief One server and the requests that it reports as run.
@@ -49,6 +55,21 @@
     soak_time to{};
 };
 
+/// @brief Timeout of all routes from a version of the configuration on.
+struct timeout_change
+{
+    soak_time published{};
+    std::chrono::milliseconds timeout{0};
+};
+
+/// @brief A node was told to stop.
+struct node_stop
+{
+    std::size_t node = 0; ///< its index
+    soak_time at{};
+    soak_time gone{}; ///< when its process had ended
+};
+
 /// @brief Everything recorded in one soak.
 struct soak_record
 {
@@ -57,6 +78,9 @@
     std::string home;        ///< region of the bound route
     bool is_planned = false; ///< only planned operations took place
     std::vector<exclusion_period> exclusions;
+    int events = 5; ///< number of events in a complete streamed answer
+    std::vector<timeout_change> timeouts;
+    std::vector<node_stop> stops;
 };
 
 /// @brief Violated guarantees, one line each; empty when there are none.
--- a/tests/soak_verdict_test.cpp
+++ b/tests/soak_verdict_test.cpp
@@ -13,6 +13,8 @@
 {
 
 const soak_time start{};
+/// Time from each request to its answer; the deadline is at two seconds.
+constexpr std::chrono::milliseconds taken = 1'500ms;
 
 http_answer answer(int status, const std::string& body, answer_end end = answer_end::clean)
 {
@@ -24,6 +26,20 @@
     return made;
 }
 
+http_answer refusal(int status)
+{
+    http_answer made = answer(status, "");
+    made.headers["retry-after"] = "0.2";
+    return made;
+}
+
+http_answer cut(connection_close how)
+{
+    http_answer made = answer(0, "", answer_end::truncated);
+    made.close = how;
+    return made;
+}
+
 const std::string own_body = "answer of s1 to POST /book/a ";
 const std::string two_events = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n";
 
@@ -58,6 +74,20 @@
     {"a repeated event", call_kind::stream,
      answer(200, two_events + "id: 2\ndata: token 2\n\n", answer_end::truncated), 1, 0, false,
      true},
+    {"a refusal that says when to come back", call_kind::book, refusal(503), 0, 0, true, false},
+    {"a refusal that does not", call_kind::book, answer(503, ""), 0, 0, true, true},
+    {"given up beside planned work", call_kind::read, answer(502, ""), 1, 0, true, true},
+    {"an unexpected status beside planned work", call_kind::read, answer(404, ""), 0, 0, true,
+     true},
+    {"a node that is down", call_kind::read, answer(0, "", answer_end::no_connection), 0, 0, true,
+     false},
+    {"unread by its node", call_kind::read, cut(connection_close::reset), 0, 0, true, true},
+    {"read by its node and dropped", call_kind::read, cut(connection_close::after_request), 0, 0,
+     true, true},
+    {"sent to a closed connection", call_kind::read, cut(connection_close::before_request), 0, 0,
+     true, false},
+    {"run, so the connection was open", call_kind::read, cut(connection_close::before_request), 1,
+     0, true, true},
     {"an answer without an end", call_kind::book, answer(0, "", answer_end::silent), 0, 0, false,
      true},
 };
@@ -65,7 +95,8 @@
 } // namespace
 
 TEST_GROUP(soak_verdict){static std::vector<std::string> violations_of(
-    const row& each, std::vector<exclusion_period> exclusions = {}){soak_record seen;
+    const row& each, std::vector<exclusion_period> exclusions = {},
+    std::vector<timeout_change> timeouts = {}, std::vector<node_stop> stops = {}){soak_record seen;
 seen.home = "home";
 seen.is_planned = each.is_planned;
 seen.exclusions = std::move(exclusions);
@@ -74,7 +105,9 @@
     seen.servers[0].runs["a"] = each.runs_at_home;
 if (each.runs_remote > 0)
     seen.servers[1].runs["a"] = each.runs_remote;
-seen.calls = {{"a", each.kind, start + 5s, each.seen}};
+seen.timeouts = std::move(timeouts);
+seen.stops = std::move(stops);
+seen.calls = {{"a", each.kind, start + 5s, each.seen, start + 5s + taken, 2s, 1, {}}};
 return find_violations(seen);
 }
 }
@@ -98,3 +131,28 @@
     CHECK_TRUE(violations_of(served, {{"s1", start + 6s, start + 8s}}).empty());
     CHECK_TRUE(violations_of(served, {{"s3", start + 4s, start + 6s}}).empty());
 }
+
+// Fails when a request may be given up beside planned work although neither its deadline nor the
+// shortest route timeout in force has passed, or when it may not although one has.
+TEST(soak_verdict, a_route_timeout_in_force_excuses_a_request_that_is_given_up)
+{
+    const row given_up{"given up", call_kind::read, answer(504, ""), 1, 0, true, true};
+    CHECK_FALSE(violations_of(given_up, {}, {{start, 8s}}).empty());
+    CHECK_TRUE(violations_of(given_up, {}, {{start, 1s}}).empty());
+    CHECK_TRUE(violations_of(given_up, {}, {{start, 1s}, {start + 3s, 8s}}).empty());
+    CHECK_FALSE(violations_of(given_up, {}, {{start, 1s}, {start + 1s, 8s}}).empty());
+    CHECK_TRUE(violations_of(given_up, {}, {{start, 8s}, {start + 4s, 1s}}).empty());
+    CHECK_FALSE(violations_of(given_up, {}, {{start, 8s}, {start + 7s, 1s}}).empty());
+}
+
+// Fails when a stopping node may cut a request before its grace has passed, or may not after it.
+TEST(soak_verdict, the_grace_of_a_stop_excuses_a_cut_request)
+{
+    const row cut_off{"cut off", call_kind::read, cut(connection_close::after_request), 1, 0, true,
+                      true};
+    const soak_time gone = start + 7s;
+    CHECK_FALSE(violations_of(cut_off, {}, {}, {{1, start, gone}}).empty());
+    CHECK_TRUE(violations_of(cut_off, {}, {}, {{1, start - 2s, gone}}).empty());
+    CHECK_FALSE(violations_of(cut_off, {}, {}, {{0, start - 2s, gone}}).empty());
+    CHECK_FALSE(violations_of(cut_off, {}, {}, {{1, start - 4s, start + 4s}}).empty());
+}
--- a/tests/support/http_exchange.cpp
+++ b/tests/support/http_exchange.cpp
@@ -46,6 +46,13 @@
     return text;
 }
 
+/// Whether bytes, an end or an error wait at the socket.
+bool is_readable(int socket)
+{
+    pollfd entry{socket, POLLIN, 0};
+    return ::poll(&entry, 1, 0) > 0;
+}
+
 bool has_no_body(int status)
 {
     return status == 204 || status == 304;
@@ -56,9 +63,12 @@
 std::string http_answer::describe() const
 {
     static const char* const ends[] = {"clean", "truncated", "silent", "no connection"};
+    static const char* const closes[] = {"", " before the request", " after the request",
+                                         " by a reset"};
     constexpr std::size_t max_shown = 400;
-    return "status " + std::to_string(status) + ", end " + ends[static_cast<int>(end)] + ", " +
-           std::to_string(body.size()) + " bytes: " + body.substr(0, max_shown);
+    return "status " + std::to_string(status) + ", end " + ends[static_cast<int>(end)] +
+           closes[static_cast<int>(close)] + ", " + std::to_string(body.size()) +
+           " bytes: " + body.substr(0, max_shown);
 }
 
 http_exchange::http_exchange(const std::string& address, const http_request& request)
@@ -77,7 +87,8 @@
 {
     const auto connection = m_answer.headers.find("connection");
     return m_ended && m_answer.end == answer_end::clean && m_framing != framing::until_close &&
-           (connection == m_answer.headers.end() || connection->second != "close");
+           (connection == m_answer.headers.end() || connection->second != "close") &&
+           !is_readable(m_socket);
 }
 
 void http_exchange::send_again(const http_request& request)
@@ -174,6 +185,7 @@
     if (count <= 0)
     {
         const bool body_ends_here = count == 0 && m_framing == framing::until_close;
+        m_answer.close = find_close(count < 0);
         end(body_ends_here ? answer_end::clean : answer_end::truncated);
         return false;
     }
@@ -182,6 +194,21 @@
     return true;
 }
 
+/// A socket that was closed before the request arrived answers the request with a reset, which the
+/// kernel reports as EPIPE. A reset that comes before the end of the stream (ECONNRESET) means that
+/// the socket was closed with unread bytes.
+connection_close http_exchange::find_close(bool is_reset) const
+{
+    if (is_reset)
+        return connection_close::reset;
+    constexpr std::chrono::milliseconds time_of_a_reset{5};
+    std::this_thread::sleep_for(time_of_a_reset);
+    int error = 0;
+    socklen_t size = sizeof(error);
+    ::getsockopt(m_socket, SOL_SOCKET, SO_ERROR, &error, &size);
+    return error == 0 ? connection_close::after_request : connection_close::before_request;
+}
+
 void http_exchange::parse()
 {
     if (m_framing == framing::none && !parse_head())
--- a/tests/support/http_exchange.hpp
+++ b/tests/support/http_exchange.hpp
@@ -31,6 +31,15 @@
     no_connection, ///< nothing listens, or the request could not be sent
 };
 
+/// @brief How the other side closed the connection of a truncated answer.
+enum class connection_close
+{
+    none,
+    before_request, ///< it had closed before the request arrived, so it never had the request
+    after_request,  ///< it closed after it had read the request
+    reset,          ///< it closed with the request, or a part of it, unread
+};
+
 /// @brief The received answer.
 struct http_answer
 {
@@ -38,6 +47,7 @@
     std::map<std::string, std::string> headers; ///< names in lower case
     std::string body;                           ///< without chunk framing
     answer_end end = answer_end::no_connection;
+    connection_close close = connection_close::none;
 
     /// @brief Whether the answer is complete and has this status.
     bool is(int wanted) const { return end == answer_end::clean && status == wanted; }
@@ -73,7 +83,8 @@
     /// @brief Reads to the end.
     http_answer finish();
 
-    /// @brief Whether the answer is complete and the connection can be reused.
+    /// @brief Whether the answer is complete and the connection can be reused. A connection that
+    /// the other side has closed cannot.
     bool can_send_again() const;
 
     /// @brief Sends another request on the open connection.
@@ -94,6 +105,7 @@
     void send_request(const http_request& request);
     bool read_more();
     void parse();
+    connection_close find_close(bool is_reset) const;
     bool parse_head();
     void parse_chunks();
     void end(answer_end how);
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-/// A node that has just started uses a tenth of it, enough to retry each request of a test.
-constexpr int retry_slack = 100;
 constexpr double retry_ratio = 0.2;
 
 std::string zone_of(const std::string& region)
@@ -26,17 +24,26 @@
 }
 
 json route(const std::string& prefix, const std::string& kind, const std::string& service,
-           bool resumable, const json& regions)
+           const fleet_configuration& config, const json& regions)
 {
-    return {{"Name", "r" + prefix},   {"Host", "shop.example"},   {"PathPrefix", prefix},
-            {"Kind", kind},           {"TimeoutMs", 8'000},       {"GoalMs", 1'000},
-            {"Priority", 2},          {"Service", service},       {"MaxAttempts", 2},
-            {"Resumable", resumable}, {"AllowedRegions", regions}};
+    return {{"Name", "r" + prefix},
+            {"Host", "shop.example"},
+            {"PathPrefix", prefix},
+            {"Kind", kind},
+            {"TimeoutMs", config.route_timeout.count()},
+            {"GoalMs", 1'000},
+            {"Priority", 2},
+            {"Service", service},
+            {"MaxAttempts", config.max_attempts},
+            {"Resumable", kind == "streaming"},
+            {"AllowedRegions", regions}};
 }
 
 } // namespace
 
-machine_fleet::machine_fleet(const std::vector<std::string>& regions, store_path path)
+machine_fleet::machine_fleet(const std::vector<std::string>& regions, store_path path,
+                             int retry_slack)
+    : m_retry_slack(retry_slack)
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "machine-XXXXXX").string();
     m_directory = mkdtemp(pattern.data());
@@ -105,7 +112,7 @@
         {"Bounds",
          {{"GraceS", 8},
           {"RetryRatio", m_allows_retries ? retry_ratio : 0},
-          {"RetrySlack", m_allows_retries ? retry_slack : 0},
+          {"RetrySlack", m_allows_retries ? m_retry_slack : 0},
           {"RetryWindowS", 10}}},
         {"Provider", {{"Address", (m_store_relay ? m_store_relay : m_store)->address()}}}};
     std::ofstream(node.settings_path) << settings.dump();
@@ -120,9 +127,11 @@
     }
 }
 
-standin& machine_fleet::start_server(const std::string& id, int work_ms)
+standin& machine_fleet::start_server(const std::string& id, int work_ms,
+                                     const std::vector<std::string>& more)
 {
-    const std::vector<std::string> arguments{"--id", id, "--work_ms", std::to_string(work_ms)};
+    std::vector<std::string> arguments{"--id", id, "--work_ms", std::to_string(work_ms)};
+    arguments.insert(arguments.end(), more.begin(), more.end());
     m_servers.push_back(std::make_unique<standin>("standin_server", arguments));
     return *m_servers.back();
 }
@@ -150,18 +159,29 @@
 }
 
 void machine_fleet::publish_configuration(int version, const std::string& bound_region)
+{
+    fleet_configuration config;
+    config.version = version;
+    config.bound_region = bound_region;
+    publish_configuration(config);
+}
+
+void machine_fleet::publish_configuration(const fleet_configuration& config) const
 {
     const json anywhere = json::array();
-    const json bound = bound_region.empty() ? anywhere : json::array({bound_region});
-    const json config{{"Version", version},
-                      {"Routes",
-                       {route("/stream/", "streaming", "model", true, anywhere),
-                        route("/book/", "non_idempotent", "shop", false, anywhere),
-                        route("/read/", "idempotent", "shop", false, bound)}},
-                      {"Services",
-                       {{{"Name", "model"}, {"Engine", {{"Slots", 64}, {"KvCapacity", 444'000}}}},
-                        {{"Name", "shop"}}}}};
-    put("op/config", config.dump());
+    const json bound = config.bound_region.empty() ? anywhere : json::array({config.bound_region});
+    json document{{"Version", config.version},
+                  {"Routes",
+                   {route("/stream/", "streaming", config.stream_service, config, anywhere),
+                    route("/book/", "non_idempotent", config.book_service, config, anywhere),
+                    route("/read/", "idempotent", config.read_service, config, bound)}},
+                  {"Services",
+                   {{{"Name", "model"}, {"Engine", {{"Slots", 64}, {"KvCapacity", 444'000}}}},
+                    {{"Name", "shop"}},
+                    {{"Name", "stall"}}}}};
+    if (config.idle_timeout.count() > 0)
+        document["Limits"] = {{"IdleTimeoutMs", config.idle_timeout.count()}};
+    put("op/config", document.dump());
 }
 
 void machine_fleet::put(const std::string& key, const std::string& value) const
@@ -232,4 +252,10 @@
     CHECK_TRUE(http_post(server.address(), "/standin/fault", fault).is(200));
 }
 
+void machine_fleet::silence(const standin& server, std::chrono::milliseconds duration)
+{
+    const std::string ms = std::to_string(duration.count());
+    CHECK_TRUE(http_post(server.address(), "/standin/silence", ms).is(200));
+}
+
 } // namespace snipeplank::tests
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -4,6 +4,7 @@
 #ifndef SNIPEPLANK_TESTS_SUPPORT_MACHINE_FLEET_HPP
 #define SNIPEPLANK_TESTS_SUPPORT_MACHINE_FLEET_HPP
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -37,20 +38,40 @@
     relayed,
 };
 
+/// @brief What a published configuration says.
+struct fleet_configuration
+{
+    int version = 3;
+    std::string bound_region; ///< home of the route `/read/`; empty for none
+    std::chrono::milliseconds route_timeout{8'000};
+    std::chrono::milliseconds idle_timeout{0}; ///< of a client's connection; 0 for the default
+    int max_attempts = 2;
+    std::string stream_service = "model";
+    std::string book_service = "shop";
+    std::string read_service = "shop";
+};
+
 /// @brief A store, servers and nodes in regions of one availability zone each.
 class machine_fleet
 {
   public:
+    /// A node that has just started uses a tenth of it, enough to retry each request of a test.
+    static constexpr int ample_retry_slack = 100;
+
     /// @param regions one node for each entry
+    /// @param retry_slack requests that all nodes may repeat, besides a share of their requests
     explicit machine_fleet(const std::vector<std::string>& regions,
-                           store_path path = store_path::direct);
+                           store_path path = store_path::direct,
+                           int retry_slack = ample_retry_slack);
     ~machine_fleet();
     machine_fleet(const machine_fleet&) = delete;
     machine_fleet& operator=(const machine_fleet&) = delete;
 
     /// @brief Starts a server without an entry in the store.
     /// @param work_ms execution time of each request
-    standin& start_server(const std::string& id, int work_ms = 0);
+    /// @param more further arguments of `standin_server`
+    standin& start_server(const std::string& id, int work_ms = 0,
+                          const std::vector<std::string>& more = {});
 
     /// @brief Writes the entry of a server.
     void publish_server(const std::string& id, const std::string& service,
@@ -64,6 +85,7 @@
     /// @brief Publishes a configuration with the routes `/stream/`, `/book/` and `/read/`.
     /// @param bound_region home of the route `/read/`; empty for none
     void publish_configuration(int version, const std::string& bound_region = "");
+    void publish_configuration(const fleet_configuration& config) const;
 
     void put(const std::string& key, const std::string& value) const;
     void remove(const std::string& key) const;
@@ -90,9 +112,13 @@
     static nlohmann::json seen(const standin& server);
     static void set_fault(const standin& server, const std::string& fault);
 
+    /// @brief The server goes on as it is, but sends nothing for a while.
+    static void silence(const standin& server, std::chrono::milliseconds duration);
+
   private:
     void write_settings(const machine_node& node) const;
 
+    int m_retry_slack;
     std::string m_directory;
     bool m_allows_retries = true;
     std::unique_ptr<standin> m_store;
