tests: a silent upstream given up although the prompt is suspect

Fails: the attempt is cancelled for silence at 2.1 s, then the retry is refused because an upstream crashed under a part of the prompt, and the caller gets 502 with 7.9 s left.

--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -263,6 +263,29 @@
     }
 }
 
+// Fails when a request whose upstream is silent for a while is given up although it would not be
+// sent again, because an upstream crashed under a part of its prompt before.
+TEST(call, a_silent_upstream_is_waited_for_when_the_prompt_is_suspect)
+{
+    call_fixture node(many_retries);
+    scripted_upstream crashing(node.loop, {{{{0ms, chunked_head}}, answer_end::crash}});
+    scripted_upstream silent(node.loop,
+                             {{{{4s, chunked_head + chunk(events(1, 2)) + last_chunk}}}});
+    scripted_upstream other(node.loop, {{{{4s, chunked_head + chunk(events(1, 2)) + last_chunk}}}});
+    node.set_route(make_route(request_kind::streaming, 2));
+    node.publish("i-1", crashing.address());
+    node.finish(node.start("a", std::nullopt, "shared a"));
+    node.run_for(50ms);
+    node.publish("i-1", crashing.address(), true);
+    node.publish("i-2", silent.address());
+    const recorded_exchange& request = node.start("b", std::nullopt, "shared b");
+    node.run_for(100ms);
+    node.publish("i-3", other.address());
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(200, events(1, 2)), request.describe().c_str());
+    UNSIGNED_LONGS_EQUAL_TEXT(0, other.requests().size(), "requests at the other upstream");
+}
+
 // Fails when an answer that ends with its connection is cut, or when a part of one looks whole.
 TEST(call, an_answer_without_length_is_whole_only_when_its_connection_is_closed)
 {
