tests: requests whose rest arrives while the event loop stalls

Fails: of 200 requests whose header was completed within its time, during a stall, 127 are answered; the others are closed without an answer.

--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -384,6 +384,54 @@
     }
 }
 
+// Fails when a stall of the event loop counts as a pause of clients that have sent the rest of
+// their requests meanwhile, however many these are.
+TEST(http_server, requests_whose_rest_arrives_during_a_stall_are_answered)
+{
+    struct row
+    {
+        const char* name;
+        std::string begin;
+        std::string rest;
+    };
+    const std::string head = "POST /1 HTTP/1.1\r\n" + host + "Connection: close\r\n";
+    const row rows[] = {
+        {"header", head, "Content-Length: 4\r\n\r\nbody"},
+        {"body", head + "Content-Length: 4\r\n\r\nbo", "dy"},
+    };
+    constexpr std::size_t count = 200;
+    constexpr core::milliseconds limit{1'000};
+    server_limits limits;
+    limits.header_timeout = limit;
+    limits.idle_timeout = limit;
+    handler.set_limits(limits);
+    for (const row& each : rows)
+    {
+        std::vector<std::unique_ptr<raw_connection>> clients;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            clients.push_back(std::make_unique<raw_connection>(address));
+            clients.back()->send(each.begin);
+        }
+        std::this_thread::sleep_for(limit / 4); // the server waits for the rest now
+        // Another timer expires first, so that timers are handled before most of the sockets.
+        boost::asio::steady_timer other(thread->loop, limit / 10);
+        other.async_wait([](const boost::system::error_code&) {});
+        boost::asio::post(thread->loop, [&] { std::this_thread::sleep_for(2 * limit); });
+        std::this_thread::sleep_for(limit / 4);
+        for (const auto& client : clients)
+        {
+            client->send(each.rest);
+        }
+        std::size_t answered = 0;
+        for (const auto& client : clients)
+        {
+            answered += client->read_all().ends_with("POST /1 body") ? 1 : 0;
+        }
+        UNSIGNED_LONGS_EQUAL_TEXT(count, answered, each.name);
+    }
+}
+
 // Fails when a request on a connection that the kernel has accepted is dropped, because the
 // listener closes before the node has taken the connection.
 TEST(http_server, connections_that_wait_when_the_listener_closes_are_served)
