--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -552,6 +552,24 @@
     CHECK_TRUE_TEXT(answers.find("stream of /2") != std::string::npos, answers.c_str());
 }
 
+// Fails when bytes of a body follow the head of an answer that has none, so that the client takes
+// them for the next answer.
+TEST(http_server, a_streamed_answer_to_head_has_no_body)
+{
+    streaming_handler stream(nullptr, nullptr);
+    subject = std::make_unique<server>(thread->loop, stream);
+    address = subject->listen(core::address{"127.0.0.1:0"}).value();
+    raw_connection client(address);
+    client.send("HEAD /1 HTTP/1.1\r\n" + host + "\r\n");
+    const std::string head = client.read_until("\r\n\r\n");
+    client.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    const std::string answer = client.read_all();
+    thread->stop();
+    CHECK_TRUE_TEXT(head.starts_with("HTTP/1.1 200"), head.c_str());
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
+    CHECK_TRUE_TEXT(answer.find("stream of /2") != std::string::npos, answer.c_str());
+}
+
 // Fails when a closing server drops a connection without announcing it by `Connection: close`.
 TEST(http_server, a_closing_server_sends_connection_close_with_its_next_answer)
 {
