serving: a request that would not be sent again stays at a silent upstream

Callers saw 502 after 2.1 s, with 7.9 s left, at an upstream that paused, once a server had crashed under a part of their prompt. The check for silence reserved a retry and cancelled the attempt; the retry was then refused because the prompt is suspect. The reservation asks for that now too, so the attempt goes on. Evidence: call.a_silent_upstream_is_waited_for_when_the_prompt_is_suspect failed before (502 in place of the stream) and passes.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -566,7 +566,8 @@
 bool call::reserve_other_attempt()
 {
     // The current attempt counts as a run only once it has ended.
-    if (m_exchange.has_begun() || !is_within_attempt_limits(m_runs + 1))
+    if (m_exchange.has_begun() || !is_within_attempt_limits(m_runs + 1) ||
+        may_have_crashed_upstream())
         return false;
     const placement_decision next = m_environment.places.decide(next_request(), now());
     if (std::holds_alternative<policy::refusal>(next))
