http: answers without a body are streamed without one

Callers saw the bytes of a body, or of its last chunk, after the head of a streamed answer to HEAD; on a kept connection these are taken for the next answer. Only send() left the body of an answer to HEAD out. Answers to HEAD and with status 204 or 304 now have no body and no transfer coding, however they are sent.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -31,6 +31,8 @@
 /// What is read and dropped of a refused request before its connection is closed.
 constexpr std::size_t max_dropped_bytes = 1'048'576;
 
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int payload_too_large = 413;
@@ -56,6 +58,12 @@
     return coding && !same_name(*coding, "chunked");
 }
 
+/// Whether answers with this status end with their head (RFC 9112, 6.3).
+bool is_status_without_body(int status)
+{
+    return status == no_content || status == not_modified;
+}
+
 } // namespace
 
 connection::connection(asio::ip::tcp::socket socket, request_handler& handler)
@@ -259,11 +267,12 @@
 {
     if (m_close_after || m_is_closing)
         m_keep_alive = false;
+    m_has_head_only = m_head.method == "HEAD" || is_status_without_body(head.status);
     if (length)
         head.headers.emplace_back("Content-Length", std::to_string(*length));
-    else if (m_chunked)
+    else if (m_chunked && !m_has_head_only)
         head.headers.emplace_back("Transfer-Encoding", "chunked");
-    else
+    else if (!m_has_head_only)
         m_keep_alive = false;
     if (!m_keep_alive)
         head.headers.emplace_back("Connection", "close");
@@ -288,7 +297,7 @@
     m_has_begun = true;
     m_is_finished = true;
     std::string text = frame_head(std::move(answer.head), answer.body.size());
-    if (m_head.method != "HEAD")
+    if (!m_has_head_only)
         text += answer.body;
     co_return co_await write_text(std::move(text));
 }
@@ -301,7 +310,7 @@
 
 asio::awaitable<bool> connection::write(std::string_view data)
 {
-    if (data.empty())
+    if (data.empty() || m_has_head_only)
         co_return !m_is_disconnected;
     if (!m_chunked)
         co_return co_await write_text(std::string(data));
@@ -315,7 +324,7 @@
 asio::awaitable<bool> connection::finish()
 {
     m_is_finished = true;
-    if (!m_chunked)
+    if (!m_chunked || m_has_head_only)
         co_return !m_is_disconnected;
     co_return co_await write_text("0\r\n\r\n");
 }
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -97,6 +97,7 @@
     bool m_is_idle = false;   ///< waiting for the first byte of a request
     bool m_has_begun = false;
     bool m_is_finished = false;
+    bool m_has_head_only = false; ///< the current answer has no body
     bool m_is_disconnected = false;
     bool m_has_read_timeout = false; ///< the watchdog cancelled the read of a body
     bool m_is_closing = false;
