http: what arrives while the event loop stalls counts as arrived, also inside a request

Callers saw a connection closed without an answer, or 408, although they had sent the rest of their request in time: while the event loop stalls their bytes wait in the socket, and after it the timers may be handled before the sockets are (the loop takes 128 events at a time, and any other timer that has expired is among the first). The timers of the header and of the body now look again after 50 ms, and then as long as bytes wait that were not read. A client that drips bytes gains 50 ms.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -105,10 +105,15 @@
 
 /// Whether bytes of a request have arrived that were not parsed yet.
 bool connection::has_unread_bytes()
+{
+    return m_buffer.size() > 0 || has_arrived_bytes();
+}
+
+/// Whether the socket has bytes that were not read yet.
+bool connection::has_arrived_bytes()
 {
     char byte = 0;
-    return m_buffer.size() > 0 ||
-           ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void connection::close_when_idle()
@@ -146,7 +151,8 @@
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     error_code error;
-    start_watchdog(limits.header_timeout);
+    m_has_looked_again = false;
+    start_watchdog(limits.header_timeout, watchdog_action::close_header);
     co_await beast::http::async_read_header(m_socket, m_buffer, parser, into(error));
     const bool is_header_timeout = m_is_disconnected;
     if (!error)
@@ -180,16 +186,18 @@
 asio::awaitable<error_code> connection::read_body(parser_type& parser, const server_limits& limits)
 {
     const core::time_point deadline = std::chrono::steady_clock::now() + limits.body_timeout;
-    m_has_read_timeout = false;
     parser.eager(true);
     error_code error;
     while (!error && !parser.is_done())
     {
         const auto remaining = std::chrono::duration_cast<core::milliseconds>(
             deadline - std::chrono::steady_clock::now());
+        if (remaining.count() > 0)
+            m_has_looked_again = false;
+        m_has_read_timeout = false;
         start_watchdog(std::min(limits.idle_timeout, remaining), watchdog_action::cancel_read);
         co_await beast::http::async_read_some(m_socket, m_buffer, parser, into(error));
-        if (m_has_read_timeout)
+        if (error && m_has_read_timeout)
             error = beast::http::error::partial_message;
     }
     co_return error;
@@ -386,6 +394,10 @@
 
 void connection::on_watchdog(watchdog_action action)
 {
+    const bool is_reading =
+        action == watchdog_action::close_header || action == watchdog_action::cancel_read;
+    if (is_reading && may_read_on(action))
+        return;
     if (action == watchdog_action::cancel_read)
     {
         m_has_read_timeout = true;
@@ -415,6 +427,17 @@
     return true;
 }
 
+/// Whether a part of a request may have arrived that was not read yet; gives the time to read it
+/// then. After a stall of the event loop timers may be handled before sockets.
+bool connection::may_read_on(watchdog_action action)
+{
+    constexpr core::milliseconds time_to_look_again{50};
+    if (std::exchange(m_has_looked_again, true) && !has_arrived_bytes())
+        return false;
+    start_watchdog(time_to_look_again, action);
+    return true;
+}
+
 void connection::stop_watchdog()
 {
     ++m_watchdog_generation;
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -56,8 +56,9 @@
     enum class watchdog_action
     {
         close,
-        cancel_read, ///< the pending read fails, so that the request can be refused
-        check_idle,  ///< close, unless a request has arrived or the idle timeout has grown
+        close_header, ///< close, unless more of the header has arrived
+        cancel_read,  ///< the pending read fails, so that the request can be refused
+        check_idle,   ///< close, unless a request has arrived or the idle timeout has grown
     };
 
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -77,8 +78,10 @@
     void stop_watchdog();
     void on_watchdog(watchdog_action action);
     bool may_stay_idle();
+    bool may_read_on(watchdog_action action);
     bool may_read_request();
     bool has_unread_bytes();
+    bool has_arrived_bytes();
     void close_socket();
     std::string frame_head(response_head head, std::optional<std::size_t> length);
 
@@ -100,6 +103,7 @@
     bool m_has_head_only = false; ///< the current answer has no body
     bool m_is_disconnected = false;
     bool m_has_read_timeout = false; ///< the watchdog cancelled the read of a body
+    bool m_has_looked_again = false; ///< for a request whose time to be read has passed
     bool m_is_closing = false;
     bool m_close_after = false;
     bool m_is_refusing = false;
