tests: upstreams are silent for longer than the check for silence waits

The check gives an attempt up after 2.1 to 2.4 s of silence; the tests paused for 0.7 to 2 s, so three of them passed also when the other attempt was not reserved (seen with call::reserve_other_attempt returning true at once). They fail then now, and pass as it is.

--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -38,7 +38,7 @@
 TEST(call, a_silent_upstream_is_waited_for_when_the_retry_budget_is_spent)
 {
     call_fixture node(no_retries);
-    scripted_upstream upstream(node.loop, {plain_answer(2s)});
+    scripted_upstream upstream(node.loop, {plain_answer(4s)});
     node.set_route(make_route(request_kind::idempotent, 2));
     node.publish("i-1", upstream.address());
     recorded_exchange& request = node.start("a");
@@ -51,7 +51,7 @@
 TEST(call, a_silent_upstream_is_waited_for_when_no_other_takes_the_request)
 {
     call_fixture node(many_retries);
-    scripted_upstream upstream(node.loop, {plain_answer(2s)});
+    scripted_upstream upstream(node.loop, {plain_answer(4s)});
     node.set_route(make_route(request_kind::idempotent, 2));
     node.publish("i-1", upstream.address());
     recorded_exchange& request = node.start("a");
@@ -65,7 +65,7 @@
 TEST(call, a_new_request_is_not_given_up_for_the_silence_before_it)
 {
     call_fixture node(many_retries);
-    scripted_upstream upstream(node.loop, {plain_answer(5s), plain_answer(700ms)});
+    scripted_upstream upstream(node.loop, {plain_answer(7s), plain_answer(4s)});
     node.set_route(make_route(request_kind::idempotent, 2));
     node.publish("i-1", upstream.address());
     // A call of another region is not checked for silence.
@@ -146,7 +146,7 @@
     };
     std::string cut; // the rows whose stream was cut
     for (const row& each :
-         {row{"the upstream pauses", 1'800ms, 0ms}, row{"the client reads slowly", 10ms, 1'800ms}})
+         {row{"the upstream pauses", 4s, 0ms}, row{"the client reads slowly", 10ms, 4s}})
     {
         call_fixture node(no_retries);
         scripted_upstream upstream(node.loop,
