--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -468,6 +468,39 @@
     CHECK_TRUE_TEXT(answer.find("HTTP/1.1 ") == 0, answer.c_str());
 }
 
+// Fails when a request is refused for a connection limit that its connection exceeded when it was
+// opened, but no longer.
+TEST(http_server, a_request_is_answered_once_its_connection_is_within_the_limit)
+{
+    for (const bool is_raised : {false, true})
+    {
+        server_limits limits;
+        limits.connections = 1;
+        std::promise<void> has_changed;
+        boost::asio::post(thread->loop, [&] { handler.set_limits(limits); });
+        raw_connection first(address);
+        first.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+        first.read_until("GET /1");
+        raw_connection second(address);
+        std::this_thread::sleep_for(core::milliseconds{100}); // the server takes it
+        if (is_raised)
+            limits.connections = 2;
+        else
+            first.close();
+        boost::asio::post(thread->loop,
+                          [&]
+                          {
+                              handler.set_limits(limits);
+                              has_changed.set_value();
+                          });
+        has_changed.get_future().wait();
+        std::this_thread::sleep_for(core::milliseconds{100}); // the server sees the close
+        second.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+        const std::string answer = second.read_all();
+        CHECK_TRUE_TEXT(answer.find("GET /2") != std::string::npos, answer.c_str());
+    }
+}
+
 namespace
 {
 
