http: a connection is refused only while it is beyond the limit

Callers saw 503 for a request on a connection that had been beyond the limit when it was opened, although others had been closed, or the limit raised by a configuration, before the request was sent: whether to refuse was decided when the connection was accepted. It is decided when the request has arrived now, against the connections that are served. Evidence: http_server.a_request_is_answered_once_its_connection_is_within_the_limit failed before and passes.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -79,7 +79,9 @@
     {
         if (!co_await read_request())
             break;
-        if (m_is_refusing)
+        if (m_admit && m_admit())
+            m_admit = nullptr;
+        if (is_refusing())
         {
             co_await refuse_request(service_unavailable, "too many connections");
             break;
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace snipeplank::http
 {
@@ -36,7 +37,10 @@
     void announce_close() { m_close_after = true; }
 
     /// @brief Refuses the request of this connection, which is beyond the limit.
-    void refuse_requests() { m_is_refusing = true; }
+    /// @param admit returns whether the connection is within the limit when its request has arrived
+    void refuse_requests(std::function<bool()> admit) { m_admit = std::move(admit); }
+
+    bool is_refusing() const { return m_admit != nullptr; }
 
     bool is_active() const { return m_is_active; }
 
@@ -94,6 +98,7 @@
     core::time_point m_received_at{};
     core::time_point m_idle_since{};
     std::function<void()> m_on_client_disconnected;
+    std::function<bool()> m_admit; ///< set while requests are refused
     /// Identifies the current timer; the handler of an earlier one does nothing.
     std::uint64_t m_watchdog_generation = 0;
     bool m_is_active = false; ///< a complete request is being answered
@@ -106,7 +111,6 @@
     bool m_has_looked_again = false; ///< for a request whose time to be read has passed
     bool m_is_closing = false;
     bool m_close_after = false;
-    bool m_is_refusing = false;
     bool m_keep_alive = true;
     bool m_is_watching_client = false;
     bool m_chunked = false; ///< the client supports the chunked transfer coding (HTTP/1.1)
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -159,18 +159,37 @@
     void begin_serving(tcp::socket socket)
     {
         const auto open = std::make_shared<connection>(std::move(socket), m_handler);
-        if (m_connections.size() >= m_handler.limits().connections)
-            open->refuse_requests();
+        if (!may_serve_another())
+        {
+            open->refuse_requests([this] { return admit_late(); });
+            ++m_refusing;
+        }
         m_connections.insert(open.get());
         if (m_is_closing)
             open->announce_close();
         asio::co_spawn(m_loop, serve(shared_from_this(), open), asio::detached);
     }
 
+    /// Whether one more connection than those whose requests are answered is within the limit.
+    bool may_serve_another() const
+    {
+        return m_connections.size() - m_refusing < m_handler.limits().connections;
+    }
+
+    /// Admits a connection that was beyond the limit when it was opened, unless it still is.
+    bool admit_late()
+    {
+        const bool is_admitted = may_serve_another();
+        m_refusing -= is_admitted ? 1 : 0;
+        return is_admitted;
+    }
+
     static asio::awaitable<void> serve(std::shared_ptr<state> self,
                                        std::shared_ptr<connection> open)
     {
         co_await open->run();
+        if (open->is_refusing())
+            --self->m_refusing;
         self->m_connections.erase(open.get());
     }
 
@@ -179,6 +198,7 @@
     tcp::acceptor m_acceptor;
     asio::steady_timer m_grace_timer;
     std::set<connection*> m_connections;
+    std::size_t m_refusing = 0; ///< connections beyond the limit
     std::atomic<bool> m_is_closing{false};
 };
 
