gateway: an upstream is waited for on a reused connection as long as on a new one

Calls that may be repeated failed, or ran twice, at a sound upstream that needed more than half of the time left, or paused for so long inside its answer, if they used a kept connection: its read timeout was half of the time, as a reserve in case that a middlebox had dropped the connection. Silence was taken for the proof that it had. The cache uses no connection that was idle for 3 s or more, which is what guards against that; a connection dropped sooner than that without a reset now costs the call its time. Evidence: upstream_client.a_reused_connection_is_waited_for_until_the_deadline failed before and passes.

--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -143,13 +143,9 @@
     {
         httplib::Client& client = *connection.client;
         const core::milliseconds left = remaining(request.deadline);
-        // A middlebox may have dropped a cached connection without a reset, so half of the time is
-        // reserved for an attempt on a new one.
-        const core::milliseconds limit =
-            connection.uses > 0 ? std::max(left / 2, min_timeout) : left;
         client.set_connection_timeout(std::min(left, connect_timeout));
-        client.set_read_timeout(limit);
-        client.set_write_timeout(limit);
+        client.set_read_timeout(left);
+        client.set_write_timeout(left);
     }
 
     static httplib::Request make_request(const upstream_request& request, answer_sink& answer,
