--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -124,6 +124,21 @@
         }
     }
 
+    /// Waits until the server has as many open connections, for at most 10 s.
+    void wait_for_connections(std::size_t wanted)
+    {
+        constexpr int max_steps = 1'000;
+        constexpr core::milliseconds step{10};
+        for (int i = 0; i < max_steps; ++i)
+        {
+            std::promise<std::size_t> count;
+            boost::asio::post(thread->loop, [&] { count.set_value(subject->connections()); });
+            if (count.get_future().get() == wanted)
+                return;
+            std::this_thread::sleep_for(step);
+        }
+    }
+
     void check_timed_out(raw_connection & client)
     {
         const std::string answer = client.read_all();
@@ -482,7 +497,7 @@
         first.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
         first.read_until("GET /1");
         raw_connection second(address);
-        std::this_thread::sleep_for(core::milliseconds{100}); // the server takes it
+        wait_for_connections(2);
         if (is_raised)
             limits.connections = 2;
         else
@@ -494,7 +509,7 @@
                               has_changed.set_value();
                           });
         has_changed.get_future().wait();
-        std::this_thread::sleep_for(core::milliseconds{100}); // the server sees the close
+        wait_for_connections(is_raised ? 2 : 1);
         second.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
         const std::string answer = second.read_all();
         CHECK_TRUE_TEXT(answer.find("GET /2") != std::string::npos, answer.c_str());
