--- a/packages/http/tests/loopback.hpp
+++ b/packages/http/tests/loopback.hpp
@@ -74,6 +74,21 @@
         return received;
     }
 
+    /// @brief Reads until the server closes, with a pause after each part.
+    std::string read_all_slowly(std::size_t part_size, core::milliseconds pause)
+    {
+        std::string received;
+        std::string part(part_size, ' ');
+        boost::system::error_code error;
+        while (!error)
+        {
+            const std::size_t size = m_socket.read_some(boost::asio::buffer(part), error);
+            received.append(part, 0, size);
+            std::this_thread::sleep_for(pause);
+        }
+        return received;
+    }
+
     /// @brief Reads until `text` has arrived or the server closes.
     std::string read_until(const std::string& text)
     {
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <future>
@@ -189,6 +190,23 @@
     CHECK_TRUE(answer.find("GET /2") != std::string::npos);
 }
 
+// Fails when a client that reads a large answer slowly but steadily is cut off.
+TEST(http_server, a_large_answer_that_is_read_slowly_arrives_whole)
+{
+    constexpr std::size_t size = 16'000'000;
+    server_limits limits;
+    limits.body_bytes = size;
+    limits.write_timeout = core::milliseconds{300};
+    handler.set_limits(limits);
+    raw_connection client(address);
+    client.send("POST /1 HTTP/1.1\r\n" + host + "Connection: close\r\nContent-Length: " +
+                std::to_string(size) + "\r\n\r\n" + std::string(size, 'x'));
+    const std::string answer = client.read_all_slowly(131'072, core::milliseconds{10});
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 200"), answer.substr(0, 100).c_str());
+    CHECK_TRUE(answer.ends_with("x"));
+    UNSIGNED_LONGS_EQUAL(size, std::count(answer.begin(), answer.end(), 'x'));
+}
+
 // Fails when a client that sends its header too slowly keeps a connection open indefinitely.
 TEST(http_server, a_header_that_exceeds_its_timeout_ends_the_connection)
 {
