http: the write timeout counts for each 64 KB of an answer

Callers that read a large answer slowly but steadily saw it cut: the timeout counted from the start of a write, which may be a whole buffered answer, however much the client had taken since. It starts again with each 64 KB now. A client that takes less than that within the timeout is still cut off. Evidence: http_server.a_large_answer_that_is_read_slowly_arrives_whole failed before and passes.

--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -33,7 +33,7 @@
     core::milliseconds header_timeout{3'000}; ///< from the first byte to the end of the header
     core::milliseconds idle_timeout{15'000};  ///< between requests, and between parts of a body
     core::milliseconds body_timeout{60'000};  ///< from the end of the header to the end of the body
-    core::milliseconds write_timeout{10'000}; ///< of one write to the client
+    core::milliseconds write_timeout{10'000}; ///< of 64 KB or the rest of a write to the client
     std::size_t connections = 3'000;          ///< requests on further ones are refused with 503
 };
 
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t max_buffered_bytes = 131'072;
 /// What is read and dropped of a refused request before its connection is closed.
 constexpr std::size_t max_dropped_bytes = 1'048'576;
+/// Part of an answer that a client has to take within the write timeout.
+constexpr std::size_t max_written_bytes = 65'536;
 
 constexpr int no_content = 204;
 constexpr int not_modified = 304;
@@ -294,8 +296,13 @@
     if (m_is_disconnected)
         co_return false;
     error_code error;
-    start_watchdog(m_handler.limits().write_timeout);
-    co_await asio::async_write(m_socket, asio::buffer(text), into(error));
+    for (std::string_view rest = text; !error && !rest.empty();)
+    {
+        const std::string_view part = rest.substr(0, max_written_bytes);
+        rest.remove_prefix(part.size());
+        start_watchdog(m_handler.limits().write_timeout);
+        co_await asio::async_write(m_socket, asio::buffer(part), into(error));
+    }
     stop_watchdog();
     if (error)
         notify_client_disconnected();
