--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -30,7 +30,11 @@
 constexpr std::size_t max_buffered_bytes = 131'072;
 /// What is read and dropped of a refused request before its connection is closed.
 constexpr std::size_t max_dropped_bytes = 1'048'576;
+/// Part of an answer that a client has to take within the write timeout.
+constexpr std::size_t max_written_bytes = 65'536;
 
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int payload_too_large = 413;
@@ -56,6 +60,12 @@
     return coding && !same_name(*coding, "chunked");
 }
 
+/// Whether answers with this status end with their head (RFC 9112, 6.3).
+bool is_status_without_body(int status)
+{
+    return status == no_content || status == not_modified;
+}
+
 } // namespace
 
 connection::connection(asio::ip::tcp::socket socket, request_handler& handler)
@@ -71,7 +81,9 @@
     {
         if (!co_await read_request())
             break;
-        if (m_is_refusing)
+        if (m_admit && m_admit())
+            m_admit = nullptr;
+        if (is_refusing())
         {
             co_await refuse_request(service_unavailable, "too many connections");
             break;
@@ -97,10 +109,15 @@
 
 /// Whether bytes of a request have arrived that were not parsed yet.
 bool connection::has_unread_bytes()
+{
+    return m_buffer.size() > 0 || has_arrived_bytes();
+}
+
+/// Whether the socket has bytes that were not read yet.
+bool connection::has_arrived_bytes()
 {
     char byte = 0;
-    return m_buffer.size() > 0 ||
-           ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void connection::close_when_idle()
@@ -138,7 +155,8 @@
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
     error_code error;
-    start_watchdog(limits.header_timeout);
+    m_has_looked_again = false;
+    start_watchdog(limits.header_timeout, watchdog_action::close_header);
     co_await beast::http::async_read_header(m_socket, m_buffer, parser, into(error));
     const bool is_header_timeout = m_is_disconnected;
     if (!error)
@@ -172,16 +190,18 @@
 asio::awaitable<error_code> connection::read_body(parser_type& parser, const server_limits& limits)
 {
     const core::time_point deadline = std::chrono::steady_clock::now() + limits.body_timeout;
-    m_has_read_timeout = false;
     parser.eager(true);
     error_code error;
     while (!error && !parser.is_done())
     {
         const auto remaining = std::chrono::duration_cast<core::milliseconds>(
             deadline - std::chrono::steady_clock::now());
+        if (remaining.count() > 0)
+            m_has_looked_again = false;
+        m_has_read_timeout = false;
         start_watchdog(std::min(limits.idle_timeout, remaining), watchdog_action::cancel_read);
         co_await beast::http::async_read_some(m_socket, m_buffer, parser, into(error));
-        if (m_has_read_timeout)
+        if (error && m_has_read_timeout)
             error = beast::http::error::partial_message;
     }
     co_return error;
@@ -259,11 +279,12 @@
 {
     if (m_close_after || m_is_closing)
         m_keep_alive = false;
+    m_has_head_only = m_head.method == "HEAD" || is_status_without_body(head.status);
     if (length)
         head.headers.emplace_back("Content-Length", std::to_string(*length));
-    else if (m_chunked)
+    else if (m_chunked && !m_has_head_only)
         head.headers.emplace_back("Transfer-Encoding", "chunked");
-    else
+    else if (!m_has_head_only)
         m_keep_alive = false;
     if (!m_keep_alive)
         head.headers.emplace_back("Connection", "close");
@@ -275,8 +296,13 @@
     if (m_is_disconnected)
         co_return false;
     error_code error;
-    start_watchdog(m_handler.limits().write_timeout);
-    co_await asio::async_write(m_socket, asio::buffer(text), into(error));
+    for (std::string_view rest = text; !error && !rest.empty();)
+    {
+        const std::string_view part = rest.substr(0, max_written_bytes);
+        rest.remove_prefix(part.size());
+        start_watchdog(m_handler.limits().write_timeout);
+        co_await asio::async_write(m_socket, asio::buffer(part), into(error));
+    }
     stop_watchdog();
     if (error)
         notify_client_disconnected();
@@ -288,7 +314,7 @@
     m_has_begun = true;
     m_is_finished = true;
     std::string text = frame_head(std::move(answer.head), answer.body.size());
-    if (m_head.method != "HEAD")
+    if (!m_has_head_only)
         text += answer.body;
     co_return co_await write_text(std::move(text));
 }
@@ -301,7 +327,7 @@
 
 asio::awaitable<bool> connection::write(std::string_view data)
 {
-    if (data.empty())
+    if (data.empty() || m_has_head_only)
         co_return !m_is_disconnected;
     if (!m_chunked)
         co_return co_await write_text(std::string(data));
@@ -315,7 +341,7 @@
 asio::awaitable<bool> connection::finish()
 {
     m_is_finished = true;
-    if (!m_chunked)
+    if (!m_chunked || m_has_head_only)
         co_return !m_is_disconnected;
     co_return co_await write_text("0\r\n\r\n");
 }
@@ -377,6 +403,10 @@
 
 void connection::on_watchdog(watchdog_action action)
 {
+    const bool is_reading =
+        action == watchdog_action::close_header || action == watchdog_action::cancel_read;
+    if (is_reading && may_read_on(action))
+        return;
     if (action == watchdog_action::cancel_read)
     {
         m_has_read_timeout = true;
@@ -406,6 +436,17 @@
     return true;
 }
 
+/// Whether a part of a request may have arrived that was not read yet; gives the time to read it
+/// then. After a stall of the event loop timers may be handled before sockets.
+bool connection::may_read_on(watchdog_action action)
+{
+    constexpr core::milliseconds time_to_look_again{50};
+    if (std::exchange(m_has_looked_again, true) && !has_arrived_bytes())
+        return false;
+    start_watchdog(time_to_look_again, action);
+    return true;
+}
+
 void connection::stop_watchdog()
 {
     ++m_watchdog_generation;
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace snipeplank::http
 {
@@ -36,7 +37,10 @@
     void announce_close() { m_close_after = true; }
 
     /// @brief Refuses the request of this connection, which is beyond the limit.
-    void refuse_requests() { m_is_refusing = true; }
+    /// @param admit returns whether the connection is within the limit when its request has arrived
+    void refuse_requests(std::function<bool()> admit) { m_admit = std::move(admit); }
+
+    bool is_refusing() const { return m_admit != nullptr; }
 
     bool is_active() const { return m_is_active; }
 
@@ -56,8 +60,9 @@
     enum class watchdog_action
     {
         close,
-        cancel_read, ///< the pending read fails, so that the request can be refused
-        check_idle,  ///< close, unless a request has arrived or the idle timeout has grown
+        close_header, ///< close, unless more of the header has arrived
+        cancel_read,  ///< the pending read fails, so that the request can be refused
+        check_idle,   ///< close, unless a request has arrived or the idle timeout has grown
     };
 
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -77,8 +82,10 @@
     void stop_watchdog();
     void on_watchdog(watchdog_action action);
     bool may_stay_idle();
+    bool may_read_on(watchdog_action action);
     bool may_read_request();
     bool has_unread_bytes();
+    bool has_arrived_bytes();
     void close_socket();
     std::string frame_head(response_head head, std::optional<std::size_t> length);
 
@@ -91,17 +98,19 @@
     core::time_point m_received_at{};
     core::time_point m_idle_since{};
     std::function<void()> m_on_client_disconnected;
+    std::function<bool()> m_admit; ///< set while requests are refused
     /// Identifies the current timer; the handler of an earlier one does nothing.
     std::uint64_t m_watchdog_generation = 0;
     bool m_is_active = false; ///< a complete request is being answered
     bool m_is_idle = false;   ///< waiting for the first byte of a request
     bool m_has_begun = false;
     bool m_is_finished = false;
+    bool m_has_head_only = false; ///< the current answer has no body
     bool m_is_disconnected = false;
     bool m_has_read_timeout = false; ///< the watchdog cancelled the read of a body
+    bool m_has_looked_again = false; ///< for a request whose time to be read has passed
     bool m_is_closing = false;
     bool m_close_after = false;
-    bool m_is_refusing = false;
     bool m_keep_alive = true;
     bool m_is_watching_client = false;
     bool m_chunked = false; ///< the client supports the chunked transfer coding (HTTP/1.1)
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <future>
@@ -124,6 +125,21 @@
         }
     }
 
+    /// Waits until the server has as many open connections, for at most 10 s.
+    void wait_for_connections(std::size_t wanted)
+    {
+        constexpr int max_steps = 1'000;
+        constexpr core::milliseconds step{10};
+        for (int i = 0; i < max_steps; ++i)
+        {
+            std::promise<std::size_t> count;
+            boost::asio::post(thread->loop, [&] { count.set_value(subject->connections()); });
+            if (count.get_future().get() == wanted)
+                return;
+            std::this_thread::sleep_for(step);
+        }
+    }
+
     void check_timed_out(raw_connection & client)
     {
         const std::string answer = client.read_all();
@@ -174,6 +190,23 @@
     CHECK_TRUE(answer.find("GET /2") != std::string::npos);
 }
 
+// Fails when a client that reads a large answer slowly but steadily is cut off.
+TEST(http_server, a_large_answer_that_is_read_slowly_arrives_whole)
+{
+    constexpr std::size_t size = 16'000'000;
+    server_limits limits;
+    limits.body_bytes = size;
+    limits.write_timeout = core::milliseconds{300};
+    handler.set_limits(limits);
+    raw_connection client(address);
+    client.send("POST /1 HTTP/1.1\r\n" + host + "Connection: close\r\nContent-Length: " +
+                std::to_string(size) + "\r\n\r\n" + std::string(size, 'x'));
+    const std::string answer = client.read_all_slowly(131'072, core::milliseconds{10});
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 200"), answer.substr(0, 100).c_str());
+    CHECK_TRUE(answer.ends_with("x"));
+    UNSIGNED_LONGS_EQUAL(size, std::count(answer.begin(), answer.end(), 'x'));
+}
+
 // Fails when a client that sends its header too slowly keeps a connection open indefinitely.
 TEST(http_server, a_header_that_exceeds_its_timeout_ends_the_connection)
 {
@@ -384,6 +417,54 @@
     }
 }
 
+// Fails when a stall of the event loop counts as a pause of clients that have sent the rest of
+// their requests meanwhile, however many these are.
+TEST(http_server, requests_whose_rest_arrives_during_a_stall_are_answered)
+{
+    struct row
+    {
+        const char* name;
+        std::string begin;
+        std::string rest;
+    };
+    const std::string head = "POST /1 HTTP/1.1\r\n" + host + "Connection: close\r\n";
+    const row rows[] = {
+        {"header", head, "Content-Length: 4\r\n\r\nbody"},
+        {"body", head + "Content-Length: 4\r\n\r\nbo", "dy"},
+    };
+    constexpr std::size_t count = 200;
+    constexpr core::milliseconds limit{1'000};
+    server_limits limits;
+    limits.header_timeout = limit;
+    limits.idle_timeout = limit;
+    handler.set_limits(limits);
+    for (const row& each : rows)
+    {
+        std::vector<std::unique_ptr<raw_connection>> clients;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            clients.push_back(std::make_unique<raw_connection>(address));
+            clients.back()->send(each.begin);
+        }
+        std::this_thread::sleep_for(limit / 4); // the server waits for the rest now
+        // Another timer expires first, so that timers are handled before most of the sockets.
+        boost::asio::steady_timer other(thread->loop, limit / 10);
+        other.async_wait([](const boost::system::error_code&) {});
+        boost::asio::post(thread->loop, [&] { std::this_thread::sleep_for(2 * limit); });
+        std::this_thread::sleep_for(limit / 4);
+        for (const auto& client : clients)
+        {
+            client->send(each.rest);
+        }
+        std::size_t answered = 0;
+        for (const auto& client : clients)
+        {
+            answered += client->read_all().ends_with("POST /1 body") ? 1 : 0;
+        }
+        UNSIGNED_LONGS_EQUAL_TEXT(count, answered, each.name);
+    }
+}
+
 // Fails when a request on a connection that the kernel has accepted is dropped, because the
 // listener closes before the node has taken the connection.
 TEST(http_server, connections_that_wait_when_the_listener_closes_are_served)
@@ -420,6 +501,39 @@
     CHECK_TRUE_TEXT(answer.find("HTTP/1.1 ") == 0, answer.c_str());
 }
 
+// Fails when a request is refused for a connection limit that its connection exceeded when it was
+// opened, but no longer.
+TEST(http_server, a_request_is_answered_once_its_connection_is_within_the_limit)
+{
+    for (const bool is_raised : {false, true})
+    {
+        server_limits limits;
+        limits.connections = 1;
+        std::promise<void> has_changed;
+        boost::asio::post(thread->loop, [&] { handler.set_limits(limits); });
+        raw_connection first(address);
+        first.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+        first.read_until("GET /1");
+        raw_connection second(address);
+        wait_for_connections(2);
+        if (is_raised)
+            limits.connections = 2;
+        else
+            first.close();
+        boost::asio::post(thread->loop,
+                          [&]
+                          {
+                              handler.set_limits(limits);
+                              has_changed.set_value();
+                          });
+        has_changed.get_future().wait();
+        wait_for_connections(is_raised ? 2 : 1);
+        second.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+        const std::string answer = second.read_all();
+        CHECK_TRUE_TEXT(answer.find("GET /2") != std::string::npos, answer.c_str());
+    }
+}
+
 namespace
 {
 
@@ -504,6 +618,24 @@
     CHECK_TRUE_TEXT(answers.find("stream of /2") != std::string::npos, answers.c_str());
 }
 
+// Fails when bytes of a body follow the head of an answer that has none, so that the client takes
+// them for the next answer.
+TEST(http_server, a_streamed_answer_to_head_has_no_body)
+{
+    streaming_handler stream(nullptr, nullptr);
+    subject = std::make_unique<server>(thread->loop, stream);
+    address = subject->listen(core::address{"127.0.0.1:0"}).value();
+    raw_connection client(address);
+    client.send("HEAD /1 HTTP/1.1\r\n" + host + "\r\n");
+    const std::string head = client.read_until("\r\n\r\n");
+    client.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    const std::string answer = client.read_all();
+    thread->stop();
+    CHECK_TRUE_TEXT(head.starts_with("HTTP/1.1 200"), head.c_str());
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
+    CHECK_TRUE_TEXT(answer.find("stream of /2") != std::string::npos, answer.c_str());
+}
+
 // Fails when a closing server drops a connection without announcing it by `Connection: close`.
 TEST(http_server, a_closing_server_sends_connection_close_with_its_next_answer)
 {
