wire, serving: a call that finds the queue between nodes full is told so

What callers saw: a request that was forwarded to another region waited for its deadline, and ended as one that may have run, when the 8 MB queue to the other node was full: before a connection was open its message was dropped without a word; on an open connection the connection was closed, with it all other calls, and the dropped call counted as one that may have run.

Cause: `send` returns before the I/O thread looks at the queue, and nothing came back from there.

Change: the I/O thread reports a dropped call with its number and the cause (drop_cause). The call fails at once with the typed refusal `overloaded`, not run: no byte of it reached a socket, so it goes elsewhere. A call and a load report that find the queue full no longer close the connection; any other message (parts of an answer, cancel) still does, so that both ends learn of the loss.

--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -301,6 +301,13 @@
                });
 }
 
+void fleet_link::on_call_dropped(const core::address& to, core::call_number number,
+                                 wire::drop_cause cause)
+{
+    asio::post(m_loop,
+               [this, to, number, cause] { m_listener.on_call_dropped(to, number, cause); });
+}
+
 core::region_id fleet_link::region_of(const core::zone_id& zone) const
 {
     const auto found = m_options.zones.find(zone);
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -43,6 +43,8 @@
     virtual void on_call_message(const wire::peer_identity& from, const wire::message& what) = 0;
     virtual void on_peer_lost(const core::address& peer) = 0;
     virtual void on_peer_unreachable(const core::address& peer) = 0;
+    virtual void on_call_dropped(const core::address& peer, core::call_number number,
+                                 wire::drop_cause cause) = 0;
     virtual void on_peer_loads(const fleet::gossip& received) = 0;
     virtual void on_prompt_evidence(const fleet::gossip& received) = 0;
     virtual std::vector<fleet::upstream_load> own_loads() = 0;
@@ -100,6 +102,8 @@
     void on_message(const wire::peer_identity& from, wire::message received) override;
     void on_connection_lost(const wire::peer_identity& peer) override;
     void on_unreachable(const core::address& peer) override;
+    void on_call_dropped(const core::address& to, core::call_number number,
+                         wire::drop_cause cause) override;
 
   private:
     void tick();
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -220,6 +220,12 @@
 
     void on_peer_unreachable(const core::address& peer) override { m_peers.on_unreachable(peer); }
 
+    void on_call_dropped(const core::address& peer, core::call_number number,
+                         wire::drop_cause cause) override
+    {
+        m_peers.on_call_dropped(peer, number, cause);
+    }
+
     void on_peer_loads(const fleet::gossip& received) override
     {
         m_loads.on_received(received, m_environment.table.get(), now());
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -136,6 +136,21 @@
         on_connection_lost();
     }
 
+    /// Called when the message was dropped before any byte of it reached a socket.
+    void on_call_dropped(wire::drop_cause cause)
+    {
+        if (m_has_received)
+            return;
+        const bool is_full = cause == wire::drop_cause::queue_full;
+        deliver(wire::call_refused{m_request.number,
+                                   {is_full ? policy::refusal_reason::overloaded
+                                            : policy::refusal_reason::peer_unreachable,
+                                    policy::execution::no,
+                                    "send the call to another node",
+                                    {},
+                                    false}});
+    }
+
   private:
     core::result<http::body_chunk> truncation_error() const
     {
@@ -401,4 +416,12 @@
     }
 }
 
+void peer_calls::on_call_dropped(const core::address& peer, core::call_number number,
+                                 wire::drop_cause cause)
+{
+    const auto found = m_pending.find(number);
+    if (found != m_pending.end() && found->second->peer() == peer)
+        found->second->on_call_dropped(cause);
+}
+
 } // namespace snipeplank::serving
--- a/packages/serving/src/peer_calls.hpp
+++ b/packages/serving/src/peer_calls.hpp
@@ -60,6 +60,11 @@
     /// before any byte reached a socket.
     void on_unreachable(const core::address& peer);
 
+    /// @brief Fails a pending call as not sent: its message was dropped before any byte of it
+    /// reached a socket.
+    void on_call_dropped(const core::address& peer, core::call_number number,
+                         wire::drop_cause cause);
+
     /// @brief Number of calls of other nodes that are being served.
     std::size_t served() const { return m_served.size(); }
 
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -60,7 +60,7 @@
     peer_calls* m_other_end = nullptr;
 };
 
-/// Answers each call, after a while, as a node that has not sent it to any upstream.
+/// Answers each call, after a while, as a node that has not sent it to any upstream, or drops it.
 class refusing_network final : public wire::peer_network
 {
   public:
@@ -70,6 +70,8 @@
 
     void connect(peer_calls& caller) { m_caller = &caller; }
 
+    bool drops_calls = false;
+
     core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
     {
         return settings.self;
@@ -92,6 +94,11 @@
     boost::asio::awaitable<void> refuse(core::call_number number)
     {
         co_await pause_for(m_loop, delay);
+        if (drops_calls)
+        {
+            m_caller->on_call_dropped(far_id.address, number, wire::drop_cause::queue_full);
+            co_return;
+        }
         policy::refusal why;
         why.reason = policy::refusal_reason::no_upstream;
         why.executed = policy::execution::no;
@@ -183,6 +190,21 @@
     CHECK_TRUE(result.is_proven_not_run());
 }
 
+// Fails when a call that found the queue to the other region's node full waits for its deadline, or
+// counts as one that may have run.
+TEST(peer_calls, a_call_that_found_the_write_queue_full_is_told_at_once)
+{
+    calls.set_nodes({{far_id.address, far_region}});
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
+    run_for(50ms);
+    calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::queue_full);
+    run_for(50ms);
+    CHECK_TRUE(is_over);
+    CHECK_TRUE(result.is_proven_not_run());
+    STRCMP_EQUAL("overloaded", result.cause.c_str());
+}
+
 TEST_GROUP(forwarded_call){};
 
 // Fails when an answer without length that passes through a node of another region is cut, or when
@@ -295,3 +317,26 @@
     node.finish(stream);
     CHECK_TRUE_TEXT(stream.is(200, events(1, 4)), stream.describe().c_str());
 }
+
+// Fails when a request whose message found the queue to another region full gets no answer,
+// although an upstream of the own region is free.
+TEST(forwarded_call, a_request_that_found_the_write_queue_full_goes_elsewhere)
+{
+    call_fixture node({0, 0, 10s});
+    core::seeded_random random{1};
+    refusing_network network(node.loop);
+    network.drops_calls = true;
+    peer_calls calls(node.loop, network, {near_region, own_zone, near_id}, random);
+    network.connect(calls);
+    calls.set_nodes({{far_id.address, far_region}});
+    scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+    route only;
+    only.kind = request_kind::non_idempotent;
+    node.set_route(only);
+    node.add_region(far_region, calls);
+    const recorded_exchange& request = node.start("a");
+    node.run_for(refusing_network::delay / 2);
+    node.publish("i-1", upstream.address());
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+}
--- a/packages/wire/include/snipeplank/wire/peer_network.hpp
+++ b/packages/wire/include/snipeplank/wire/peer_network.hpp
@@ -41,10 +41,19 @@
     core::milliseconds handshake_timeout{3'000};
     core::milliseconds initial_reconnect_delay{50};
     core::milliseconds max_reconnect_delay{2'000};
-    core::bytes max_write_queue{8'388'608}; ///< per connection; exceeding it closes the connection
+    /// Per connection. A call or a load report that exceeds it is dropped, any other message closes
+    /// the connection.
+    core::bytes max_write_queue{8'388'608};
     std::size_t max_connections = 1'024;
 };
 
+/// @brief Why a message was dropped after `send` had taken it.
+enum class drop_cause
+{
+    queue_full,    ///< the peer or the link is overloaded
+    no_connection, ///< none could be opened
+};
+
 /// @brief Receives messages and connection events.
 ///
 /// Called on the I/O thread, which serves all peers: implementations must return quickly and must
@@ -66,6 +75,13 @@
     /// None of their bytes were written to a socket.
     virtual void on_unreachable(const core::address& peer) = 0;
 
+    /// @brief A `call` was dropped after `send` had taken it. No byte of it reached a socket, so it
+    /// has not run at the peer and never will.
+    virtual void on_call_dropped(const core::address& /*to*/, core::call_number /*number*/,
+                                 drop_cause /*cause*/)
+    {
+    }
+
     /// @brief A connection was closed because of an error. For logging only: the counters already
     /// include it.
     /// @param remote remote address of the socket; for an incoming connection this is not the
--- a/packages/wire/src/mailbox.hpp
+++ b/packages/wire/src/mailbox.hpp
@@ -18,12 +18,22 @@
 namespace snipeplank::wire
 {
 
+/// @brief What becomes of a frame that finds the write queue full.
+enum class frame_kind
+{
+    other,       ///< closes the connection, since the peer waits for it
+    load_report, ///< is dropped; a later report replaces it
+    call,        ///< is dropped and reported, so that the call can go elsewhere
+};
+
 /// @brief A frame for an address, optionally restricted to one incarnation there.
 struct outgoing_frame
 {
     core::address to;
     std::optional<core::incarnation> required_incarnation;
     std::string frame;
+    frame_kind kind = frame_kind::other;
+    core::call_number number{}; ///< of a call
 };
 
 /// @brief Frames and requests that were added since the last `take`.
--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -195,14 +195,7 @@
 {
     if (peer.current == 0)
     {
-        if (peer.pending_bytes + item.frame.size() > m_settings.max_write_queue.count)
-        {
-            m_counters.add(&peer_counters::write_queue_full);
-            return;
-        }
-        peer.pending_bytes += item.frame.size();
-        m_to_dial.insert(item.to);
-        peer.pending.push_back(std::move(item));
+        queue_until_connected(peer, std::move(item));
         return;
     }
     const peer_connection& connection = m_connections.at(peer.current);
@@ -215,6 +208,11 @@
     if (connection.queued() + item.frame.size() > m_settings.max_write_queue.count)
     {
         m_counters.add(&peer_counters::write_queue_full);
+        if (item.kind != frame_kind::other)
+        {
+            drop(item, drop_cause::queue_full);
+            return;
+        }
         m_handler.on_connection_error(connection.remote(),
                                       {core::error_code::connection_closed,
                                        "the write queue of a connection is full",
@@ -225,6 +223,28 @@
     write_frame(peer.current, item.frame);
 }
 
+void peer_loop::queue_until_connected(peer_state& peer, outgoing_frame item)
+{
+    if (peer.pending_bytes + item.frame.size() > m_settings.max_write_queue.count)
+    {
+        m_counters.add(&peer_counters::write_queue_full);
+        drop(item, drop_cause::queue_full);
+        return;
+    }
+    peer.pending_bytes += item.frame.size();
+    m_to_dial.insert(item.to);
+    peer.pending.push_back(std::move(item));
+}
+
+/// Reports a frame that was not written, if its sender waits for an answer.
+void peer_loop::drop(const outgoing_frame& item, drop_cause cause)
+{
+    if (item.kind == frame_kind::call)
+    {
+        m_handler.on_call_dropped(item.to, item.number, cause);
+    }
+}
+
 void peer_loop::write_frame(connection_id id, const std::string& frame)
 {
     peer_connection& connection = m_connections.at(id);
--- a/packages/wire/src/peer_loop.hpp
+++ b/packages/wire/src/peer_loop.hpp
@@ -72,6 +72,8 @@
     int poll_timeout() const;
     void drain_mailbox();
     void send_to(peer_state& peer, outgoing_frame item);
+    void queue_until_connected(peer_state& peer, outgoing_frame item);
+    void drop(const outgoing_frame& item, drop_cause cause);
     void write_frame(connection_id id, const std::string& frame);
     void flush_pending(peer_state& peer);
     void dial_pending_peers();
--- a/packages/wire/src/tcp_peer_network.cpp
+++ b/packages/wire/src/tcp_peer_network.cpp
@@ -19,6 +19,20 @@
 namespace
 {
 
+/// Labels a frame with what the loop must know of its message.
+void label(outgoing_frame& item, const message& msg)
+{
+    if (std::holds_alternative<fleet::gossip>(msg))
+    {
+        item.kind = frame_kind::load_report;
+    }
+    if (const auto* what = std::get_if<call>(&msg))
+    {
+        item.kind = frame_kind::call;
+        item.number = what->number;
+    }
+}
+
 class tcp_peer_network final : public peer_network
 {
   public:
@@ -100,7 +114,9 @@
             m_counters.add(&peer_counters::message_too_large);
             return false;
         }
-        if (!m_mailbox.put({to, required_incarnation, std::move(frame).value()}))
+        outgoing_frame item{to, required_incarnation, std::move(frame).value()};
+        label(item, msg);
+        if (!m_mailbox.put(std::move(item)))
         {
             m_counters.add(&peer_counters::mailbox_full);
             return false;
--- a/packages/wire/tests/network_fixture.hpp
+++ b/packages/wire/tests/network_fixture.hpp
@@ -69,6 +69,12 @@
         m_unreachable.push_back(peer);
     }
 
+    void on_call_dropped(const core::address&, core::call_number number, drop_cause) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_dropped.push_back(number);
+    }
+
     void on_connection_error(const core::address&, const core::error& cause) override
     {
         const std::lock_guard lock(m_mutex);
@@ -78,6 +84,7 @@
     std::vector<std::pair<peer_identity, message>> messages() const { return read(m_messages); }
     std::vector<core::node_id> lost() const { return read(m_lost); }
     std::vector<core::address> unreachable() const { return read(m_unreachable); }
+    std::vector<core::call_number> dropped() const { return read(m_dropped); }
     std::vector<core::error> errors() const { return read(m_errors); }
 
   private:
@@ -92,6 +99,7 @@
     std::vector<std::pair<peer_identity, message>> m_messages;
     std::vector<core::node_id> m_lost;
     std::vector<core::address> m_unreachable;
+    std::vector<core::call_number> m_dropped;
     std::vector<core::error> m_errors;
 };
 
--- a/packages/wire/tests/peer_network_test.cpp
+++ b/packages/wire/tests/peer_network_test.cpp
@@ -33,6 +33,38 @@
                        [&](const auto& item) { return item.second == expected; });
 }
 
+constexpr core::bytes small_queue{262'144};
+constexpr std::size_t large_part = 131'072;
+
+call large_call(std::uint64_t number)
+{
+    call large;
+    large.number = core::call_number{number};
+    large.request.body = std::string(large_part, 'x');
+    return large;
+}
+
+/// Sends calls until one finds the write queue full.
+/// @return number of that call
+core::call_number fill_write_queue(test_node& from, const core::address& to)
+{
+    std::uint64_t number = 0;
+    CHECK_TRUE(eventually(
+        [&]
+        {
+            const std::uint64_t sent = from.network->counters().frames_sent;
+            CHECK_TRUE(from.network->send(to, large_call(++number)));
+            return eventually(
+                       [&]
+                       {
+                           const peer_counters now = from.network->counters();
+                           return now.frames_sent > sent || now.write_queue_full > 0;
+                       }) &&
+                   from.network->counters().write_queue_full > 0;
+        }));
+    return core::call_number{number};
+}
+
 /// Checks that `a` can send to `b`.
 void check_delivery(test_node& a, test_node& b)
 {
@@ -311,6 +343,72 @@
     check_delivery(a, b);
 }
 
+// Fails when a call that finds the write queue full is dropped without a word, or costs the
+// connection and with it the other calls.
+TEST(peer_network, a_call_that_finds_the_write_queue_full_is_reported)
+{
+    silent_relay relay;
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.settings.max_write_queue = small_queue;
+    b.settings.listen = relay.target();
+    b.settings.self.address = relay.address();
+    a.start();
+    b.start();
+    check_delivery(a, b);
+    relay.silence();
+    const core::call_number unsent = fill_write_queue(a, b.address());
+    CHECK_TRUE(eventually([&] { return !a.handler.dropped().empty(); }));
+    LONGS_EQUAL(1, a.handler.dropped().size());
+    CHECK_TRUE(a.handler.dropped().front() == unsent);
+    CHECK_TRUE(a.handler.lost().empty());
+}
+
+// Fails when a load report that finds the write queue full closes the connection, which ends the
+// calls on it.
+TEST(peer_network, a_load_report_that_finds_the_write_queue_full_is_dropped)
+{
+    silent_relay relay;
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.settings.max_write_queue = small_queue;
+    b.settings.listen = relay.target();
+    b.settings.self.address = relay.address();
+    a.start();
+    b.start();
+    check_delivery(a, b);
+    relay.silence();
+    fill_write_queue(a, b.address());
+    fleet::gossip report;
+    report.sender_region = core::region_id{std::string(large_part, 'x')};
+    CHECK_TRUE(a.network->send(b.address(), report));
+    CHECK_TRUE(eventually([&] { return a.network->counters().write_queue_full == 2; }));
+    CHECK_TRUE(a.network->send(b.address(), report));
+    CHECK_TRUE(eventually([&] { return a.network->counters().write_queue_full == 3; }));
+    CHECK_TRUE(a.handler.lost().empty());
+}
+
+// Fails when a call for which there is no room before a connection is open waits for its deadline.
+TEST(peer_network, a_call_without_room_before_a_connection_is_open_is_reported)
+{
+    test_node a(time);
+    a.settings.max_write_queue = small_queue;
+    a.start();
+    const core::address where = [&]
+    {
+        test_node stopped_node(time, {"key"}, 2);
+        return stopped_node.start().address();
+    }();
+    CHECK_TRUE(a.network->send(where, cancel_with_number(1)));
+    CHECK_TRUE(eventually([&] { return a.handler.unreachable().size() == 1; }));
+    // The clock stands still within the backoff, so the messages stay queued.
+    CHECK_TRUE(a.network->send(where, large_call(1)));
+    CHECK_TRUE(a.network->send(where, large_call(2)));
+    CHECK_TRUE(eventually([&] { return a.network->counters().write_queue_full == 1; }));
+    CHECK_TRUE(eventually([&] { return !a.handler.dropped().empty(); }));
+    CHECK_TRUE(a.handler.dropped().front() == core::call_number{2});
+}
+
 TEST(peer_network, unknown_peers_cannot_exhaust_the_connections)
 {
     test_node a(time);
