serving: a forwarded call that has proven not to have run is sent again

What callers saw: 503 for a request that another region took over and whose upstream there refused it before running it (Not-Executed), although another upstream of that region was free.

Cause: the node that serves a call of another region never sent it again after a byte had reached an upstream. The entry node does, but not in a region that it has tried.

Change: that node sends it again if it has proven not to have run. A call that may have run is still returned to the entry node, which alone knows its other attempts.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -322,7 +322,10 @@
 
 bool call::may_retry(bool proven_not_run)
 {
-    if (m_client_is_gone || m_is_expired || m_forwarded)
+    if (m_client_is_gone || m_is_expired)
+        return false;
+    // What may have run is sent again by the entry node only, which knows its other attempts.
+    if (m_forwarded && !proven_not_run)
         return false;
     if (!is_within_attempt_limits(proven_not_run ? 0 : m_runs))
         return false;
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -181,6 +181,53 @@
                     stream.describe().c_str());
 }
 
+// Fails when a call of another region that an upstream proves not to have run is refused although
+// another upstream is free, or when one that may have run is sent again.
+TEST(call, a_forwarded_call_is_sent_again_only_when_it_has_proven_not_to_have_run)
+{
+    const scripted_answer not_run{{{100ms, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}},
+                                  answer_end::keep};
+    const scripted_answer failure{{{100ms, "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"}},
+                                  answer_end::keep};
+    const scripted_answer broken{{{100ms, ""}}, answer_end::reset};
+    struct row
+    {
+        const char* name;
+        request_kind kind;
+        scripted_answer first;
+        double retries; ///< budget
+        std::size_t sent_again;
+        std::optional<policy::execution> refused;
+    };
+    const row rows[] = {
+        {"not run", request_kind::non_idempotent, not_run, 1, 1, {}},
+        {"not run, idempotent", request_kind::idempotent, not_run, 1, 1, {}},
+        {"not run, no budget", request_kind::idempotent, not_run, 0, 0, policy::execution::no},
+        {"failure", request_kind::idempotent, failure, 1, 0, {}},
+        {"broken", request_kind::idempotent, broken, 1, 0, policy::execution::unknown},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture node({0, each.retries, 10s});
+        scripted_upstream first(node.loop, {each.first});
+        scripted_upstream second(node.loop, {plain_answer(0ms)});
+        node.set_route(make_route(each.kind, 2));
+        node.publish("i-1", first.address());
+        std::optional<policy::refusal> refused;
+        const recorded_exchange& request =
+            node.start("a", forwarded_from{5s, [&](const policy::refusal& why) { refused = why; }});
+        node.run_for(50ms);
+        node.publish("i-2", second.address());
+        node.finish(request);
+        const std::string seen = std::string(each.name) + ": " + request.describe();
+        LONGS_EQUAL_TEXT(1, first.requests().size(), seen.c_str());
+        LONGS_EQUAL_TEXT(each.sent_again, second.requests().size(), seen.c_str());
+        CHECK_TRUE_TEXT(refused.has_value() == each.refused.has_value(), seen.c_str());
+        CHECK_TRUE_TEXT(!refused || refused->executed == *each.refused, seen.c_str());
+        CHECK_TRUE_TEXT(each.sent_again == 0 || request.is(200, "ok"), seen.c_str());
+    }
+}
+
 // Fails when a node cuts a call of another region at its own route's timeout, although the node
 // that took the request, whose configuration may be another one, still waits for the answer.
 TEST(call, a_forwarded_call_has_the_time_that_its_entry_node_gives)
