wire, serving: the loss of a connection ends the calls on it only

What callers saw: two nodes that dial each other have two connections. When one of them was lost, all calls between the two nodes were cut (502, or a stream cut midway), also those on the other, and the node counted as unreachable until it was heard again.

Cause: the loss was reported for the node, and a call did not know its connection; its answer went by whichever connection the other node used for sending.

Change: a call and its answer use one connection. The answer goes by the connection by which the call came (peer_network::answer), and by no other: both ends thus notice the loss at once, and none waits for the deadline. Each event names its connection; on_call_sent tells which one carries a call. A call that is still to be sent is not affected by a loss. The node is lost when no connection to its address is left (on_peer_lost). What was on the lost connection is never "not run".

Tests: the three of fleet_link that lose a node report the loss of its last connection now, and peer_calls.a_call_whose_connection_was_lost_is_not_proven_not_run names the connection that carried the call; their checks are as before. A node of a former version still answers by any connection; while one is in the fleet, the loss of that connection can leave a call waiting for its deadline.

--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -280,6 +280,16 @@
 }
 
 void fleet_link::on_connection_lost(const wire::peer_identity& peer)
+{
+    asio::post(m_loop, [this, lost = peer.connection] { m_listener.on_connection_lost(lost); });
+}
+
+void fleet_link::on_call_sent(const wire::peer_identity& to, core::call_number number)
+{
+    asio::post(m_loop, [this, number, by = to.connection] { m_listener.on_call_sent(number, by); });
+}
+
+void fleet_link::on_peer_lost(const wire::peer_identity& peer)
 {
     asio::post(m_loop,
                [this, address = peer.node.address]
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -41,7 +41,14 @@
 
     virtual void on_members_changed() = 0;
     virtual void on_call_message(const wire::peer_identity& from, const wire::message& what) = 0;
+
+    /// @brief A connection was lost, and with it the calls on it.
+    virtual void on_connection_lost(wire::connection_number lost) = 0;
+
+    /// @brief No connection to the node is left.
     virtual void on_peer_lost(const core::address& peer) = 0;
+
+    virtual void on_call_sent(core::call_number number, wire::connection_number by) = 0;
     virtual void on_peer_unreachable(const core::address& peer) = 0;
     virtual void on_call_dropped(const core::address& peer, core::call_number number,
                                  wire::drop_cause cause) = 0;
@@ -101,6 +108,8 @@
 
     void on_message(const wire::peer_identity& from, wire::message received) override;
     void on_connection_lost(const wire::peer_identity& peer) override;
+    void on_peer_lost(const wire::peer_identity& peer) override;
+    void on_call_sent(const wire::peer_identity& to, core::call_number number) override;
     void on_unreachable(const core::address& peer) override;
     void on_call_dropped(const core::address& to, core::call_number number,
                          wire::drop_cause cause) override;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -215,7 +215,16 @@
     void on_peer_lost(const core::address& peer) override
     {
         m_log.event(line_kind::state_change, "peer_lost", {{"peer", peer.get()}});
-        m_peers.on_connection_lost(peer);
+    }
+
+    void on_connection_lost(wire::connection_number lost) override
+    {
+        m_peers.on_connection_lost(lost);
+    }
+
+    void on_call_sent(core::call_number number, wire::connection_number by) override
+    {
+        m_peers.on_call_sent(number, by);
     }
 
     void on_peer_unreachable(const core::address& peer) override { m_peers.on_unreachable(peer); }
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -44,6 +44,10 @@
 
     const core::address& peer() const { return m_peer; }
 
+    /// The connection that carries the call; none before it was sent.
+    wire::connection_number connection() const { return m_connection; }
+    void on_sent(wire::connection_number by) { m_connection = by; }
+
     asio::awaitable<attempt_start> start() override
     {
         attempt_start result;
@@ -182,6 +186,7 @@
 
     peer_calls& m_owner;
     core::address m_peer;
+    wire::connection_number m_connection;
     wire::call m_request;
     asio::steady_timer m_wake;
     core::time_point m_deadline;
@@ -196,9 +201,11 @@
 class peer_calls::served_exchange final : public http::exchange
 {
   public:
-    served_exchange(peer_calls& owner, policy::call_key key, const wire::call_request& request)
-        : m_owner(owner), m_key(std::move(key)), m_body(request.body), m_received(now())
+    served_exchange(peer_calls& owner, wire::peer_identity from, const wire::call& received)
+        : m_owner(owner), m_from(std::move(from)), m_key{m_from.node, received.number},
+          m_body(received.request.body), m_received(now())
     {
+        const wire::call_request& request = received.request;
         m_head = {request.method, request.target, request.headers};
         m_owner.m_served[m_key] = this;
     }
@@ -216,7 +223,7 @@
     const std::string& body() const override { return m_body; }
     core::time_point received_at() const override { return m_received; }
     bool has_begun() const override { return m_has_begun; }
-    const policy::call_key& key() const { return m_key; }
+    const wire::peer_identity& from() const { return m_from; }
 
     asio::awaitable<bool> send(http::response answer) override
     {
@@ -291,10 +298,11 @@
 
     bool reply(const wire::message& what)
     {
-        return !m_is_disconnected && m_owner.m_network.reply(m_key.entry, what);
+        return !m_is_disconnected && m_owner.m_network.answer(m_from, what);
     }
 
     peer_calls& m_owner;
+    wire::peer_identity m_from;
     policy::call_key m_key;
     http::request_head m_head;
     std::string m_body;
@@ -346,15 +354,15 @@
     const policy::call_key key{from.node, received.number};
     if (has_multiple_hops || !m_server || m_served.contains(key))
     {
-        m_network.reply(from.node, wire::call_refused{received.number,
-                                                      {policy::refusal_reason::loop,
-                                                       policy::execution::no,
-                                                       "send the call from its entry node",
-                                                       {},
-                                                       false}});
+        m_network.answer(from, wire::call_refused{received.number,
+                                                  {policy::refusal_reason::loop,
+                                                   policy::execution::no,
+                                                   "send the call from its entry node",
+                                                   {},
+                                                   false}});
         return;
     }
-    auto request = std::make_unique<served_exchange>(*this, key, received.request);
+    auto request = std::make_unique<served_exchange>(*this, from, received);
     served_exchange* raw = request.get();
     m_server(std::move(request),
              {received.request.remaining, [raw](const policy::refusal& why) { raw->refuse(why); }});
@@ -388,20 +396,27 @@
         found->second->deliver(received);
 }
 
-void peer_calls::on_connection_lost(const core::address& peer)
+void peer_calls::on_call_sent(core::call_number number, wire::connection_number by)
+{
+    const auto found = m_pending.find(number);
+    if (found != m_pending.end())
+        found->second->on_sent(by);
+}
+
+void peer_calls::on_connection_lost(wire::connection_number lost)
 {
     for (const auto& [number, waiting] : m_pending)
     {
-        if (waiting->peer() == peer)
+        if (waiting->connection() == lost)
             waiting->on_connection_lost();
     }
-    std::vector<served_exchange*> lost;
+    std::vector<served_exchange*> cancelled;
     for (const auto& [key, each] : m_served)
     {
-        if (key.entry.address == peer)
-            lost.push_back(each);
+        if (each->from().connection == lost)
+            cancelled.push_back(each);
     }
-    for (served_exchange* each : lost)
+    for (served_exchange* each : cancelled)
     {
         each->on_cancel();
     }
--- a/packages/serving/src/peer_calls.hpp
+++ b/packages/serving/src/peer_calls.hpp
@@ -52,9 +52,12 @@
     /// @brief Handles a message of another node; messages that belong to no call are ignored.
     void on_message(const wire::peer_identity& from, const wire::message& received);
 
-    /// @brief Fails the pending calls at a node to which the connection was lost, and cancels its
-    /// served ones.
-    void on_connection_lost(const core::address& peer);
+    /// @brief Records the connection that carries a pending call and its answer.
+    void on_call_sent(core::call_number number, wire::connection_number by);
+
+    /// @brief Fails the pending calls on a lost connection, and cancels the served ones that came
+    /// by it.
+    void on_connection_lost(wire::connection_number lost);
 
     /// @brief Fails the pending calls at this address as not sent: their messages were dropped
     /// before any byte reached a socket.
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -45,6 +45,11 @@
         return send(to.address, msg);
     }
 
+    bool answer(const wire::peer_identity& to, const wire::message& msg) override
+    {
+        return send(to.node.address, msg);
+    }
+
     void set_fleet_keys(std::vector<std::string>) override {}
     std::vector<wire::peer_identity> connected() const override { return {}; }
     wire::peer_counters counters() const override { return {}; }
@@ -72,6 +77,8 @@
     void on_members_changed() override { nodes = link->live_nodes(); }
     void on_call_message(const wire::peer_identity&, const wire::message&) override {}
     void on_peer_lost(const core::address&) override {}
+    void on_connection_lost(wire::connection_number) override {}
+    void on_call_sent(core::call_number, wire::connection_number) override {}
     void on_peer_unreachable(const core::address&) override {}
     void on_call_dropped(const core::address&, core::call_number, wire::drop_cause) override {}
     void on_peer_loads(const fleet::gossip&) override {}
@@ -143,6 +150,12 @@
         run_for(core::milliseconds{0});
     }
 
+    void lose_last_connection()
+    {
+        link->on_connection_lost(identity);
+        link->on_peer_lost(identity);
+    }
+
     std::size_t crashes_sent() const
     {
         std::size_t count = 0;
@@ -166,13 +179,24 @@
 // (silent-and-reset day of peachline-tour: two regions unused for 25 s after a reset).
 TEST(fleet_link, a_lost_node_is_used_again_as_soon_as_it_is_heard)
 {
-    link->on_connection_lost(identity);
+    lose_last_connection();
     run_for(core::milliseconds{0});
     CHECK_FALSE(listener.uses(peer));
     receive_gossip();
     CHECK_TRUE(listener.uses(peer));
 }
 
+// Fails when a node counts as unreachable after the loss of one of two connections to it.
+TEST(fleet_link, a_node_is_used_while_a_connection_to_it_is_left)
+{
+    link->on_connection_lost(identity);
+    run_for(core::milliseconds{0});
+    CHECK_TRUE(listener.uses(peer));
+    link->on_peer_lost(identity);
+    run_for(core::milliseconds{0});
+    CHECK_FALSE(listener.uses(peer));
+}
+
 // Fails when a node that could not be connected to is used again only after a membership ping.
 TEST(fleet_link, a_call_message_proves_that_a_node_is_reachable)
 {
@@ -189,7 +213,7 @@
 {
     run_for(2 * fleet::tick_interval);
     const std::size_t before = network->pings_to(peer);
-    link->on_connection_lost(identity);
+    lose_last_connection();
     run_for(2 * fleet::tick_interval);
     CHECK_TRUE(network->pings_to(peer) > before);
 }
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -18,6 +18,9 @@
 const core::node_id near_id{core::address{"10.0.0.1:1"}, core::incarnation{1}};
 const core::node_id far_id{core::address{"10.0.0.2:1"}, core::incarnation{1}};
 
+const wire::connection_number first_connection{1};
+const wire::connection_number second_connection{2};
+
 /// Delivers each message to the other end on the event loop, unless it is told to drop them.
 class memory_network final : public wire::peer_network
 {
@@ -49,6 +52,11 @@
         return send(to.address, msg);
     }
 
+    bool answer(const wire::peer_identity& to, const wire::message& msg) override
+    {
+        return send(to.node.address, msg);
+    }
+
     void set_fleet_keys(std::vector<std::string>) override {}
     std::vector<wire::peer_identity> connected() const override { return {}; }
     wire::peer_counters counters() const override { return {}; }
@@ -85,6 +93,7 @@
     }
 
     bool reply(const core::node_id&, const wire::message&) override { return true; }
+    bool answer(const wire::peer_identity&, const wire::message&) override { return true; }
     void set_fleet_keys(std::vector<std::string>) override {}
     std::vector<wire::peer_identity> connected() const override { return {}; }
     wire::peer_counters counters() const override { return {}; }
@@ -170,13 +179,71 @@
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
     CHECK_FALSE(is_over);
-    calls.on_connection_lost(far_id.address);
+    calls.on_call_sent(core::call_number{1}, first_connection);
+    calls.on_connection_lost(first_connection);
     calls.on_unreachable(far_id.address);
     run_for(50ms);
     CHECK_TRUE(is_over);
     CHECK_FALSE(result.is_proven_not_run());
 }
 
+// Fails when the loss of one of two connections to a node fails the calls on the other one, or a
+// call that has not been sent yet, or leaves a call that was on it waiting.
+TEST(peer_calls, the_loss_of_a_connection_ends_the_calls_on_it_only)
+{
+    struct row
+    {
+        std::optional<wire::connection_number> sent_on;
+        bool is_ended;
+    };
+    const row rows[] = {{first_connection, true}, {second_connection, false}, {{}, false}};
+    calls.set_nodes({{far_id.address, far_region}});
+    std::uint64_t number = 0;
+    for (const row& each : rows)
+    {
+        is_over = false;
+        const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+        boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
+        run_for(20ms);
+        ++number;
+        if (each.sent_on)
+            calls.on_call_sent(core::call_number{number}, *each.sent_on);
+        calls.on_connection_lost(first_connection);
+        run_for(20ms);
+        CHECK_EQUAL(each.is_ended, is_over);
+        CHECK_FALSE(is_over && result.is_proven_not_run());
+        started->cancel();
+        run_for(20ms);
+    }
+}
+
+// Fails when the loss of one of two connections to a node cancels the calls that came by the other
+// one, or leaves those running that came by it.
+TEST(peer_calls, the_loss_of_a_connection_cancels_the_calls_that_came_by_it_only)
+{
+    std::vector<std::unique_ptr<http::exchange>> served;
+    std::vector<int> cancelled;
+    calls.set_server(
+        [&](std::unique_ptr<http::exchange> request, const forwarded_from&)
+        {
+            const int index = static_cast<int>(served.size());
+            request->on_client_disconnected([&, index] { cancelled.push_back(index); });
+            served.push_back(std::move(request));
+        });
+    std::uint64_t number = 0;
+    for (const wire::connection_number by : {first_connection, second_connection})
+    {
+        wire::call received;
+        received.number = core::call_number{++number};
+        received.request.path = {{far_region, {}, far_id}};
+        calls.on_message({far_id, far_region, {}, by}, received);
+    }
+    LONGS_EQUAL(2, served.size());
+    calls.on_connection_lost(first_connection);
+    CHECK_TRUE(cancelled == std::vector<int>{0});
+    served.clear();
+}
+
 // Fails when a call that reached no socket counts as one that may have run.
 TEST(peer_calls, a_call_that_could_not_be_sent_is_proven_not_run)
 {
--- a/packages/wire/include/snipeplank/wire/peer_network.hpp
+++ b/packages/wire/include/snipeplank/wire/peer_network.hpp
@@ -6,6 +6,7 @@
 
 #include <snipeplank/core/error.hpp>
 #include <snipeplank/core/ids.hpp>
+#include <snipeplank/core/strong_type.hpp>
 #include <snipeplank/core/units.hpp>
 #include <snipeplank/wire/clock.hpp>
 #include <snipeplank/wire/messages.hpp>
@@ -19,12 +20,16 @@
 namespace snipeplank::wire
 {
 
+/// Number of a connection, unique within one network; 0 for none.
+using connection_number = core::strong_type<std::uint64_t, struct connection_number_tag>;
+
 /// @brief Authenticated identity of the peer of a connection.
 struct peer_identity
 {
     core::node_id node;
     core::region_id region;
     core::zone_id zone;
+    connection_number connection{}; ///< set in the events of a handler
 };
 
 /// @brief Settings of the connections between nodes.
@@ -68,9 +73,15 @@
 
     /// @brief A connection to the peer was lost (closed, timed out, or its write queue was full).
     /// Frames in both directions may be lost; ask for the outcomes of calls in flight on a new
-    /// connection.
+    /// connection. Calls on another connection to the peer are not affected.
     virtual void on_connection_lost(const peer_identity& peer) = 0;
 
+    /// @brief The last connection to the peer was lost. Follows `on_connection_lost`.
+    virtual void on_peer_lost(const peer_identity& /*peer*/) {}
+
+    /// @brief A `call` was given to a connection. What the peer sends with `answer` arrives by it.
+    virtual void on_call_sent(const peer_identity& /*to*/, core::call_number /*number*/) {}
+
     /// @brief No connection could be opened, and the messages queued for the address were dropped.
     /// None of their bytes were written to a socket.
     virtual void on_unreachable(const core::address& peer) = 0;
@@ -100,6 +111,7 @@
     std::uint64_t bytes_received = 0;
     std::uint64_t connections_accepted = 0;
     std::uint64_t connections_dialed = 0;
+    std::uint64_t connections_opened = 0; ///< their peer was authenticated
     std::uint64_t connections_closed = 0;
     std::uint64_t closed_by_peer = 0;  ///< between two frames
     std::uint64_t frame_truncated = 0; ///< the peer closed inside a frame
@@ -146,6 +158,12 @@
     /// @brief As `send`, but the message is dropped when another incarnation is at the address.
     virtual bool reply(const core::node_id& to, const message& msg) = 0;
 
+    /// @brief As `send`, but on the connection by which a message was received, and on no other.
+    /// Both ends thus lose a call and its answer together. The message is dropped when that
+    /// connection has closed.
+    /// @param to as received
+    virtual bool answer(const peer_identity& to, const message& msg) = 0;
+
     /// @brief Replaces the fleet keys, as `peer_settings::fleet_keys`. Open connections stay open.
     /// An empty list is ignored.
     virtual void set_fleet_keys(std::vector<std::string> keys) = 0;
--- a/packages/wire/src/mailbox.hpp
+++ b/packages/wire/src/mailbox.hpp
@@ -33,7 +33,8 @@
     std::optional<core::incarnation> required_incarnation;
     std::string frame;
     frame_kind kind = frame_kind::other;
-    core::call_number number{}; ///< of a call
+    core::call_number number{};   ///< of a call
+    connection_number required{}; ///< the only connection that may carry the frame, if set
 };
 
 /// @brief Frames and requests that were added since the last `take`.
--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -193,34 +193,67 @@
 
 void peer_loop::send_to(peer_state& peer, outgoing_frame item)
 {
-    if (peer.current == 0)
+    const connection_id required = item.required.get();
+    if (required != 0 && !m_connections.contains(required))
+    {
+        m_counters.add(&peer_counters::message_undeliverable);
+        return;
+    }
+    if (required == 0 && peer.current == 0)
     {
         queue_until_connected(peer, std::move(item));
         return;
     }
-    const peer_connection& connection = m_connections.at(peer.current);
+    send_on(required != 0 ? required : peer.current, item);
+}
+
+void peer_loop::send_on(connection_id id, const outgoing_frame& item)
+{
+    const peer_connection& connection = m_connections.at(id);
     if (item.required_incarnation &&
         *item.required_incarnation != connection.session().peer().node.incarnation)
     {
         m_counters.add(&peer_counters::message_wrong_incarnation);
         return;
     }
-    if (connection.queued() + item.frame.size() > m_settings.max_write_queue.count)
+    if (connection.queued() + item.frame.size() <= m_settings.max_write_queue.count)
     {
-        m_counters.add(&peer_counters::write_queue_full);
-        if (item.kind != frame_kind::other)
+        write_frame(id, item.frame);
+        if (item.kind == frame_kind::call)
         {
-            drop(item, drop_cause::queue_full);
-            return;
+            m_handler.on_call_sent(identity_of(id), item.number);
         }
-        m_handler.on_connection_error(connection.remote(),
-                                      {core::error_code::connection_closed,
-                                       "the write queue of a connection is full",
-                                       "check whether the peer or the link is overloaded"});
-        close(peer.current, nullptr);
         return;
     }
-    write_frame(peer.current, item.frame);
+    m_counters.add(&peer_counters::write_queue_full);
+    if (item.kind != frame_kind::other)
+    {
+        drop(item, drop_cause::queue_full);
+        return;
+    }
+    m_handler.on_connection_error(connection.remote(),
+                                  {core::error_code::connection_closed,
+                                   "the write queue of a connection is full",
+                                   "check whether the peer or the link is overloaded"});
+    close(id, nullptr);
+}
+
+/// The peer of an open connection.
+peer_identity peer_loop::identity_of(connection_id id) const
+{
+    peer_identity peer = m_connections.at(id).session().peer();
+    peer.connection = connection_number{id};
+    return peer;
+}
+
+bool peer_loop::is_connected_to(const core::address& peer) const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [&](const auto& each)
+                       {
+                           const peer_session& session = each.second.session();
+                           return session.is_open() && session.peer().node.address == peer;
+                       });
 }
 
 void peer_loop::queue_until_connected(peer_state& peer, outgoing_frame item)
@@ -421,7 +454,7 @@
 {
     m_connections.at(id).queue(output.bytes);
     m_to_write.insert(id);
-    const peer_identity peer = m_connections.at(id).session().peer();
+    const peer_identity peer = identity_of(id);
     if (output.has_opened)
     {
         on_opened(id);
@@ -441,6 +474,7 @@
 void peer_loop::on_opened(connection_id id)
 {
     const core::node_id node = m_connections.at(id).session().peer().node;
+    m_counters.add(&peer_counters::connections_opened);
     close_superseded(id);
     peer_state& peer = m_peers[node.address];
     peer.backoff = core::milliseconds(0);
@@ -546,7 +580,9 @@
     }
     if (closed.session().is_open())
     {
-        on_connection_lost(id, closed.session().peer());
+        peer_identity lost = closed.session().peer();
+        lost.connection = connection_number{id};
+        on_connection_lost(id, lost);
         return;
     }
     if (closed.role() == session_role::dialer)
@@ -574,6 +610,10 @@
     }
     publish_connected();
     m_handler.on_connection_lost(lost);
+    if (!is_connected_to(lost.node.address))
+    {
+        m_handler.on_peer_lost(lost);
+    }
 }
 
 void peer_loop::publish_connected()
--- a/packages/wire/src/peer_loop.hpp
+++ b/packages/wire/src/peer_loop.hpp
@@ -72,6 +72,9 @@
     int poll_timeout() const;
     void drain_mailbox();
     void send_to(peer_state& peer, outgoing_frame item);
+    void send_on(connection_id id, const outgoing_frame& item);
+    peer_identity identity_of(connection_id id) const;
+    bool is_connected_to(const core::address& peer) const;
     void queue_until_connected(peer_state& peer, outgoing_frame item);
     void drop(const outgoing_frame& item, drop_cause cause);
     void write_frame(connection_id id, const std::string& frame);
--- a/packages/wire/src/tcp_peer_network.cpp
+++ b/packages/wire/src/tcp_peer_network.cpp
@@ -70,12 +70,19 @@
 
     bool send(const core::address& to, const message& msg) override
     {
-        return put(to, std::nullopt, msg);
+        return put({to, std::nullopt, {}}, msg);
     }
 
     bool reply(const core::node_id& to, const message& msg) override
     {
-        return put(to.address, to.incarnation, msg);
+        return put({to.address, to.incarnation, {}}, msg);
+    }
+
+    bool answer(const peer_identity& to, const message& msg) override
+    {
+        outgoing_frame item{to.node.address, to.node.incarnation, {}};
+        item.required = to.connection;
+        return put(std::move(item), msg);
     }
 
     void set_fleet_keys(std::vector<std::string> keys) override
@@ -100,10 +107,9 @@
     }
 
   private:
-    bool put(const core::address& to, std::optional<core::incarnation> required_incarnation,
-             const message& msg)
+    bool put(outgoing_frame item, const message& msg)
     {
-        if (to == m_self)
+        if (item.to == m_self)
         {
             m_counters.add(&peer_counters::message_undeliverable);
             return false;
@@ -114,7 +120,7 @@
             m_counters.add(&peer_counters::message_too_large);
             return false;
         }
-        outgoing_frame item{to, required_incarnation, std::move(frame).value()};
+        item.frame = std::move(frame).value();
         label(item, msg);
         if (!m_mailbox.put(std::move(item)))
         {
--- a/packages/wire/tests/network_fixture.cpp
+++ b/packages/wire/tests/network_fixture.cpp
@@ -92,6 +92,7 @@
     int client;
     int server;
     int silence_count_at_accept; ///< number of `silence` calls before the accept
+    int cut_count_at_accept;     ///< number of `cut` calls before the accept
 };
 
 silent_relay::silent_relay() : m_listener(::socket(AF_INET, SOCK_STREAM, 0))
@@ -120,6 +121,12 @@
     std::vector<pipe> pipes;
     while (!m_is_stopping)
     {
+        if (m_is_paused)
+        {
+            constexpr std::chrono::milliseconds pause{1};
+            std::this_thread::sleep_for(pause);
+            continue;
+        }
         std::vector<pollfd> sockets{{m_listener, POLLIN, 0}};
         for (const pipe& one : pipes)
         {
@@ -134,6 +141,7 @@
         {
             const pipe& one = pipes[i];
             const bool is_open =
+                one.cut_count_at_accept == m_cut_count &&
                 (sockets[1 + 2 * i].revents == 0 || forward(one.client, one.server)) &&
                 (sockets[2 + 2 * i].revents == 0 || forward(one.server, one.client));
             if (is_open)
@@ -148,7 +156,7 @@
         if (sockets[0].revents != 0)
         {
             const int client = ::accept(m_listener, nullptr, nullptr);
-            pipes.push_back({client, connect_to(target()), m_silence_count});
+            pipes.push_back({client, connect_to(target()), m_silence_count, m_cut_count});
         }
     }
     for (const pipe& one : pipes)
--- a/packages/wire/tests/network_fixture.hpp
+++ b/packages/wire/tests/network_fixture.hpp
@@ -61,6 +61,19 @@
     {
         const std::lock_guard lock(m_mutex);
         m_lost.push_back(peer.node);
+        m_lost_connections.push_back(peer.connection);
+    }
+
+    void on_peer_lost(const peer_identity& peer) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lost_peers.push_back(peer.node);
+    }
+
+    void on_call_sent(const peer_identity& to, core::call_number) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_call_connections.push_back(to.connection);
     }
 
     void on_unreachable(const core::address& peer) override
@@ -83,6 +96,10 @@
 
     std::vector<std::pair<peer_identity, message>> messages() const { return read(m_messages); }
     std::vector<core::node_id> lost() const { return read(m_lost); }
+    std::vector<connection_number> lost_connections() const { return read(m_lost_connections); }
+    std::vector<core::node_id> lost_peers() const { return read(m_lost_peers); }
+    /// The connection of each call that was sent.
+    std::vector<connection_number> call_connections() const { return read(m_call_connections); }
     std::vector<core::address> unreachable() const { return read(m_unreachable); }
     std::vector<core::call_number> dropped() const { return read(m_dropped); }
     std::vector<core::error> errors() const { return read(m_errors); }
@@ -98,6 +115,9 @@
     mutable std::mutex m_mutex;
     std::vector<std::pair<peer_identity, message>> m_messages;
     std::vector<core::node_id> m_lost;
+    std::vector<connection_number> m_lost_connections;
+    std::vector<core::node_id> m_lost_peers;
+    std::vector<connection_number> m_call_connections;
     std::vector<core::address> m_unreachable;
     std::vector<core::call_number> m_dropped;
     std::vector<core::error> m_errors;
@@ -157,7 +177,8 @@
 };
 
 /// @brief Forwards connections to a target. After `silence`, existing connections stay open but
-/// carry no more data in either direction; later connections work.
+/// carry no more data in either direction; later connections work. `cut` closes existing
+/// connections; while it is paused, nothing is accepted or forwarded.
 class silent_relay
 {
   public:
@@ -170,6 +191,8 @@
     core::address address() const { return core::address{"127.0.0.1:" + m_port}; }
     core::address target() const { return core::address{"127.0.0.2:" + m_port}; }
     void silence() { ++m_silence_count; }
+    void cut() { ++m_cut_count; }
+    void set_paused(bool is_paused) { m_is_paused = is_paused; }
 
   private:
     struct pipe;
@@ -178,6 +201,8 @@
     int m_listener;
     std::string m_port;
     std::atomic<int> m_silence_count{0};
+    std::atomic<int> m_cut_count{0};
+    std::atomic<bool> m_is_paused{false};
     std::atomic<bool> m_is_stopping{false};
     std::thread m_thread;
 };
--- a/packages/wire/tests/peer_network_test.cpp
+++ b/packages/wire/tests/peer_network_test.cpp
@@ -74,6 +74,49 @@
     CHECK_TRUE(eventually([&] { return has_message(b, probe); }));
 }
 
+/// Two nodes with two connections, because both dialed each other. Both send on the one that `b`
+/// dialed, which goes through `to_a`.
+struct double_link
+{
+    explicit double_link(const wire::clock& time) : a(time), b(time, {"key"}, 2)
+    {
+        a.settings.listen = to_a.target();
+        a.settings.self.address = to_a.address();
+        b.settings.listen = to_b.target();
+        b.settings.self.address = to_b.address();
+        a.start();
+        b.start();
+        to_b.set_paused(true);
+        CHECK_TRUE(a.network->send(b.address(), cancel_with_number(1)));
+        CHECK_TRUE(eventually([&] { return a.network->counters().connections_dialed == 1; }));
+        check_delivery(b, a);
+        to_b.set_paused(false);
+        CHECK_TRUE(eventually([&] { return a.network->counters().connections_opened == 2; }));
+        CHECK_TRUE(eventually([&] { return b.network->counters().connections_opened == 2; }));
+    }
+
+    /// Sends a call from `a`.
+    /// @return its sender, as `b` received it
+    peer_identity send_call()
+    {
+        const call sent = large_call(1);
+        CHECK_TRUE(a.network->send(b.address(), sent));
+        CHECK_TRUE(eventually([&] { return has_message(b, sent); }));
+        CHECK_TRUE(eventually([&] { return a.handler.call_connections().size() == 1; }));
+        return b.handler.messages().back().first;
+    }
+
+    silent_relay to_a;
+    silent_relay to_b;
+    test_node a;
+    test_node b;
+};
+
+call_end end_of_call(std::uint64_t length)
+{
+    return {core::call_number{1}, length, 0};
+}
+
 } // namespace
 
 TEST_GROUP(peer_network)
@@ -409,6 +452,52 @@
     CHECK_TRUE(a.handler.dropped().front() == core::call_number{2});
 }
 
+// Fails when the loss of a connection counts as the loss of the node, although another connection
+// carries its calls.
+TEST(peer_network, the_loss_of_one_of_two_connections_leaves_the_other)
+{
+    double_link link(time);
+    const peer_identity caller = link.send_call();
+    link.to_b.cut();
+    for (test_node* node : {&link.a, &link.b})
+    {
+        CHECK_TRUE(eventually([&] { return node->handler.lost().size() == 1; }));
+    }
+    CHECK_TRUE(link.a.handler.lost_connections() != link.a.handler.call_connections());
+    CHECK_TRUE(link.b.network->answer(caller, end_of_call(1)));
+    CHECK_TRUE(eventually([&] { return has_message(link.a, end_of_call(1)); }));
+    check_delivery(link.a, link.b);
+    check_delivery(link.b, link.a);
+    CHECK_TRUE(link.a.handler.lost_peers().empty());
+    CHECK_TRUE(link.b.handler.lost_peers().empty());
+    link.to_a.cut();
+    for (test_node* node : {&link.a, &link.b})
+    {
+        CHECK_TRUE(eventually([&] { return node->handler.lost_peers().size() == 1; }));
+    }
+    CHECK_TRUE(link.a.handler.lost_connections().back() ==
+               link.a.handler.call_connections().front());
+}
+
+// Fails when the answer to a call goes by another connection than the call, so that its loss cannot
+// be noticed by the node that waits for it.
+TEST(peer_network, an_answer_uses_no_other_connection_than_its_call)
+{
+    double_link link(time);
+    const peer_identity caller = link.send_call();
+    link.to_a.cut();
+    for (test_node* node : {&link.a, &link.b})
+    {
+        CHECK_TRUE(eventually([&] { return node->handler.lost().size() == 1; }));
+    }
+    CHECK_TRUE(link.a.handler.lost_connections() == link.a.handler.call_connections());
+    CHECK_TRUE(link.b.network->answer(caller, end_of_call(1)));
+    check_delivery(link.b, link.a);
+    CHECK_FALSE(has_message(link.a, end_of_call(1)));
+    LONGS_EQUAL(1, link.b.network->counters().message_undeliverable);
+    CHECK_TRUE(link.a.handler.lost_peers().empty());
+}
+
 TEST(peer_network, unknown_peers_cannot_exhaust_the_connections)
 {
     test_node a(time);
