wire, serving: a call counts as not sent only when its own message was dropped

What callers could see: a booking run twice. When no connection to a node could be opened, every call at it that had received nothing counted as not sent and went elsewhere, also one whose message was still on its way to the I/O thread: that one stayed queued, was written with the next connection and ran there as well.

Cause: the event named the node, not the messages that were dropped.

Change: each dropped call is reported with its number (drop_cause::no_connection); the event for the node only marks it as unreachable.

Evidence: peer_calls.a_call_behind_a_dropped_one_is_not_proven_not_run failed with the event for the node ("is_over && result.is_proven_not_run()"), and peer_network.the_calls_that_no_connection_could_carry_are_reported, since nothing was reported ("dropped() == {1} failed"). The two older tests of peer_calls that used the event for the node use the report of their call now, with the same checks.

--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -306,7 +306,6 @@
                [this, peer]
                {
                    m_reachability.on_connect_failed(peer, now());
-                   m_listener.on_peer_unreachable(peer);
                    m_listener.on_members_changed();
                });
 }
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -49,7 +49,6 @@
     virtual void on_peer_lost(const core::address& peer) = 0;
 
     virtual void on_call_sent(core::call_number number, wire::connection_number by) = 0;
-    virtual void on_peer_unreachable(const core::address& peer) = 0;
     virtual void on_call_dropped(const core::address& peer, core::call_number number,
                                  wire::drop_cause cause) = 0;
     virtual void on_peer_loads(const fleet::gossip& received) = 0;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -227,8 +227,6 @@
         m_peers.on_call_sent(number, by);
     }
 
-    void on_peer_unreachable(const core::address& peer) override { m_peers.on_unreachable(peer); }
-
     void on_call_dropped(const core::address& peer, core::call_number number,
                          wire::drop_cause cause) override
     {
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -72,7 +72,7 @@
         {
             const bool is_proven = refused->why.executed == policy::execution::no;
             result.kind = is_proven ? answer_kind::not_run : answer_kind::broken;
-            result.was_sent = refused->why.has_reached_upstream && !m_was_dropped;
+            result.was_sent = refused->why.has_reached_upstream;
             result.cause = std::string(policy::to_string(refused->why.reason));
             result.refused = refused->why;
             co_return result;
@@ -131,16 +131,8 @@
     /// Called when the connection was lost; the call may have run.
     void on_connection_lost() { deliver(broken(policy::refusal_reason::peer_unreachable)); }
 
-    /// Called when messages to the peer were dropped before any byte of them reached a socket. The
-    /// call was one of them unless something was received for it: an answer, or the loss of the
-    /// connection on which it had been sent.
-    void on_dropped()
-    {
-        m_was_dropped = m_was_dropped || !m_has_received;
-        on_connection_lost();
-    }
-
-    /// Called when the message was dropped before any byte of it reached a socket.
+    /// Called when the message was dropped before any byte of it reached a socket; ignored when
+    /// something was received for the call, also the loss of its connection.
     void on_call_dropped(wire::drop_cause cause)
     {
         if (m_has_received)
@@ -194,7 +186,6 @@
     policy::answer_assembly m_assembly;
     bool m_is_finished = false;
     bool m_has_received = false;
-    bool m_was_dropped = false;
 };
 
 /// @brief A call received from another node, as an exchange that this node serves.
@@ -422,15 +413,6 @@
     }
 }
 
-void peer_calls::on_unreachable(const core::address& peer)
-{
-    for (const auto& [number, waiting] : m_pending)
-    {
-        if (waiting->peer() == peer)
-            waiting->on_dropped();
-    }
-}
-
 void peer_calls::on_call_dropped(const core::address& peer, core::call_number number,
                                  wire::drop_cause cause)
 {
--- a/packages/serving/src/peer_calls.hpp
+++ b/packages/serving/src/peer_calls.hpp
@@ -59,10 +59,6 @@
     /// by it.
     void on_connection_lost(wire::connection_number lost);
 
-    /// @brief Fails the pending calls at this address as not sent: their messages were dropped
-    /// before any byte reached a socket.
-    void on_unreachable(const core::address& peer);
-
     /// @brief Fails a pending call as not sent: its message was dropped before any byte of it
     /// reached a socket.
     void on_call_dropped(const core::address& peer, core::call_number number,
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -79,7 +79,6 @@
     void on_peer_lost(const core::address&) override {}
     void on_connection_lost(wire::connection_number) override {}
     void on_call_sent(core::call_number, wire::connection_number) override {}
-    void on_peer_unreachable(const core::address&) override {}
     void on_call_dropped(const core::address&, core::call_number, wire::drop_cause) override {}
     void on_peer_loads(const fleet::gossip&) override {}
     void on_prompt_evidence(const fleet::gossip& received) override
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -181,7 +181,7 @@
     CHECK_FALSE(is_over);
     calls.on_call_sent(core::call_number{1}, first_connection);
     calls.on_connection_lost(first_connection);
-    calls.on_unreachable(far_id.address);
+    calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
     run_for(50ms);
     CHECK_TRUE(is_over);
     CHECK_FALSE(result.is_proven_not_run());
@@ -251,12 +251,28 @@
     const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
-    calls.on_unreachable(far_id.address);
+    calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
     run_for(50ms);
     CHECK_TRUE(is_over);
     CHECK_TRUE(result.is_proven_not_run());
 }
 
+// Fails when a call that is still to be sent counts as not run because another one at the same node
+// was dropped: it would run there and elsewhere.
+TEST(peer_calls, a_call_behind_a_dropped_one_is_not_proven_not_run)
+{
+    calls.set_nodes({{far_id.address, far_region}});
+    const auto first = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    const auto waiting = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    boost::asio::co_spawn(loop, run_attempt(*waiting), boost::asio::detached);
+    run_for(50ms);
+    calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
+    run_for(50ms);
+    CHECK_FALSE(is_over && result.is_proven_not_run());
+    waiting->cancel();
+    run_for(50ms);
+}
+
 // Fails when a call that found the queue to the other region's node full waits for its deadline, or
 // counts as one that may have run.
 TEST(peer_calls, a_call_that_found_the_write_queue_full_is_told_at_once)
--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -365,7 +365,10 @@
         return;
     }
     m_counters.add(&peer_counters::message_undeliverable, peer.pending.size());
-    peer.pending.clear();
+    for (const outgoing_frame& unsent : std::exchange(peer.pending, {}))
+    {
+        drop(unsent, drop_cause::no_connection);
+    }
     peer.pending_bytes = 0;
     m_handler.on_unreachable(to);
 }
--- a/packages/wire/tests/peer_network_test.cpp
+++ b/packages/wire/tests/peer_network_test.cpp
@@ -431,6 +431,30 @@
     CHECK_TRUE(a.handler.lost().empty());
 }
 
+// Fails when a call for which no connection could be opened is not reported, or one that is still
+// to be sent is.
+TEST(peer_network, the_calls_that_no_connection_could_carry_are_reported)
+{
+    test_node a(time);
+    a.start();
+    const core::address where = [&]
+    {
+        test_node stopped_node(time, {"key"}, 2);
+        return stopped_node.start().address();
+    }();
+    CHECK_TRUE(a.network->send(where, large_call(1)));
+    CHECK_TRUE(eventually([&] { return a.handler.unreachable().size() == 1; }));
+    CHECK_TRUE(a.network->send(where, large_call(2)));
+    CHECK_TRUE(a.handler.dropped() == std::vector{core::call_number{1}});
+    test_node back(time, {"key"}, 3);
+    back.settings.self.address = where;
+    back.settings.listen = where;
+    back.start();
+    time.advance(core::seconds(2));
+    CHECK_TRUE(eventually([&] { return has_message(back, large_call(2)); }));
+    LONGS_EQUAL(1, a.handler.dropped().size());
+}
+
 // Fails when a call for which there is no room before a connection is open waits for its deadline.
 TEST(peer_network, a_call_without_room_before_a_connection_is_open_is_reported)
 {
