wire, serving: a part of an answer that is not taken ends the call at the other node

What callers saw: could happen when the queue of 64 MB to the I/O thread was full (that thread lags): a part of the answer to another region's call was not taken, and nobody looked. Without a middle part the entry node found the answer broken with the next part; without the last one it waited for its deadline.

Change: the serving node stops the answer with a refusal that says it may have run. When the queue takes nothing any more, the I/O thread closes the connection that the part required, and both nodes end the calls on it.

Evidence, with the two changes switched off: - peer_network.an_answer_that_is_not_taken_closes_its_connection: "lost().size() == 1 failed" - peer_calls.a_call_ends_at_the_other_node_when_a_part_of_its_answer_is_not_taken: the end was sent after the gap, "refused != nullptr failed" With them: all 21 tests of peer_network and all 82 of serving_tests pass.

--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -287,9 +287,21 @@
         return reply(wire::call_end{m_key.number, m_length, m_sum.digest()});
     }
 
+    /// Sends a part of the answer. The call ends at the other node, too, when it is not taken.
     bool reply(const wire::message& what)
     {
-        return !m_is_disconnected && m_owner.m_network.answer(m_from, what);
+        if (m_is_disconnected)
+            return false;
+        if (m_owner.m_network.answer(m_from, what))
+            return true;
+        m_is_disconnected = true;
+        m_is_finished = true;
+        m_owner.m_network.answer(
+            m_from,
+            wire::call_refused{m_key.number,
+                               {policy::refusal_reason::upstream_failed, policy::execution::unknown,
+                                "look up what became of the request", core::milliseconds{0}}});
+        return false;
     }
 
     peer_calls& m_owner;
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -122,6 +122,34 @@
     peer_calls* m_caller = nullptr;
 };
 
+/// Takes no part of the body of an answer, and records the rest.
+class partless_network final : public wire::peer_network
+{
+  public:
+    core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
+    {
+        return settings.self;
+    }
+
+    bool send(const core::address&, const wire::message&) override { return true; }
+    bool reply(const core::node_id&, const wire::message&) override { return true; }
+
+    bool answer(const wire::peer_identity&, const wire::message& msg) override
+    {
+        if (std::holds_alternative<wire::call_chunk>(msg))
+            return false;
+        taken.push_back(msg);
+        return true;
+    }
+
+    void set_fleet_keys(std::vector<std::string>) override {}
+    std::vector<wire::peer_identity> connected() const override { return {}; }
+    wire::peer_counters counters() const override { return {}; }
+    void stop() override {}
+
+    std::vector<wire::message> taken;
+};
+
 /// An answer, as the node that sent a call receives it.
 struct read_answer
 {
@@ -244,6 +272,28 @@
     served.clear();
 }
 
+// Fails when the other node waits for its deadline because a part of the answer was not taken.
+TEST(peer_calls, a_call_ends_at_the_other_node_when_a_part_of_its_answer_is_not_taken)
+{
+    partless_network partless;
+    peer_calls serving(loop, partless, {near_region, own_zone, near_id}, random);
+    std::unique_ptr<http::exchange> served;
+    serving.set_server([&](std::unique_ptr<http::exchange> request, const forwarded_from&)
+                       { served = std::move(request); });
+    wire::call received;
+    received.number = core::call_number{1};
+    received.request.path = {{far_region, {}, far_id}};
+    serving.on_message({far_id, far_region, {}, first_connection}, received);
+    http::response whole{{200, {}}, "ok"};
+    boost::asio::co_spawn(loop, served->send(std::move(whole)), boost::asio::detached);
+    run_for(50ms);
+    LONGS_EQUAL(2, partless.taken.size());
+    const auto* refused = std::get_if<wire::call_refused>(&partless.taken.back());
+    CHECK_TRUE(refused != nullptr && refused->why.executed == policy::execution::unknown);
+    served.reset();
+    LONGS_EQUAL(2, partless.taken.size());
+}
+
 // Fails when a call that reached no socket counts as one that may have run.
 TEST(peer_calls, a_call_that_could_not_be_sent_is_proven_not_run)
 {
--- a/packages/wire/include/snipeplank/wire/peer_network.hpp
+++ b/packages/wire/include/snipeplank/wire/peer_network.hpp
@@ -160,7 +160,8 @@
 
     /// @brief As `send`, but on the connection by which a message was received, and on no other.
     /// Both ends thus lose a call and its answer together. The message is dropped when that
-    /// connection has closed.
+    /// connection has closed. The connection is closed when the queue to the I/O thread is full, so
+    /// that the peer does not wait for the message.
     /// @param to as received
     virtual bool answer(const peer_identity& to, const message& msg) = 0;
 
--- a/packages/wire/src/mailbox.cpp
+++ b/packages/wire/src/mailbox.cpp
@@ -23,10 +23,18 @@
 bool mailbox::put(outgoing_frame frame)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_contents.is_stopped || m_bytes + frame.frame.size() > max_queued_bytes)
+    if (m_contents.is_stopped)
     {
         return false;
     }
+    if (m_bytes + frame.frame.size() > max_queued_bytes)
+    {
+        if (frame.required.get() != 0)
+        {
+            m_contents.incomplete.insert(frame.required);
+        }
+        return false;
+    }
     m_bytes += frame.frame.size();
     m_contents.frames.push_back(std::move(frame));
     if (m_contents.frames.size() == 1)
@@ -57,6 +65,7 @@
     [[maybe_unused]] const ssize_t read_bytes = ::read(m_wake.get(), &count, sizeof(count));
     mailbox_contents taken;
     taken.frames.swap(m_contents.frames);
+    taken.incomplete.swap(m_contents.incomplete);
     taken.fleet_keys.swap(m_contents.fleet_keys);
     taken.is_stopped = m_contents.is_stopped;
     m_bytes = 0;
--- a/packages/wire/src/mailbox.hpp
+++ b/packages/wire/src/mailbox.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,7 @@
 struct mailbox_contents
 {
     std::vector<outgoing_frame> frames;
+    std::set<connection_number> incomplete; ///< connections whose frames were not taken
     std::optional<std::vector<std::string>> fleet_keys;
     bool is_stopped = false;
 };
@@ -51,7 +53,8 @@
   public:
     mailbox();
 
-    /// @brief Adds a frame. Returns false when the mailbox is full or stopped.
+    /// @brief Adds a frame. Returns false when the mailbox is full or stopped. A full mailbox
+    /// remembers the connection that the frame required: the peer waits for the frame.
     bool put(outgoing_frame frame);
 
     void put_keys(std::vector<std::string> keys);
--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -189,6 +189,13 @@
         peer_state& peer = m_peers[one.to];
         send_to(peer, std::move(one));
     }
+    for (const connection_number incomplete : taken.incomplete)
+    {
+        if (m_connections.contains(incomplete.get()))
+        {
+            close(incomplete.get(), nullptr);
+        }
+    }
 }
 
 void peer_loop::send_to(peer_state& peer, outgoing_frame item)
--- a/packages/wire/tests/network_fixture.hpp
+++ b/packages/wire/tests/network_fixture.hpp
@@ -53,6 +53,7 @@
   public:
     void on_message(const peer_identity& from, message received) override
     {
+        eventually([&] { return !m_is_blocked; });
         const std::lock_guard lock(m_mutex);
         m_messages.emplace_back(from, std::move(received));
     }
@@ -94,6 +95,9 @@
         m_errors.push_back(cause);
     }
 
+    /// Blocks the I/O thread at the next message, for at most 10 s.
+    void set_blocked(bool is_blocked) { m_is_blocked = is_blocked; }
+
     std::vector<std::pair<peer_identity, message>> messages() const { return read(m_messages); }
     std::vector<core::node_id> lost() const { return read(m_lost); }
     std::vector<connection_number> lost_connections() const { return read(m_lost_connections); }
@@ -112,6 +116,7 @@
         return list;
     }
 
+    std::atomic<bool> m_is_blocked{false};
     mutable std::mutex m_mutex;
     std::vector<std::pair<peer_identity, message>> m_messages;
     std::vector<core::node_id> m_lost;
--- a/packages/wire/tests/peer_network_test.cpp
+++ b/packages/wire/tests/peer_network_test.cpp
@@ -522,6 +522,34 @@
     CHECK_TRUE(link.a.handler.lost_peers().empty());
 }
 
+// Fails when a part of an answer that the full queue to the I/O thread does not take leaves the
+// call waiting at the other node.
+TEST(peer_network, an_answer_that_is_not_taken_closes_its_connection)
+{
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    b.settings.max_write_queue = core::bytes{134'217'728}; // more than the queue to the I/O thread
+    a.start();
+    b.start();
+    check_delivery(a, b);
+    const peer_identity caller = b.handler.messages().back().first;
+    b.handler.set_blocked(true);
+    CHECK_TRUE(a.network->send(b.address(), cancel_with_number(1)));
+    constexpr std::size_t chunk_bytes = 1'000'000;
+    constexpr int max_chunks = 100;
+    const call_chunk chunk{core::call_number{1}, 0, std::string(chunk_bytes, 'x')};
+    int taken = 0;
+    while (taken < max_chunks && b.network->answer(caller, chunk))
+    {
+        ++taken;
+    }
+    CHECK_TRUE(taken < max_chunks);
+    CHECK_TRUE(b.network->counters().mailbox_full > 0);
+    b.handler.set_blocked(false);
+    CHECK_TRUE(eventually([&] { return a.handler.lost().size() == 1; }));
+    check_delivery(a, b);
+}
+
 TEST(peer_network, unknown_peers_cannot_exhaust_the_connections)
 {
     test_node a(time);
