--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -280,6 +280,16 @@
 }
 
 void fleet_link::on_connection_lost(const wire::peer_identity& peer)
+{
+    asio::post(m_loop, [this, lost = peer.connection] { m_listener.on_connection_lost(lost); });
+}
+
+void fleet_link::on_call_sent(const wire::peer_identity& to, core::call_number number)
+{
+    asio::post(m_loop, [this, number, by = to.connection] { m_listener.on_call_sent(number, by); });
+}
+
+void fleet_link::on_peer_lost(const wire::peer_identity& peer)
 {
     asio::post(m_loop,
                [this, address = peer.node.address]
@@ -296,11 +306,17 @@
                [this, peer]
                {
                    m_reachability.on_connect_failed(peer, now());
-                   m_listener.on_peer_unreachable(peer);
                    m_listener.on_members_changed();
                });
 }
 
+void fleet_link::on_call_dropped(const core::address& to, core::call_number number,
+                                 wire::drop_cause cause)
+{
+    asio::post(m_loop,
+               [this, to, number, cause] { m_listener.on_call_dropped(to, number, cause); });
+}
+
 core::region_id fleet_link::region_of(const core::zone_id& zone) const
 {
     const auto found = m_options.zones.find(zone);
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -44,6 +44,10 @@
 
     const core::address& peer() const { return m_peer; }
 
+    /// The connection that carries the call; none before it was sent.
+    wire::connection_number connection() const { return m_connection; }
+    void on_sent(wire::connection_number by) { m_connection = by; }
+
     asio::awaitable<attempt_start> start() override
     {
         attempt_start result;
@@ -68,7 +72,7 @@
         {
             const bool is_proven = refused->why.executed == policy::execution::no;
             result.kind = is_proven ? answer_kind::not_run : answer_kind::broken;
-            result.was_sent = refused->why.has_reached_upstream && !m_was_dropped;
+            result.was_sent = refused->why.has_reached_upstream;
             result.cause = std::string(policy::to_string(refused->why.reason));
             result.refused = refused->why;
             co_return result;
@@ -127,13 +131,20 @@
     /// Called when the connection was lost; the call may have run.
     void on_connection_lost() { deliver(broken(policy::refusal_reason::peer_unreachable)); }
 
-    /// Called when messages to the peer were dropped before any byte of them reached a socket. The
-    /// call was one of them unless something was received for it: an answer, or the loss of the
-    /// connection on which it had been sent.
-    void on_dropped()
+    /// Called when the message was dropped before any byte of it reached a socket; ignored when
+    /// something was received for the call, also the loss of its connection.
+    void on_call_dropped(wire::drop_cause cause)
     {
-        m_was_dropped = m_was_dropped || !m_has_received;
-        on_connection_lost();
+        if (m_has_received)
+            return;
+        const bool is_full = cause == wire::drop_cause::queue_full;
+        deliver(wire::call_refused{m_request.number,
+                                   {is_full ? policy::refusal_reason::overloaded
+                                            : policy::refusal_reason::peer_unreachable,
+                                    policy::execution::no,
+                                    "send the call to another node",
+                                    {},
+                                    false}});
     }
 
   private:
@@ -167,6 +178,7 @@
 
     peer_calls& m_owner;
     core::address m_peer;
+    wire::connection_number m_connection;
     wire::call m_request;
     asio::steady_timer m_wake;
     core::time_point m_deadline;
@@ -174,16 +186,17 @@
     policy::answer_assembly m_assembly;
     bool m_is_finished = false;
     bool m_has_received = false;
-    bool m_was_dropped = false;
 };
 
 /// @brief A call received from another node, as an exchange that this node serves.
 class peer_calls::served_exchange final : public http::exchange
 {
   public:
-    served_exchange(peer_calls& owner, policy::call_key key, const wire::call_request& request)
-        : m_owner(owner), m_key(std::move(key)), m_body(request.body), m_received(now())
+    served_exchange(peer_calls& owner, wire::peer_identity from, const wire::call& received)
+        : m_owner(owner), m_from(std::move(from)), m_key{m_from.node, received.number},
+          m_body(received.request.body), m_received(now())
     {
+        const wire::call_request& request = received.request;
         m_head = {request.method, request.target, request.headers};
         m_owner.m_served[m_key] = this;
     }
@@ -201,7 +214,7 @@
     const std::string& body() const override { return m_body; }
     core::time_point received_at() const override { return m_received; }
     bool has_begun() const override { return m_has_begun; }
-    const policy::call_key& key() const { return m_key; }
+    const wire::peer_identity& from() const { return m_from; }
 
     asio::awaitable<bool> send(http::response answer) override
     {
@@ -274,12 +287,25 @@
         return reply(wire::call_end{m_key.number, m_length, m_sum.digest()});
     }
 
+    /// Sends a part of the answer. The call ends at the other node, too, when it is not taken.
     bool reply(const wire::message& what)
     {
-        return !m_is_disconnected && m_owner.m_network.reply(m_key.entry, what);
+        if (m_is_disconnected)
+            return false;
+        if (m_owner.m_network.answer(m_from, what))
+            return true;
+        m_is_disconnected = true;
+        m_is_finished = true;
+        m_owner.m_network.answer(
+            m_from,
+            wire::call_refused{m_key.number,
+                               {policy::refusal_reason::upstream_failed, policy::execution::unknown,
+                                "look up what became of the request", core::milliseconds{0}}});
+        return false;
     }
 
     peer_calls& m_owner;
+    wire::peer_identity m_from;
     policy::call_key m_key;
     http::request_head m_head;
     std::string m_body;
@@ -331,15 +357,15 @@
     const policy::call_key key{from.node, received.number};
     if (has_multiple_hops || !m_server || m_served.contains(key))
     {
-        m_network.reply(from.node, wire::call_refused{received.number,
-                                                      {policy::refusal_reason::loop,
-                                                       policy::execution::no,
-                                                       "send the call from its entry node",
-                                                       {},
-                                                       false}});
+        m_network.answer(from, wire::call_refused{received.number,
+                                                  {policy::refusal_reason::loop,
+                                                   policy::execution::no,
+                                                   "send the call from its entry node",
+                                                   {},
+                                                   false}});
         return;
     }
-    auto request = std::make_unique<served_exchange>(*this, key, received.request);
+    auto request = std::make_unique<served_exchange>(*this, from, received);
     served_exchange* raw = request.get();
     m_server(std::move(request),
              {received.request.remaining, [raw](const policy::refusal& why) { raw->refuse(why); }});
@@ -373,32 +399,38 @@
         found->second->deliver(received);
 }
 
-void peer_calls::on_connection_lost(const core::address& peer)
+void peer_calls::on_call_sent(core::call_number number, wire::connection_number by)
+{
+    const auto found = m_pending.find(number);
+    if (found != m_pending.end())
+        found->second->on_sent(by);
+}
+
+void peer_calls::on_connection_lost(wire::connection_number lost)
 {
     for (const auto& [number, waiting] : m_pending)
     {
-        if (waiting->peer() == peer)
+        if (waiting->connection() == lost)
             waiting->on_connection_lost();
     }
-    std::vector<served_exchange*> lost;
+    std::vector<served_exchange*> cancelled;
     for (const auto& [key, each] : m_served)
     {
-        if (key.entry.address == peer)
-            lost.push_back(each);
+        if (each->from().connection == lost)
+            cancelled.push_back(each);
     }
-    for (served_exchange* each : lost)
+    for (served_exchange* each : cancelled)
     {
         each->on_cancel();
     }
 }
 
-void peer_calls::on_unreachable(const core::address& peer)
+void peer_calls::on_call_dropped(const core::address& peer, core::call_number number,
+                                 wire::drop_cause cause)
 {
-    for (const auto& [number, waiting] : m_pending)
-    {
-        if (waiting->peer() == peer)
-            waiting->on_dropped();
-    }
+    const auto found = m_pending.find(number);
+    if (found != m_pending.end() && found->second->peer() == peer)
+        found->second->on_call_dropped(cause);
 }
 
 } // namespace snipeplank::serving
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -18,6 +18,9 @@
 const core::node_id near_id{core::address{"10.0.0.1:1"}, core::incarnation{1}};
 const core::node_id far_id{core::address{"10.0.0.2:1"}, core::incarnation{1}};
 
+const wire::connection_number first_connection{1};
+const wire::connection_number second_connection{2};
+
 /// Delivers each message to the other end on the event loop, unless it is told to drop them.
 class memory_network final : public wire::peer_network
 {
@@ -49,6 +52,11 @@
         return send(to.address, msg);
     }
 
+    bool answer(const wire::peer_identity& to, const wire::message& msg) override
+    {
+        return send(to.node.address, msg);
+    }
+
     void set_fleet_keys(std::vector<std::string>) override {}
     std::vector<wire::peer_identity> connected() const override { return {}; }
     wire::peer_counters counters() const override { return {}; }
@@ -60,7 +68,7 @@
     peer_calls* m_other_end = nullptr;
 };
 
-/// Answers each call, after a while, as a node that has not sent it to any upstream.
+/// Answers each call, after a while, as a node that has not sent it to any upstream, or drops it.
 class refusing_network final : public wire::peer_network
 {
   public:
@@ -70,6 +78,8 @@
 
     void connect(peer_calls& caller) { m_caller = &caller; }
 
+    bool drops_calls = false;
+
     core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
     {
         return settings.self;
@@ -83,6 +93,7 @@
     }
 
     bool reply(const core::node_id&, const wire::message&) override { return true; }
+    bool answer(const wire::peer_identity&, const wire::message&) override { return true; }
     void set_fleet_keys(std::vector<std::string>) override {}
     std::vector<wire::peer_identity> connected() const override { return {}; }
     wire::peer_counters counters() const override { return {}; }
@@ -92,6 +103,11 @@
     boost::asio::awaitable<void> refuse(core::call_number number)
     {
         co_await pause_for(m_loop, delay);
+        if (drops_calls)
+        {
+            m_caller->on_call_dropped(far_id.address, number, wire::drop_cause::queue_full);
+            co_return;
+        }
         policy::refusal why;
         why.reason = policy::refusal_reason::no_upstream;
         why.executed = policy::execution::no;
@@ -106,6 +122,34 @@
     peer_calls* m_caller = nullptr;
 };
 
+/// Takes no part of the body of an answer, and records the rest.
+class partless_network final : public wire::peer_network
+{
+  public:
+    core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
+    {
+        return settings.self;
+    }
+
+    bool send(const core::address&, const wire::message&) override { return true; }
+    bool reply(const core::node_id&, const wire::message&) override { return true; }
+
+    bool answer(const wire::peer_identity&, const wire::message& msg) override
+    {
+        if (std::holds_alternative<wire::call_chunk>(msg))
+            return false;
+        taken.push_back(msg);
+        return true;
+    }
+
+    void set_fleet_keys(std::vector<std::string>) override {}
+    std::vector<wire::peer_identity> connected() const override { return {}; }
+    wire::peer_counters counters() const override { return {}; }
+    void stop() override {}
+
+    std::vector<wire::message> taken;
+};
+
 /// An answer, as the node that sent a call receives it.
 struct read_answer
 {
@@ -163,13 +207,93 @@
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
     CHECK_FALSE(is_over);
-    calls.on_connection_lost(far_id.address);
-    calls.on_unreachable(far_id.address);
+    calls.on_call_sent(core::call_number{1}, first_connection);
+    calls.on_connection_lost(first_connection);
+    calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
     run_for(50ms);
     CHECK_TRUE(is_over);
     CHECK_FALSE(result.is_proven_not_run());
 }
 
+// Fails when the loss of one of two connections to a node fails the calls on the other one, or a
+// call that has not been sent yet, or leaves a call that was on it waiting.
+TEST(peer_calls, the_loss_of_a_connection_ends_the_calls_on_it_only)
+{
+    struct row
+    {
+        std::optional<wire::connection_number> sent_on;
+        bool is_ended;
+    };
+    const row rows[] = {{first_connection, true}, {second_connection, false}, {{}, false}};
+    calls.set_nodes({{far_id.address, far_region}});
+    std::uint64_t number = 0;
+    for (const row& each : rows)
+    {
+        is_over = false;
+        const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+        boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
+        run_for(20ms);
+        ++number;
+        if (each.sent_on)
+            calls.on_call_sent(core::call_number{number}, *each.sent_on);
+        calls.on_connection_lost(first_connection);
+        run_for(20ms);
+        CHECK_EQUAL(each.is_ended, is_over);
+        CHECK_FALSE(is_over && result.is_proven_not_run());
+        started->cancel();
+        run_for(20ms);
+    }
+}
+
+// Fails when the loss of one of two connections to a node cancels the calls that came by the other
+// one, or leaves those running that came by it.
+TEST(peer_calls, the_loss_of_a_connection_cancels_the_calls_that_came_by_it_only)
+{
+    std::vector<std::unique_ptr<http::exchange>> served;
+    std::vector<int> cancelled;
+    calls.set_server(
+        [&](std::unique_ptr<http::exchange> request, const forwarded_from&)
+        {
+            const int index = static_cast<int>(served.size());
+            request->on_client_disconnected([&, index] { cancelled.push_back(index); });
+            served.push_back(std::move(request));
+        });
+    std::uint64_t number = 0;
+    for (const wire::connection_number by : {first_connection, second_connection})
+    {
+        wire::call received;
+        received.number = core::call_number{++number};
+        received.request.path = {{far_region, {}, far_id}};
+        calls.on_message({far_id, far_region, {}, by}, received);
+    }
+    LONGS_EQUAL(2, served.size());
+    calls.on_connection_lost(first_connection);
+    CHECK_TRUE(cancelled == std::vector<int>{0});
+    served.clear();
+}
+
+// Fails when the other node waits for its deadline because a part of the answer was not taken.
+TEST(peer_calls, a_call_ends_at_the_other_node_when_a_part_of_its_answer_is_not_taken)
+{
+    partless_network partless;
+    peer_calls serving(loop, partless, {near_region, own_zone, near_id}, random);
+    std::unique_ptr<http::exchange> served;
+    serving.set_server([&](std::unique_ptr<http::exchange> request, const forwarded_from&)
+                       { served = std::move(request); });
+    wire::call received;
+    received.number = core::call_number{1};
+    received.request.path = {{far_region, {}, far_id}};
+    serving.on_message({far_id, far_region, {}, first_connection}, received);
+    http::response whole{{200, {}}, "ok"};
+    boost::asio::co_spawn(loop, served->send(std::move(whole)), boost::asio::detached);
+    run_for(50ms);
+    LONGS_EQUAL(2, partless.taken.size());
+    const auto* refused = std::get_if<wire::call_refused>(&partless.taken.back());
+    CHECK_TRUE(refused != nullptr && refused->why.executed == policy::execution::unknown);
+    served.reset();
+    LONGS_EQUAL(2, partless.taken.size());
+}
+
 // Fails when a call that reached no socket counts as one that may have run.
 TEST(peer_calls, a_call_that_could_not_be_sent_is_proven_not_run)
 {
@@ -177,12 +301,43 @@
     const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
-    calls.on_unreachable(far_id.address);
+    calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
     run_for(50ms);
     CHECK_TRUE(is_over);
     CHECK_TRUE(result.is_proven_not_run());
 }
 
+// Fails when a call that is still to be sent counts as not run because another one at the same node
+// was dropped: it would run there and elsewhere.
+TEST(peer_calls, a_call_behind_a_dropped_one_is_not_proven_not_run)
+{
+    calls.set_nodes({{far_id.address, far_region}});
+    const auto first = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    const auto waiting = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    boost::asio::co_spawn(loop, run_attempt(*waiting), boost::asio::detached);
+    run_for(50ms);
+    calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
+    run_for(50ms);
+    CHECK_FALSE(is_over && result.is_proven_not_run());
+    waiting->cancel();
+    run_for(50ms);
+}
+
+// Fails when a call that found the queue to the other region's node full waits for its deadline, or
+// counts as one that may have run.
+TEST(peer_calls, a_call_that_found_the_write_queue_full_is_told_at_once)
+{
+    calls.set_nodes({{far_id.address, far_region}});
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
+    run_for(50ms);
+    calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::queue_full);
+    run_for(50ms);
+    CHECK_TRUE(is_over);
+    CHECK_TRUE(result.is_proven_not_run());
+    STRCMP_EQUAL("overloaded", result.cause.c_str());
+}
+
 TEST_GROUP(forwarded_call){};
 
 // Fails when an answer without length that passes through a node of another region is cut, or when
@@ -295,3 +450,26 @@
     node.finish(stream);
     CHECK_TRUE_TEXT(stream.is(200, events(1, 4)), stream.describe().c_str());
 }
+
+// Fails when a request whose message found the queue to another region full gets no answer,
+// although an upstream of the own region is free.
+TEST(forwarded_call, a_request_that_found_the_write_queue_full_goes_elsewhere)
+{
+    call_fixture node({0, 0, 10s});
+    core::seeded_random random{1};
+    refusing_network network(node.loop);
+    network.drops_calls = true;
+    peer_calls calls(node.loop, network, {near_region, own_zone, near_id}, random);
+    network.connect(calls);
+    calls.set_nodes({{far_id.address, far_region}});
+    scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+    route only;
+    only.kind = request_kind::non_idempotent;
+    node.set_route(only);
+    node.add_region(far_region, calls);
+    const recorded_exchange& request = node.start("a");
+    node.run_for(refusing_network::delay / 2);
+    node.publish("i-1", upstream.address());
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+}
--- a/packages/wire/src/mailbox.hpp
+++ b/packages/wire/src/mailbox.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,18 +19,30 @@
 namespace snipeplank::wire
 {
 
+/// @brief What becomes of a frame that finds the write queue full.
+enum class frame_kind
+{
+    other,       ///< closes the connection, since the peer waits for it
+    load_report, ///< is dropped; a later report replaces it
+    call,        ///< is dropped and reported, so that the call can go elsewhere
+};
+
 /// @brief A frame for an address, optionally restricted to one incarnation there.
 struct outgoing_frame
 {
     core::address to;
     std::optional<core::incarnation> required_incarnation;
     std::string frame;
+    frame_kind kind = frame_kind::other;
+    core::call_number number{};   ///< of a call
+    connection_number required{}; ///< the only connection that may carry the frame, if set
 };
 
 /// @brief Frames and requests that were added since the last `take`.
 struct mailbox_contents
 {
     std::vector<outgoing_frame> frames;
+    std::set<connection_number> incomplete; ///< connections whose frames were not taken
     std::optional<std::vector<std::string>> fleet_keys;
     bool is_stopped = false;
 };
@@ -40,7 +53,8 @@
   public:
     mailbox();
 
-    /// @brief Adds a frame. Returns false when the mailbox is full or stopped.
+    /// @brief Adds a frame. Returns false when the mailbox is full or stopped. A full mailbox
+    /// remembers the connection that the frame required: the peer waits for the frame.
     bool put(outgoing_frame frame);
 
     void put_keys(std::vector<std::string> keys);
--- a/packages/wire/tests/peer_network_test.cpp
+++ b/packages/wire/tests/peer_network_test.cpp
@@ -33,6 +33,38 @@
                        [&](const auto& item) { return item.second == expected; });
 }
 
+constexpr core::bytes small_queue{262'144};
+constexpr std::size_t large_part = 131'072;
+
+call large_call(std::uint64_t number)
+{
+    call large;
+    large.number = core::call_number{number};
+    large.request.body = std::string(large_part, 'x');
+    return large;
+}
+
+/// Sends calls until one finds the write queue full.
+/// @return number of that call
+core::call_number fill_write_queue(test_node& from, const core::address& to)
+{
+    std::uint64_t number = 0;
+    CHECK_TRUE(eventually(
+        [&]
+        {
+            const std::uint64_t sent = from.network->counters().frames_sent;
+            CHECK_TRUE(from.network->send(to, large_call(++number)));
+            return eventually(
+                       [&]
+                       {
+                           const peer_counters now = from.network->counters();
+                           return now.frames_sent > sent || now.write_queue_full > 0;
+                       }) &&
+                   from.network->counters().write_queue_full > 0;
+        }));
+    return core::call_number{number};
+}
+
 /// Checks that `a` can send to `b`.
 void check_delivery(test_node& a, test_node& b)
 {
@@ -42,6 +74,49 @@
     CHECK_TRUE(eventually([&] { return has_message(b, probe); }));
 }
 
+/// Two nodes with two connections, because both dialed each other. Both send on the one that `b`
+/// dialed, which goes through `to_a`.
+struct double_link
+{
+    explicit double_link(const wire::clock& time) : a(time), b(time, {"key"}, 2)
+    {
+        a.settings.listen = to_a.target();
+        a.settings.self.address = to_a.address();
+        b.settings.listen = to_b.target();
+        b.settings.self.address = to_b.address();
+        a.start();
+        b.start();
+        to_b.set_paused(true);
+        CHECK_TRUE(a.network->send(b.address(), cancel_with_number(1)));
+        CHECK_TRUE(eventually([&] { return a.network->counters().connections_dialed == 1; }));
+        check_delivery(b, a);
+        to_b.set_paused(false);
+        CHECK_TRUE(eventually([&] { return a.network->counters().connections_opened == 2; }));
+        CHECK_TRUE(eventually([&] { return b.network->counters().connections_opened == 2; }));
+    }
+
+    /// Sends a call from `a`.
+    /// @return its sender, as `b` received it
+    peer_identity send_call()
+    {
+        const call sent = large_call(1);
+        CHECK_TRUE(a.network->send(b.address(), sent));
+        CHECK_TRUE(eventually([&] { return has_message(b, sent); }));
+        CHECK_TRUE(eventually([&] { return a.handler.call_connections().size() == 1; }));
+        return b.handler.messages().back().first;
+    }
+
+    silent_relay to_a;
+    silent_relay to_b;
+    test_node a;
+    test_node b;
+};
+
+call_end end_of_call(std::uint64_t length)
+{
+    return {core::call_number{1}, length, 0};
+}
+
 } // namespace
 
 TEST_GROUP(peer_network)
@@ -311,6 +386,170 @@
     check_delivery(a, b);
 }
 
+// Fails when a call that finds the write queue full is dropped without a word, or costs the
+// connection and with it the other calls.
+TEST(peer_network, a_call_that_finds_the_write_queue_full_is_reported)
+{
+    silent_relay relay;
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.settings.max_write_queue = small_queue;
+    b.settings.listen = relay.target();
+    b.settings.self.address = relay.address();
+    a.start();
+    b.start();
+    check_delivery(a, b);
+    relay.silence();
+    const core::call_number unsent = fill_write_queue(a, b.address());
+    CHECK_TRUE(eventually([&] { return !a.handler.dropped().empty(); }));
+    LONGS_EQUAL(1, a.handler.dropped().size());
+    CHECK_TRUE(a.handler.dropped().front() == unsent);
+    CHECK_TRUE(a.handler.lost().empty());
+}
+
+// Fails when a load report that finds the write queue full closes the connection, which ends the
+// calls on it.
+TEST(peer_network, a_load_report_that_finds_the_write_queue_full_is_dropped)
+{
+    silent_relay relay;
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.settings.max_write_queue = small_queue;
+    b.settings.listen = relay.target();
+    b.settings.self.address = relay.address();
+    a.start();
+    b.start();
+    check_delivery(a, b);
+    relay.silence();
+    fill_write_queue(a, b.address());
+    fleet::gossip report;
+    report.sender_region = core::region_id{std::string(large_part, 'x')};
+    CHECK_TRUE(a.network->send(b.address(), report));
+    CHECK_TRUE(eventually([&] { return a.network->counters().write_queue_full == 2; }));
+    CHECK_TRUE(a.network->send(b.address(), report));
+    CHECK_TRUE(eventually([&] { return a.network->counters().write_queue_full == 3; }));
+    CHECK_TRUE(a.handler.lost().empty());
+}
+
+// Fails when a call for which no connection could be opened is not reported, or one that is still
+// to be sent is.
+TEST(peer_network, the_calls_that_no_connection_could_carry_are_reported)
+{
+    test_node a(time);
+    a.start();
+    const core::address where = [&]
+    {
+        test_node stopped_node(time, {"key"}, 2);
+        return stopped_node.start().address();
+    }();
+    CHECK_TRUE(a.network->send(where, large_call(1)));
+    CHECK_TRUE(eventually([&] { return a.handler.unreachable().size() == 1; }));
+    CHECK_TRUE(a.network->send(where, large_call(2)));
+    CHECK_TRUE(a.handler.dropped() == std::vector{core::call_number{1}});
+    test_node back(time, {"key"}, 3);
+    back.settings.self.address = where;
+    back.settings.listen = where;
+    back.start();
+    time.advance(core::seconds(2));
+    CHECK_TRUE(eventually([&] { return has_message(back, large_call(2)); }));
+    LONGS_EQUAL(1, a.handler.dropped().size());
+}
+
+// Fails when a call for which there is no room before a connection is open waits for its deadline.
+TEST(peer_network, a_call_without_room_before_a_connection_is_open_is_reported)
+{
+    test_node a(time);
+    a.settings.max_write_queue = small_queue;
+    a.start();
+    const core::address where = [&]
+    {
+        test_node stopped_node(time, {"key"}, 2);
+        return stopped_node.start().address();
+    }();
+    CHECK_TRUE(a.network->send(where, cancel_with_number(1)));
+    CHECK_TRUE(eventually([&] { return a.handler.unreachable().size() == 1; }));
+    // The clock stands still within the backoff, so the messages stay queued.
+    CHECK_TRUE(a.network->send(where, large_call(1)));
+    CHECK_TRUE(a.network->send(where, large_call(2)));
+    CHECK_TRUE(eventually([&] { return a.network->counters().write_queue_full == 1; }));
+    CHECK_TRUE(eventually([&] { return !a.handler.dropped().empty(); }));
+    CHECK_TRUE(a.handler.dropped().front() == core::call_number{2});
+}
+
+// Fails when the loss of a connection counts as the loss of the node, although another connection
+// carries its calls.
+TEST(peer_network, the_loss_of_one_of_two_connections_leaves_the_other)
+{
+    double_link link(time);
+    const peer_identity caller = link.send_call();
+    link.to_b.cut();
+    for (test_node* node : {&link.a, &link.b})
+    {
+        CHECK_TRUE(eventually([&] { return node->handler.lost().size() == 1; }));
+    }
+    CHECK_TRUE(link.a.handler.lost_connections() != link.a.handler.call_connections());
+    CHECK_TRUE(link.b.network->answer(caller, end_of_call(1)));
+    CHECK_TRUE(eventually([&] { return has_message(link.a, end_of_call(1)); }));
+    check_delivery(link.a, link.b);
+    check_delivery(link.b, link.a);
+    CHECK_TRUE(link.a.handler.lost_peers().empty());
+    CHECK_TRUE(link.b.handler.lost_peers().empty());
+    link.to_a.cut();
+    for (test_node* node : {&link.a, &link.b})
+    {
+        CHECK_TRUE(eventually([&] { return node->handler.lost_peers().size() == 1; }));
+    }
+    CHECK_TRUE(link.a.handler.lost_connections().back() ==
+               link.a.handler.call_connections().front());
+}
+
+// Fails when the answer to a call goes by another connection than the call, so that its loss cannot
+// be noticed by the node that waits for it.
+TEST(peer_network, an_answer_uses_no_other_connection_than_its_call)
+{
+    double_link link(time);
+    const peer_identity caller = link.send_call();
+    link.to_a.cut();
+    for (test_node* node : {&link.a, &link.b})
+    {
+        CHECK_TRUE(eventually([&] { return node->handler.lost().size() == 1; }));
+    }
+    CHECK_TRUE(link.a.handler.lost_connections() == link.a.handler.call_connections());
+    CHECK_TRUE(link.b.network->answer(caller, end_of_call(1)));
+    check_delivery(link.b, link.a);
+    CHECK_FALSE(has_message(link.a, end_of_call(1)));
+    LONGS_EQUAL(1, link.b.network->counters().message_undeliverable);
+    CHECK_TRUE(link.a.handler.lost_peers().empty());
+}
+
+// Fails when a part of an answer that the full queue to the I/O thread does not take leaves the
+// call waiting at the other node.
+TEST(peer_network, an_answer_that_is_not_taken_closes_its_connection)
+{
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    b.settings.max_write_queue = core::bytes{134'217'728}; // more than the queue to the I/O thread
+    a.start();
+    b.start();
+    check_delivery(a, b);
+    const peer_identity caller = b.handler.messages().back().first;
+    b.handler.set_blocked(true);
+    CHECK_TRUE(a.network->send(b.address(), cancel_with_number(1)));
+    constexpr std::size_t chunk_bytes = 1'000'000;
+    constexpr int max_chunks = 100;
+    const call_chunk chunk{core::call_number{1}, 0, std::string(chunk_bytes, 'x')};
+    int taken = 0;
+    while (taken < max_chunks && b.network->answer(caller, chunk))
+    {
+        ++taken;
+    }
+    CHECK_TRUE(taken < max_chunks);
+    CHECK_TRUE(b.network->counters().mailbox_full > 0);
+    b.handler.set_blocked(false);
+    CHECK_TRUE(eventually([&] { return a.handler.lost().size() == 1; }));
+    check_delivery(a, b);
+}
+
 TEST(peer_network, unknown_peers_cannot_exhaust_the_connections)
 {
     test_node a(time);
