standins: the relay forwards nothing behind lost bytes

Cause: a fault of the stand-in. Its path lost bytes (drop_to_client, 13.4 to 14.9 s; the node's call line has one pause of 1.6 s at mo3 and then "Connection reset by peer"). The end of the fault clears the loss first and cuts the open connections afterwards; an event that came between the two went through. TCP never goes on behind lost bytes, so the node could not know. Evidence: standin_relay.forwards_nothing_behind_lost_bytes failed before (the answer went on behind the gap to its end; 1 of 8). Measured: standin_relay_tests 8 of 8.

--- a/standins/relay/tcp_relay.cpp
+++ b/standins/relay/tcp_relay.cpp
@@ -134,6 +134,12 @@
             m_has_lost_bytes = true;
             return;
         }
+        // TCP never goes on behind lost bytes.
+        if (m_link.ends_by_reset && m_has_lost_bytes)
+        {
+            m_reading = false;
+            return;
+        }
         auto due = steady::now() + std::chrono::milliseconds(m_link.delay_ms);
         if (const std::uint64_t rate = m_link.rate; rate > 0)
         {
--- a/tests/standin_relay_test.cpp
+++ b/tests/standin_relay_test.cpp
@@ -96,3 +96,21 @@
     const http_answer relayed = http_call(relay.address(), call("text", 50));
     STRCMP_EQUAL("", first_difference(relayed.body, direct.body).c_str());
 }
+
+// Guards against bytes that arrive behind lost ones: a stream then had a gap (soak seed 5006).
+TEST(standin_relay, forwards_nothing_behind_lost_bytes)
+{
+    standin resetting{"standin_relay", {"--target", engine.address(), "--ends_by_reset"}};
+    constexpr std::size_t tokens = 1'000;
+    const http_answer direct = http_call(engine.address(), call("text", tokens));
+    http_exchange open(resetting.address(), call("text", tokens));
+    CHECK_TRUE(open.read_body(1));
+    resetting.set_faults({{"drop", "to_client"}});
+    const auto carried = [&] { return resetting.counts()["bytes_to_client"].get<std::size_t>(); };
+    const std::size_t before = carried();
+    wait_until("bytes are lost", [&] { return carried() > before; });
+    resetting.set_faults(json::object());
+    const http_answer cut = open.finish();
+    CHECK_TRUE_TEXT(cut.end == answer_end::truncated, cut.describe().c_str());
+    CHECK_TRUE_TEXT(direct.body.rfind(cut.body, 0) == 0, "bytes are missing inside the answer");
+}
