--- a/tests/soak/soak_configuration.cpp
+++ b/tests/soak/soak_configuration.cpp
@@ -36,6 +36,7 @@
 void soak_configuration::publish()
 {
     m_timeouts.push_back({now(), m_config.route_timeout});
+    m_idle_limits.push_back({now(), m_config.idle_timeout});
     m_idle_limit = m_config.idle_timeout;
     m_fleet.publish_configuration(m_config);
     ++m_config.version;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -109,6 +109,7 @@
     seen.is_planned = m_shape.kinds.planned_only;
     seen.events = m_shape.events;
     seen.timeouts = m_configuration.timeouts();
+    seen.idle_limits = m_configuration.published_idle_limits();
     seen.stops = m_stops;
     if (seen.is_planned)
         seen.exclusions = m_exclusions;
