http: a connection stays open for as long as its client was told

Cause, by reading: a client was not told how long a connection may stay idle, and a shorter idle timeout of a new configuration held from the end of an answer that had begun under the former one. Both let a request cross the close. Change: answers that keep their connection say Keep-Alive: timeout=S, one whole second less than the idle timeout in force, if that leaves one; what was in force when the answer began holds until the next answer, also if a shorter one follows. Evidence: http_server.a_shorter_idle_timeout_does_not_hold_for_answers_that_announced_a_longer_one and .answers_announce_less_than_the_idle_timeout failed before (no answer; no header); http_tests 37 of 37.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -34,6 +34,10 @@
 /// A client whose answer could not announce the end of the connection may use it once more.
 constexpr core::milliseconds last_request_wait{100};
 
+/// A client that is told an idle timeout is told this much less, so that its last request on the
+/// connection does not cross the close.
+constexpr core::seconds idle_timeout_margin{1};
+
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int payload_too_large = 413;
@@ -96,12 +100,26 @@
     return !m_is_disconnected && m_keep_alive;
 }
 
+/// A limit that the client was told holds for this connection, also after a shorter one is in
+/// force.
 core::milliseconds connection::idle_limit() const
 {
-    const core::milliseconds usual = m_handler.limits().idle_timeout;
+    const core::milliseconds usual =
+        std::max(m_handler.limits().idle_timeout, m_promised_idle_timeout);
     return m_is_closing ? std::min(usual, last_request_wait) : usual;
 }
 
+/// The idle timeout that the client is told, in whole seconds; nothing if it is too short for that.
+std::optional<std::string> connection::announce_idle_timeout()
+{
+    m_promised_idle_timeout = m_handler.limits().idle_timeout;
+    const auto announced =
+        std::chrono::floor<core::seconds>(m_promised_idle_timeout) - idle_timeout_margin;
+    if (announced.count() <= 0)
+        return std::nullopt;
+    return "timeout=" + std::to_string(announced.count());
+}
+
 /// Whether bytes of a request have arrived that were not parsed yet.
 bool connection::has_unread_bytes()
 {
@@ -274,6 +292,8 @@
         m_keep_alive = false;
     if (!m_keep_alive)
         head.headers.emplace_back("Connection", "close");
+    else if (auto timeout = announce_idle_timeout())
+        head.headers.emplace_back("Keep-Alive", std::move(*timeout));
     return to_text(head);
 }
 
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -80,6 +80,7 @@
     bool may_stay_idle();
     bool may_read_request() const;
     core::milliseconds idle_limit() const;
+    std::optional<std::string> announce_idle_timeout();
     bool has_unread_bytes();
     void close_socket();
     std::string frame_head(response_head head, std::optional<std::size_t> length);
@@ -92,6 +93,7 @@
     std::string m_body;
     core::time_point m_received_at{};
     core::time_point m_idle_since{};
+    core::milliseconds m_promised_idle_timeout{0}; ///< in force when the last answer began
     std::function<void()> m_on_client_disconnected;
     /// Identifies the current timer; the handler of an earlier one does nothing.
     std::uint64_t m_watchdog_generation = 0;
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -77,7 +77,8 @@
     {
     }
 
-    server_limits limits() const override { return {}; }
+    server_limits limits() const override { return m_limits; }
+    void set_limits(const server_limits& limits) { m_limits = limits; }
 
     boost::asio::awaitable<void> handle(exchange& request) override
     {
@@ -94,6 +95,7 @@
     }
 
   private:
+    server_limits m_limits;
     action m_inside;
     action m_behind;
 };
@@ -312,6 +314,61 @@
     CHECK_TRUE_TEXT(answer.find("GET /2") != std::string::npos, answer.c_str());
 }
 
+// Fails when a connection is closed after a shorter idle timeout than the client was told with the
+// head of the last answer, because the configuration changed while that was streamed.
+TEST(http_server, a_shorter_idle_timeout_does_not_hold_for_answers_that_announced_a_longer_one)
+{
+    server_limits limits;
+    limits.idle_timeout = core::milliseconds{10'000};
+    streaming_handler* streaming = nullptr;
+    streaming_handler stream(
+        [&]
+        {
+            limits.idle_timeout = core::milliseconds{100};
+            streaming->set_limits(limits);
+        },
+        nullptr);
+    streaming = &stream;
+    stream.set_limits(limits);
+    subject = std::make_unique<server>(thread->loop, stream);
+    address = subject->listen(core::address{"127.0.0.1:0"}).value();
+    raw_connection client(address);
+    client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+    client.read_until("\r\n0\r\n\r\n");
+    std::this_thread::sleep_for(core::milliseconds{400});
+    client.send("GET /2 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n");
+    const std::string answer = client.read_all();
+    thread->stop();
+    CHECK_TRUE_TEXT(answer.find("stream of /2") != std::string::npos, answer.c_str());
+}
+
+// Fails when a client is not told how long it may keep a connection, or is told a time at whose end
+// its request crosses the close.
+TEST(http_server, answers_announce_less_than_the_idle_timeout)
+{
+    struct row
+    {
+        core::milliseconds idle_timeout;
+        std::string header; ///< empty for none
+    };
+    const row rows[] = {{core::milliseconds{15'000}, "Keep-Alive: timeout=14\r\n"},
+                        {core::milliseconds{2'900}, "Keep-Alive: timeout=1\r\n"},
+                        {core::milliseconds{1'999}, ""},
+                        {core::milliseconds{500}, ""}};
+    for (const row& each : rows)
+    {
+        server_limits limits;
+        limits.idle_timeout = each.idle_timeout;
+        handler.set_limits(limits);
+        raw_connection client(address);
+        client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
+        const std::string answer = client.read_until("GET /1");
+        const bool is_announced = answer.find("Keep-Alive: ") != std::string::npos;
+        CHECK_EQUAL_TEXT(!each.header.empty(), is_announced, answer.c_str());
+        CHECK_TRUE_TEXT(answer.find(each.header) != std::string::npos, answer.c_str());
+    }
+}
+
 // Fails when the first request of a connection after a change of the configuration is refused by
 // the former limits on its size.
 TEST(http_server, larger_limits_hold_for_connections_that_are_idle_already)
