--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -86,6 +86,7 @@
     bool may_read_on(watchdog_action action);
     bool may_read_request() const;
     core::milliseconds idle_limit() const;
+    std::optional<std::string> announce_idle_timeout();
     bool has_unread_bytes();
     bool has_arrived_bytes();
     void close_socket();
@@ -99,6 +100,7 @@
     std::string m_body;
     core::time_point m_received_at{};
     core::time_point m_idle_since{};
+    core::milliseconds m_promised_idle_timeout{0}; ///< in force when the last answer began
     std::function<void()> m_on_client_disconnected;
     std::function<bool()> m_admit; ///< set while requests are refused
     /// Identifies the current timer; the handler of an earlier one does nothing.
