serving, http: a crash that looks like the end of an answer is seen as one

Callers saw: requests with a fatal part went on being sent, one server after the other, when the answers come without a length and a crashing server's connections end without a reset; an empty or short stream counted as a whole answer and even cleared the part. The same when a crashing server closes its listening socket last. Cause: a clean end completes an answer without length, and a whole answer cleared its parts at once. The check for a crash connected once, immediately, and took any failure for a crash, also a timeout (a server behind a cut link). Change: an answer that ended with its connection after at most one event clears its parts only when the upstream keeps accepting connections; a connection of the check is watched for 200 ms and a closed one is checked again; only a refused connection counts as a crash, a timeout is tried again (3 tries). The node that served a forwarded request reports its answer; the entry node does not know how it ended. Evidence: call.a_prompt_under_which_upstreams_crash_is_refused got five rows; before: 'without length, no event, i-4: status 200, whole: ""', the fourth server got the request.

--- a/packages/http/include/snipeplank/http/client.hpp
+++ b/packages/http/include/snipeplank/http/client.hpp
@@ -26,7 +26,8 @@
 struct body_chunk
 {
     std::string data;
-    bool is_last = false; ///< the body is complete
+    bool is_last = false;              ///< the body is complete
+    bool ends_with_connection = false; ///< only the end of the connection shows that it is
 };
 
 /// @brief A connection to a server that carries one request at a time. Not thread-safe; used on the
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -126,6 +126,7 @@
             chunk.data.assign(space.data(), space.size() - target.size);
         }
         chunk.is_last = m_parser->is_done();
+        chunk.ends_with_connection = chunk.is_last && m_parser->need_eof();
         m_is_answer_complete = chunk.is_last;
         co_return chunk;
     }
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -383,10 +383,10 @@
         const bool is_written = co_await m_exchange.write(line_ends);
         if (!is_written || m_events.pending_size() > 0)
             co_return co_await on_broken_stream();
+        report_whole_answer(chunk.value());
         break;
     }
     m_attempt->finish();
-    m_environment.prompts.on_answered(m_prompt_parts);
     end_attempt(attempt_end::answered);
     m_line.outcome = "answered";
     m_line.executed = "yes";
@@ -436,6 +436,7 @@
     http::response answer;
     answer.head = m_environment.callers.forward(result.head);
     bool is_last = false;
+    const bool is_success = result.kind == answer_kind::success;
     while (!is_last)
     {
         auto chunk = co_await m_attempt->next();
@@ -449,14 +450,13 @@
         }
         answer.body += chunk.value().data;
         is_last = chunk.value().is_last;
+        if (is_last && is_success)
+            report_whole_answer(chunk.value());
     }
     // The attempt has ended already if the answer is an error that was to be retried.
     if (m_attempt_number)
         m_environment.places.on_first_byte(*m_attempt_number, now());
     m_attempt->finish();
-    const bool is_success = result.kind == answer_kind::success;
-    if (is_success)
-        m_environment.prompts.on_answered(m_prompt_parts);
     end_attempt(is_success || result.head.status < first_server_error ? attempt_end::answered
                                                                       : attempt_end::failed);
     m_line.outcome = is_success ? "answered" : "upstream_answer";
@@ -511,6 +511,19 @@
                                         {m_caller.id, m_prompt_parts, m_attempt_sent});
 }
 
+/// The node that served a forwarded request reports its answer: only that one knows whether it
+/// ended with the upstream's connection.
+void call::report_whole_answer(const http::body_chunk& last)
+{
+    if (!m_current_upstream)
+        return;
+    if (last.ends_with_connection && is_beginning_of_answer())
+        m_environment.prompts.on_broken(*m_current_upstream,
+                                        {m_caller.id, m_prompt_parts, m_attempt_sent, true});
+    else
+        m_environment.prompts.on_answered(m_prompt_parts);
+}
+
 void call::end_attempt(attempt_end how)
 {
     if (const auto number = std::exchange(m_attempt_number, std::nullopt))
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -105,6 +105,7 @@
     bool is_beginning_of_answer() const;
     bool may_have_crashed_upstream() const;
     void report_broken_upstream();
+    void report_whole_answer(const http::body_chunk& last);
     void report();
     void end_attempt(attempt_end how);
     void start_deadline();
--- a/packages/serving/src/prompt_guard.cpp
+++ b/packages/serving/src/prompt_guard.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -89,11 +92,50 @@
 
 asio::awaitable<void> prompt_guard::check(upstream target)
 {
-    const auto connection = m_pool.create(target.address);
-    const auto connected = co_await connection->connect(connect_timeout);
+    const bool is_crash = co_await has_crashed(target);
     const auto checked = m_checks.extract(target.id);
-    if (!connected && !checked.empty())
+    if (checked.empty())
+        co_return;
+    if (is_crash)
         record_crash(target, checked.mapped());
+    else
+        record_whole_answers(checked.mapped());
+}
+
+/// A process that ends closes its connections one after the other, the listening one perhaps last,
+/// and is back after some seconds at the earliest.
+asio::awaitable<bool> prompt_guard::has_crashed(const upstream& target)
+{
+    constexpr int max_connections = 3;
+    constexpr core::milliseconds settle_time{200};
+    for (int i = 0; i < max_connections; ++i)
+    {
+        const auto connection = m_pool.create(target.address);
+        const auto connected = co_await connection->connect(connect_timeout);
+        if (!connected && connected.error().code == core::error_code::upstream_timeout)
+            continue;
+        if (!connected)
+            co_return true;
+        asio::steady_timer timer(m_loop, settle_time);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (!connection->is_stale())
+            co_return false;
+    }
+    co_return false;
+}
+
+void prompt_guard::record_whole_answers(const crash_check& checked)
+{
+    for (const broken_request& each : checked.requests)
+    {
+        if (!each.may_be_whole)
+            continue;
+        for (const policy::prompt_part_key& part : each.parts)
+        {
+            m_quarantine.add(policy::prompt_answer{part, checked.broken_at}, now());
+        }
+    }
 }
 
 void prompt_guard::record_crash(const upstream& target, const crash_check& checked)
--- a/packages/serving/src/prompt_guard.hpp
+++ b/packages/serving/src/prompt_guard.hpp
@@ -30,19 +30,22 @@
 /// @brief The parts of a request's prompt without the last one, which no other request shares.
 shared_prompt_parts shared_parts_of(const caller_request& request);
 
-/// @brief A request whose upstream broke off at the beginning of its answer.
+/// @brief A request whose answer ended with its connection after little more than its beginning.
 struct broken_request
 {
     std::string id;
     shared_prompt_parts parts;
     core::time_point sent;
+    bool may_be_whole =
+        false; ///< an answer without length, whose end looks like that of a whole one
 };
 
 /// @brief Learns from broken answers which upstreams crashed, and refuses the prompts under which
 /// they do. Used on the event loop only.
 ///
-/// Only an upstream that cannot be connected to right after it broke off an answer has crashed; one
-/// that accepts a connection has failed this request only.
+/// Only an upstream that refuses connections right after an answer ended with its connection has
+/// crashed; one that accepts a connection and keeps it for a moment has failed this request only,
+/// and one that does not reply in time may be cut off.
 class prompt_guard
 {
   public:
@@ -58,7 +61,8 @@
     /// @brief Records a whole answer to a prompt with these parts.
     void on_answered(const shared_prompt_parts& parts);
 
-    /// @brief Checks whether the upstream crashed, and records it under the parts of the request.
+    /// @brief Checks whether the upstream crashed, and records it under the parts of the request;
+    /// if it did not, an answer that may be whole was.
     void on_broken(const upstream& target, broken_request request);
 
     /// @brief Adds to a message what the other nodes should know; nothing in calm times.
@@ -83,6 +87,8 @@
     };
 
     boost::asio::awaitable<void> check(upstream target);
+    boost::asio::awaitable<bool> has_crashed(const upstream& target);
+    void record_whole_answers(const crash_check& checked);
     void record_crash(const upstream& target, const crash_check& checked);
 
     boost::asio::io_context& m_loop;
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -55,7 +55,8 @@
     keep,
     close,
     reset,
-    crash, ///< close, and accept no connection any more
+    crash,        ///< close, and accept no connection any more
+    crash_slowly, ///< the same, but accept connections for a moment longer
 };
 
 /// @brief The answer to one request.
@@ -101,6 +102,7 @@
                                              asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return;
+            m_sockets.push_back(socket);
             asio::co_spawn(m_loop, serve(std::move(socket)), asio::detached);
         }
     }
@@ -133,11 +135,28 @@
                 m_acceptor.close(error);
             // The destructor would close without a reset.
             socket->close(error);
+            if (m_answers[index].end == answer_end::crash_slowly)
+                co_await stop_accepting();
             co_return;
         }
     }
 
+    /// Closes the listening socket and, as the end of a process does, the open connections.
+    asio::awaitable<void> stop_accepting()
+    {
+        constexpr core::milliseconds accepts_longer{30};
+        co_await pause_for(m_loop, accepts_longer);
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        for (const auto& each : m_sockets)
+        {
+            if (const auto open = each.lock())
+                open->close(ignored);
+        }
+    }
+
     asio::io_context& m_loop;
+    std::vector<std::weak_ptr<tcp::socket>> m_sockets;
     std::vector<scripted_answer> m_answers;
     tcp::acceptor m_acceptor;
     core::address m_address;
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -230,28 +230,42 @@
 }
 
 // Fails when a prompt part goes on being sent although upstreams crashed under it, with or without
-// an event of their answers, or when the first part of the prompts is refused with it.
+// an event of their answers, also when the end of the connection looks like a whole answer or the
+// upstream accepts connections a moment longer; or when the first part of the prompts is refused.
 TEST(call, a_prompt_under_which_upstreams_crash_is_refused)
 {
-    for (const int events_sent : {0, 1})
+    struct row
+    {
+        const char* name;
+        std::string begun;
+        answer_end end;
+    };
+    const std::string endless_head = "HTTP/1.1 200 OK\r\n\r\n";
+    const row rows[] = {
+        {"chunked, no event", chunked_head, answer_end::crash},
+        {"chunked, one event", chunked_head + chunk(events(1, 1)), answer_end::crash},
+        {"without length, no event", endless_head, answer_end::crash},
+        {"without length, one event", endless_head + events(1, 1), answer_end::crash},
+        {"without length, inside an event", endless_head + "id: 1\nda", answer_end::crash},
+        {"connections first", chunked_head, answer_end::crash_slowly},
+        {"connections first, without length", endless_head, answer_end::crash_slowly},
+    };
+    for (const row& each : rows)
     {
         call_fixture node(no_retries);
         node.set_route(make_route(request_kind::streaming, 1));
         std::vector<std::unique_ptr<scripted_upstream>> upstreams;
         for (int i = 1; i <= 4; ++i)
         {
-            const std::string begun =
-                chunked_head + (events_sent > 0 ? chunk(events(1, events_sent)) : "");
             upstreams.push_back(std::make_unique<scripted_upstream>(
-                node.loop, std::vector<scripted_answer>{{{{0ms, begun}}, answer_end::crash}}));
+                node.loop, std::vector<scripted_answer>{{{{0ms, each.begun}}, each.end}}));
             const std::string id = "i-" + std::to_string(i);
             node.publish(id, upstreams.back()->address());
             const recorded_exchange& request = node.start(id, std::nullopt, "first bad " + id);
             node.finish(request);
-            node.run_for(50ms);
+            node.run_for(400ms);
             node.publish(id, upstreams.back()->address(), true);
-            const std::string seen =
-                std::to_string(events_sent) + " events, " + id + ": " + request.describe();
+            const std::string seen = std::string(each.name) + ", " + id + ": " + request.describe();
             CHECK_EQUAL_TEXT(i <= 3 ? 1 : 0, upstreams.back()->requests().size(), seen.c_str());
         }
         scripted_upstream sound(node.loop,
