serving: test that upstreams behind a cut link blame no prompt part

Guards, in which only a refused connection counts as a crash. With a timeout counted again the test failed: 'i-4status 503, whole: prompt_quarantined', expected 1 request, was 0.

--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -19,6 +19,7 @@
 #include <array>
 #include <chrono>
 #include <cstdio>
+#include <deque>
 #include <limits>
 #include <memory>
 #include <optional>
@@ -57,6 +58,7 @@
     reset,
     crash,        ///< close, and accept no connection any more
     crash_slowly, ///< the same, but accept connections for a moment longer
+    cut_off,      ///< reset, and leave connections without a reply, as behind a cut link
 };
 
 /// @brief The answer to one request.
@@ -127,7 +129,10 @@
                 co_await asio::async_write(*socket, asio::buffer(part.bytes),
                                            asio::redirect_error(asio::use_awaitable, error));
             }
-            if (m_answers[index].end == answer_end::reset)
+            if (m_answers[index].end == answer_end::cut_off)
+                fill_backlog();
+            if (m_answers[index].end == answer_end::reset ||
+                m_answers[index].end == answer_end::cut_off)
                 socket->set_option(asio::socket_base::linger(true, 0), error);
             if (m_answers[index].end == answer_end::keep)
                 continue;
@@ -141,6 +146,20 @@
         }
     }
 
+    /// Accepts nothing any more and fills the queue of waiting connections.
+    void fill_backlog()
+    {
+        constexpr int waiting = 3;
+        boost::system::error_code ignored;
+        m_acceptor.cancel(ignored);
+        m_acceptor.listen(0, ignored);
+        for (int i = 0; i < waiting; ++i)
+        {
+            m_waiting.emplace_back(m_loop);
+            m_waiting.back().async_connect(m_acceptor.local_endpoint(), asio::detached);
+        }
+    }
+
     /// Closes the listening socket and, as the end of a process does, the open connections.
     asio::awaitable<void> stop_accepting()
     {
@@ -157,6 +176,7 @@
 
     asio::io_context& m_loop;
     std::vector<std::weak_ptr<tcp::socket>> m_sockets;
+    std::deque<tcp::socket> m_waiting;
     std::vector<scripted_answer> m_answers;
     tcp::acceptor m_acceptor;
     core::address m_address;
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -277,6 +277,26 @@
     }
 }
 
+// Fails when upstreams that cannot be reached count as crashed, so that prompts are refused.
+TEST(call, upstreams_behind_a_cut_link_blame_no_prompt)
+{
+    call_fixture node(no_retries);
+    node.set_route(make_route(request_kind::streaming, 1));
+    std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    for (int i = 1; i <= 4; ++i)
+    {
+        upstreams.push_back(std::make_unique<scripted_upstream>(
+            node.loop, std::vector<scripted_answer>{{{{0ms, chunked_head}}, answer_end::cut_off}}));
+        const std::string id = "i-" + std::to_string(i);
+        node.publish(id, upstreams.back()->address());
+        const recorded_exchange& request = node.start(id, std::nullopt, "first rare " + id);
+        node.finish(request);
+        node.run_for(1'500ms);
+        node.publish(id, upstreams.back()->address(), true);
+        CHECK_EQUAL_TEXT(1, upstreams.back()->requests().size(), (id + request.describe()).c_str());
+    }
+}
+
 // Fails when an answer that ends with its connection is cut, or when a part of one looks whole.
 TEST(call, an_answer_without_length_is_whole_only_when_its_connection_is_closed)
 {
