--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -19,6 +19,7 @@
 #include <array>
 #include <chrono>
 #include <cstdio>
+#include <deque>
 #include <limits>
 #include <memory>
 #include <optional>
@@ -55,7 +56,9 @@
     keep,
     close,
     reset,
-    crash, ///< close, and accept no connection any more
+    crash,        ///< close, and accept no connection any more
+    crash_slowly, ///< the same, but accept connections for a moment longer
+    cut_off,      ///< reset, and leave connections without a reply, as behind a cut link
 };
 
 /// @brief The answer to one request.
@@ -101,6 +104,7 @@
                                              asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return;
+            m_sockets.push_back(socket);
             asio::co_spawn(m_loop, serve(std::move(socket)), asio::detached);
         }
     }
@@ -125,7 +129,10 @@
                 co_await asio::async_write(*socket, asio::buffer(part.bytes),
                                            asio::redirect_error(asio::use_awaitable, error));
             }
-            if (m_answers[index].end == answer_end::reset)
+            if (m_answers[index].end == answer_end::cut_off)
+                fill_backlog();
+            if (m_answers[index].end == answer_end::reset ||
+                m_answers[index].end == answer_end::cut_off)
                 socket->set_option(asio::socket_base::linger(true, 0), error);
             if (m_answers[index].end == answer_end::keep)
                 continue;
@@ -133,11 +140,43 @@
                 m_acceptor.close(error);
             // The destructor would close without a reset.
             socket->close(error);
+            if (m_answers[index].end == answer_end::crash_slowly)
+                co_await stop_accepting();
             co_return;
         }
     }
 
+    /// Accepts nothing any more and fills the queue of waiting connections.
+    void fill_backlog()
+    {
+        constexpr int waiting = 3;
+        boost::system::error_code ignored;
+        m_acceptor.cancel(ignored);
+        m_acceptor.listen(0, ignored);
+        for (int i = 0; i < waiting; ++i)
+        {
+            m_waiting.emplace_back(m_loop);
+            m_waiting.back().async_connect(m_acceptor.local_endpoint(), asio::detached);
+        }
+    }
+
+    /// Closes the listening socket and, as the end of a process does, the open connections.
+    asio::awaitable<void> stop_accepting()
+    {
+        constexpr core::milliseconds accepts_longer{30};
+        co_await pause_for(m_loop, accepts_longer);
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        for (const auto& each : m_sockets)
+        {
+            if (const auto open = each.lock())
+                open->close(ignored);
+        }
+    }
+
     asio::io_context& m_loop;
+    std::vector<std::weak_ptr<tcp::socket>> m_sockets;
+    std::deque<tcp::socket> m_waiting;
     std::vector<scripted_answer> m_answers;
     tcp::acceptor m_acceptor;
     core::address m_address;
