--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -32,9 +32,6 @@
 constexpr std::size_t max_dropped_bytes = 1'048'576;
 /// Part of an answer that a client has to take within the write timeout.
 constexpr std::size_t max_written_bytes = 65'536;
-
-constexpr int no_content = 204;
-constexpr int not_modified = 304;
 /// A client whose answer could not announce the end of the connection may use it once more.
 constexpr core::milliseconds last_request_wait{100};
 
@@ -42,6 +39,8 @@
 /// connection does not cross the close.
 constexpr core::seconds idle_timeout_margin{1};
 
+constexpr int no_content = 204;
+constexpr int not_modified = 304;
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int payload_too_large = 413;
