--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -113,7 +113,13 @@
     void setup() override
     {
         thread = std::make_unique<loop_thread>();
-        subject = std::make_unique<server>(thread->loop, handler);
+        serve(handler);
+    }
+
+    /// Starts a server, in place of the former one, with another handler.
+    void serve(request_handler & with)
+    {
+        subject = std::make_unique<server>(thread->loop, with);
         address = subject->listen(core::address{"127.0.0.1:0"}).value();
     }
 
@@ -363,8 +369,7 @@
         nullptr);
     streaming = &stream;
     stream.set_limits(limits);
-    subject = std::make_unique<server>(thread->loop, stream);
-    address = subject->listen(core::address{"127.0.0.1:0"}).value();
+    serve(stream);
     raw_connection client(address);
     client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
     client.read_until("\r\n0\r\n\r\n");
@@ -665,8 +670,7 @@
     std::unique_ptr<raw_connection> client;
     streaming_handler stream([&] { subject->close_idle(); },
                              [&] { client->send("GET /2 HTTP/1.1\r\n" + host + "\r\n"); });
-    subject = std::make_unique<server>(thread->loop, stream);
-    address = subject->listen(core::address{"127.0.0.1:0"}).value();
+    serve(stream);
     client = std::make_unique<raw_connection>(address);
     client->send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
     const std::string answers = client->read_all();
@@ -680,8 +684,7 @@
 TEST(http_server, a_streamed_answer_to_head_has_no_body)
 {
     streaming_handler stream(nullptr, nullptr);
-    subject = std::make_unique<server>(thread->loop, stream);
-    address = subject->listen(core::address{"127.0.0.1:0"}).value();
+    serve(stream);
     raw_connection client(address);
     client.send("HEAD /1 HTTP/1.1\r\n" + host + "\r\n");
     const std::string head = client.read_until("\r\n\r\n");
@@ -698,8 +701,7 @@
 TEST(http_server, a_client_may_still_send_a_request_when_a_stream_outlasts_the_close)
 {
     streaming_handler stream([&] { subject->close_idle(); }, nullptr);
-    subject = std::make_unique<server>(thread->loop, stream);
-    address = subject->listen(core::address{"127.0.0.1:0"}).value();
+    serve(stream);
     raw_connection client(address);
     client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
     client.read_until("\r\n0\r\n\r\n");
@@ -716,8 +718,7 @@
 TEST(http_server, an_unused_connection_behind_a_stream_is_closed_soon)
 {
     streaming_handler stream([&] { subject->close_idle(); }, nullptr);
-    subject = std::make_unique<server>(thread->loop, stream);
-    address = subject->listen(core::address{"127.0.0.1:0"}).value();
+    serve(stream);
     raw_connection client(address);
     client.send("GET /1 HTTP/1.1\r\n" + host + "\r\n");
     client.read_until("\r\n0\r\n\r\n");
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -13,9 +13,11 @@
 #include <vector>
 
 #include "../src/fleet_link.hpp"
+#include "unconnected_network.hpp"
 
 using namespace snipeplank;
 using namespace snipeplank::serving;
+using namespace snipeplank::serving::tests;
 
 namespace
 {
@@ -26,35 +28,15 @@
 const core::region_id remote{"remote"};
 
 /// Records what is sent; nothing is connected.
-class recording_network final : public wire::peer_network
+class recording_network final : public unconnected_network
 {
   public:
-    core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
-    {
-        return settings.self;
-    }
-
     bool send(const core::address& to, const wire::message& msg) override
     {
         sent.emplace_back(to, msg);
         return true;
     }
 
-    bool reply(const core::node_id& to, const wire::message& msg) override
-    {
-        return send(to.address, msg);
-    }
-
-    bool answer(const wire::peer_identity& to, const wire::message& msg) override
-    {
-        return send(to.node.address, msg);
-    }
-
-    void set_fleet_keys(std::vector<std::string>) override {}
-    std::vector<wire::peer_identity> connected() const override { return {}; }
-    wire::peer_counters counters() const override { return {}; }
-    void stop() override {}
-
     std::size_t pings_to(const core::address& to) const
     {
         return static_cast<std::size_t>(
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -4,6 +4,7 @@
 
 #include "../src/peer_calls.hpp"
 #include "call_fixture.hpp"
+#include "unconnected_network.hpp"
 
 using namespace snipeplank;
 using namespace snipeplank::serving;
@@ -22,7 +23,7 @@
 const wire::connection_number second_connection{2};
 
 /// Delivers each message to the other end on the event loop, unless it is told to drop them.
-class memory_network final : public wire::peer_network
+class memory_network final : public unconnected_network
 {
   public:
     memory_network(boost::asio::io_context& loop, core::node_id self)
@@ -32,11 +33,6 @@
 
     void connect(peer_calls& other_end) { m_other_end = &other_end; }
 
-    core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
-    {
-        return settings.self;
-    }
-
     bool send(const core::address&, const wire::message& msg) override
     {
         if (m_other_end != nullptr)
@@ -47,21 +43,6 @@
         return true;
     }
 
-    bool reply(const core::node_id& to, const wire::message& msg) override
-    {
-        return send(to.address, msg);
-    }
-
-    bool answer(const wire::peer_identity& to, const wire::message& msg) override
-    {
-        return send(to.node.address, msg);
-    }
-
-    void set_fleet_keys(std::vector<std::string>) override {}
-    std::vector<wire::peer_identity> connected() const override { return {}; }
-    wire::peer_counters counters() const override { return {}; }
-    void stop() override {}
-
   private:
     boost::asio::io_context& m_loop;
     core::node_id m_self;
@@ -69,7 +50,7 @@
 };
 
 /// Answers each call, after a while, as a node that has not sent it to any upstream, or drops it.
-class refusing_network final : public wire::peer_network
+class refusing_network final : public unconnected_network
 {
   public:
     static constexpr core::milliseconds delay{200};
@@ -80,11 +61,6 @@
 
     bool drops_calls = false;
 
-    core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
-    {
-        return settings.self;
-    }
-
     bool send(const core::address&, const wire::message& msg) override
     {
         if (const auto* received = std::get_if<wire::call>(&msg))
@@ -94,10 +70,6 @@
 
     bool reply(const core::node_id&, const wire::message&) override { return true; }
     bool answer(const wire::peer_identity&, const wire::message&) override { return true; }
-    void set_fleet_keys(std::vector<std::string>) override {}
-    std::vector<wire::peer_identity> connected() const override { return {}; }
-    wire::peer_counters counters() const override { return {}; }
-    void stop() override {}
 
   private:
     boost::asio::awaitable<void> refuse(core::call_number number)
@@ -123,14 +95,9 @@
 };
 
 /// Takes no part of the body of an answer, and records the rest.
-class partless_network final : public wire::peer_network
+class partless_network final : public unconnected_network
 {
   public:
-    core::result<core::node_id> start(wire::peer_settings settings, wire::peer_handler&) override
-    {
-        return settings.self;
-    }
-
     bool send(const core::address&, const wire::message&) override { return true; }
     bool reply(const core::node_id&, const wire::message&) override { return true; }
 
@@ -142,11 +109,6 @@
         return true;
     }
 
-    void set_fleet_keys(std::vector<std::string>) override {}
-    std::vector<wire::peer_identity> connected() const override { return {}; }
-    wire::peer_counters counters() const override { return {}; }
-    void stop() override {}
-
     std::vector<wire::message> taken;
 };
 
