serving: a stream without an event is refused, not cut

What callers saw: a connection that closed without an answer or a refusal, after a whole request for a stream. The node passed the upstream's head on at once. An upstream that crashed, was reset, or sent nothing until the deadline behind its head could only be followed by a cut then, although nothing of the answer had been passed on; a next upstream's error or other document could not be passed on either.

The head goes out with the first whole event now, or with the end of an empty stream. A node that serves a stream for another region sends a refusal instead of the head, so the entry node can refuse, too.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -380,14 +380,6 @@
 
 asio::awaitable<call::next_step> call::forward_stream(const attempt_start& result)
 {
-    if (!m_exchange.has_begun())
-    {
-        m_media_type = media_type_of(result.head);
-        http::response_head head = m_environment.callers.forward(result.head);
-        const bool is_open = co_await m_exchange.begin(std::move(head));
-        if (!is_open)
-            co_return next_step::done;
-    }
     for (;;)
     {
         auto chunk = co_await m_attempt->next();
@@ -407,15 +399,14 @@
             m_environment.places.on_first_byte(*m_attempt_number, now());
             ++m_events_received;
             record_event();
-            const bool is_written = co_await m_exchange.write(events);
+            const bool is_written = co_await write_stream(result.head, events);
             if (!is_written)
                 co_return co_await on_broken_stream();
         }
         if (!chunk.value().is_last)
             continue;
         const std::string line_ends = m_events.take_line_ends();
-        const bool is_written = co_await m_exchange.write(line_ends);
-        if (!is_written || m_events.pending_size() > 0)
+        if (m_events.pending_size() > 0 || !co_await write_stream(result.head, line_ends))
             co_return co_await on_broken_stream();
         report_whole_answer(chunk.value());
         break;
@@ -429,6 +420,20 @@
     co_return next_step::done;
 }
 
+/// Writes a part of a stream. The first part takes the head with it, so that a stream of which
+/// nothing has arrived can still be refused.
+asio::awaitable<bool> call::write_stream(const http::response_head& head, std::string_view events)
+{
+    if (!m_exchange.has_begun())
+    {
+        m_media_type = media_type_of(head);
+        const bool is_open = co_await m_exchange.begin(m_environment.callers.forward(head));
+        if (!is_open)
+            co_return false;
+    }
+    co_return co_await m_exchange.write(events);
+}
+
 void call::record_event()
 {
     const core::time_point time = now();
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "attempt.hpp"
 #include "call_log.hpp"
@@ -92,6 +93,8 @@
     boost::asio::awaitable<next_step> on_failed_start(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_stream(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_buffered(const attempt_start& result);
+    boost::asio::awaitable<bool> write_stream(const http::response_head& head,
+                                              std::string_view events);
     boost::asio::awaitable<next_step> on_broken_stream();
     void record_event();
     void record_failure(const core::result<http::body_chunk>& chunk);
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -315,6 +315,62 @@
     }
 }
 
+// Fails when the caller of a stream sees its connection close without an answer or a refusal,
+// although nothing of the stream has arrived when its upstream fails or its time ends.
+TEST(call, a_stream_without_an_event_is_refused_or_answered_not_cut)
+{
+    struct row
+    {
+        const char* name;
+        unsigned max_attempts;
+        scripted_answer first;
+        scripted_answer second;
+        int status;
+        std::string body;
+    };
+    const std::string other_head =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\n";
+    const std::string error = "HTTP/1.1 500 Failed\r\nContent-Length: 2\r\n\r\nno";
+    const scripted_answer reset{{{0ms, chunked_head}}, answer_end::reset};
+    const row rows[] = {
+        {"reset", 1, reset, {}, 502, "upstream_failed"},
+        {"crash", 1, {{{0ms, chunked_head}}, answer_end::crash}, {}, 502, "upstream_failed"},
+        {"reset inside the first event",
+         1,
+         {{{0ms, chunked_head + chunk("id: 1\nda")}}, answer_end::reset},
+         {},
+         502,
+         "upstream_failed"},
+        {"silent until the deadline",
+         1,
+         {{{0ms, chunked_head}, {5s, ""}}},
+         {},
+         502,
+         "outcome_unknown"},
+        {"an error after a reset", 2, reset, {{{0ms, error}}}, 500, "no"},
+        {"another document after a reset",
+         2,
+         reset,
+         {{{0ms, other_head + "a\n\nb\n\n"}}},
+         200,
+         "a\n\nb\n\n"},
+        {"empty", 1, {{{0ms, chunked_head + last_chunk}}}, {}, 200, ""},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture node(many_retries);
+        scripted_upstream upstream(node.loop, {each.first, each.second});
+        route made = make_route(request_kind::streaming, each.max_attempts);
+        made.timeout = 800ms;
+        node.set_route(made);
+        node.publish("i-1", upstream.address());
+        const recorded_exchange& stream = node.start("a");
+        node.finish(stream);
+        const std::string seen = std::string(each.name) + ": " + stream.describe();
+        CHECK_TRUE_TEXT(stream.is(each.status, each.body), seen.c_str());
+    }
+}
+
 // Fails when a node cuts a call of another region at its own route's timeout, although the node
 // that took the request, whose configuration may be another one, still waits for the answer.
 TEST(call, a_forwarded_call_has_the_time_that_its_entry_node_gives)
