http: the rest of a refused request is read to its end

What callers saw: a request with a body beyond a limit, for example since a new configuration made it smaller, met a reset while the client still sent it; a client that gives up when its write fails reads no refusal. The node read and dropped at most 1 MB and for 0.5 s in all, then closed the socket with unread bytes.

It reads on for as long as bytes arrive (0.5 s without one ends it), within the time that a body may take and 5 MB, which is more than the default limit of a body.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -29,7 +29,7 @@
 /// trailers.
 constexpr std::size_t max_buffered_bytes = 131'072;
 /// What is read and dropped of a refused request before its connection is closed.
-constexpr std::size_t max_dropped_bytes = 1'048'576;
+constexpr std::size_t max_dropped_bytes = 5'242'880;
 /// Part of an answer that a client has to take within the write timeout.
 constexpr std::size_t max_written_bytes = 65'536;
 /// A client whose answer could not announce the end of the connection may use it once more.
@@ -267,15 +267,26 @@
     m_keep_alive = false;
     m_head = {};
     co_await send(m_handler.reject(status, why));
-    // Closing a socket with unread bytes sends a reset, which may discard the answer before the
-    // client reads it. So the rest of the request is read and dropped.
+    co_await drop_rest();
+}
+
+/// Reads and drops the rest of a refused request, for as long as the body of another one may take.
+/// Closing a socket with unread bytes sends a reset: the client, which may still be sending, would
+/// not read the refusal.
+asio::awaitable<void> connection::drop_rest()
+{
+    constexpr core::milliseconds linger_timeout{500};
+    const core::time_point deadline =
+        std::chrono::steady_clock::now() + m_handler.limits().body_timeout;
     error_code ended;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ended);
-    constexpr core::milliseconds linger_timeout{500};
-    start_watchdog(linger_timeout);
     std::array<char, 4096> sink{};
     for (std::size_t dropped = 0; !ended && dropped < max_dropped_bytes;)
     {
+        const core::duration remaining = deadline - std::chrono::steady_clock::now();
+        if (remaining.count() <= 0)
+            break;
+        start_watchdog(std::min(linger_timeout, std::chrono::ceil<core::milliseconds>(remaining)));
         dropped += co_await m_socket.async_read_some(asio::buffer(sink), into(ended));
     }
     stop_watchdog();
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -75,6 +75,7 @@
     boost::asio::awaitable<void> answer_request();
     boost::asio::awaitable<void> reject(const boost::system::error_code& error);
     boost::asio::awaitable<void> refuse_request(int status, std::string why);
+    boost::asio::awaitable<void> drop_rest();
     boost::asio::awaitable<bool> write_text(std::string text);
     void take_head(const parser_type& parser);
     void watch_client();
--- a/packages/http/tests/loopback.hpp
+++ b/packages/http/tests/loopback.hpp
@@ -59,10 +59,12 @@
                           static_cast<unsigned short>(std::stoi(text.substr(colon + 1)))});
     }
 
-    void send(const std::string& bytes)
+    /// @return whether the connection took all bytes
+    bool send(const std::string& bytes)
     {
-        boost::system::error_code ignored;
-        boost::asio::write(m_socket, boost::asio::buffer(bytes), ignored);
+        boost::system::error_code error;
+        boost::asio::write(m_socket, boost::asio::buffer(bytes), error);
+        return !error;
     }
 
     /// @brief Reads until the server closes.
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -261,6 +261,71 @@
     CHECK_TRUE(handler.targets.empty());
 }
 
+// Fails when a client that sends a request which a smaller limit of a new configuration forbids,
+// and reads after that, gets a reset in place of the refusal.
+TEST(http_server, a_request_beyond_the_limits_is_refused_after_it_was_sent)
+{
+    struct row
+    {
+        const char* name;
+        std::size_t bytes;
+        std::size_t parts; ///< each behind a pause
+        std::string prefix;
+        std::string status;
+    };
+    const std::string post = "POST /a HTTP/1.1\r\n" + host;
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n400000\r\n";
+    const row rows[] = {
+        {"body", 4'194'304, 1, post + "Content-Length: 4194304\r\n\r\n", "413"},
+        {"body in parts", 2'000'000, 10, post + "Content-Length: 2000000\r\n\r\n", "413"},
+        {"chunked body", 4'194'304, 1, post + chunked, "413"},
+        {"header", 100'000, 1, "GET /a HTTP/1.1\r\n" + host + "X: ", "431"},
+    };
+    server_limits limits;
+    limits.header_bytes = 1'000;
+    limits.body_bytes = 1'000;
+    handler.set_limits(limits);
+    std::string without_refusal; // the rows whose client received none
+    for (const row& each : rows)
+    {
+        raw_connection client(address);
+        bool is_sent = client.send(each.prefix);
+        for (std::size_t i = 0; i < each.parts; ++i)
+        {
+            is_sent = client.send(std::string(each.bytes / each.parts, 'x')) && is_sent;
+            if (each.parts > 1)
+                std::this_thread::sleep_for(core::milliseconds{100});
+        }
+        const std::string answer = client.read_all();
+        if (!is_sent || !answer.starts_with("HTTP/1.1 " + each.status))
+            without_refusal += std::string(each.name) + (is_sent ? ": '" : ", cut: '") +
+                               answer.substr(0, 20) + "'; ";
+    }
+    STRCMP_EQUAL("", without_refusal.c_str());
+}
+
+// Fails when a client that sends the rest of a refused request now and then keeps its connection.
+TEST(http_server, the_rest_of_a_refused_request_is_read_for_a_limited_time)
+{
+    server_limits limits;
+    limits.body_bytes = 10;
+    limits.body_timeout = core::milliseconds{300};
+    handler.set_limits(limits);
+    raw_connection client(address);
+    client.send("POST /a HTTP/1.1\r\n" + host + "Content-Length: 1000\r\n\r\n");
+    const std::string answer = client.read_all();
+    CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 413"), answer.c_str());
+    constexpr core::milliseconds pause{60};
+    constexpr int max_bytes = 50;
+    int sent = 0;
+    for (; sent < max_bytes && client.send("x"); ++sent)
+    {
+        std::this_thread::sleep_for(pause);
+    }
+    CHECK_TRUE(sent < max_bytes);
+    wait_for_connections(0);
+}
+
 // Fails when a client that sends slowly but steadily is cut off, although each part of its body
 // arrives within the idle timeout.
 TEST(http_server, a_slow_body_that_makes_progress_is_read)
