serving: a broken stream waits for an upstream that goes on with it

What callers saw: a stream cut for good after its upstream ended, although another one took requests a moment later. When placement refused at that moment (the others named a limit or a Retry-After, were leaving, or their entry was not there yet), the node cut the stream at once: it can't refuse an answer that has begun. With the crashed upstream still listed, five connects to its closed port within a millisecond used up the six attempts of the request.

Such a stream waits for up to 2 s now, and asks placement every 50 ms; an upstream that was just found closed counts as none. Requests of which nothing was passed on are refused at once as before. The 'attempts' of the call's log line say 'waits'.

Evidence: call.a_broken_stream_waits_for_an_upstream_that_takes_it_on failed before in all six rows (next upstream appears, is throttled, has a limit; first one leaves and resets, or crashes). ..._for_a_short_time bounds the wait.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -2,6 +2,8 @@
 
 #include <snipeplank/core/hash.hpp>
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -35,6 +37,10 @@
 /// so a pause of this node is not taken for one of the upstream.
 constexpr int max_silent_checks = 4;
 
+/// How long a stream that has broken off waits for an upstream that goes on with it.
+constexpr core::milliseconds max_resume_wait{2'000};
+constexpr core::milliseconds upstream_poll_interval{50};
+
 /// Maps a request id to [0, 1), so that all attempts of one request use the same value.
 double uniform_value(const std::string& request_id)
 {
@@ -174,6 +180,12 @@
             co_return;
         }
         const placement_decision where = m_environment.places.decide(next_request(), now());
+        if (should_wait_for_upstream(where))
+        {
+            co_await wait_for_upstream();
+            continue;
+        }
+        m_is_waiting = false;
         if (const auto* refused = std::get_if<policy::refusal>(&where))
         {
             m_line.upstreams = m_environment.places.describe(next_request(), now());
@@ -188,6 +200,27 @@
     }
 }
 
+/// Whether a stream that has broken off should wait for an upstream to go on with it: it can't be
+/// refused any more, and the only upstreams may be ones that said they take none for a moment, or
+/// that were just found closed.
+bool call::should_wait_for_upstream(const placement_decision& where) const
+{
+    if (!m_exchange.has_begun() || now() >= m_waits_until)
+        return false;
+    const auto* local = std::get_if<to_upstream>(&where);
+    const bool is_closed = local != nullptr && local->was_tried && m_was_unreachable;
+    return is_closed || std::holds_alternative<policy::refusal>(where);
+}
+
+asio::awaitable<void> call::wait_for_upstream()
+{
+    if (!std::exchange(m_is_waiting, true))
+        m_line.attempts += "waits ";
+    asio::steady_timer timer(m_environment.loop, upstream_poll_interval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 placement_request call::next_request() const
 {
     placement_request request;
@@ -329,6 +362,7 @@
     m_line.attempts += "=" + (result.cause.empty() ? std::string("not_run") : result.cause) + " ";
     if (result.kind == answer_kind::broken && result.was_sent)
         report_broken_upstream();
+    m_was_unreachable = result.is_unreachable;
     if (result.is_unreachable)
         end_attempt(attempt_end::unreachable);
     else
@@ -462,6 +496,7 @@
     if (!m_events.last_event_id().empty())
         m_resume_from = m_events.last_event_id();
     m_events.begin_resume();
+    m_waits_until = now() + max_resume_wait;
     if (m_client_is_gone)
         co_return next_step::try_again;
     if (may_retry(false))
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -100,6 +100,8 @@
     void record_failure(const core::result<http::body_chunk>& chunk);
     std::unique_ptr<attempt> make_attempt(const placement_decision& where);
     placement_request next_request() const;
+    bool should_wait_for_upstream(const placement_decision& where) const;
+    boost::asio::awaitable<void> wait_for_upstream();
     bool may_retry(bool proven_not_run);
     bool is_within_attempt_limits(unsigned runs) const;
     next_step retry(policy::retry_reason reason);
@@ -146,6 +148,7 @@
     std::string m_resume_from;
     call_outcome_line m_line;
     core::time_point m_last_event{};
+    core::time_point m_waits_until{};           ///< for an upstream that goes on with the stream
     cut_cause m_given_up_for = cut_cause::none; ///< why this node gave up the current attempt
     int m_silent_checks = 0;                    ///< consecutive ones that found silence
     unsigned m_runs = 0;                        ///< attempts that may have run
@@ -153,6 +156,8 @@
     unsigned m_events_received = 0;    ///< reads of the current attempt that completed events
     bool m_awaits_answer = false;      ///< the current attempt has no answer head yet
     bool m_has_reserved_retry = false; ///< taken from the retry budget, not used yet
+    bool m_was_unreachable = false;    ///< no connection could be made for the last attempt
+    bool m_is_waiting = false;         ///< for an upstream that goes on with the stream
     bool m_may_have_run = false;
     bool m_is_expired = false;
     bool m_client_is_gone = false;
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -383,6 +383,12 @@
         m_places.set_upstreams(m_published, std::chrono::steady_clock::now());
     }
 
+    /// @brief Reports what an upstream says of itself in an answer to another request.
+    void hear(const std::string& id, const policy::upstream_statement& said)
+    {
+        m_places.on_statement(upstream_id{id}, said, std::chrono::steady_clock::now());
+    }
+
     /// @brief Makes another region known, with one idle upstream.
     void add_region(const core::region_id& region, region_caller& caller)
     {
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -371,6 +371,88 @@
     }
 }
 
+// Fails when a stream that its upstream broke off is cut, because no upstream takes it on at that
+// moment, although one does a moment later.
+TEST(call, a_broken_stream_waits_for_an_upstream_that_takes_it_on)
+{
+    enum class next_upstream
+    {
+        appears,
+        is_throttled,
+        has_limit,
+    };
+    struct row
+    {
+        const char* name;
+        answer_end end;  ///< of the first upstream
+        bool is_leaving; ///< the first upstream says so before its end
+        next_upstream next;
+    };
+    const row rows[] = {
+        {"appears", answer_end::reset, true, next_upstream::appears},
+        {"is throttled", answer_end::reset, true, next_upstream::is_throttled},
+        {"has a limit", answer_end::reset, true, next_upstream::has_limit},
+        {"appears after a crash", answer_end::crash, false, next_upstream::appears},
+        {"is throttled after a crash", answer_end::crash, false, next_upstream::is_throttled},
+        {"has a limit after a crash", answer_end::crash, false, next_upstream::has_limit},
+    };
+    std::string cut; // the rows whose stream was not whole
+    for (const row& each : rows)
+    {
+        call_fixture node(many_retries);
+        scripted_upstream first(
+            node.loop, {{{{0ms, chunked_head + chunk(events(1, 2))}, {200ms, chunk(events(3, 4))}},
+                         each.end}});
+        scripted_upstream second(node.loop,
+                                 {{{{0ms, chunked_head + chunk(events(5, 6)) + last_chunk}}}});
+        node.set_route(make_route(request_kind::streaming, 3));
+        node.publish("i-1", first.address());
+        const recorded_exchange& stream = node.start("a");
+        node.run_for(100ms);
+        policy::upstream_statement leaves;
+        leaves.is_leaving = true;
+        if (each.is_leaving)
+            node.hear("i-1", leaves);
+        if (each.next != next_upstream::appears)
+            node.publish("i-2", second.address());
+        policy::upstream_statement said;
+        if (each.next == next_upstream::is_throttled)
+            said.retry_after = 600ms;
+        if (each.next == next_upstream::has_limit)
+            said.limit = 4;
+        node.hear("i-2", said);
+        node.run_for(500ms);
+        if (each.next == next_upstream::appears)
+            node.publish("i-2", second.address());
+        node.finish(stream);
+        if (!stream.is(200, events(1, 6)))
+            cut += std::string(each.name) + ": " + stream.describe() + "; ";
+    }
+    STRCMP_EQUAL("", cut.c_str());
+}
+
+// Fails when a broken stream that no upstream takes on keeps its caller waiting until the deadline.
+TEST(call, a_broken_stream_waits_for_an_upstream_for_a_short_time)
+{
+    for (const answer_end end : {answer_end::reset, answer_end::crash})
+    {
+        call_fixture node(many_retries);
+        scripted_upstream upstream(
+            node.loop,
+            {{{{0ms, chunked_head + chunk(events(1, 2))}, {200ms, chunk(events(3, 4))}}, end}});
+        node.set_route(make_route(request_kind::streaming, 3));
+        node.publish("i-1", upstream.address());
+        const recorded_exchange& stream = node.start("a");
+        node.run_for(100ms);
+        policy::upstream_statement leaves;
+        leaves.is_leaving = end == answer_end::reset;
+        node.hear("i-1", leaves);
+        node.run_for(5s);
+        CHECK_TRUE(stream.is_over);
+        CHECK_FALSE_TEXT(stream.is_finished, stream.describe().c_str());
+    }
+}
+
 // Fails when a node cuts a call of another region at its own route's timeout, although the node
 // that took the request, whose configuration may be another one, still waits for the answer.
 TEST(call, a_forwarded_call_has_the_time_that_its_entry_node_gives)
