--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "attempt.hpp"
 #include "call_log.hpp"
@@ -92,11 +93,15 @@
     boost::asio::awaitable<next_step> on_failed_start(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_stream(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_buffered(const attempt_start& result);
+    boost::asio::awaitable<bool> write_stream(const http::response_head& head,
+                                              std::string_view events);
     boost::asio::awaitable<next_step> on_broken_stream();
     void record_event();
     void record_failure(const core::result<http::body_chunk>& chunk);
     std::unique_ptr<attempt> make_attempt(const placement_decision& where);
     placement_request next_request() const;
+    bool should_wait_for_upstream(const placement_decision& where) const;
+    boost::asio::awaitable<void> wait_for_upstream();
     bool may_retry(bool proven_not_run);
     bool is_within_attempt_limits(unsigned runs) const;
     next_step retry(policy::retry_reason reason);
@@ -143,6 +148,7 @@
     std::string m_resume_from;
     call_outcome_line m_line;
     core::time_point m_last_event{};
+    core::time_point m_waits_until{};           ///< for an upstream that goes on with the stream
     cut_cause m_given_up_for = cut_cause::none; ///< why this node gave up the current attempt
     int m_silent_checks = 0;                    ///< consecutive ones that found silence
     unsigned m_runs = 0;                        ///< attempts that may have run
@@ -150,6 +156,8 @@
     unsigned m_events_received = 0;    ///< reads of the current attempt that completed events
     bool m_awaits_answer = false;      ///< the current attempt has no answer head yet
     bool m_has_reserved_retry = false; ///< taken from the retry budget, not used yet
+    bool m_was_unreachable = false;    ///< no connection could be made for the last attempt
+    bool m_is_waiting = false;         ///< for an upstream that goes on with the stream
     bool m_may_have_run = false;
     bool m_is_expired = false;
     bool m_client_is_gone = false;
