node: end the process without destroying calls that are in flight

Callers saw nothing of it, but the process of a node whose grace ended with a call of another region in flight ended with SIGSEGV instead of status 0.

Cause: the event loop holds the suspended calls and is destroyed after the node, whose parts they use in their destructors (peer_calls::forget_served, peer_attempt). The loop cannot be destroyed first either: the node's sockets and timers use it.

Evidence: machine_peer.a_stop_with_calls_of_other_regions_in_flight_ends_cleanly failed before with exit status -11, and passes now.

The process now ends with _Exit once the loop has stopped and the log is flushed, as the program with settings of its own does; no destructor runs in either order.

--- a/packages/node/src/machine_node.cpp
+++ b/packages/node/src/machine_node.cpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 
 #include "exit_status.hpp"
 
@@ -116,7 +117,9 @@
         return exit_cannot_start;
     }
     loop.run();
-    return 0;
+    // The loop may hold suspended calls, which use the node: neither can be destroyed first.
+    std::fflush(stdout);
+    std::_Exit(0);
 }
 
 } // namespace snipeplank
