serving: answer the requests in flight before a stopping node ends

Callers of a node in a planned stop that still waited 700 ms before the end of the grace saw their connection end without an answer, also for requests that may run once only, and nodes of other regions the loss of the connection. A request taken 2.5 s after the signal with a deadline of 8 s could not be finished, and the upstream was told the whole 8 s.

Cause: the deadline of a call did not know of the end of its node. At the end of the grace the event loop was stopped with calls active.

When a stop begins, the deadline of every call in flight and of each one taken later ends 1 s before the process would be killed (a seventh of a shorter grace). Upstreams are told the time that is left, and a request that is not expected to fit in is refused at once with 503 and sent to another node.

--- a/packages/serving/include/snipeplank/serving/stop_schedule.hpp
+++ b/packages/serving/include/snipeplank/serving/stop_schedule.hpp
@@ -6,6 +6,8 @@
 
 #include <snipeplank/core/units.hpp>
 
+#include <algorithm>
+
 namespace snipeplank::serving
 {
 
@@ -18,8 +20,11 @@
   public:
     /// New connections and requests are served this long after the signal.
     static constexpr core::milliseconds service_time{2'600};
-    /// The process exits this long before it would be killed.
-    static constexpr core::milliseconds end_margin{700};
+    /// Requests in flight get their last answer this long before the process would be killed.
+    static constexpr core::milliseconds max_answer_margin{1'000};
+    /// The process exits this long before it would be killed. Both margins are shorter when the
+    /// grace is.
+    static constexpr core::milliseconds max_end_margin{700};
 
     /// @param grace from the signal until the process is killed
     explicit stop_schedule(core::milliseconds grace) : m_grace(grace) {}
@@ -27,16 +32,30 @@
     /// @brief Whether a new request is served; a later one is refused and referred to another node.
     bool serves_new(core::duration since_signal) const { return since_signal < service_time; }
 
+    /// @brief When requests in flight get their last answer, since the signal. It leaves the time
+    /// to send the answers before the process exits.
+    core::milliseconds last_answer_time() const
+    {
+        constexpr int shortest_margin_share = 7;
+        return m_grace - std::min(max_answer_margin, m_grace / shortest_margin_share);
+    }
+
     /// @brief Whether the process exits now.
     /// @param is_idle no request is in flight
     bool must_exit(core::duration since_signal, bool is_idle) const
     {
-        if (since_signal >= m_grace - end_margin)
+        if (since_signal >= m_grace - end_margin())
             return true;
         return is_idle && !serves_new(since_signal);
     }
 
   private:
+    core::milliseconds end_margin() const
+    {
+        constexpr int shortest_margin_share = 10;
+        return std::min(max_end_margin, m_grace / shortest_margin_share);
+    }
+
     core::milliseconds m_grace;
 };
 
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -51,10 +51,16 @@
 
 call::call(const call_environment& environment, http::exchange& request,
            std::optional<forwarded_from> forwarded)
-    : m_environment(environment), m_exchange(request), m_forwarded(std::move(forwarded)),
-      m_table(environment.table), m_timer(environment.loop), m_silence_timer(environment.loop),
-      m_self(std::make_shared<call*>(this))
+    : m_environment(environment), m_end(environment.end), m_exchange(request),
+      m_forwarded(std::move(forwarded)), m_table(environment.table), m_timer(environment.loop),
+      m_silence_timer(environment.loop), m_self(std::make_shared<call*>(this))
 {
+    m_end->add(*this);
+}
+
+call::~call()
+{
+    m_end->remove(*this);
 }
 
 asio::awaitable<void> call::run()
@@ -117,6 +123,8 @@
     if (!m_forwarded)
         m_environment.places.on_request(m_service, now());
     m_deadline = m_exchange.received_at() + time_limit();
+    if (const auto end = m_end->at())
+        end_with_node(*end);
     return true;
 }
 
@@ -180,6 +188,8 @@
             policy::refusal why = m_may_have_run ? final_refusal() : *refused;
             if (!m_may_have_run && m_sends > 0)
                 why.reason = policy::refusal_reason::upstream_refused;
+            else if (m_ends_with_node && why.reason == policy::refusal_reason::overloaded)
+                why = stopping_refusal(); // another node has more time
             co_await refuse(std::move(why));
             co_return;
         }
@@ -630,7 +640,23 @@
 void call::on_deadline()
 {
     m_is_expired = true;
-    give_up_attempt(cut_cause::deadline);
+    give_up_attempt(m_ends_with_node ? cut_cause::stop : cut_cause::deadline);
+}
+
+void call::on_serving_end(core::time_point at)
+{
+    end_with_node(at);
+    if (m_ends_with_node)
+        start_deadline();
+}
+
+/// Moves the deadline to the time of the stopping node's last answers if that comes first.
+void call::end_with_node(core::time_point at)
+{
+    if (at >= m_deadline)
+        return;
+    m_deadline = at;
+    m_ends_with_node = true;
 }
 
 void call::on_client_disconnected()
@@ -660,6 +686,8 @@
 
 policy::refusal call::final_refusal() const
 {
+    if (m_is_expired && m_ends_with_node && !m_may_have_run)
+        return stopping_refusal();
     policy::refusal why;
     why.executed = m_may_have_run ? policy::execution::unknown : policy::execution::no;
     if (m_is_expired)
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -24,6 +24,7 @@
 #include "call_log.hpp"
 #include "call_statistics.hpp"
 #include "prompt_guard.hpp"
+#include "serving_end.hpp"
 
 namespace snipeplank::serving
 {
@@ -54,6 +55,7 @@
     call_log& log;
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
+    std::shared_ptr<serving_end> end = std::make_shared<serving_end>();
 };
 
 /// @brief Origin of a call that another region forwarded.
@@ -64,12 +66,15 @@
 };
 
 /// @brief Serves one request. Owned by the coroutine that runs it.
-class call
+class call final : private serving_end::listener
 {
   public:
     /// @param forwarded set when another region's node sent the request
     call(const call_environment& environment, http::exchange& request,
          std::optional<forwarded_from> forwarded);
+    ~call() override;
+    call(const call&) = delete;
+    call& operator=(const call&) = delete;
 
     /// @brief Answers or refuses the request exactly once.
     boost::asio::awaitable<void> run();
@@ -111,6 +116,8 @@
     void end_attempt(attempt_end how);
     void start_deadline();
     void on_deadline();
+    void on_serving_end(core::time_point at) override;
+    void end_with_node(core::time_point at);
     void schedule_silence_check();
     void on_silence_check();
     bool is_upstream_silent() const;
@@ -122,6 +129,7 @@
     policy::refusal final_refusal() const;
 
     const call_environment& m_environment;
+    std::shared_ptr<serving_end> m_end;
     http::exchange& m_exchange;
     std::optional<forwarded_from> m_forwarded;
     std::shared_ptr<const routing_table> m_table;
@@ -152,6 +160,7 @@
     bool m_has_reserved_retry = false; ///< taken from the retry budget, not used yet
     bool m_may_have_run = false;
     bool m_is_expired = false;
+    bool m_ends_with_node = false; ///< the deadline is that of a stopping node
     bool m_client_is_gone = false;
     std::shared_ptr<call*> m_self; ///< expires with the call, so that a late timer does not use it
 };
--- a/packages/serving/src/call_outcome.hpp
+++ b/packages/serving/src/call_outcome.hpp
@@ -21,12 +21,13 @@
     deadline,
     silence, ///< this node gave up a silent upstream
     caller,
+    stop, ///< this node stops
 };
 
 constexpr std::string_view to_string(cut_cause cause)
 {
-    constexpr std::array<std::string_view, 6> names{"none",     "upstream", "region",
-                                                    "deadline", "silence",  "caller"};
+    constexpr std::array<std::string_view, 7> names{"none",    "upstream", "region", "deadline",
+                                                    "silence", "caller",   "stop"};
     return names.at(static_cast<std::size_t>(cause));
 }
 
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -20,6 +20,7 @@
 #include "load_exchange.hpp"
 #include "peer_calls.hpp"
 #include "prompt_guard.hpp"
+#include "serving_end.hpp"
 
 namespace snipeplank::serving
 {
@@ -136,6 +137,7 @@
                     {{"active", m_call_server.active()}, {"forwarded", m_peers.served()}});
         m_fleet.begin_leaving();
         m_call_server.begin_closing(stop_schedule::service_time);
+        m_environment.end->set(m_stop_began + m_stopping.last_answer_time());
         check_stop();
     }
 
@@ -271,13 +273,6 @@
         return !m_is_stopping || m_stopping.serves_new(now() - m_stop_began);
     }
 
-    static policy::refusal stopping_refusal()
-    {
-        constexpr core::milliseconds retry_after{50};
-        return {policy::refusal_reason::draining, policy::execution::no,
-                "send the request to another node", retry_after, false};
-    }
-
     asio::awaitable<void> serve_call(http::exchange& request)
     {
         if (!serves_new())
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -416,6 +416,12 @@
         co_await served.run();
     }
 
+    /// @brief Tells the calls, those in flight too, when a stopping node gives its last answers.
+    void stop_in(core::milliseconds span)
+    {
+        m_environment.end->set(std::chrono::steady_clock::now() + span);
+    }
+
     /// @brief Runs the loop for a time.
     void run_for(core::milliseconds span)
     {
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -349,6 +349,94 @@
     STRCMP_EQUAL("", cut.c_str());
 }
 
+// Fails when a request in flight at the end of a stopping node gets no last answer, or one that
+// promises more than is known, or when a cut stream ends as complete, or when a request that can
+// end in time is given up.
+TEST(call, a_stopping_node_gives_each_request_its_last_answer)
+{
+    struct row
+    {
+        const char* what;
+        request_kind kind;
+        scripted_answer answer;
+        core::milliseconds asked; ///< since the node began to stop
+        int status;
+        bool is_whole;
+        std::string body;
+    };
+    const scripted_answer stream{
+        {{0ms, chunked_head + chunk(events(1, 2))}, {3s, chunk(events(3, 4)) + last_chunk}}};
+    const row rows[] = {
+        {"at work before", request_kind::idempotent, plain_answer(3s), -100ms, 502, true,
+         "outcome_unknown"},
+        {"at work before, runs once", request_kind::non_idempotent, plain_answer(3s), -100ms, 502,
+         true, "outcome_unknown"},
+        {"taken late, runs once", request_kind::non_idempotent, plain_answer(3s), 200ms, 502, true,
+         "outcome_unknown"},
+        {"stream", request_kind::streaming, stream, -100ms, 200, false, events(1, 2)},
+        {"ends in time", request_kind::non_idempotent, plain_answer(400ms), 200ms, 200, true, "ok"},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture node(many_retries);
+        scripted_upstream upstream(node.loop, {each.answer});
+        node.set_route(make_route(each.kind, 1));
+        node.publish("i-1", upstream.address());
+        constexpr core::milliseconds time_left = 1s;
+        recorded_exchange* request = nullptr;
+        if (each.asked < 0ms)
+        {
+            request = &node.start("a");
+            node.run_for(-each.asked);
+        }
+        node.stop_in(time_left);
+        if (request == nullptr)
+        {
+            node.run_for(each.asked);
+            request = &node.start("a");
+        }
+        const core::time_point began = std::chrono::steady_clock::now();
+        node.finish(*request);
+        const std::string seen = std::string(each.what) + ": " + request->describe();
+        LONGS_EQUAL_TEXT(each.status, request->status, seen.c_str());
+        CHECK_TRUE_TEXT(request->is_finished == each.is_whole, seen.c_str());
+        STRCMP_EQUAL_TEXT(each.body.c_str(), request->written.c_str(), seen.c_str());
+        CHECK_TRUE_TEXT(std::chrono::steady_clock::now() - began < 2s, seen.c_str());
+    }
+}
+
+// Fails when a stopping node sends a request that it cannot finish to an upstream, or refuses it
+// without saying that another node may serve it.
+TEST(call, a_stopping_node_refuses_at_once_what_it_cannot_finish)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+    node.set_route(make_route(request_kind::non_idempotent, 1));
+    node.publish("i-1", upstream.address());
+    node.stop_in(0ms);
+    recorded_exchange& request = node.start("a");
+    node.finish(request);
+    CHECK_TRUE_TEXT(request.is(503, "draining"), request.describe().c_str());
+    LONGS_EQUAL(0, upstream.requests().size());
+}
+
+// Fails when a call of another region in flight at the end of a stopping node is not refused to the
+// node that waits for it, or is reported as not run.
+TEST(call, a_stopping_node_gives_calls_of_other_regions_their_last_answer)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(3s)});
+    node.set_route(make_route(request_kind::non_idempotent, 1));
+    node.publish("i-1", upstream.address());
+    std::optional<policy::refusal> refused;
+    recorded_exchange& request =
+        node.start("a", forwarded_from{10s, [&](const policy::refusal& why) { refused = why; }});
+    node.run_for(100ms);
+    node.stop_in(300ms);
+    node.finish(request);
+    CHECK_TRUE(refused && refused->executed == policy::execution::unknown);
+}
+
 // Fails when the error of an upstream is not passed on although the retry budget is spent. With
 // -D_GLIBCXX_ASSERTIONS it also fails when the number of an ended attempt is used.
 TEST(call, an_error_is_passed_on_when_the_retry_budget_is_spent)
--- a/packages/serving/tests/stop_schedule_test.cpp
+++ b/packages/serving/tests/stop_schedule_test.cpp
@@ -4,9 +4,12 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <chrono>
+#include <string>
 
 using namespace std::chrono_literals;
+namespace core = snipeplank::core;
 using snipeplank::serving::stop_schedule;
 
 TEST_GROUP(stop_schedule)
@@ -24,6 +27,28 @@
     CHECK_FALSE(subject.serves_new(3s));
 }
 
+// Fails when requests in flight get their last answer so late that the process ends before it is
+// sent, or so early that an answer that comes in time for a planned stop is given up.
+TEST(stop_schedule, last_answers_come_between_the_time_to_finish_and_the_end)
+{
+    struct row
+    {
+        core::milliseconds grace;
+        core::milliseconds exits_at; ///< no later than this
+    };
+    const row rows[] = {{30s, 29'300ms}, {8s, 7'300ms}, {3s, 2'700ms}, {1s, 900ms}, {400ms, 360ms}};
+    for (const row& each : rows)
+    {
+        const stop_schedule schedule{each.grace};
+        const core::milliseconds last_answer = schedule.last_answer_time();
+        const std::string seen = std::to_string(each.grace.count());
+        CHECK_TRUE_TEXT(schedule.must_exit(each.exits_at, false), seen.c_str());
+        CHECK_TRUE_TEXT(last_answer >= each.grace * 5 / 6, seen.c_str());
+        const core::milliseconds time_to_send = std::min(core::milliseconds{200}, each.grace / 25);
+        CHECK_FALSE_TEXT(schedule.must_exit(last_answer + time_to_send, false), seen.c_str());
+    }
+}
+
 // Fails when the process exits early with requests in flight, or is killed with them.
 TEST(stop_schedule, the_process_ends_when_idle_and_before_it_is_killed)
 {
--- a/tests/machine_peer_test.cpp
+++ b/tests/machine_peer_test.cpp
@@ -149,6 +149,22 @@
     LONGS_EQUAL(0, fleet->node(0).program->wait());
 }
 
+// Fails when a node that stops leaves the calls of another region in flight without a last answer,
+// so that they end with the loss of the connection, or says of one at work that it has not run.
+TEST(machine_peer, a_stopping_node_ends_calls_of_other_regions_with_a_refusal)
+{
+    standin& shop = start_with("i-s", "shop", "/read/x");
+    machine_fleet::set_fault(shop, "mute");
+    test_peer peer(remote);
+    peer.send_call(fleet->node(0), machine_fleet::request("POST", "/book/x", "long"), 20s);
+    wait_until("the server runs the call", [&] { return runs_of(shop, "long") > 0; });
+    fleet->node(0).program->send_signal(SIGTERM);
+    LONGS_EQUAL(0, fleet->node(0).program->wait());
+    wait_until("the connection is closed", [&] { return peer.handler.lost() > 0; });
+    const auto refused = peer.handler.refusal();
+    CHECK_TRUE(refused.has_value() && refused->executed == policy::execution::unknown);
+}
+
 // Fails when a node that was suspended for some seconds drops the calls of a peer as silent,
 // although what the peer has sent meanwhile waits in its socket.
 TEST(machine_peer, a_suspended_node_reads_its_peers_before_it_counts_them_as_silent)
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -111,7 +111,7 @@
         {"PortRange", {admin_port, admin_port}},
         {"Seeds", seeds},
         {"Bounds",
-         {{"GraceS", 8},
+         {{"GraceS", m_grace.count()},
           {"RetryRatio", m_allows_retries ? retry_ratio : 0},
           {"RetrySlack", m_allows_retries ? m_retry_slack : 0},
           {"RetryWindowS", 10}}},
@@ -122,6 +122,17 @@
 void machine_fleet::forbid_retries()
 {
     m_allows_retries = false;
+    write_all_settings();
+}
+
+void machine_fleet::set_grace(std::chrono::seconds grace)
+{
+    m_grace = grace;
+    write_all_settings();
+}
+
+void machine_fleet::write_all_settings() const
+{
     for (const machine_node& each : m_nodes)
     {
         write_settings(each);
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -97,6 +97,9 @@
     /// @brief Starts nodes without any retry budget from now on.
     void forbid_retries();
 
+    /// @brief Starts nodes with this time from SIGTERM to SIGKILL from now on.
+    void set_grace(std::chrono::seconds grace);
+
     void start_node(std::size_t index);
     void start_nodes();
     machine_node& node(std::size_t index) { return m_nodes.at(index); }
@@ -125,10 +128,12 @@
 
   private:
     void write_settings(const machine_node& node) const;
+    void write_all_settings() const;
 
     int m_retry_slack;
     std::string m_directory;
     bool m_allows_retries = true;
+    std::chrono::seconds m_grace{8};
     std::unique_ptr<standin> m_store;
     std::unique_ptr<standin> m_store_relay;
     std::vector<std::unique_ptr<standin>> m_servers;
