http: a closing server answers the requests that have arrived behind one

Clients that send a request behind one that is being answered saw their connection closed behind the first answer when the node began to stop meanwhile, although the process had read the second request.

Cause: the answer's head announced the end of the connection without looking for bytes that have arrived.

Evidence: http_server.a_pipelined_request_is_answered_before_its_connection_is_closed failed before (first answer with Connection: close, then the end).

The end is announced with the answer behind which nothing has arrived.

--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -301,7 +301,8 @@
 
 std::string connection::frame_head(response_head head, std::optional<std::size_t> length)
 {
-    if (m_close_after || m_is_closing)
+    // A request that has arrived behind this one is answered, too.
+    if ((m_close_after || m_is_closing) && !has_unread_bytes())
         m_keep_alive = false;
     m_has_head_only = m_head.method == "HEAD" || is_status_without_body(head.status);
     if (length)
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -679,6 +679,22 @@
     CHECK_TRUE_TEXT(answers.find("stream of /2") != std::string::npos, answers.c_str());
 }
 
+// Fails when a closing server drops a request that was sent right behind another one and that it
+// has read already.
+TEST(http_server, a_pipelined_request_is_answered_before_its_connection_is_closed)
+{
+    boost::asio::post(thread->loop, [&] { subject->begin_closing(core::milliseconds{10'000}); });
+    raw_connection client(address);
+    client.send("GET /1 HTTP/1.1\r\n" + host + "\r\nGET /2 HTTP/1.1\r\n" + host + "\r\n");
+    const std::string answers = client.read_all();
+    thread->stop();
+    CHECK_TRUE_TEXT(answers.find("GET /1") != std::string::npos, answers.c_str());
+    CHECK_TRUE_TEXT(answers.find("GET /2") != std::string::npos, answers.c_str());
+    const std::size_t first_close = answers.find("Connection: close");
+    CHECK_TRUE_TEXT(first_close > answers.find("GET /1"), answers.c_str());
+    CHECK_TRUE_TEXT(first_close < answers.find("GET /2"), answers.c_str());
+}
+
 // Fails when bytes of a body follow the head of an answer that has none, so that the client takes
 // them for the next answer.
 TEST(http_server, a_streamed_answer_to_head_has_no_body)
