policy, serving: the quarantine of prompt parts becomes one of requests and their parts

Names only: crash_quarantine, crash_guard, request_part_key, crash_report. No behaviour changes but the reason of a refusal, `quarantined` in place of `prompt_quarantined`. The messages between nodes keep their names.

--- a/packages/policy/include/snipeplank/policy/prompt_quarantine.hpp
+++ b/packages/policy/include/snipeplank/policy/crash_quarantine.hpp
@@ -1,8 +1,8 @@
 /// @file
 /// Quarantine of prompt parts under which upstreams crash ("queries of death").
 
-#ifndef SNIPEPLANK_POLICY_PROMPT_QUARANTINE_HPP
-#define SNIPEPLANK_POLICY_PROMPT_QUARANTINE_HPP
+#ifndef SNIPEPLANK_POLICY_CRASH_QUARANTINE_HPP
+#define SNIPEPLANK_POLICY_CRASH_QUARANTINE_HPP
 
 #include <snipeplank/core/strong_type.hpp>
 #include <snipeplank/core/units.hpp>
@@ -19,34 +19,34 @@
 {
 
 /// Hash of the id of a prompt part.
-using prompt_part_key = core::strong_type<std::uint64_t, struct prompt_part_key_tag>;
+using request_part_key = core::strong_type<std::uint64_t, struct request_part_key_tag>;
 
 /// @brief An upstream crashed while it began to answer a prompt with this part.
-struct prompt_crash
+struct crash_report
 {
-    prompt_part_key part;
+    request_part_key part;
     upstream_run_key upstream;
     core::time_point sent;      ///< when the request was sent
     core::time_point at;        ///< when the upstream crashed
     std::uint16_t position = 0; ///< of the part in the prompt, from 0
 
-    friend bool operator==(const prompt_crash&, const prompt_crash&) = default;
+    friend bool operator==(const crash_report&, const crash_report&) = default;
 };
 
 /// @brief An upstream answered a prompt with this part.
-struct prompt_answer
+struct answer_report
 {
-    prompt_part_key part;
+    request_part_key part;
     core::time_point at;
 
-    friend bool operator==(const prompt_answer&, const prompt_answer&) = default;
+    friend bool operator==(const answer_report&, const answer_report&) = default;
 };
 
 /// @brief What one node knows of suspected parts, for the other nodes.
-struct prompt_evidence
+struct crash_evidence
 {
-    std::vector<prompt_crash> crashes;
-    std::vector<prompt_answer> answers;
+    std::vector<crash_report> crashes;
+    std::vector<answer_report> answers;
 
     bool is_empty() const { return crashes.empty() && answers.empty(); }
 };
@@ -62,7 +62,7 @@
 /// the one furthest back in the prompt: prompts share their first parts. A prompt that tells such
 /// parts apart is sent, since a part that no node has seen answered may be the sound one. Merging
 /// evidence is commutative and idempotent. Pure; not thread-safe.
-class prompt_quarantine
+class crash_quarantine
 {
   public:
     /// Successive crashes since the last answer that quarantine a part.
@@ -77,31 +77,31 @@
     static constexpr std::size_t max_crashes = 32;
 
     /// @brief Records a crash, of this node or of another. O(1) amortised.
-    void add(const prompt_crash& crash, core::time_point now);
+    void add(const crash_report& crash, core::time_point now);
 
     /// @brief Records an answer, of this node or of another. O(1) amortised.
-    void add(const prompt_answer& answer, core::time_point now);
+    void add(const answer_report& answer, core::time_point now);
 
     /// @brief Merges the evidence of another node.
-    void merge(const prompt_evidence& received, core::time_point now);
+    void merge(const crash_evidence& received, core::time_point now);
 
     /// @brief How long prompts with these parts are not to be sent; nothing when they may be.
-    std::optional<core::milliseconds> time_left(std::span<const prompt_part_key> parts,
+    std::optional<core::milliseconds> time_left(std::span<const request_part_key> parts,
                                                 core::time_point now) const;
 
     /// @brief Whether an upstream crashed under one of the parts since its last answer.
-    bool is_suspect(std::span<const prompt_part_key> parts, core::time_point now) const;
+    bool is_suspect(std::span<const request_part_key> parts, core::time_point now) const;
 
     /// @brief What the other nodes should know: parts with recent crashes, the most suspect first,
     /// then the others in turn. O(parts log parts).
     /// @param max_items limit of the crashes, and of the answers
-    prompt_evidence evidence(std::size_t max_items, core::time_point now) const;
+    crash_evidence evidence(std::size_t max_items, core::time_point now) const;
 
     /// @brief Number of parts in quarantine. O(parts).
     std::size_t quarantined(core::time_point now) const;
 
   private:
-    using crash_list = std::vector<prompt_crash>;
+    using crash_list = std::vector<crash_report>;
 
     struct part_state
     {
@@ -117,11 +117,11 @@
     static bool is_more_suspect(const part_state& part, const part_state& other);
     std::vector<const part_state*> suspects(core::time_point now) const;
     bool is_explained_by_other(const part_state& part, core::time_point now) const;
-    bool is_tested_by(std::span<const prompt_part_key> prompt, const part_state& part,
+    bool is_tested_by(std::span<const request_part_key> prompt, const part_state& part,
                       core::time_point now) const;
     void limit_size(core::time_point now);
 
-    std::unordered_map<prompt_part_key, part_state> m_parts;
+    std::unordered_map<request_part_key, part_state> m_parts;
 };
 
 } // namespace snipeplank::policy
--- a/packages/policy/include/snipeplank/policy/refusal.hpp
+++ b/packages/policy/include/snipeplank/policy/refusal.hpp
@@ -42,7 +42,7 @@
     answer_not_kept,
     outcome_unknown,
     internal,
-    prompt_quarantined, ///< upstreams crashed under a part of the prompt
+    quarantined,        ///< upstreams crashed under the request or a part of its prompt
     upstream_throttled, ///< the upstreams take no request now, by their own word
 };
 
--- a/packages/policy/src/prompt_quarantine.cpp
+++ b/packages/policy/src/crash_quarantine.cpp
@@ -1,4 +1,4 @@
-#include <snipeplank/policy/prompt_quarantine.hpp>
+#include <snipeplank/policy/crash_quarantine.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -17,7 +17,7 @@
 /// Time between two messages, in which the next of the older crashes are told.
 constexpr core::milliseconds turn_time{300};
 
-bool is_same_crash(const prompt_crash& a, const prompt_crash& b)
+bool is_same_crash(const crash_report& a, const crash_report& b)
 {
     return a.upstream == b.upstream && a.at < b.at + same_crash_time &&
            b.at < a.at + same_crash_time;
@@ -25,10 +25,10 @@
 
 /// Longest sequence of crashes each of whose requests was sent after the crash before it.
 /// @param crashes oldest first
-std::vector<prompt_crash> successive_crashes(const std::vector<prompt_crash>& crashes)
+std::vector<crash_report> successive_crashes(const std::vector<crash_report>& crashes)
 {
-    std::vector<prompt_crash> sequence;
-    for (const prompt_crash& each : crashes)
+    std::vector<crash_report> sequence;
+    for (const crash_report& each : crashes)
     {
         if (sequence.empty() || each.sent > sequence.back().at)
             sequence.push_back(each);
@@ -37,13 +37,13 @@
 }
 
 /// The crashes of one part that other nodes are told: successive ones first.
-std::vector<prompt_crash> told_crashes(const std::vector<prompt_crash>& crashes)
+std::vector<crash_report> told_crashes(const std::vector<crash_report>& crashes)
 {
     constexpr std::size_t max_told = 8;
     if (crashes.size() <= max_told)
         return crashes;
-    std::vector<prompt_crash> told = successive_crashes(crashes);
-    for (const prompt_crash& each : crashes)
+    std::vector<crash_report> told = successive_crashes(crashes);
+    for (const crash_report& each : crashes)
     {
         if (std::find(told.begin(), told.end(), each) == told.end())
             told.push_back(each);
@@ -54,25 +54,25 @@
 
 /// Whether the crashes are enough evidence against a part. Hosts that fail one after another may
 /// break off several requests at each moment.
-bool are_enough(const std::vector<prompt_crash>& crashes)
+bool are_enough(const std::vector<crash_report>& crashes)
 {
     constexpr std::size_t many_crashes = 5;
     constexpr std::size_t min_successive_of_many = 2;
     const std::size_t successive = successive_crashes(crashes).size();
-    return successive >= prompt_quarantine::crashes_to_quarantine ||
+    return successive >= crash_quarantine::crashes_to_quarantine ||
            (crashes.size() >= many_crashes && successive >= min_successive_of_many);
 }
 
 /// The crashes of the first list that are not in the second one.
-std::vector<prompt_crash> without(const std::vector<prompt_crash>& crashes,
-                                  const std::vector<prompt_crash>& others)
+std::vector<crash_report> without(const std::vector<crash_report>& crashes,
+                                  const std::vector<crash_report>& others)
 {
-    std::vector<prompt_crash> rest;
-    for (const prompt_crash& each : crashes)
+    std::vector<crash_report> rest;
+    for (const crash_report& each : crashes)
     {
         const bool is_shared =
             std::any_of(others.begin(), others.end(),
-                        [&](const prompt_crash& other) { return is_same_crash(each, other); });
+                        [&](const crash_report& other) { return is_same_crash(each, other); });
         if (!is_shared)
             rest.push_back(each);
     }
@@ -81,13 +81,13 @@
 
 } // namespace
 
-void prompt_quarantine::add(const prompt_crash& crash, core::time_point now)
+void crash_quarantine::add(const crash_report& crash, core::time_point now)
 {
     part_state& part = m_parts[crash.part];
     part.suspected_at = std::max(part.suspected_at, now);
     const auto known =
         std::find_if(part.crashes.begin(), part.crashes.end(),
-                     [&](const prompt_crash& each) { return is_same_crash(each, crash); });
+                     [&](const crash_report& each) { return is_same_crash(each, crash); });
     if (known == part.crashes.end())
         part.crashes.push_back(crash);
     else
@@ -96,7 +96,7 @@
         known->sent = std::min(known->sent, crash.sent);
         known->at = std::min(known->at, crash.at);
     }
-    std::erase_if(part.crashes, [&](const prompt_crash& each)
+    std::erase_if(part.crashes, [&](const crash_report& each)
                   { return each.at <= part.answered_at || now - each.at >= crash_lifetime; });
     std::stable_sort(part.crashes.begin(), part.crashes.end(),
                      [](const auto& a, const auto& b) { return a.at < b.at; });
@@ -107,30 +107,30 @@
     limit_size(now);
 }
 
-void prompt_quarantine::add(const prompt_answer& answer, core::time_point now)
+void crash_quarantine::add(const answer_report& answer, core::time_point now)
 {
     part_state& part = m_parts[answer.part];
     part.answered_at = std::max(part.answered_at, answer.at);
     std::erase_if(part.crashes,
-                  [&](const prompt_crash& known) { return known.at <= part.answered_at; });
+                  [&](const crash_report& known) { return known.at <= part.answered_at; });
     limit_size(now);
 }
 
-void prompt_quarantine::merge(const prompt_evidence& received, core::time_point now)
+void crash_quarantine::merge(const crash_evidence& received, core::time_point now)
 {
-    for (const prompt_answer& each : received.answers)
+    for (const answer_report& each : received.answers)
     {
         add(each, now);
     }
-    for (const prompt_crash& each : received.crashes)
+    for (const crash_report& each : received.crashes)
     {
         add(each, now);
     }
 }
 
 /// When the crashes are too old to make a part suspect; nothing when they do not.
-std::optional<core::time_point> prompt_quarantine::suspicion_end(const crash_list& crashes,
-                                                                 core::time_point now)
+std::optional<core::time_point> crash_quarantine::suspicion_end(const crash_list& crashes,
+                                                                core::time_point now)
 {
     if (!are_enough(crashes))
         return std::nullopt;
@@ -141,7 +141,7 @@
 
 /// Whether a part is to blame rather than another one whose crashes it explains: the one answered
 /// longer ago, then the one with more crashes of its own, then the one further back.
-bool prompt_quarantine::is_more_suspect(const part_state& part, const part_state& other)
+bool crash_quarantine::is_more_suspect(const part_state& part, const part_state& other)
 {
     if (part.answered_at != other.answered_at)
         return part.answered_at < other.answered_at;
@@ -152,7 +152,7 @@
     return part.crashes.back().position > other.crashes.back().position;
 }
 
-bool prompt_quarantine::is_explained_by_other(const part_state& part, core::time_point now) const
+bool crash_quarantine::is_explained_by_other(const part_state& part, core::time_point now) const
 {
     return std::any_of(m_parts.begin(), m_parts.end(),
                        [&](const auto& entry)
@@ -164,8 +164,8 @@
                        });
 }
 
-std::optional<core::time_point> prompt_quarantine::quarantine_end(const part_state& part,
-                                                                  core::time_point now) const
+std::optional<core::time_point> crash_quarantine::quarantine_end(const part_state& part,
+                                                                 core::time_point now) const
 {
     const auto end = suspicion_end(part.crashes, now);
     return end && !is_explained_by_other(part, now) ? end : std::nullopt;
@@ -174,8 +174,8 @@
 /// Whether a prompt tells a part that was never answered from another one that explains its
 /// crashes: it has the first without the second. An answer to it clears the part, crashes confirm
 /// it. If such prompts were refused too, the part would stay suspect for good.
-bool prompt_quarantine::is_tested_by(std::span<const prompt_part_key> prompt,
-                                     const part_state& part, core::time_point now) const
+bool crash_quarantine::is_tested_by(std::span<const request_part_key> prompt,
+                                    const part_state& part, core::time_point now) const
 {
     if (part.answered_at != core::time_point{})
         return false;
@@ -194,10 +194,10 @@
 }
 
 std::optional<core::milliseconds>
-prompt_quarantine::time_left(std::span<const prompt_part_key> parts, core::time_point now) const
+crash_quarantine::time_left(std::span<const request_part_key> parts, core::time_point now) const
 {
     std::optional<core::milliseconds> longest;
-    for (const prompt_part_key& each : parts)
+    for (const request_part_key& each : parts)
     {
         const auto known = m_parts.find(each);
         if (known == m_parts.end())
@@ -211,11 +211,11 @@
     return longest;
 }
 
-bool prompt_quarantine::is_suspect(std::span<const prompt_part_key> parts,
-                                   core::time_point now) const
+bool crash_quarantine::is_suspect(std::span<const request_part_key> parts,
+                                  core::time_point now) const
 {
     return std::any_of(parts.begin(), parts.end(),
-                       [&](const prompt_part_key& each)
+                       [&](const request_part_key& each)
                        {
                            const auto known = m_parts.find(each);
                            return known != m_parts.end() && !known->second.crashes.empty() &&
@@ -225,8 +225,8 @@
 
 /// The parts with crashes: first those with a recent one, the most suspect in front, then the
 /// others, which the nodes know already, in turn.
-std::vector<const prompt_quarantine::part_state*>
-prompt_quarantine::suspects(core::time_point now) const
+std::vector<const crash_quarantine::part_state*>
+crash_quarantine::suspects(core::time_point now) const
 {
     std::vector<const part_state*> parts;
     for (const auto& [key, part] : m_parts)
@@ -256,16 +256,16 @@
     return parts;
 }
 
-prompt_evidence prompt_quarantine::evidence(std::size_t max_items, core::time_point now) const
+crash_evidence crash_quarantine::evidence(std::size_t max_items, core::time_point now) const
 {
-    prompt_evidence known;
+    crash_evidence known;
     for (const part_state* each : suspects(now))
     {
-        const std::vector<prompt_crash> told = told_crashes(each->crashes);
+        const std::vector<crash_report> told = told_crashes(each->crashes);
         if (known.crashes.size() + told.size() <= max_items)
             known.crashes.insert(known.crashes.end(), told.begin(), told.end());
     }
-    using told_answer = std::pair<core::time_point, prompt_answer>;
+    using told_answer = std::pair<core::time_point, answer_report>;
     std::vector<told_answer> answers;
     for (const auto& [key, part] : m_parts)
     {
@@ -284,14 +284,14 @@
     return known;
 }
 
-std::size_t prompt_quarantine::quarantined(core::time_point now) const
+std::size_t crash_quarantine::quarantined(core::time_point now) const
 {
     return static_cast<std::size_t>(std::count_if(m_parts.begin(), m_parts.end(),
                                                   [&](const auto& each)
                                                   { return quarantine_end(each.second, now); }));
 }
 
-void prompt_quarantine::limit_size(core::time_point now)
+void crash_quarantine::limit_size(core::time_point now)
 {
     if (m_parts.size() <= max_parts)
         return;
--- a/packages/policy/src/refusal.cpp
+++ b/packages/policy/src/refusal.cpp
@@ -43,7 +43,7 @@
     {"answer_not_kept", 409},
     {"outcome_unknown", 504},
     {"internal", 500},
-    {"prompt_quarantined", 503},
+    {"quarantined", 503},
     {"upstream_throttled", 503},
 }};
 
--- a/packages/policy/tests/prompt_histories.hpp
+++ b/packages/policy/tests/prompt_histories.hpp
@@ -5,7 +5,7 @@
 #define SNIPEPLANK_POLICY_TESTS_PROMPT_HISTORIES_HPP
 
 #include <snipeplank/core/random.hpp>
-#include <snipeplank/policy/prompt_quarantine.hpp>
+#include <snipeplank/policy/crash_quarantine.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -29,7 +29,7 @@
 class delayed_fleet
 {
   public:
-    using prompt = std::vector<prompt_part_key>;
+    using prompt = std::vector<request_part_key>;
 
     explicit delayed_fleet(std::size_t nodes) : m_tables(nodes) {}
 
@@ -45,9 +45,9 @@
         m_events.emplace(m_ms + delay_ms,
                          [this, node, parts]
                          {
-                             for (const prompt_part_key& each : parts)
+                             for (const request_part_key& each : parts)
                              {
-                                 m_tables[node].add(prompt_answer{each, at_ms(m_ms)}, at_ms(m_ms));
+                                 m_tables[node].add(answer_report{each, at_ms(m_ms)}, at_ms(m_ms));
                              }
                          });
     }
@@ -70,13 +70,13 @@
     void tell(std::size_t from, std::size_t to, long delay_ms)
     {
         constexpr std::size_t max_items = 20;
-        prompt_evidence known = m_tables[from].evidence(max_items, at_ms(m_ms));
-        for (prompt_crash& each : known.crashes)
+        crash_evidence known = m_tables[from].evidence(max_items, at_ms(m_ms));
+        for (crash_report& each : known.crashes)
         {
             each.sent += core::milliseconds{delay_ms};
             each.at += core::milliseconds{delay_ms};
         }
-        for (prompt_answer& each : known.answers)
+        for (answer_report& each : known.answers)
         {
             each.at += core::milliseconds{delay_ms};
         }
@@ -96,7 +96,7 @@
     }
 
   private:
-    std::vector<prompt_quarantine> m_tables;
+    std::vector<crash_quarantine> m_tables;
     std::multimap<long, std::function<void()>> m_events;
     long m_ms = 0;
 };
@@ -104,7 +104,7 @@
 /// What a random history of requests showed of one fatal part.
 struct fatal_part
 {
-    prompt_part_key key;
+    request_part_key key;
     std::size_t position;
     int sent = 0;
     long fifth_sent_ms = 0;
@@ -142,15 +142,15 @@
             const auto sound_prompt = [&]
             {
                 return delayed_fleet::prompt{
-                    prompt_part_key{static_cast<std::uint64_t>(between(1, 2))},
-                    prompt_part_key{static_cast<std::uint64_t>(between(10, 14))},
-                    prompt_part_key{static_cast<std::uint64_t>(between(100, 140))}};
+                    request_part_key{static_cast<std::uint64_t>(between(1, 2))},
+                    request_part_key{static_cast<std::uint64_t>(between(10, 14))},
+                    request_part_key{static_cast<std::uint64_t>(between(100, 140))}};
             };
             std::vector<fatal_part> fatal;
             const int fatal_count = between(1, 2);
             for (int i = 0; i < fatal_count; ++i)
             {
-                fatal.push_back({prompt_part_key{1'000 + static_cast<std::uint64_t>(i)},
+                fatal.push_back({request_part_key{1'000 + static_cast<std::uint64_t>(i)},
                                  static_cast<std::size_t>(between(0, 2))});
             }
             delayed_fleet fleet(nodes);
--- a/packages/policy/tests/prompt_quarantine_test.cpp
+++ b/packages/policy/tests/prompt_quarantine_test.cpp
@@ -1,6 +1,6 @@
 /// Guards which prompt parts are refused after crashes of upstreams, and that the nodes agree.
 
-#include <snipeplank/policy/prompt_quarantine.hpp>
+#include <snipeplank/policy/crash_quarantine.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -17,10 +17,10 @@
 namespace
 {
 
-const prompt_part_key shared{1};
-const prompt_part_key deadly{2};
+const request_part_key shared{1};
+const request_part_key deadly{2};
 
-prompt_crash crash(prompt_part_key part, std::uint64_t upstream, long sent_ms, long at)
+crash_report crash(request_part_key part, std::uint64_t upstream, long sent_ms, long at)
 {
     const std::uint16_t position = part == shared ? 0 : 1;
     return {part, upstream_run_key{upstream}, at_ms(sent_ms), at_ms(at), position};
@@ -73,16 +73,16 @@
     };
     for (const row& each : rows)
     {
-        prompt_quarantine subject;
+        crash_quarantine subject;
         const core::time_point now = at_ms(5'000);
         for (const event& one : each.events)
         {
             if (one.upstream == 0)
-                subject.add(prompt_answer{deadly, at_ms(one.ms)}, now);
+                subject.add(answer_report{deadly, at_ms(one.ms)}, now);
             else
                 subject.add(crash(deadly, one.upstream, one.sent_ms, one.ms), now);
         }
-        const std::vector<prompt_part_key> parts{shared, deadly};
+        const std::vector<request_part_key> parts{shared, deadly};
         CHECK_EQUAL_TEXT(each.is_quarantined, subject.time_left(parts, now).has_value(), each.what);
         CHECK_EQUAL_TEXT(each.is_quarantined ? 1 : 0, static_cast<int>(subject.quarantined(now)),
                          each.what);
@@ -92,13 +92,13 @@
 // Fails when a quarantine ends early, never ends, or its rest is told wrongly.
 TEST(prompt_quarantine, a_quarantine_ends_when_its_evidence_is_too_old)
 {
-    prompt_quarantine subject;
+    crash_quarantine subject;
     for (const std::uint64_t upstream : {1, 2, 3})
     {
         const long ms = static_cast<long>(upstream) * 1'000;
         subject.add(crash(deadly, upstream, ms - 100, ms), at_ms(ms));
     }
-    const std::vector<prompt_part_key> parts{deadly};
+    const std::vector<request_part_key> parts{deadly};
     const auto left = subject.time_left(parts, at_ms(3'000));
     CHECK_TRUE(left.has_value());
     LONGS_EQUAL(598'000, left->count());
@@ -109,13 +109,13 @@
 // Fails when a part that was cleared is not reported, so that other nodes go on suspecting it.
 TEST(prompt_quarantine, a_cleared_part_is_cleared_at_the_other_nodes)
 {
-    prompt_quarantine first;
-    prompt_quarantine second;
+    crash_quarantine first;
+    crash_quarantine second;
     first.add(crash(shared, 1, 0, 100), at_ms(100));
     second.merge(first.evidence(16, at_ms(150)), at_ms(200));
-    const std::vector<prompt_part_key> parts{shared};
+    const std::vector<request_part_key> parts{shared};
     CHECK_TRUE(second.is_suspect(parts, at_ms(200)));
-    first.add(prompt_answer{shared, at_ms(300)}, at_ms(300));
+    first.add(answer_report{shared, at_ms(300)}, at_ms(300));
     CHECK_TRUE(first.evidence(16, at_ms(350)).crashes.empty());
     second.merge(first.evidence(16, at_ms(350)), at_ms(400));
     CHECK_FALSE(second.is_suspect(parts, at_ms(400)));
@@ -143,12 +143,12 @@
     };
     for (const row& each : rows)
     {
-        prompt_quarantine subject;
+        crash_quarantine subject;
         const core::time_point now = at_ms(5'000);
         if (each.shared_answered_ms != 0)
-            subject.add(prompt_answer{shared, at_ms(each.shared_answered_ms)}, now);
+            subject.add(answer_report{shared, at_ms(each.shared_answered_ms)}, now);
         if (each.deadly_answered_ms != 0)
-            subject.add(prompt_answer{deadly, at_ms(each.deadly_answered_ms)}, now);
+            subject.add(answer_report{deadly, at_ms(each.deadly_answered_ms)}, now);
         for (const std::uint64_t upstream : {1, 2, 3})
         {
             const long ms = static_cast<long>(upstream) * 200;
@@ -160,8 +160,8 @@
             const long ms = 1'000 + i * 200L;
             subject.add(crash(shared, 10 + static_cast<std::uint64_t>(i), ms - 90, ms), now);
         }
-        const std::vector<prompt_part_key> sound{shared, prompt_part_key{3}};
-        const std::vector<prompt_part_key> crashing{deadly};
+        const std::vector<request_part_key> sound{shared, request_part_key{3}};
+        const std::vector<request_part_key> crashing{deadly};
         CHECK_EQUAL_TEXT(each.shared_is_quarantined, subject.time_left(sound, now).has_value(),
                          each.what);
         CHECK_EQUAL_TEXT(each.deadly_is_quarantined, subject.time_left(crashing, now).has_value(),
@@ -173,7 +173,7 @@
 // since a host failed under some of them while upstreams crashed under others.
 TEST(prompt_quarantine, prompts_that_tell_parts_apart_that_were_never_answered_are_sent)
 {
-    prompt_quarantine subject;
+    crash_quarantine subject;
     for (const std::uint64_t upstream : {1, 2, 3})
     {
         const long ms = static_cast<long>(upstream) * 200;
@@ -184,32 +184,32 @@
     {
         subject.add(crash(shared, upstream, 700, 750), at_ms(750));
     }
-    const std::vector<prompt_part_key> crashing{shared, deadly};
-    const std::vector<prompt_part_key> sound{shared, prompt_part_key{3}};
+    const std::vector<request_part_key> crashing{shared, deadly};
+    const std::vector<request_part_key> sound{shared, request_part_key{3}};
     CHECK_TRUE(subject.time_left(crashing, at_ms(800)).has_value());
     CHECK_FALSE(subject.time_left(sound, at_ms(800)).has_value());
-    subject.add(prompt_answer{shared, at_ms(900)}, at_ms(900));
+    subject.add(answer_report{shared, at_ms(900)}, at_ms(900));
     CHECK_TRUE(subject.time_left(crashing, at_ms(1'000)).has_value());
     CHECK_FALSE(subject.time_left(sound, at_ms(1'000)).has_value());
-    const std::vector<prompt_part_key> crashing_alone{deadly, prompt_part_key{3}};
+    const std::vector<request_part_key> crashing_alone{deadly, request_part_key{3}};
     CHECK_TRUE(subject.time_left(crashing_alone, at_ms(1'000)).has_value());
 }
 
 // Fails when many lost prompts crowd out a part with several crashes, or the memory grows.
 TEST(prompt_quarantine, the_most_suspect_parts_are_kept_and_reported_first)
 {
-    prompt_quarantine subject;
+    crash_quarantine subject;
     for (const std::uint64_t upstream : {1, 2})
     {
         const long ms = static_cast<long>(upstream) * 100;
         subject.add(crash(deadly, upstream, ms - 50, ms), at_ms(ms));
     }
-    for (std::uint64_t part = 10; part < 10 + 2 * prompt_quarantine::max_parts; ++part)
+    for (std::uint64_t part = 10; part < 10 + 2 * crash_quarantine::max_parts; ++part)
     {
-        subject.add(crash(prompt_part_key{part}, 3, 400, 500), at_ms(500));
+        subject.add(crash(request_part_key{part}, 3, 400, 500), at_ms(500));
     }
     constexpr std::size_t max_items = 16;
-    const prompt_evidence known = subject.evidence(max_items, at_ms(600));
+    const crash_evidence known = subject.evidence(max_items, at_ms(600));
     LONGS_EQUAL(max_items, known.crashes.size());
     CHECK_TRUE(known.crashes.front().part == deadly);
     CHECK_TRUE(known.crashes[1].part == deadly);
@@ -218,25 +218,25 @@
 namespace
 {
 
-const prompt_part_key fresh{900};
+const request_part_key fresh{900};
 
 /// Parts from `first` on, each with as many crashes as are kept, all more than a minute ago.
-void add_settled_parts(prompt_quarantine& subject, std::uint64_t first, int count)
+void add_settled_parts(crash_quarantine& subject, std::uint64_t first, int count)
 {
     for (std::uint64_t part = first; part < first + static_cast<std::uint64_t>(count); ++part)
     {
         for (std::uint64_t i = 0; i < 8; ++i)
         {
             const long ms = static_cast<long>(i) * 1'000;
-            subject.add(crash(prompt_part_key{part}, part * 100 + i, ms - 50, ms), at_ms(ms));
+            subject.add(crash(request_part_key{part}, part * 100 + i, ms - 50, ms), at_ms(ms));
         }
     }
 }
 
-bool tells_crash_of(const prompt_evidence& known, prompt_part_key part)
+bool tells_crash_of(const crash_evidence& known, request_part_key part)
 {
     return std::any_of(known.crashes.begin(), known.crashes.end(),
-                       [&](const prompt_crash& each) { return each.part == part; });
+                       [&](const crash_report& each) { return each.part == part; });
 }
 
 } // namespace
@@ -247,17 +247,17 @@
 {
     constexpr std::size_t max_items = 20;
     {
-        prompt_quarantine subject;
+        crash_quarantine subject;
         add_settled_parts(subject, 10, 4);
         subject.add(crash(fresh, 1, 79'900, 80'000), at_ms(80'000));
         CHECK_TRUE(tells_crash_of(subject.evidence(max_items, at_ms(80'100)), fresh));
     }
     {
-        prompt_quarantine subject;
+        crash_quarantine subject;
         for (std::uint64_t part = 10; part < 60; ++part)
         {
-            subject.add(prompt_answer{prompt_part_key{part}, at_ms(50)}, at_ms(50));
-            subject.add(crash(prompt_part_key{part}, 1, 60, 100), at_ms(100));
+            subject.add(answer_report{request_part_key{part}, at_ms(50)}, at_ms(50));
+            subject.add(crash(request_part_key{part}, 1, 60, 100), at_ms(100));
         }
         subject.add(crash(fresh, 1, 60, 100), at_ms(100));
         CHECK_TRUE(tells_crash_of(subject.evidence(max_items, at_ms(200)), fresh));
@@ -269,9 +269,9 @@
 {
     constexpr std::size_t max_items = 20;
     constexpr int parts = 6;
-    prompt_quarantine subject;
+    crash_quarantine subject;
     add_settled_parts(subject, 10, parts);
-    prompt_quarantine started;
+    crash_quarantine started;
     for (long ms = 80'000; ms < 90'000; ms += 300)
     {
         started.merge(subject.evidence(max_items, at_ms(ms)), at_ms(ms));
@@ -284,17 +284,17 @@
 TEST(prompt_quarantine, answers_are_told_only_to_nodes_that_suspect_the_part)
 {
     constexpr std::size_t max_items = 20;
-    prompt_quarantine subject;
+    crash_quarantine subject;
     for (std::uint64_t part = 10; part < 50; ++part)
     {
-        subject.add(crash(prompt_part_key{part}, 1, 0, 100), at_ms(100));
+        subject.add(crash(request_part_key{part}, 1, 0, 100), at_ms(100));
     }
-    subject.add(prompt_answer{shared, at_ms(40'000)}, at_ms(40'000));
+    subject.add(answer_report{shared, at_ms(40'000)}, at_ms(40'000));
     const auto answer_popular_parts = [&](long ms)
     {
         for (std::uint64_t part = 10; part < 50; ++part)
         {
-            subject.add(prompt_answer{prompt_part_key{part}, at_ms(ms)}, at_ms(ms));
+            subject.add(answer_report{request_part_key{part}, at_ms(ms)}, at_ms(ms));
         }
     };
     for (long ms = 1'000; ms < 80'000; ms += 1'000)
@@ -303,12 +303,12 @@
     }
     CHECK_TRUE(subject.evidence(max_items, at_ms(80'000)).is_empty());
     // A node that was cut off still knows of a crash before the answer.
-    prompt_quarantine cut_off;
+    crash_quarantine cut_off;
     cut_off.add(crash(shared, 2, 29'900, 30'000), at_ms(30'000));
     subject.merge(cut_off.evidence(max_items, at_ms(80'000)), at_ms(80'000));
     answer_popular_parts(80'100);
     cut_off.merge(subject.evidence(max_items, at_ms(80'200)), at_ms(80'200));
-    const std::vector<prompt_part_key> parts{shared};
+    const std::vector<request_part_key> parts{shared};
     CHECK_FALSE(cut_off.is_suspect(parts, at_ms(80'200)));
 }
 
@@ -316,16 +316,16 @@
 // that one has crashes of its own.
 TEST(prompt_quarantine, a_part_is_released_when_one_before_it_explains_its_crashes)
 {
-    prompt_quarantine subject;
+    crash_quarantine subject;
     for (std::uint64_t i = 1; i <= 6; ++i)
     {
         const long ms = static_cast<long>(i) * 200;
-        const prompt_part_key other = i <= 3 ? deadly : prompt_part_key{i};
+        const request_part_key other = i <= 3 ? deadly : request_part_key{i};
         subject.add(crash(shared, i, ms - 90, ms), at_ms(ms));
         subject.add(crash(other, i, ms - 90, ms), at_ms(ms));
     }
-    const std::vector<prompt_part_key> fatal_first{shared};
-    const std::vector<prompt_part_key> harmless{deadly};
+    const std::vector<request_part_key> fatal_first{shared};
+    const std::vector<request_part_key> harmless{deadly};
     CHECK_TRUE(subject.time_left(fatal_first, at_ms(2'000)).has_value());
     CHECK_FALSE(subject.time_left(harmless, at_ms(2'000)).has_value());
 }
@@ -348,10 +348,10 @@
             const core::time_point now = at_ms(60'000);
             const auto conclude = [&](const std::vector<event>& order)
             {
-                prompt_quarantine subject;
+                crash_quarantine subject;
                 for (const event& one : order)
                 {
-                    prompt_evidence evidence;
+                    crash_evidence evidence;
                     if (one.upstream == 0)
                         evidence.answers.push_back({deadly, at_ms(one.ms)});
                     else
@@ -359,7 +359,7 @@
                             crash(deadly, one.upstream, one.sent_ms, one.ms));
                     subject.merge(evidence, now);
                 }
-                const std::vector<prompt_part_key> parts{deadly};
+                const std::vector<request_part_key> parts{deadly};
                 return subject.time_left(parts, now);
             };
             std::vector<event> shuffled = events;
@@ -383,28 +383,28 @@
 {
     explicit fleet_model(std::size_t nodes) : tables(nodes) {}
 
-    std::vector<prompt_quarantine> tables;
+    std::vector<crash_quarantine> tables;
     long ms = 0;
     std::uint64_t last_upstream = 0;
 
     /// One request at a node; the deadly part crashes a server together with one sound prompt.
     /// Returns whether the request was sent.
-    bool send(std::size_t node, bool is_deadly, prompt_part_key other)
+    bool send(std::size_t node, bool is_deadly, request_part_key other)
     {
-        const std::vector<prompt_part_key> parts{shared, is_deadly ? deadly : other};
+        const std::vector<request_part_key> parts{shared, is_deadly ? deadly : other};
         if (tables[node].time_left(parts, at_ms(ms)))
             return false;
-        for (const prompt_part_key& part : parts)
+        for (const request_part_key& part : parts)
         {
             if (is_deadly)
                 tables[node].add(crash(part, last_upstream + 1, ms, ms + 50), at_ms(ms + 50));
             else
-                tables[node].add(prompt_answer{part, at_ms(ms)}, at_ms(ms));
+                tables[node].add(answer_report{part, at_ms(ms)}, at_ms(ms));
         }
         if (!is_deadly)
             return true;
         ++last_upstream;
-        for (const prompt_part_key& part : {shared, other})
+        for (const request_part_key& part : {shared, other})
         {
             tables[node].add(crash(part, last_upstream, ms, ms + 50), at_ms(ms + 50));
         }
@@ -442,7 +442,7 @@
             {
                 const auto node = *rc::gen::inRange<std::size_t>(0, nodes);
                 const bool is_deadly = *rc::gen::inRange(0, 100) < deadly_percent;
-                const prompt_part_key other{*rc::gen::inRange<std::uint64_t>(10, 40)};
+                const request_part_key other{*rc::gen::inRange<std::uint64_t>(10, 40)};
                 const bool is_sent = fleet.send(node, is_deadly, other);
                 if (is_deadly && is_sent && fleet.last_upstream == fifth)
                     fifth_at = fleet.ms;
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -95,7 +95,7 @@
     m_caller = std::move(read.value());
     m_line.request_id = m_caller.id;
     m_line.prompt_tokens = m_caller.prompt_tokens;
-    m_prompt_parts = shared_parts_of(m_caller);
+    m_parts = parts_of(m_caller);
     if (!m_table)
     {
         why = {policy::refusal_reason::not_ready, policy::execution::no,
@@ -503,19 +503,19 @@
 /// The refusal of a prompt under which upstreams crash; nothing when it may be sent.
 std::optional<policy::refusal> call::quarantine_refusal() const
 {
-    const auto left = m_environment.prompts.quarantine_left(m_prompt_parts);
+    const auto left = m_environment.prompts.quarantine_left(m_parts);
     if (!left)
         return std::nullopt;
     if (m_may_have_run)
         return final_refusal();
-    return policy::refusal{policy::refusal_reason::prompt_quarantined, policy::execution::no,
+    return policy::refusal{policy::refusal_reason::quarantined, policy::execution::no,
                            "change the prompt: servers crashed under one of its parts", *left};
 }
 
 /// Whether a node of another region knows that upstreams crash under the prompt.
 bool call::is_quarantined_elsewhere(const attempt_start& result)
 {
-    return result.refused && result.refused->reason == policy::refusal_reason::prompt_quarantined;
+    return result.refused && result.refused->reason == policy::refusal_reason::quarantined;
 }
 
 policy::refusal call::refusal_of(const attempt_start& result) const
@@ -535,14 +535,14 @@
 /// a part of this prompt.
 bool call::may_have_crashed_upstream() const
 {
-    return is_beginning_of_answer() && m_environment.prompts.is_suspect(m_prompt_parts);
+    return is_beginning_of_answer() && m_environment.prompts.is_suspect(m_parts);
 }
 
 void call::report_broken_upstream()
 {
     if (m_current_upstream && is_beginning_of_answer() && m_given_up_for == cut_cause::none)
         m_environment.prompts.on_broken(*m_current_upstream,
-                                        {m_caller.id, m_prompt_parts, m_attempt_sent});
+                                        {m_caller.id, m_parts, m_attempt_sent});
 }
 
 /// The node that served a forwarded request reports its answer: only that one knows whether it
@@ -553,9 +553,9 @@
         return;
     if (last.ends_with_connection && is_beginning_of_answer())
         m_environment.prompts.on_broken(*m_current_upstream,
-                                        {m_caller.id, m_prompt_parts, m_attempt_sent, true});
+                                        {m_caller.id, m_parts, m_attempt_sent, true});
     else
-        m_environment.prompts.on_answered(m_prompt_parts);
+        m_environment.prompts.on_answered(m_parts);
 }
 
 void call::end_attempt(attempt_end how)
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -23,7 +23,7 @@
 #include "attempt.hpp"
 #include "call_log.hpp"
 #include "call_statistics.hpp"
-#include "prompt_guard.hpp"
+#include "crash_guard.hpp"
 
 namespace snipeplank::serving
 {
@@ -50,7 +50,7 @@
     const caller_protocol& callers;
     const upstream_protocol& upstreams;
     region_caller& regions;
-    prompt_guard& prompts;
+    crash_guard& prompts;
     call_log& log;
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
@@ -133,7 +133,7 @@
     boost::asio::steady_timer m_silence_timer;
     std::unique_ptr<attempt> m_attempt;
     std::optional<std::uint64_t> m_attempt_number;
-    shared_prompt_parts m_prompt_parts;
+    request_parts m_parts;
     std::optional<upstream> m_current_upstream; ///< none for a call to another region
     core::time_point m_attempt_sent{};
     std::vector<upstream_id> m_tried;
--- a/packages/serving/src/prompt_guard.cpp
+++ b/packages/serving/src/crash_guard.cpp
@@ -1,4 +1,4 @@
-#include "prompt_guard.hpp"
+#include "crash_guard.hpp"
 
 #include <snipeplank/core/hash.hpp>
 
@@ -43,9 +43,9 @@
 
 } // namespace
 
-shared_prompt_parts shared_parts_of(const caller_request& request)
+request_parts parts_of(const caller_request& request)
 {
-    shared_prompt_parts parts;
+    request_parts parts;
     for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
     {
         parts.emplace_back(core::hash64(request.prompt[i].id));
@@ -53,32 +53,31 @@
     return parts;
 }
 
-prompt_guard::prompt_guard(asio::io_context& loop, http::connection_pool& pool, call_log& log)
+crash_guard::crash_guard(asio::io_context& loop, http::connection_pool& pool, call_log& log)
     : m_loop(loop), m_pool(pool), m_log(log)
 {
 }
 
-std::optional<core::milliseconds>
-prompt_guard::quarantine_left(const shared_prompt_parts& parts) const
+std::optional<core::milliseconds> crash_guard::quarantine_left(const request_parts& parts) const
 {
     return m_quarantine.time_left(parts, now());
 }
 
-bool prompt_guard::is_suspect(const shared_prompt_parts& parts) const
+bool crash_guard::is_suspect(const request_parts& parts) const
 {
     return m_quarantine.is_suspect(parts, now());
 }
 
-void prompt_guard::on_answered(const shared_prompt_parts& parts)
+void crash_guard::on_answered(const request_parts& parts)
 {
     const core::time_point time = now();
-    for (const policy::prompt_part_key& each : parts)
+    for (const policy::request_part_key& each : parts)
     {
-        m_quarantine.add(policy::prompt_answer{each, time}, time);
+        m_quarantine.add(policy::answer_report{each, time}, time);
     }
 }
 
-void prompt_guard::on_broken(const upstream& target, broken_request request)
+void crash_guard::on_broken(const upstream& target, broken_request request)
 {
     if (request.parts.empty())
         return;
@@ -90,7 +89,7 @@
     asio::co_spawn(m_loop, check(target), asio::detached);
 }
 
-asio::awaitable<void> prompt_guard::check(upstream target)
+asio::awaitable<void> crash_guard::check(upstream target)
 {
     const bool is_crash = co_await has_crashed(target);
     const auto checked = m_checks.extract(target.id);
@@ -104,7 +103,7 @@
 
 /// A process that ends closes its connections one after the other, the listening one perhaps last,
 /// and is back after some seconds at the earliest.
-asio::awaitable<bool> prompt_guard::has_crashed(const upstream& target)
+asio::awaitable<bool> crash_guard::has_crashed(const upstream& target)
 {
     constexpr int max_connections = 3;
     constexpr core::milliseconds settle_time{200};
@@ -125,20 +124,20 @@
     co_return false;
 }
 
-void prompt_guard::record_whole_answers(const crash_check& checked)
+void crash_guard::record_whole_answers(const crash_check& checked)
 {
     for (const broken_request& each : checked.requests)
     {
         if (!each.may_be_whole)
             continue;
-        for (const policy::prompt_part_key& part : each.parts)
+        for (const policy::request_part_key& part : each.parts)
         {
-            m_quarantine.add(policy::prompt_answer{part, checked.broken_at}, now());
+            m_quarantine.add(policy::answer_report{part, checked.broken_at}, now());
         }
     }
 }
 
-void prompt_guard::record_crash(const upstream& target, const crash_check& checked)
+void crash_guard::record_crash(const upstream& target, const crash_check& checked)
 {
     ++m_crashes;
     const policy::upstream_run_key run{core::hash64(target.id.get())};
@@ -148,7 +147,7 @@
         requests.push_back(each.id);
         for (std::size_t i = 0; i < each.parts.size(); ++i)
         {
-            const policy::prompt_crash crash{each.parts[i], run, each.sent, checked.broken_at,
+            const policy::crash_report crash{each.parts[i], run, each.sent, checked.broken_at,
                                              static_cast<std::uint16_t>(i)};
             m_quarantine.add(crash, now());
         }
@@ -160,42 +159,42 @@
                  {"quarantined_parts", quarantined()}});
 }
 
-bool prompt_guard::add_evidence(fleet::gossip& message) const
+bool crash_guard::add_evidence(fleet::gossip& message) const
 {
     const core::time_point time = now();
-    const policy::prompt_evidence known = m_quarantine.evidence(max_evidence_items, time);
-    for (const policy::prompt_crash& each : known.crashes)
+    const policy::crash_evidence known = m_quarantine.evidence(max_evidence_items, time);
+    for (const policy::crash_report& each : known.crashes)
     {
         message.prompt_crashes.push_back({each.part.get(), each.upstream.get(),
                                           ms_ago(each.sent, time), ms_ago(each.at, time),
                                           each.position});
     }
-    for (const policy::prompt_answer& each : known.answers)
+    for (const policy::answer_report& each : known.answers)
     {
         message.prompt_answers.push_back({each.part.get(), ms_ago(each.at, time)});
     }
     return !known.is_empty();
 }
 
-void prompt_guard::on_evidence(const fleet::gossip& received)
+void crash_guard::on_evidence(const fleet::gossip& received)
 {
     const core::time_point time = now();
-    policy::prompt_evidence evidence;
+    policy::crash_evidence evidence;
     for (const fleet::prompt_crash& each : received.prompt_crashes)
     {
         evidence.crashes.push_back(
-            {policy::prompt_part_key{each.part_key}, policy::upstream_run_key{each.upstream_key},
+            {policy::request_part_key{each.part_key}, policy::upstream_run_key{each.upstream_key},
              before(time, each.sent_ms_ago), before(time, each.ms_ago), each.position});
     }
     for (const fleet::prompt_answer& each : received.prompt_answers)
     {
         evidence.answers.push_back(
-            {policy::prompt_part_key{each.part_key}, before(time, each.ms_ago)});
+            {policy::request_part_key{each.part_key}, before(time, each.ms_ago)});
     }
     m_quarantine.merge(evidence, time);
 }
 
-std::size_t prompt_guard::quarantined() const
+std::size_t crash_guard::quarantined() const
 {
     return m_quarantine.quarantined(now());
 }
--- a/packages/serving/src/prompt_guard.hpp
+++ b/packages/serving/src/crash_guard.hpp
@@ -1,12 +1,12 @@
 /// @file
 /// Keeps prompts under which upstreams crash away from them.
 
-#ifndef SNIPEPLANK_SERVING_SRC_PROMPT_GUARD_HPP
-#define SNIPEPLANK_SERVING_SRC_PROMPT_GUARD_HPP
+#ifndef SNIPEPLANK_SERVING_SRC_CRASH_GUARD_HPP
+#define SNIPEPLANK_SERVING_SRC_CRASH_GUARD_HPP
 
 #include <snipeplank/fleet/messages.hpp>
 #include <snipeplank/http/client.hpp>
-#include <snipeplank/policy/prompt_quarantine.hpp>
+#include <snipeplank/policy/crash_quarantine.hpp>
 #include <snipeplank/serving/protocols.hpp>
 #include <snipeplank/serving/upstream.hpp>
 
@@ -25,16 +25,16 @@
 {
 
 /// Hashes of the parts of a prompt that other prompts may share, in sequence.
-using shared_prompt_parts = std::vector<policy::prompt_part_key>;
+using request_parts = std::vector<policy::request_part_key>;
 
 /// @brief The parts of a request's prompt without the last one, which no other request shares.
-shared_prompt_parts shared_parts_of(const caller_request& request);
+request_parts parts_of(const caller_request& request);
 
 /// @brief A request whose answer ended with its connection after little more than its beginning.
 struct broken_request
 {
     std::string id;
-    shared_prompt_parts parts;
+    request_parts parts;
     core::time_point sent;
     bool may_be_whole =
         false; ///< an answer without length, whose end looks like that of a whole one
@@ -46,20 +46,20 @@
 /// Only an upstream that refuses connections right after an answer ended with its connection has
 /// crashed; one that accepts a connection and keeps it for a moment has failed this request only,
 /// and one that does not reply in time may be cut off.
-class prompt_guard
+class crash_guard
 {
   public:
     /// @param pool, log outlive the object
-    prompt_guard(boost::asio::io_context& loop, http::connection_pool& pool, call_log& log);
+    crash_guard(boost::asio::io_context& loop, http::connection_pool& pool, call_log& log);
 
     /// @brief How long prompts with these parts are not to be sent; nothing when they may be.
-    std::optional<core::milliseconds> quarantine_left(const shared_prompt_parts& parts) const;
+    std::optional<core::milliseconds> quarantine_left(const request_parts& parts) const;
 
     /// @brief Whether an upstream crashed under one of the parts since its last answer.
-    bool is_suspect(const shared_prompt_parts& parts) const;
+    bool is_suspect(const request_parts& parts) const;
 
     /// @brief Records a whole answer to a prompt with these parts.
-    void on_answered(const shared_prompt_parts& parts);
+    void on_answered(const request_parts& parts);
 
     /// @brief Checks whether the upstream crashed, and records it under the parts of the request;
     /// if it did not, an answer that may be whole was.
@@ -94,7 +94,7 @@
     boost::asio::io_context& m_loop;
     http::connection_pool& m_pool;
     call_log& m_log;
-    policy::prompt_quarantine m_quarantine;
+    policy::crash_quarantine m_quarantine;
     std::map<upstream_id, crash_check> m_checks;
     std::uint64_t m_crashes = 0;
 };
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -15,11 +15,11 @@
 #include "call.hpp"
 #include "call_log.hpp"
 #include "clock.hpp"
+#include "crash_guard.hpp"
 #include "entry_points.hpp"
 #include "fleet_link.hpp"
 #include "load_exchange.hpp"
 #include "peer_calls.hpp"
-#include "prompt_guard.hpp"
 
 namespace snipeplank::serving
 {
@@ -465,7 +465,7 @@
     call_log m_log;
     call_statistics m_statistics;
     http::connection_pool m_pool;
-    prompt_guard m_prompts;
+    crash_guard m_prompts;
     placement m_placement;
     load_exchange m_loads;
     fleet_link m_fleet;
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -458,7 +458,7 @@
     plain_upstream_protocol m_upstream_protocol;
     region_link m_regions;
     call_log m_log;
-    prompt_guard m_prompts;
+    crash_guard m_prompts;
     call_statistics m_statistics;
     call_environment m_environment;
     upstream_map m_published;
