--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -65,6 +65,12 @@
                           const std::lock_guard lock(m_mutex);
                           m_fatal_part = in.body;
                       });
+        m_server.Post("/standin/fatal_path",
+                      [this](const request& in, response&)
+                      {
+                          const std::lock_guard lock(m_mutex);
+                          m_fatal_path = in.body;
+                      });
         m_server.Post("/standin/say",
                       [this](const request& in, response&)
                       {
@@ -106,10 +112,12 @@
             m_server.wait_for(std::chrono::duration_cast<std::chrono::microseconds>(until - now()));
     }
 
-    /// Whether the prompt has the part that ends this program.
+    /// Whether the request, or a part of its prompt, ends this program.
     bool is_fatal(const request& in)
     {
         const std::lock_guard lock(m_mutex);
+        if (!m_fatal_path.empty() && in.path == m_fatal_path)
+            return true;
         return !m_fatal_part.empty() &&
                in.get_header_value("Prefix-Hash").find(m_fatal_part + ":") != std::string::npos;
     }
@@ -315,6 +323,7 @@
     std::atomic<time_point> m_silent_until{time_point{}};
     std::atomic<bool> m_is_close_ended{false}; ///< answers end with their connection
     std::string m_fatal_part;                  ///< part of a prompt that ends this program
+    std::string m_fatal_path;                  ///< of the requests that end this program
 };
 
 } // namespace
--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -1,8 +1,11 @@
-/// Prompts under which servers crash, with real nodes in two regions and stand-in servers.
+/// Prompts and whole requests under which servers crash, with real nodes in two regions and
+/// stand-in servers.
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <chrono>
+#include <future>
 #include <map>
 #include <thread>
 
@@ -14,8 +17,10 @@
 namespace
 {
 
-/// A server that crashes when it begins to answer a prompt with the part `bad`, and is started
-/// again under a new id.
+constexpr const char* fatal_path = "/read/fatal";
+
+/// A server that crashes when it begins to answer a prompt with the part `bad`, or a request for
+/// `fatal_path`, and is started again under a new id.
 struct restarted_server
 {
     std::string region;
@@ -23,22 +28,25 @@
     standin* program = nullptr;
 };
 
-} // namespace
-
-TEST_GROUP_BASE(crashing_prompt, machine_test)
+/// Nodes with servers of one service that are started again after a crash.
+class crashing_fleet : public machine_test
 {
+  protected:
+    std::string service = "model";
+    std::string sound_path = "/stream/x";
+    int work_ms = 0; ///< time from the start of a run to its answer or crash
     std::vector<restarted_server> servers;
     int crashes = 0;
-    int sent = 0;
 
-    void start(restarted_server & server)
+    void start(restarted_server& server)
     {
         server.id = "i-" + std::to_string(servers.size()) + "-" + std::to_string(crashes) + "-" +
                     server.region;
-        server.program = &fleet->start_server(server.id);
-        CHECK_TRUE(http_post(server.program->address(), "/standin/fatal_part", "bad").is(200));
-        fleet->publish_server(server.id, "model", server.region, server.program->address(),
-                              "ready");
+        server.program = &fleet->start_server(server.id, work_ms);
+        const std::string address = server.program->address();
+        CHECK_TRUE(http_post(address, "/standin/fatal_part", "bad").is(200));
+        CHECK_TRUE(http_post(address, "/standin/fatal_path", fatal_path).is(200));
+        fleet->publish_server(server.id, service, server.region, address, "ready");
     }
 
     void set_up_servers(const std::vector<std::string>& regions)
@@ -51,7 +59,7 @@
         fleet->start_nodes();
         for (std::size_t node = 0; node < 3; ++node)
         {
-            fleet->wait_until_served(node, "/stream/x");
+            fleet->wait_until_served(node, sound_path);
         }
     }
 
@@ -67,6 +75,20 @@
         }
     }
 
+    int count_ended() const
+    {
+        return static_cast<int>(std::count_if(servers.begin(), servers.end(),
+                                              [](const restarted_server& each)
+                                              { return !each.program->process().is_running(); }));
+    }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(crashing_prompt, crashing_fleet)
+{
+    int sent = 0;
+
     /// Sends a prompt with this second part; the first part is always the same, the last never.
     http_answer send_prompt(const std::string& part, std::size_t node)
     {
@@ -134,3 +156,108 @@
         CHECK_TRUE_TEXT(served.is(200), served.describe().c_str());
     }
 }
+
+TEST_GROUP_BASE(crashing_request, crashing_fleet)
+{
+    int sent = 0;
+
+    void set_up_shops()
+    {
+        service = "shop";
+        sound_path = "/read/sound";
+        work_ms = 30;
+        set_up({home, home, remote});
+        set_up_servers({home, home, remote});
+    }
+
+    /// Sends a request without a prompt that may be repeated.
+    http_answer send_as(const std::string& id, const std::string& path, std::size_t node)
+    {
+        http_request request = machine_fleet::request("GET", path, id);
+        request.headers.erase("Prefix-Hash");
+        request.headers.erase("Token-Usage");
+        return http_call(fleet->node(node).callers, request);
+    }
+
+    /// Each request is a new one to the nodes but for its path.
+    http_answer send(const std::string& path, std::size_t node)
+    {
+        return send_as(path + std::to_string(++sent), path, node);
+    }
+};
+
+// Fails when a request under which three servers have crashed is still sent to servers, by whatever
+// node it comes, or when sound requests are refused with it (BUDGET on kalkofen-slots).
+TEST(crashing_request, a_request_under_which_servers_crashed_is_refused_on_every_node)
+{
+    constexpr int learning_crashes = 3;
+    constexpr int max_learning_requests = 30;
+    constexpr auto contact_time = 6s;
+    constexpr int allowed_later = 3;
+    set_up_shops();
+    for (int i = 0; crashes < learning_crashes && i < max_learning_requests; ++i)
+    {
+        static_cast<void>(send(fatal_path, static_cast<std::size_t>(i) % 3));
+        std::this_thread::sleep_for(300ms);
+        restart_crashed_servers();
+    }
+    std::this_thread::sleep_for(contact_time);
+    restart_crashed_servers();
+    const int before = crashes;
+    for (std::size_t i = 0; i < 12; ++i)
+    {
+        const http_answer refused = send(fatal_path, i % 3);
+        const http_answer served = send("/read/sound" + std::to_string(i), i % 3);
+        std::this_thread::sleep_for(100ms);
+        restart_crashed_servers();
+        if (crashes > before + allowed_later)
+            break;
+        CHECK_TRUE_TEXT(crashes > before || refused.status == 503, refused.describe().c_str());
+        CHECK_TRUE_TEXT(crashes > before || served.is(200), served.describe().c_str());
+    }
+    const std::string seen =
+        std::to_string(before) + " crashes, then " + std::to_string(crashes - before) + " more\n";
+    CHECK_TRUE_TEXT(crashes <= before + allowed_later, seen.c_str());
+}
+
+// Fails when one request that its caller repeats at once at each node ends all three copies of a
+// service before the nodes know of it.
+TEST(crashing_request, a_request_that_is_repeated_at_once_leaves_a_copy_of_a_small_service)
+{
+    set_up_shops();
+    for (std::size_t i = 0; i < 9; ++i)
+    {
+        static_cast<void>(send(fatal_path, i % 3));
+    }
+    CHECK_TRUE_TEXT(count_ended() < 3, "all servers have ended");
+    fleet->wait_until_served(0, sound_path);
+}
+
+// Fails when a request that ran beside a fatal one, and was lost with it, is refused from then on.
+TEST(crashing_request, requests_that_were_lost_with_a_fatal_one_are_served)
+{
+    set_up_shops();
+    constexpr std::size_t count = 6;
+    std::vector<std::future<http_answer>> beside;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        beside.push_back(std::async(std::launch::async,
+                                    [this, i]
+                                    {
+                                        const std::string path = "/read/" + std::to_string(i);
+                                        return send_as("beside" + path, path, i % 3);
+                                    }));
+    }
+    static_cast<void>(send(fatal_path, 0));
+    for (std::future<http_answer>& each : beside)
+    {
+        each.wait();
+    }
+    std::this_thread::sleep_for(1'500ms);
+    restart_crashed_servers();
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const http_answer served = send("/read/" + std::to_string(i), i % 3);
+        CHECK_TRUE_TEXT(served.is(200), served.describe().c_str());
+    }
+}
