--- a/packages/fleet/include/snipeplank/fleet/messages.hpp
+++ b/packages/fleet/include/snipeplank/fleet/messages.hpp
@@ -79,22 +79,23 @@
     friend bool operator==(const upstream_leaving&, const upstream_leaving&) = default;
 };
 
-/// @brief An upstream crashed while it began to answer a prompt with this part. 32 bytes encoded.
+/// @brief An upstream crashed while it began to answer a request. 32 bytes encoded.
 struct prompt_crash
 {
-    std::uint64_t part_key = 0;     ///< hash of the part's id
+    std::uint64_t part_key = 0;     ///< hash of a part of the prompt, or of the whole request
     std::uint64_t upstream_key = 0; ///< hash of the id of the upstream's run
     std::uint32_t sent_ms_ago = 0;  ///< since the request was sent
     std::uint32_t ms_ago = 0;       ///< since the crash
-    std::uint16_t position = 0;     ///< of the part in the prompt, from 0
+    std::uint16_t position = 0; ///< of the part in the prompt, from 0; 65,535: the whole request
 
     friend bool operator==(const prompt_crash&, const prompt_crash&) = default;
 };
 
-/// @brief An upstream answered a prompt with a part that was suspected. 16 bytes encoded.
+/// @brief An upstream answered a request that was suspected, or a prompt with such a part. 16 bytes
+/// encoded.
 struct prompt_answer
 {
-    std::uint64_t part_key = 0; ///< hash of the part's id
+    std::uint64_t part_key = 0; ///< as in `prompt_crash`
     std::uint32_t ms_ago = 0;   ///< since the answer
 
     friend bool operator==(const prompt_answer&, const prompt_answer&) = default;
--- a/packages/policy/include/snipeplank/policy/crash_quarantine.hpp
+++ b/packages/policy/include/snipeplank/policy/crash_quarantine.hpp
@@ -1,5 +1,6 @@
 /// @file
-/// Quarantine of prompt parts under which upstreams crash ("queries of death").
+/// Quarantine of requests, and of parts of prompts, under which upstreams crash ("queries of
+/// death").
 
 #ifndef SNIPEPLANK_POLICY_CRASH_QUARANTINE_HPP
 #define SNIPEPLANK_POLICY_CRASH_QUARANTINE_HPP
@@ -18,22 +19,26 @@
 namespace snipeplank::policy
 {
 
-/// Hash of the id of a prompt part.
+/// Hash of something that requests may have in common: the id of a part of their prompts, or all
+/// that identifies a request.
 using request_part_key = core::strong_type<std::uint64_t, struct request_part_key_tag>;
 
-/// @brief An upstream crashed while it began to answer a prompt with this part.
+/// Position of the key of a whole request, behind the parts of its prompt.
+constexpr std::uint16_t whole_request_position = 0xFFFF;
+
+/// @brief An upstream crashed while it began to answer a request with this part.
 struct crash_report
 {
     request_part_key part;
     upstream_run_key upstream;
     core::time_point sent;      ///< when the request was sent
     core::time_point at;        ///< when the upstream crashed
-    std::uint16_t position = 0; ///< of the part in the prompt, from 0
+    std::uint16_t position = 0; ///< of the part in the prompt, from 0, or of the whole request
 
     friend bool operator==(const crash_report&, const crash_report&) = default;
 };
 
-/// @brief An upstream answered a prompt with this part.
+/// @brief An upstream answered a request with this part.
 struct answer_report
 {
     request_part_key part;
@@ -51,8 +56,16 @@
     bool is_empty() const { return crashes.empty() && answers.empty(); }
 };
 
-/// @brief Decides under which parts of a prompt upstreams crash, from the evidence of all nodes.
+/// @brief Decides under which requests, and under which parts of prompts, upstreams crash, from the
+/// evidence of all nodes.
+///
+/// A request that comes again is known exactly, so one crash holds it back already: for a moment
+/// after the first, until all nodes know of it, longer after two of which one followed the other,
+/// and for the lifetime of the evidence after three. Several at one moment, as when a host fails,
+/// count as one for this. Requests that ran beside a fatal one crash once with it and are answered
+/// when they are sent again.
 ///
+/// Which part of a prompt is fatal has to be inferred.
 /// A part that crashes every upstream is never answered; the other parts of the same prompts, and
 /// the parts of prompts that were lost with them, soon are. So an answer clears a part, and a part
 /// with several crashes since its last answer is suspected. Crashes at one moment, as when a host
@@ -67,6 +80,11 @@
   public:
     /// Successive crashes since the last answer that quarantine a part.
     static constexpr std::size_t crashes_to_quarantine = 3;
+    /// How long a request is held back after its first crash: longer than the nodes take to tell
+    /// each other of it.
+    static constexpr core::milliseconds first_hold{1'000};
+    /// How long a request is held back after two successive crashes.
+    static constexpr core::seconds second_hold{30};
     /// How long a crash counts.
     static constexpr core::seconds crash_lifetime{600};
     /// How long an answer to a part is reported after the last report of a crash under it.
@@ -82,12 +100,18 @@
     /// @brief Records an answer, of this node or of another. O(1) amortised.
     void add(const answer_report& answer, core::time_point now);
 
+    /// @brief Records an answer of this node to a whole request, if it is known: an answer to any
+    /// other would say nothing.
+    void add_to_known(const answer_report& answer, core::time_point now);
+
     /// @brief Merges the evidence of another node.
     void merge(const crash_evidence& received, core::time_point now);
 
-    /// @brief How long prompts with these parts are not to be sent; nothing when they may be.
+    /// @brief How long requests with these parts are not to be sent; nothing when they may be.
+    /// @param forgiven_crashes crashes under the whole request that do not hold it back
     std::optional<core::milliseconds> time_left(std::span<const request_part_key> parts,
-                                                core::time_point now) const;
+                                                core::time_point now,
+                                                std::size_t forgiven_crashes = 0) const;
 
     /// @brief Whether an upstream crashed under one of the parts since its last answer.
     bool is_suspect(std::span<const request_part_key> parts, core::time_point now) const;
@@ -112,11 +136,17 @@
 
     static std::optional<core::time_point> suspicion_end(const crash_list& crashes,
                                                          core::time_point now);
+    static std::optional<core::time_point>
+    hold_end(const crash_list& crashes, std::size_t forgiven_crashes, core::time_point now);
+    static std::optional<core::time_point>
+    end_by_kind(const crash_list& crashes, std::size_t forgiven_crashes, core::time_point now);
     std::optional<core::time_point> quarantine_end(const part_state& part,
+                                                   std::size_t forgiven_crashes,
                                                    core::time_point now) const;
     static bool is_more_suspect(const part_state& part, const part_state& other);
     std::vector<const part_state*> suspects(core::time_point now) const;
-    bool is_explained_by_other(const part_state& part, core::time_point now) const;
+    bool is_explained_by_other(const part_state& part, std::size_t forgiven_crashes,
+                               core::time_point now) const;
     bool is_tested_by(std::span<const request_part_key> prompt, const part_state& part,
                       core::time_point now) const;
     void limit_size(core::time_point now);
--- a/packages/policy/src/crash_quarantine.cpp
+++ b/packages/policy/src/crash_quarantine.cpp
@@ -52,6 +52,11 @@
     return told;
 }
 
+bool is_of_whole_request(const std::vector<crash_report>& crashes)
+{
+    return !crashes.empty() && crashes.back().position == whole_request_position;
+}
+
 /// Whether the crashes are enough evidence against a part. Hosts that fail one after another may
 /// break off several requests at each moment.
 bool are_enough(const std::vector<crash_report>& crashes)
@@ -116,6 +121,12 @@
     limit_size(now);
 }
 
+void crash_quarantine::add_to_known(const answer_report& answer, core::time_point now)
+{
+    if (m_parts.contains(answer.part))
+        add(answer, now);
+}
+
 void crash_quarantine::merge(const crash_evidence& received, core::time_point now)
 {
     for (const answer_report& each : received.answers)
@@ -139,6 +150,30 @@
     return now < end ? std::optional(end) : std::nullopt;
 }
 
+/// When a whole request with these crashes may be sent again; nothing when it may be now.
+std::optional<core::time_point> crash_quarantine::hold_end(const crash_list& crashes,
+                                                           std::size_t forgiven_crashes,
+                                                           core::time_point now)
+{
+    const std::size_t successive = successive_crashes(crashes).size();
+    if (successive <= forgiven_crashes)
+        return std::nullopt;
+    core::duration hold = first_hold;
+    if (successive > 1)
+        hold = crashes.size() < crashes_to_quarantine ? second_hold : crash_lifetime;
+    const core::time_point end = crashes.back().at + hold;
+    return now < end ? std::optional(end) : std::nullopt;
+}
+
+/// When crashes no longer keep a whole request, or a part of a prompt, away from upstreams.
+std::optional<core::time_point> crash_quarantine::end_by_kind(const crash_list& crashes,
+                                                              std::size_t forgiven_crashes,
+                                                              core::time_point now)
+{
+    return is_of_whole_request(crashes) ? hold_end(crashes, forgiven_crashes, now)
+                                        : suspicion_end(crashes, now);
+}
+
 /// Whether a part is to blame rather than another one whose crashes it explains: the one answered
 /// longer ago, then the one with more crashes of its own, then the one further back.
 bool crash_quarantine::is_more_suspect(const part_state& part, const part_state& other)
@@ -152,23 +187,27 @@
     return part.crashes.back().position > other.crashes.back().position;
 }
 
-bool crash_quarantine::is_explained_by_other(const part_state& part, core::time_point now) const
+/// @param forgiven_crashes of a whole request
+bool crash_quarantine::is_explained_by_other(const part_state& part, std::size_t forgiven_crashes,
+                                             core::time_point now) const
 {
     return std::any_of(m_parts.begin(), m_parts.end(),
                        [&](const auto& entry)
                        {
                            const part_state& other = entry.second;
+                           const crash_list own = without(part.crashes, other.crashes);
                            return suspicion_end(other.crashes, now) &&
-                                  !suspicion_end(without(part.crashes, other.crashes), now) &&
+                                  !end_by_kind(own, forgiven_crashes, now) &&
                                   is_more_suspect(other, part);
                        });
 }
 
 std::optional<core::time_point> crash_quarantine::quarantine_end(const part_state& part,
+                                                                 std::size_t forgiven_crashes,
                                                                  core::time_point now) const
 {
-    const auto end = suspicion_end(part.crashes, now);
-    return end && !is_explained_by_other(part, now) ? end : std::nullopt;
+    const auto end = end_by_kind(part.crashes, forgiven_crashes, now);
+    return end && !is_explained_by_other(part, forgiven_crashes, now) ? end : std::nullopt;
 }
 
 /// Whether a prompt tells a part that was never answered from another one that explains its
@@ -194,7 +233,8 @@
 }
 
 std::optional<core::milliseconds>
-crash_quarantine::time_left(std::span<const request_part_key> parts, core::time_point now) const
+crash_quarantine::time_left(std::span<const request_part_key> parts, core::time_point now,
+                            std::size_t forgiven_crashes) const
 {
     std::optional<core::milliseconds> longest;
     for (const request_part_key& each : parts)
@@ -202,7 +242,7 @@
         const auto known = m_parts.find(each);
         if (known == m_parts.end())
             continue;
-        const auto end = quarantine_end(known->second, now);
+        const auto end = quarantine_end(known->second, forgiven_crashes, now);
         if (!end || is_tested_by(parts, known->second, now))
             continue;
         const auto left = std::chrono::duration_cast<core::milliseconds>(*end - now);
@@ -288,7 +328,7 @@
 {
     return static_cast<std::size_t>(std::count_if(m_parts.begin(), m_parts.end(),
                                                   [&](const auto& each)
-                                                  { return quarantine_end(each.second, now); }));
+                                                  { return quarantine_end(each.second, 0, now); }));
 }
 
 void crash_quarantine::limit_size(core::time_point now)
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -95,7 +95,7 @@
     m_caller = std::move(read.value());
     m_line.request_id = m_caller.id;
     m_line.prompt_tokens = m_caller.prompt_tokens;
-    m_parts = parts_of(m_caller);
+    m_parts = parts_of(m_exchange.head(), m_exchange.body(), m_caller);
     if (!m_table)
     {
         why = {policy::refusal_reason::not_ready, policy::execution::no,
@@ -500,19 +500,27 @@
     co_return next_step::done;
 }
 
-/// The refusal of a prompt under which upstreams crash; nothing when it may be sent.
+/// Crashes that do not keep this call from sending its request: the one that it may have seen
+/// itself, whether at an upstream of this region or, as the entry node knows, of another one.
+std::size_t call::forgiven_crashes() const
+{
+    return m_forwarded || m_broken_beginnings > 0 ? 1 : 0;
+}
+
+/// The refusal of a request under which upstreams crash; nothing when it may be sent.
 std::optional<policy::refusal> call::quarantine_refusal() const
 {
-    const auto left = m_environment.prompts.quarantine_left(m_parts);
+    const auto left = m_environment.crashes.quarantine_left(m_parts, forgiven_crashes());
     if (!left)
         return std::nullopt;
     if (m_may_have_run)
         return final_refusal();
-    return policy::refusal{policy::refusal_reason::quarantined, policy::execution::no,
-                           "change the prompt: servers crashed under one of its parts", *left};
+    return policy::refusal{
+        policy::refusal_reason::quarantined, policy::execution::no,
+        "change the request: servers crashed under it or under a part of its prompt", *left};
 }
 
-/// Whether a node of another region knows that upstreams crash under the prompt.
+/// Whether a node of another region knows that upstreams crash under the request.
 bool call::is_quarantined_elsewhere(const attempt_start& result)
 {
     return result.refused && result.refused->reason == policy::refusal_reason::quarantined;
@@ -531,17 +539,22 @@
     return m_events_received <= max_events;
 }
 
-/// Whether the upstream broke off at the beginning of its answer, and an earlier one crashed under
-/// a part of this prompt.
+/// Whether the upstream broke off at the beginning of its answer, and an earlier one crashed, or
+/// broke off here, under this request or a part of its prompt.
 bool call::may_have_crashed_upstream() const
 {
-    return is_beginning_of_answer() && m_environment.prompts.is_suspect(m_parts);
+    constexpr unsigned max_broken_beginnings = 1;
+    return is_beginning_of_answer() && (m_broken_beginnings > max_broken_beginnings ||
+                                        m_environment.crashes.is_suspect(m_parts));
 }
 
 void call::report_broken_upstream()
 {
-    if (m_current_upstream && is_beginning_of_answer() && m_given_up_for == cut_cause::none)
-        m_environment.prompts.on_broken(*m_current_upstream,
+    if (!is_beginning_of_answer() || m_given_up_for != cut_cause::none)
+        return;
+    ++m_broken_beginnings;
+    if (m_current_upstream)
+        m_environment.crashes.on_broken(*m_current_upstream,
                                         {m_caller.id, m_parts, m_attempt_sent});
 }
 
@@ -552,10 +565,10 @@
     if (!m_current_upstream)
         return;
     if (last.ends_with_connection && is_beginning_of_answer())
-        m_environment.prompts.on_broken(*m_current_upstream,
+        m_environment.crashes.on_broken(*m_current_upstream,
                                         {m_caller.id, m_parts, m_attempt_sent, true});
     else
-        m_environment.prompts.on_answered(m_parts);
+        m_environment.crashes.on_answered(m_parts);
 }
 
 void call::end_attempt(attempt_end how)
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -50,7 +50,7 @@
     const caller_protocol& callers;
     const upstream_protocol& upstreams;
     region_caller& regions;
-    crash_guard& prompts;
+    crash_guard& crashes;
     call_log& log;
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
@@ -100,6 +100,7 @@
     bool may_retry(bool proven_not_run);
     bool is_within_attempt_limits(unsigned runs) const;
     next_step retry(policy::retry_reason reason);
+    std::size_t forgiven_crashes() const;
     std::optional<policy::refusal> quarantine_refusal() const;
     static bool is_quarantined_elsewhere(const attempt_start& result);
     policy::refusal refusal_of(const attempt_start& result) const;
@@ -147,6 +148,7 @@
     int m_silent_checks = 0;                    ///< consecutive ones that found silence
     unsigned m_runs = 0;                        ///< attempts that may have run
     unsigned m_sends = 0;                       ///< attempts of which a byte may have been received
+    unsigned m_broken_beginnings = 0;  ///< attempts that broke off when their answer had just begun
     unsigned m_events_received = 0;    ///< reads of the current attempt that completed events
     bool m_awaits_answer = false;      ///< the current attempt has no answer head yet
     bool m_has_reserved_retry = false; ///< taken from the retry budget, not used yet
--- a/packages/serving/src/crash_guard.cpp
+++ b/packages/serving/src/crash_guard.cpp
@@ -27,7 +27,7 @@
 /// Upstreams are in the own region, a few milliseconds away.
 constexpr core::milliseconds connect_timeout{400};
 /// Limit of the crashes, and of the answers, in one message to another node.
-constexpr std::size_t max_evidence_items = 20;
+constexpr std::size_t max_evidence_items = 40;
 
 std::uint32_t ms_ago(core::time_point at, core::time_point now)
 {
@@ -43,13 +43,26 @@
 
 } // namespace
 
-request_parts parts_of(const caller_request& request)
+request_parts parts_of(const http::request_head& head, const std::string& body,
+                       const caller_request& request)
 {
     request_parts parts;
-    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
+    std::uint64_t identity = 0;
+    for (const prompt_part& each : request.prompt)
     {
-        parts.emplace_back(core::hash64(request.prompt[i].id));
+        parts.emplace_back(core::hash64(each.id));
+        identity = core::hash64(each.id, identity);
     }
+    if (!parts.empty())
+        parts.pop_back();
+    const auto credentials = http::find_header(head.headers, "Authorization");
+    for (const std::string_view each :
+         {std::string_view(head.method), std::string_view(request.host), credentials.value_or(""),
+          std::string_view(head.target), std::string_view(body)})
+    {
+        identity = core::hash64(each, identity);
+    }
+    parts.emplace_back(identity);
     return parts;
 }
 
@@ -58,9 +71,10 @@
 {
 }
 
-std::optional<core::milliseconds> crash_guard::quarantine_left(const request_parts& parts) const
+std::optional<core::milliseconds> crash_guard::quarantine_left(const request_parts& parts,
+                                                               std::size_t forgiven_crashes) const
 {
-    return m_quarantine.time_left(parts, now());
+    return m_quarantine.time_left(parts, now(), forgiven_crashes);
 }
 
 bool crash_guard::is_suspect(const request_parts& parts) const
@@ -69,18 +83,25 @@
 }
 
 void crash_guard::on_answered(const request_parts& parts)
+{
+    record_answer(parts, now());
+}
+
+void crash_guard::record_answer(const request_parts& parts, core::time_point at)
 {
     const core::time_point time = now();
     for (const policy::request_part_key& each : parts)
     {
-        m_quarantine.add(policy::answer_report{each, time}, time);
+        const policy::answer_report answer{each, at};
+        if (each == parts.back())
+            m_quarantine.add_to_known(answer, time);
+        else
+            m_quarantine.add(answer, time);
     }
 }
 
 void crash_guard::on_broken(const upstream& target, broken_request request)
 {
-    if (request.parts.empty())
-        return;
     const auto [pending, is_first] = m_checks.try_emplace(target.id);
     pending->second.requests.push_back(std::move(request));
     if (!is_first)
@@ -128,12 +149,8 @@
 {
     for (const broken_request& each : checked.requests)
     {
-        if (!each.may_be_whole)
-            continue;
-        for (const policy::request_part_key& part : each.parts)
-        {
-            m_quarantine.add(policy::answer_report{part, checked.broken_at}, now());
-        }
+        if (each.may_be_whole)
+            record_answer(each.parts, checked.broken_at);
     }
 }
 
@@ -147,9 +164,10 @@
         requests.push_back(each.id);
         for (std::size_t i = 0; i < each.parts.size(); ++i)
         {
-            const policy::crash_report crash{each.parts[i], run, each.sent, checked.broken_at,
-                                             static_cast<std::uint16_t>(i)};
-            m_quarantine.add(crash, now());
+            const bool is_whole = i + 1 == each.parts.size();
+            const auto position =
+                is_whole ? policy::whole_request_position : static_cast<std::uint16_t>(i);
+            m_quarantine.add({each.parts[i], run, each.sent, checked.broken_at, position}, now());
         }
     }
     m_log.event(line_kind::failure, "upstream_crashed",
@@ -157,6 +175,8 @@
                  {"address", target.address.get()},
                  {"request_ids", requests},
                  {"quarantined_parts", quarantined()}});
+    if (m_on_crash)
+        m_on_crash();
 }
 
 bool crash_guard::add_evidence(fleet::gossip& message) const
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -194,31 +194,56 @@
     }
 }
 
-void fleet_link::exchange_loads()
+fleet_link::node_addresses fleet_link::live_peers() const
 {
-    if (m_is_leaving)
-        return;
-    std::vector<core::address> local;
-    std::vector<core::address> remote;
+    node_addresses found;
     for (const live_node& each : live_nodes())
     {
         if (each.peer == m_self.address)
             continue;
-        (each.region == m_options.region ? local : remote).push_back(each.peer);
+        (each.region == m_options.region ? found.local : found.remote).push_back(each.peer);
+    }
+    return found;
+}
+
+void fleet_link::send_evidence()
+{
+    const core::time_point time = now();
+    if (time - m_evidence_sent < min_evidence_interval)
+        return;
+    fleet::gossip evidence = compose(fleet::gossip_kind::announce);
+    if (!m_listener.add_evidence(evidence))
+        return;
+    m_evidence_sent = time;
+    const node_addresses peers = live_peers();
+    for (const core::address& each : m_local_evidence_selector.next(peers.local))
+    {
+        send_gossip(each, evidence);
     }
+    for (const core::address& each : m_remote_evidence_selector.next(peers.remote))
+    {
+        send_gossip(each, evidence);
+    }
+}
+
+void fleet_link::exchange_loads()
+{
+    if (m_is_leaving)
+        return;
+    const node_addresses peers = live_peers();
     fleet::gossip loads = compose(fleet::gossip_kind::announce);
     loads.loads = m_listener.own_loads();
     fleet::gossip summary = compose(fleet::gossip_kind::announce);
     summary.regions = {m_listener.own_region()};
     fleet::gossip evidence = compose(fleet::gossip_kind::announce);
     const bool has_evidence = m_listener.add_evidence(evidence);
-    for (const core::address& each : m_local_selector.next(local))
+    for (const core::address& each : m_local_selector.next(peers.local))
     {
         send_gossip(each, loads);
         if (has_evidence)
             send_gossip(each, evidence);
     }
-    for (const core::address& each : m_remote_selector.next(remote))
+    for (const core::address& each : m_remote_selector.next(peers.remote))
     {
         send_gossip(each, summary);
         if (has_evidence)
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -29,6 +29,8 @@
 /// Nodes of the own region that receive each load report. A report is valid for 2 s; with 6 nodes
 /// per exchange each of 39 others receives one in that time.
 constexpr std::size_t local_fanout = 6;
+/// Shortest time between two messages with evidence outside the load reports.
+constexpr core::milliseconds min_evidence_interval{50};
 /// Nodes of other regions that receive each region summary. Any node of this region reports it, so
 /// fewer suffice.
 constexpr std::size_t remote_fanout = 4;
@@ -55,7 +57,7 @@
     virtual void on_evidence(const fleet::gossip& received) = 0;
     virtual std::vector<fleet::upstream_load> own_loads() = 0;
 
-    /// @brief Adds what this node knows of prompts that crash upstreams, and of what upstreams say
+    /// @brief Adds what this node knows of requests that crash upstreams, and of what upstreams say
     /// of themselves.
     /// @return whether there was anything
     virtual bool add_evidence(fleet::gossip& message) = 0;
@@ -91,6 +93,10 @@
     /// @brief Announces to all nodes that this one is stopping.
     void begin_leaving();
 
+    /// @brief Tells a few nodes of each kind at once, ahead of the next load report, what
+    /// `fleet_listener::add_evidence` adds; at most once in `min_evidence_interval`.
+    void send_evidence();
+
     void stop();
 
     /// @brief Nodes that answer, have a configuration and are not stopping; this one included.
@@ -118,6 +124,13 @@
                          wire::drop_cause cause) override;
 
   private:
+    /// Addresses of other nodes that can serve.
+    struct node_addresses
+    {
+        std::vector<core::address> local; ///< of the own region
+        std::vector<core::address> remote;
+    };
+
     void tick();
     void schedule_tick();
     void handle_gossip(const fleet::gossip& received);
@@ -128,6 +141,7 @@
     void send_members(const core::address& to);
     void announce_to_members();
     void exchange_loads();
+    node_addresses live_peers() const;
     void send_gossip(const core::address& to, fleet::gossip body);
     fleet::gossip compose(fleet::gossip_kind kind) const;
     void record_members(core::time_point now);
@@ -149,6 +163,9 @@
     core::time_point m_next_exchange{};
     round_robin_selector m_local_selector{local_fanout};
     round_robin_selector m_remote_selector{remote_fanout};
+    round_robin_selector m_local_evidence_selector{local_fanout};
+    round_robin_selector m_remote_evidence_selector{remote_fanout};
+    core::time_point m_evidence_sent{};
     core::time_point m_leaving_since{};
     core::time_point m_last_tick{};
     bool m_is_leaving = false;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -71,15 +71,16 @@
     state(asio::io_context& loop, node_options options, node_adapters adapters)
         : m_loop(loop), m_options(std::move(options)), m_adapters(adapters),
           m_random(core::system_seed()), m_log(m_options.name), m_pool(loop),
-          m_prompts(loop, m_pool, m_log), m_placement(m_options.region, m_options.bounds, m_random),
+          m_crash_guard(loop, m_pool, m_log),
+          m_placement(m_options.region, m_options.bounds, m_random),
           m_loads(m_options.region, m_placement),
           m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
               m_random),
-          m_environment{loop,    m_pool,    m_placement, adapters.callers, adapters.upstreams,
-                        m_peers, m_prompts, m_log,       m_statistics,     nullptr},
+          m_environment{loop,    m_pool,        m_placement, adapters.callers, adapters.upstreams,
+                        m_peers, m_crash_guard, m_log,       m_statistics,     nullptr},
           m_calls([this](http::exchange& request) { return serve_call(request); }),
           m_control([this](http::exchange& request) { return serve_control(request); }),
           m_admin([this](http::exchange& request) { return serve_admin(request); }),
@@ -87,6 +88,7 @@
           m_directory_server(loop, m_control), m_admin_server(loop, m_admin), m_housekeeping(loop),
           m_stop_timer(loop), m_stopping(m_options.stop_time)
     {
+        m_crash_guard.on_crash([this] { m_fleet.send_evidence(); });
         m_peers.set_server([this](std::unique_ptr<http::exchange> request, forwarded_from from)
                            { serve_peer(std::move(request), std::move(from)); });
     }
@@ -242,14 +244,14 @@
 
     void on_evidence(const fleet::gossip& received) override
     {
-        m_prompts.on_evidence(received);
+        m_crash_guard.on_evidence(received);
         if (received.sender_region == m_options.region)
             m_loads.on_feedback(received, now());
     }
 
     bool add_evidence(fleet::gossip& message) override
     {
-        const bool has_prompts = m_prompts.add_evidence(message);
+        const bool has_prompts = m_crash_guard.add_evidence(message);
         return m_loads.add_feedback(message, now()) || has_prompts;
     }
 
@@ -451,10 +453,10 @@
               m_environment.table ? m_environment.table->version.get() : 0);
         gauge("snipeplank_state_source_reachable", m_adapters.source.is_reachable(now()) ? 1 : 0);
         gauge("snipeplank_log_lines_dropped", m_log.dropped());
-        gauge("snipeplank_quarantined_prompt_parts", m_prompts.quarantined());
+        gauge("snipeplank_quarantined_prompt_parts", m_crash_guard.quarantined());
         text +=
             "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
-            std::to_string(m_prompts.crashes()) + "\n";
+            std::to_string(m_crash_guard.crashes()) + "\n";
         return text;
     }
 
@@ -465,7 +467,7 @@
     call_log m_log;
     call_statistics m_statistics;
     http::connection_pool m_pool;
-    crash_guard m_prompts;
+    crash_guard m_crash_guard;
     placement m_placement;
     load_exchange m_loads;
     fleet_link m_fleet;
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -347,9 +347,9 @@
     /// @param retries budget of retries
     explicit call_fixture(policy::retry_bound retries)
         : m_places(own_region, bounds_with(retries), m_random), m_log("test"),
-          m_prompts(loop, m_pool, m_log),
-          m_environment{loop,      m_pool,    m_places, m_callers,    m_upstream_protocol,
-                        m_regions, m_prompts, m_log,    m_statistics, nullptr}
+          m_crash_guard(loop, m_pool, m_log),
+          m_environment{loop,      m_pool,        m_places, m_callers,    m_upstream_protocol,
+                        m_regions, m_crash_guard, m_log,    m_statistics, nullptr}
     {
     }
 
@@ -458,7 +458,7 @@
     plain_upstream_protocol m_upstream_protocol;
     region_link m_regions;
     call_log m_log;
-    crash_guard m_prompts;
+    crash_guard m_crash_guard;
     call_statistics m_statistics;
     call_environment m_environment;
     upstream_map m_published;
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -411,6 +411,55 @@
     }
 }
 
+// Fails when a request without a prompt under which an upstream crashed is sent again at once, when
+// other requests are refused with it, or when it is refused for good after one crash.
+TEST(call, a_request_under_which_an_upstream_crashed_is_held_back_for_a_moment)
+{
+    call_fixture node(no_retries);
+    scripted_upstream crashing(node.loop, {{{}, answer_end::crash}});
+    scripted_upstream sound(node.loop, {plain_answer(0ms)});
+    node.set_route(make_route(request_kind::idempotent, 1));
+    node.publish("i-1", crashing.address());
+    const recorded_exchange& lost = node.start("a");
+    node.finish(lost);
+    CHECK_TRUE_TEXT(lost.is(502, "upstream_failed"), lost.describe().c_str());
+    node.run_for(100ms);
+    node.publish("i-1", crashing.address(), true);
+    node.publish("i-2", sound.address());
+    const recorded_exchange& held = node.start("a");
+    node.finish(held);
+    CHECK_TRUE_TEXT(held.is(503, "quarantined"), held.describe().c_str());
+    const recorded_exchange& other = node.start("b");
+    node.finish(other);
+    CHECK_TRUE_TEXT(other.is(200, "ok"), other.describe().c_str());
+    node.run_for(1'000ms);
+    const recorded_exchange& later = node.start("a");
+    node.finish(later);
+    CHECK_TRUE_TEXT(later.is(200, "ok"), later.describe().c_str());
+}
+
+// Fails when one call sends a request on after two upstreams broke off under it, so that it can end
+// all copies of a small service.
+TEST(call, a_request_under_which_two_upstreams_broke_off_is_not_sent_again)
+{
+    call_fixture node(many_retries);
+    node.set_route(make_route(request_kind::idempotent, 4));
+    std::vector<std::unique_ptr<scripted_upstream>> upstreams;
+    for (const char* id : {"i-1", "i-2", "i-3", "i-4"})
+    {
+        upstreams.push_back(std::make_unique<scripted_upstream>(
+            node.loop, std::vector<scripted_answer>{{{}, answer_end::crash}}));
+        node.publish(id, upstreams.back()->address());
+    }
+    node.finish(node.start("a"));
+    std::size_t sent = 0;
+    for (const auto& each : upstreams)
+    {
+        sent += each->requests().size();
+    }
+    UNSIGNED_LONGS_EQUAL_TEXT(2, sent, "requests sent");
+}
+
 // Fails when a request whose upstream is silent for a while is given up although it would not be
 // sent again, because an upstream crashed under a part of its prompt before.
 TEST(call, a_silent_upstream_is_waited_for_when_the_prompt_is_suspect)
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -217,3 +217,16 @@
     run_for(core::milliseconds{0});
     LONGS_EQUAL(1, listener.crashes_received);
 }
+
+// Fails when the other nodes hear of a crash only with the next load report, so that the caller's
+// repetition reaches one that knows nothing, or when many crashes cause a message each.
+TEST(fleet_link, evidence_of_a_crash_is_sent_at_once)
+{
+    link->send_evidence();
+    LONGS_EQUAL(0, crashes_sent());
+    listener.known_crashes = {{1, 2, 300, 200, 1}};
+    link->send_evidence();
+    LONGS_EQUAL(1, crashes_sent());
+    link->send_evidence();
+    LONGS_EQUAL(1, crashes_sent());
+}
