policy: a request with crashes of its own is not sent as a test

What callers would see: a fatal request is sent again while another request shares most of its crashes. The rule that tells shared parts of prompts apart, which sends a prompt that has one of them only, held for whole requests too. These are known exactly, so nothing has to be told apart. The new test failed before.

--- a/packages/policy/src/crash_quarantine.cpp
+++ b/packages/policy/src/crash_quarantine.cpp
@@ -245,8 +245,10 @@
         const auto known = m_parts.find(each);
         if (known == m_parts.end())
             continue;
-        const auto end = quarantine_end(known->second, forgiven_crashes, now);
-        if (!end || is_tested_by(parts, known->second, now))
+        const part_state& part = known->second;
+        const auto end = quarantine_end(part, forgiven_crashes, now);
+        const bool may_be_tested = !is_of_whole_request(part.crashes);
+        if (!end || (may_be_tested && is_tested_by(parts, part, now)))
             continue;
         const auto left = std::chrono::duration_cast<core::milliseconds>(*end - now);
         longest = std::max(longest.value_or(left), left);
--- a/packages/policy/tests/request_quarantine_test.cpp
+++ b/packages/policy/tests/request_quarantine_test.cpp
@@ -120,6 +120,21 @@
     LONGS_EQUAL(599'900, left_ms(subject, {fatal}, 5'200));
 }
 
+// Fails when a fatal request is sent to find out whether one that ran beside it is the fatal one.
+TEST(request_quarantine, a_request_with_crashes_of_its_own_is_not_sent_as_a_test)
+{
+    crash_quarantine subject;
+    for (std::uint64_t i = 1; i <= 4; ++i)
+    {
+        const long ms = static_cast<long>(i) * 2'000;
+        record(subject, fatal, {i, ms - 50, ms});
+        if (i < 4)
+            record(subject, sound, {i, ms - 50, ms});
+    }
+    CHECK_TRUE(left_ms(subject, {fatal}, 8'100) > 0);
+    LONGS_EQUAL(0, left_ms(subject, {sound}, 8'100));
+}
+
 // Fails when the crashes of a fatal part of a prompt are put down to the requests that had it, or
 // the other way round.
 TEST(request_quarantine, a_part_with_crashes_of_several_requests_is_suspected_before_them)
