--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -24,7 +24,7 @@
 #include "attempt.hpp"
 #include "call_log.hpp"
 #include "call_statistics.hpp"
-#include "prompt_guard.hpp"
+#include "crash_guard.hpp"
 #include "serving_end.hpp"
 
 namespace snipeplank::serving
@@ -52,7 +52,7 @@
     const caller_protocol& callers;
     const upstream_protocol& upstreams;
     region_caller& regions;
-    prompt_guard& prompts;
+    crash_guard& crashes;
     call_log& log;
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
@@ -110,6 +110,7 @@
     bool may_retry(bool proven_not_run);
     bool is_within_attempt_limits(unsigned runs) const;
     next_step retry(policy::retry_reason reason);
+    std::size_t forgiven_crashes() const;
     std::optional<policy::refusal> quarantine_refusal() const;
     static bool is_quarantined_elsewhere(const attempt_start& result);
     policy::refusal refusal_of(const attempt_start& result) const;
@@ -146,7 +147,7 @@
     boost::asio::steady_timer m_silence_timer;
     std::unique_ptr<attempt> m_attempt;
     std::optional<std::uint64_t> m_attempt_number;
-    shared_prompt_parts m_prompt_parts;
+    request_parts m_parts;
     std::optional<upstream> m_current_upstream; ///< none for a call to another region
     core::time_point m_attempt_sent{};
     std::vector<upstream_id> m_tried;
@@ -161,6 +162,7 @@
     int m_silent_checks = 0;                    ///< consecutive ones that found silence
     unsigned m_runs = 0;                        ///< attempts that may have run
     unsigned m_sends = 0;                       ///< attempts of which a byte may have been received
+    unsigned m_broken_beginnings = 0;  ///< attempts that broke off when their answer had just begun
     unsigned m_events_received = 0;    ///< reads of the current attempt that completed events
     bool m_awaits_answer = false;      ///< the current attempt has no answer head yet
     bool m_has_reserved_retry = false; ///< taken from the retry budget, not used yet
