gateway: a node that is about to end takes no further forwarded call

A node of another region that sent a call while a stopping node handed its outcomes over (up to 3 s), or between that and the end of its network, got no answer: the node took the call and ended. Its caller saw a failure that may have run.

Cause: the wait for requests in flight ended with their last one, but calls of other regions were taken on.

The window itself was found by reading, no run with real processes hit it.

Under the lock that counts the calls, the server closes once none is left; later ones are refused as not run.

--- a/packages/gateway/include/snipeplank/gateway/peer_server.hpp
+++ b/packages/gateway/include/snipeplank/gateway/peer_server.hpp
@@ -48,6 +48,10 @@
     /// @brief Number of calls being served.
     std::size_t in_flight() const;
 
+    /// @brief Refuses all further calls as not run, unless a call is being served.
+    /// @return whether none is
+    bool close_if_idle();
+
   private:
     using cancel_flag = std::shared_ptr<std::atomic<bool>>;
     using call_id = std::pair<core::node_id, core::call_number>;
@@ -60,6 +64,7 @@
     parts m_parts;
     mutable std::mutex m_mutex;
     std::map<call_id, cancel_flag> m_calls;
+    bool m_is_closed = false;
 };
 
 } // namespace snipeplank::gateway
--- a/packages/gateway/src/node.cpp
+++ b/packages/gateway/src/node.cpp
@@ -246,7 +246,7 @@
     std::this_thread::sleep_for(min_drain_time);
     for (;;)
     {
-        while (m_parts->in_flight() > 0)
+        while (m_parts->in_flight() > 0 || !m_parts->call_server.close_if_idle())
         {
             std::this_thread::sleep_for(drain_poll_interval);
         }
--- a/packages/gateway/src/peer_server.cpp
+++ b/packages/gateway/src/peer_server.cpp
@@ -24,13 +24,24 @@
 {
     const call_id id{from.node, received.number};
     auto cancelled = std::make_shared<std::atomic<bool>>(false);
+    bool is_closed = false;
+    bool is_new = false;
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_calls.emplace(id, cancelled).second)
-        {
-            m_parts.counters.count(counter::frames_dropped);
-            return; // duplicate frame of a call that is being served
-        }
+        is_closed = m_is_closed;
+        is_new = !is_closed && m_calls.emplace(id, cancelled).second;
+    }
+    if (is_closed)
+    {
+        constexpr core::milliseconds retry_after{100};
+        refuse(from.node, received.number,
+               {refusal_reason::draining, execution::no, "use another node", retry_after, false});
+        return;
+    }
+    if (!is_new)
+    {
+        m_parts.counters.count(counter::frames_dropped);
+        return; // duplicate frame of a call that is being served
     }
     m_parts.counters.count(counter::forwarded_in);
     m_parts.workers.submit(
@@ -66,6 +77,13 @@
     return m_calls.size();
 }
 
+bool peer_server::close_if_idle()
+{
+    const std::lock_guard lock(m_mutex);
+    m_is_closed = m_is_closed || m_calls.empty();
+    return m_is_closed;
+}
+
 void peer_server::serve(const wire::peer_identity& from, wire::call received,
                         const cancel_flag& cancelled)
 {
