--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
 #include <future>
 #include <map>
 #include <thread>
@@ -75,6 +76,34 @@
         }
     }
 
+    /// Sends a fatal and a sound request in turn to each node, the contact time after the last
+    /// crash. No more than the allowed servers may crash; while none has, the fatal requests are
+    /// refused and the sound ones served.
+    void check_few_crash_later(const std::function<http_answer(std::size_t)>& send_fatal,
+                               const std::function<http_answer(std::size_t)>& send_sound)
+    {
+        constexpr auto contact_time = 6s;
+        constexpr int allowed_later = 3;
+        constexpr std::size_t requests = 12;
+        std::this_thread::sleep_for(contact_time);
+        restart_crashed_servers();
+        const int before = crashes;
+        for (std::size_t i = 0; i < requests && crashes <= before + allowed_later; ++i)
+        {
+            const http_answer refused = send_fatal(i % 3);
+            const http_answer served = send_sound(i % 3);
+            std::this_thread::sleep_for(100ms);
+            restart_crashed_servers();
+            if (crashes > before)
+                continue;
+            CHECK_TRUE_TEXT(refused.status == 503, refused.describe().c_str());
+            CHECK_TRUE_TEXT(served.is(200), served.describe().c_str());
+        }
+        const std::string seen = std::to_string(before) + " crashes, then " +
+                                 std::to_string(crashes - before) + " more\n";
+        CHECK_TRUE_TEXT(crashes <= before + allowed_later, seen.c_str());
+    }
+
     int count_ended() const
     {
         return static_cast<int>(std::count_if(servers.begin(), servers.end(),
@@ -105,8 +134,6 @@
 TEST(crashing_prompt, a_part_under_which_servers_crashed_is_refused_on_every_node)
 {
     constexpr int learning_crashes = 5;
-    constexpr auto contact_time = 6s;
-    constexpr int allowed_later = 3;
     set_up({home, home, remote});
     set_up_servers({home, home, remote});
     // The node of the other region receives none of these requests.
@@ -117,23 +144,8 @@
         std::this_thread::sleep_for(200ms);
         restart_crashed_servers();
     }
-    std::this_thread::sleep_for(contact_time);
-    restart_crashed_servers();
-    const int before = crashes;
-    for (std::size_t i = 0; i < 12; ++i)
-    {
-        const http_answer refused = send_prompt("bad", i % 3);
-        const http_answer served = send_prompt("good", i % 3);
-        std::this_thread::sleep_for(100ms);
-        restart_crashed_servers();
-        if (crashes > before + allowed_later)
-            break;
-        CHECK_TRUE_TEXT(crashes > before || refused.status == 503, refused.describe().c_str());
-        CHECK_TRUE_TEXT(crashes > before || served.is(200), served.describe().c_str());
-    }
-    const std::string seen =
-        std::to_string(before) + " crashes, then " + std::to_string(crashes - before) + " more\n";
-    CHECK_TRUE_TEXT(crashes <= before + allowed_later, seen.c_str());
+    check_few_crash_later([&](std::size_t node) { return send_prompt("bad", node); },
+                          [&](std::size_t node) { return send_prompt("good", node); });
 }
 
 // Fails when answers that break off at servers that go on running make a prompt part suspect.
@@ -192,8 +204,6 @@
 {
     constexpr int learning_crashes = 3;
     constexpr int max_learning_requests = 30;
-    constexpr auto contact_time = 6s;
-    constexpr int allowed_later = 3;
     set_up_shops();
     for (int i = 0; crashes < learning_crashes && i < max_learning_requests; ++i)
     {
@@ -201,23 +211,9 @@
         std::this_thread::sleep_for(300ms);
         restart_crashed_servers();
     }
-    std::this_thread::sleep_for(contact_time);
-    restart_crashed_servers();
-    const int before = crashes;
-    for (std::size_t i = 0; i < 12; ++i)
-    {
-        const http_answer refused = send(fatal_path, i % 3);
-        const http_answer served = send("/read/sound" + std::to_string(i), i % 3);
-        std::this_thread::sleep_for(100ms);
-        restart_crashed_servers();
-        if (crashes > before + allowed_later)
-            break;
-        CHECK_TRUE_TEXT(crashes > before || refused.status == 503, refused.describe().c_str());
-        CHECK_TRUE_TEXT(crashes > before || served.is(200), served.describe().c_str());
-    }
-    const std::string seen =
-        std::to_string(before) + " crashes, then " + std::to_string(crashes - before) + " more\n";
-    CHECK_TRUE_TEXT(crashes <= before + allowed_later, seen.c_str());
+    check_few_crash_later([&](std::size_t node) { return send(fatal_path, node); },
+                          [&](std::size_t node)
+                          { return send("/read/sound" + std::to_string(node), node); });
 }
 
 // Fails when one request that its caller repeats at once at each node ends all three copies of a
