--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -33,44 +33,44 @@
 class crashing_fleet : public machine_test
 {
   protected:
-    std::string service = "model";
-    std::string sound_path = "/stream/x";
-    int work_ms = 0; ///< time from the start of a run to its answer or crash
-    std::vector<restarted_server> servers;
-    int crashes = 0;
+    std::string m_service = "model";
+    std::string m_sound_path = "/stream/x";
+    int m_work_ms = 0; ///< time from the start of a run to its answer or crash
+    std::vector<restarted_server> m_servers;
+    int m_crashes = 0;
 
     void start(restarted_server& server)
     {
-        server.id = "i-" + std::to_string(servers.size()) + "-" + std::to_string(crashes) + "-" +
-                    server.region;
-        server.program = &fleet->start_server(server.id, work_ms);
+        server.id = "i-" + std::to_string(m_servers.size()) + "-" + std::to_string(m_crashes) +
+                    "-" + server.region;
+        server.program = &fleet->start_server(server.id, m_work_ms);
         const std::string address = server.program->address();
         CHECK_TRUE(http_post(address, "/standin/fatal_part", "bad").is(200));
         CHECK_TRUE(http_post(address, "/standin/fatal_path", fatal_path).is(200));
-        fleet->publish_server(server.id, service, server.region, address, "ready");
+        fleet->publish_server(server.id, m_service, server.region, address, "ready");
     }
 
     void set_up_servers(const std::vector<std::string>& regions)
     {
         for (const std::string& region : regions)
         {
-            servers.push_back({region, "", nullptr});
-            start(servers.back());
+            m_servers.push_back({region, "", nullptr});
+            start(m_servers.back());
         }
         fleet->start_nodes();
         for (std::size_t node = 0; node < 3; ++node)
         {
-            fleet->wait_until_served(node, sound_path);
+            fleet->wait_until_served(node, m_sound_path);
         }
     }
 
     void restart_crashed_servers()
     {
-        for (restarted_server& each : servers)
+        for (restarted_server& each : m_servers)
         {
             if (each.program->process().is_running())
                 continue;
-            ++crashes;
+            ++m_crashes;
             fleet->remove("servers/" + each.id);
             start(each);
         }
@@ -87,26 +87,26 @@
         constexpr std::size_t requests = 12;
         std::this_thread::sleep_for(contact_time);
         restart_crashed_servers();
-        const int before = crashes;
-        for (std::size_t i = 0; i < requests && crashes <= before + allowed_later; ++i)
+        const int before = m_crashes;
+        for (std::size_t i = 0; i < requests && m_crashes <= before + allowed_later; ++i)
         {
             const http_answer refused = send_fatal(i % 3);
             const http_answer served = send_sound(i % 3);
             std::this_thread::sleep_for(100ms);
             restart_crashed_servers();
-            if (crashes > before)
+            if (m_crashes > before)
                 continue;
             CHECK_TRUE_TEXT(refused.status == 503, refused.describe().c_str());
             CHECK_TRUE_TEXT(served.is(200), served.describe().c_str());
         }
         const std::string seen = std::to_string(before) + " crashes, then " +
-                                 std::to_string(crashes - before) + " more\n";
-        CHECK_TRUE_TEXT(crashes <= before + allowed_later, seen.c_str());
+                                 std::to_string(m_crashes - before) + " more\n";
+        CHECK_TRUE_TEXT(m_crashes <= before + allowed_later, seen.c_str());
     }
 
     int count_ended() const
     {
-        return static_cast<int>(std::count_if(servers.begin(), servers.end(),
+        return static_cast<int>(std::count_if(m_servers.begin(), m_servers.end(),
                                               [](const restarted_server& each)
                                               { return !each.program->process().is_running(); }));
     }
@@ -137,7 +137,7 @@
     set_up({home, home, remote});
     set_up_servers({home, home, remote});
     // The node of the other region receives none of these requests.
-    for (int i = 0; crashes < learning_crashes && i < 4 * learning_crashes; ++i)
+    for (int i = 0; m_crashes < learning_crashes && i < 4 * learning_crashes; ++i)
     {
         static_cast<void>(send_prompt("bad", static_cast<std::size_t>(i % 2)));
         static_cast<void>(send_prompt("good", static_cast<std::size_t>(i % 2)));
@@ -175,9 +175,9 @@
 
     void set_up_shops()
     {
-        service = "shop";
-        sound_path = "/read/sound";
-        work_ms = 30;
+        m_service = "shop";
+        m_sound_path = "/read/sound";
+        m_work_ms = 30;
         set_up({home, home, remote});
         set_up_servers({home, home, remote});
     }
@@ -205,7 +205,7 @@
     constexpr int learning_crashes = 3;
     constexpr int max_learning_requests = 30;
     set_up_shops();
-    for (int i = 0; crashes < learning_crashes && i < max_learning_requests; ++i)
+    for (int i = 0; m_crashes < learning_crashes && i < max_learning_requests; ++i)
     {
         static_cast<void>(send(fatal_path, static_cast<std::size_t>(i) % 3));
         std::this_thread::sleep_for(300ms);
@@ -226,7 +226,7 @@
         static_cast<void>(send(fatal_path, i % 3));
     }
     CHECK_TRUE_TEXT(count_ended() < 3, "all servers have ended");
-    fleet->wait_until_served(0, sound_path);
+    fleet->wait_until_served(0, m_sound_path);
 }
 
 // Fails when a request that ran beside a fatal one, and was lost with it, is refused from then on.
