serving: no temporary passed by value into an awaited coroutine

write_stream named no variable for the head that it passes on; the code avoids temporaries in awaited calls elsewhere, since g++ 12 may destroy them twice. Seen by reading, no test failed.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -440,7 +440,9 @@
         if (!chunk.value().is_last)
             continue;
         const std::string line_ends = m_events.take_line_ends();
-        if (m_events.pending_size() > 0 || !co_await write_stream(result.head, line_ends))
+        const bool is_whole = m_events.pending_size() == 0;
+        const bool is_written = is_whole && co_await write_stream(result.head, line_ends);
+        if (!is_written)
             co_return co_await on_broken_stream();
         report_whole_answer(chunk.value());
         break;
@@ -461,7 +463,8 @@
     if (!m_exchange.has_begun())
     {
         m_media_type = media_type_of(head);
-        const bool is_open = co_await m_exchange.begin(m_environment.callers.forward(head));
+        http::response_head forwarded = m_environment.callers.forward(head);
+        const bool is_open = co_await m_exchange.begin(std::move(forwarded));
         if (!is_open)
             co_return false;
     }
