--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -418,6 +418,56 @@
     CHECK_TRUE_TEXT(answer.find("GET /2") != std::string::npos, answer.c_str());
 }
 
+// Fails when a connection that has had no answer yet is closed by a change of the idle timeout,
+// although its first request comes within the former timeout and the new one allows it, or within
+// the one that was in force when the connection was opened.
+TEST(http_server, a_change_of_the_idle_timeout_closes_no_unused_connection)
+{
+    struct row
+    {
+        const char* name;
+        core::milliseconds before;
+        core::milliseconds after;
+        std::string first_part; ///< sent before the change
+    };
+    const row rows[] = {
+        {"longer", core::milliseconds{300}, core::milliseconds{2'000}, ""},
+        {"shorter", core::milliseconds{2'000}, core::milliseconds{300}, ""},
+        {"below the time to look again", core::milliseconds{2'000}, core::milliseconds{1}, ""},
+        {"half a head, longer", core::milliseconds{300}, core::milliseconds{2'000}, "GET /"},
+        {"half a head, shorter", core::milliseconds{2'000}, core::milliseconds{300}, "GET /"},
+    };
+    std::string closed; // the rows without an answer
+    for (const row& each : rows)
+    {
+        const auto change_to = [&](core::milliseconds idle_timeout)
+        {
+            std::promise<void> has_changed;
+            boost::asio::post(thread->loop,
+                              [&]
+                              {
+                                  server_limits limits;
+                                  limits.idle_timeout = idle_timeout;
+                                  handler.set_limits(limits);
+                                  has_changed.set_value();
+                              });
+            has_changed.get_future().wait();
+        };
+        change_to(each.before);
+        raw_connection client(address);
+        client.send(each.first_part);
+        std::this_thread::sleep_for(core::milliseconds{100});
+        change_to(each.after);
+        std::this_thread::sleep_for(core::milliseconds{700});
+        const std::string whole = "GET /1 HTTP/1.1\r\n" + host + "Connection: close\r\n\r\n";
+        client.send(whole.substr(each.first_part.size()));
+        const std::string answer = client.read_all();
+        if (answer.find("GET /1") == std::string::npos)
+            closed += std::string(each.name) + ": '" + answer.substr(0, 20) + "'; ";
+    }
+    STRCMP_EQUAL("", closed.c_str());
+}
+
 // Fails when a connection is closed after a shorter idle timeout than the client was told with the
 // head of the last answer, because the configuration changed while that was streamed.
 TEST(http_server, a_shorter_idle_timeout_does_not_hold_for_answers_that_announced_a_longer_one)
