--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -356,6 +356,7 @@
          "a\n\nb\n\n"},
         {"empty", 1, {{{0ms, chunked_head + last_chunk}}}, {}, 200, ""},
     };
+    std::string other; // the rows that ended in another way
     for (const row& each : rows)
     {
         call_fixture node(many_retries);
@@ -366,9 +367,10 @@
         node.publish("i-1", upstream.address());
         const recorded_exchange& stream = node.start("a");
         node.finish(stream);
-        const std::string seen = std::string(each.name) + ": " + stream.describe();
-        CHECK_TRUE_TEXT(stream.is(each.status, each.body), seen.c_str());
+        if (!stream.is(each.status, each.body))
+            other += std::string(each.name) + ": " + stream.describe() + "; ";
     }
+    STRCMP_EQUAL("", other.c_str());
 }
 
 // Fails when a stream that its upstream broke off is cut, because no upstream takes it on at that
