serving: requests refused before they become calls are logged and counted

The line request_rejected names status, cause and the version in force; the counter is snipeplank_rejected_requests_total{status}.

call_statistics.rejected_requests_are_counted_by_status tests the counter; the wiring in the node has no test.

--- a/packages/serving/src/call_statistics.cpp
+++ b/packages/serving/src/call_statistics.cpp
@@ -72,6 +72,13 @@
         text +=
             fmt::format("snipeplank_cut_answers_total{{by=\"{}\"}} {}\n", to_string(cause), count);
     }
+    text += "# HELP snipeplank_rejected_requests_total Requests that were not read to a call.\n"
+            "# TYPE snipeplank_rejected_requests_total counter\n";
+    for (const auto& [status, count] : m_rejected)
+    {
+        text +=
+            fmt::format("snipeplank_rejected_requests_total{{status=\"{}\"}} {}\n", status, count);
+    }
     return text + m_first_byte.render("snipeplank_first_byte_ms") +
            m_longest_pause.render("snipeplank_longest_pause_ms") +
            m_whole_call.render("snipeplank_whole_call_ms");
--- a/packages/serving/src/call_statistics.hpp
+++ b/packages/serving/src/call_statistics.hpp
@@ -48,6 +48,9 @@
     void add(const call_outcome_line& ended);
     void count_retry(policy::retry_reason reason) { ++m_retries[reason]; }
 
+    /// @brief Counts a request that the protocol or a limit of its size or time forbids.
+    void count_rejected(int status) { ++m_rejected[status]; }
+
     /// @brief Renders every counter and histogram.
     std::string render() const;
 
@@ -55,6 +58,7 @@
     std::map<std::string, std::uint64_t> m_outcomes;
     std::map<policy::retry_reason, std::uint64_t> m_retries;
     std::map<cut_cause, std::uint64_t> m_cut_answers;
+    std::map<int, std::uint64_t> m_rejected; ///< by status
     latency_histogram m_first_byte;
     latency_histogram m_longest_pause;
     latency_histogram m_whole_call;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "call.hpp"
@@ -58,8 +59,22 @@
     http::server_limits limits() const override { return m_limits; }
     asio::awaitable<void> handle(http::exchange& request) override { return m_action(request); }
 
+    /// Calls `action` for each request that is refused before it is handled.
+    void on_rejected(std::function<void(int, std::string_view)> action)
+    {
+        m_on_rejected = std::move(action);
+    }
+
+    http::response reject(int status, std::string_view why) override
+    {
+        if (m_on_rejected)
+            m_on_rejected(status, why);
+        return http::request_handler::reject(status, why);
+    }
+
   private:
     function m_action;
+    std::function<void(int, std::string_view)> m_on_rejected;
     http::server_limits m_limits;
 };
 
@@ -89,6 +104,8 @@
     {
         m_peers.set_server([this](std::unique_ptr<http::exchange> request, forwarded_from from)
                            { serve_peer(std::move(request), std::move(from)); });
+        m_calls.on_rejected([this](int status, std::string_view why)
+                            { record_rejected(status, why); });
     }
 
     core::result<void> start()
@@ -306,6 +323,14 @@
         co_await request.send(answer);
     }
 
+    void record_rejected(int status, std::string_view why)
+    {
+        m_statistics.count_rejected(status);
+        m_log.event(
+            line_kind::failure, "request_rejected",
+            {{"status", status}, {"cause", why}, {"config_version", version_in_force().get()}});
+    }
+
     void serve_peer(std::unique_ptr<http::exchange> request, forwarded_from from)
     {
         if (!serves_new())
--- a/packages/serving/tests/call_statistics_test.cpp
+++ b/packages/serving/tests/call_statistics_test.cpp
@@ -75,3 +75,14 @@
     expect_line("snipeplank_cut_answers_total{by=\"silence\"} 2");
     CHECK_TRUE(subject.render().find("by=\"none\"") == std::string::npos);
 }
+
+// Fails when a request that was refused before it became a call is not counted by its status.
+TEST(call_statistics, rejected_requests_are_counted_by_status)
+{
+    for (const int status : {413, 408, 413})
+    {
+        subject.count_rejected(status);
+    }
+    expect_line("snipeplank_rejected_requests_total{status=\"413\"} 2");
+    expect_line("snipeplank_rejected_requests_total{status=\"408\"} 1");
+}
