--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -56,6 +56,23 @@
     LONGS_EQUAL(404, call("GET", "/nowhere/x", "id3").status);
 }
 
+// Fails when a request that is refused for its size leaves no trace in the log and the metrics.
+TEST(machine_node, a_request_beyond_the_limits_is_logged_and_counted)
+{
+    set_up({home});
+    fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    constexpr std::size_t too_long = 20'000;
+    LONGS_EQUAL(431, call("GET", "/read/" + std::string(too_long, 'x'), "id1").status);
+    const std::string metrics = http_get(fleet->node(0).admin, "/metrics").body;
+    CHECK_TRUE_TEXT(metrics.find("snipeplank_rejected_requests_total{status=\"431\"} 1\n") !=
+                        std::string::npos,
+                    metrics.c_str());
+    const std::string output = fleet->node(0).program->output();
+    CHECK_TRUE_TEXT(output.find("request_rejected") != std::string::npos, output.c_str());
+}
+
 // Fails when a request that may run at most once is sent again, or is reported as not run.
 TEST(machine_node, a_booking_whose_answer_is_lost_runs_once_and_is_not_reported_as_not_run)
 {
