soak: a server that is about to end may miss an instruction

Cause: a stand-in that crashes writes its last line, resets all its sockets, the listening one included, and ends. Between the reset and the moment at which waitpid() reports the end, an instruction finds no connection while the process still counts as running. The soak sends /standin/fatal_part while requests with the fatal part are on their way, so the two meet.

The soak now waits for the process of such a server for up to 2 s. One that goes on running still fails the soak, and tend() checks the last words as before. A paused server is paused again only behind this wait: a stopped process would never end.

--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -65,6 +65,8 @@
                           const std::lock_guard lock(m_mutex);
                           m_fatal_part = in.body;
                       });
+        m_server.Post("/standin/slow_end", [this](const request& in, response&)
+                      { m_end_delay = milliseconds(std::atol(in.body.c_str())); });
         m_server.Post("/standin/say",
                       [this](const request& in, response&)
                       {
@@ -115,7 +117,8 @@
     }
 
     /// Ends the program as a crash does, after a last line with what it has seen. Its connections
-    /// are reset: a clean end would complete the answers that end with their connection.
+    /// are reset: a clean end would complete the answers that end with their connection. The
+    /// process is gone a moment later, or after the time of `/standin/slow_end`.
     [[noreturn]] void crash()
     {
         std::cout << "crashed " << seen() << std::endl;
@@ -124,6 +127,7 @@
         {
             connection(socket).reset();
         }
+        std::this_thread::sleep_for(m_end_delay.load());
         std::_Exit(EXIT_FAILURE);
     }
 
@@ -313,6 +317,7 @@
     std::size_t m_endless_bytes = 0; ///< most bytes sent in one endless answer
     int m_rejected = 0;
     std::atomic<time_point> m_silent_until{time_point{}};
+    std::atomic<milliseconds> m_end_delay{milliseconds{0}};
     std::atomic<bool> m_is_close_ended{false}; ///< answers end with their connection
     std::string m_fatal_part;                  ///< part of a prompt that ends this program
 };
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -1,5 +1,6 @@
 #include "soak_server.hpp"
 
+#include <thread>
 #include <utility>
 
 namespace snipeplank::tests
@@ -16,6 +17,9 @@
 constexpr std::chrono::milliseconds max_down_time = 3s;
 /// Between two times at which a server stands still, so that they do not add up.
 constexpr std::chrono::milliseconds min_pause_gap = 1s;
+constexpr std::chrono::milliseconds poll_interval = 10ms;
+/// Time in which a stand-in that has reset its connections is gone, also on a busy machine.
+constexpr std::chrono::milliseconds max_end_time = 2s;
 /// Line of a stand-in that ends by itself, before what it has seen.
 const std::string last_words = "crashed ";
 
@@ -110,11 +114,24 @@
     if (m_is_paused)
         m_program->process().resume();
     const http_answer answer = http_post(m_program->address(), path, body);
-    if (m_is_paused)
-        m_program->process().pause();
     constexpr int ok = 200;
-    if (!answer.is(ok) && m_program->process().is_running())
+    if (!answer.is(ok) && !has_ended())
         fail_test(m_id + " refused " + path + ": " + answer.describe());
+    if (m_is_paused)
+        m_program->process().pause();
+}
+
+/// Whether the server has ended by itself, or does so in a moment: its connections are reset before
+/// its process is gone. `tend()` then checks its last words.
+bool soak_server::has_ended()
+{
+    child_process& process = m_program->process();
+    const soak_time limit = now() + max_end_time;
+    while (process.is_running() && now() < limit)
+    {
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return !process.is_running();
 }
 
 void soak_server::tend()
--- a/tests/soak/soak_server.hpp
+++ b/tests/soak/soak_server.hpp
@@ -69,6 +69,7 @@
     void on_ended();
     void publish() const;
     void control(const std::string& path, const std::string& body);
+    bool has_ended();
     server_record record_of(const nlohmann::json& seen) const;
 
     machine_fleet& m_fleet;
