stand-in server: write the last line once when several requests end it

A stand-in that several requests with a fatal part end at once wrote its last line once for each of them, the later ones sometimes cut by the end of the process. The soak parses all that follows the first "crashed " as one JSON document and cannot read that.

The first request that ends the program now holds a mutex until the process has ended; the others wait for the mutex.

--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -121,6 +121,8 @@
     /// process is gone a moment later, or after the time of `/standin/slow_end`.
     [[noreturn]] void crash()
     {
+        // Held to the end of the process: several requests may end it at once.
+        const std::lock_guard lock(m_end_mutex);
         std::cout << "crashed " << seen() << std::endl;
         constexpr int max_sockets = 1'024;
         for (int socket = STDERR_FILENO + 1; socket < max_sockets; ++socket)
@@ -307,6 +309,7 @@
 
     http_server m_server;
     std::mutex m_mutex;
+    std::mutex m_end_mutex;
     std::string m_fault;
     std::map<std::string, int> m_runs;
     std::map<std::string, long> m_deadlines;
