--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -109,6 +109,44 @@
     }
 }
 
+// Fails when an answer that its server cut at any byte, in its head or its body, is reported as
+// complete.
+TEST(http_client, answers_cut_at_any_byte_are_not_complete)
+{
+    struct cut_row
+    {
+        const char* name;
+        std::string answer;
+        std::size_t whole_from; ///< a clean end from this byte on completes the answer
+    };
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string close_ended = "HTTP/1.1 200 OK\r\nServer-Signature: a\r\n\r\n";
+    const std::string length = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nabcdefghijkl";
+    constexpr std::size_t never = std::string::npos;
+    const cut_row rows[] = {
+        {"length", length, never},
+        {"chunked", chunked + "3\r\nabc\r\n10\r\nabcdefghijklmnop\r\n0\r\n\r\n", never},
+        {"trailer", chunked + "3\r\nabc\r\n0\r\nX-Field: a\r\n\r\n", never},
+        {"until the close", close_ended + "abc", close_ended.size()},
+        {"interim answer first", "HTTP/1.1 103 Early Hints\r\nX-Field: a\r\n\r\n" + length, never},
+    };
+    std::string whole; // the cuts whose answer counted as complete
+    for (const cut_row& row : rows)
+    {
+        for (std::size_t size = 0; size < row.answer.size(); ++size)
+        {
+            for (const bool resets : {false, true})
+            {
+                scripted_server server({row.answer.substr(0, size)}, resets);
+                const bool is_complete = request_once(server.address()).is_complete;
+                if (is_complete && (resets || size < row.whole_from))
+                    whole += std::string(row.name) + " at byte " + std::to_string(size) + "\n";
+            }
+        }
+    }
+    STRCMP_EQUAL("", whole.c_str());
+}
+
 // Fails when a server that sends bytes without end fills the memory of the node until the request's
 // deadline.
 TEST(http_client, answers_without_end_are_given_up)
