gateway: a part of an upstream's answer never counts as a whole one

What callers of the own interface saw: a 200 with a short body, framed as whole, when an upstream ended a chunked answer between the carriage return and the line feed behind a chunk, or sent more data than its chunk size says; a 200 with an empty or short body when Content-Length was no single number ("abc", "2x", "2, 3", two fields).

Cause: cpp-httplib 0.11.4 ends its loop over the chunks at the first line end that it cannot read, and reports success; it reads lengths with strtoull. A head that ends early was refused before, too.

The bytes of each answer are now followed by the parser of Boost.Beast while cpp-httplib reads them. An answer counts only if that parser has seen its end, and a connection with bytes behind its answer is not used again. An interim answer other than 100, which cpp-httplib takes for the final one, is refused: with the parser behind it, it would have counted as whole. Pages of the platform that are cut are refused as well.

--- a/packages/gateway/src/connection_cache.cpp
+++ b/packages/gateway/src/connection_cache.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-std::unique_ptr<httplib::Client> connection_cache::make_client(const core::address& address)
+std::unique_ptr<upstream_connection> connection_cache::make_client(const core::address& address)
 {
     const host_and_port target = split_host_port(address);
-    auto client = std::make_unique<httplib::Client>(target.host, target.port);
+    auto client = std::make_unique<upstream_connection>(target.host, target.port);
     client->set_tcp_nodelay(true);
     client->set_follow_location(false);
     client->set_decompress(false);
--- a/packages/gateway/src/connection_cache.hpp
+++ b/packages/gateway/src/connection_cache.hpp
@@ -6,21 +6,21 @@
 
 #include <snipeplank/core/ids.hpp>
 
-#include <httplib.h>
-
 #include <chrono>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
 #include <vector>
 
+#include "upstream_connection.hpp"
+
 namespace snipeplank::gateway
 {
 
 /// @brief A reusable connection and its usage.
 struct cached_connection
 {
-    std::unique_ptr<httplib::Client> client;
+    std::unique_ptr<upstream_connection> client;
     std::chrono::steady_clock::time_point last_used;
     unsigned uses = 0;
 };
@@ -36,7 +36,7 @@
     void put_back(const core::address& address, cached_connection connection);
 
     /// @brief Creates a client with a new connection that is not cached.
-    static std::unique_ptr<httplib::Client> make_client(const core::address& address);
+    static std::unique_ptr<upstream_connection> make_client(const core::address& address);
 
   private:
     std::mutex m_mutex;
--- a/packages/gateway/src/platform_client.cpp
+++ b/packages/gateway/src/platform_client.cpp
@@ -100,6 +100,10 @@
                               from.get() + " does not answer (" +
                                   httplib::to_string(result.error()) + ")",
                               "check that it runs and is reachable");
+        if (client->framing()->is_cut())
+            return core::fail(error_code::connection_failed,
+                              from.get() + " ended its answer before it was whole",
+                              "check that it runs and is reachable");
         if (result->status != http_ok)
             return core::fail(error_code::connection_failed,
                               fmt::format("{} answered status {}", from.get(), result->status),
@@ -111,7 +115,7 @@
         return read;
     }
 
-    bool begin(httplib::Client* client)
+    bool begin(upstream_connection* client)
     {
         const std::lock_guard lock(m_mutex);
         if (m_is_interrupted)
@@ -130,7 +134,7 @@
     core::address m_host_list;
     std::size_t m_replica = 0;
     std::mutex m_mutex;
-    httplib::Client* m_active = nullptr;
+    upstream_connection* m_active = nullptr;
     bool m_is_interrupted = false;
 };
 
--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -62,21 +62,12 @@
     return head;
 }
 
-/// An answer with neither a length nor chunks ends when its connection closes, so a lost connection
-/// is indistinguishable from its end.
-bool has_provable_end(const httplib::Response& response)
-{
-    return response.has_header("Content-Length") ||
-           response.get_header_value("Transfer-Encoding") == "chunked" || response.status == 204;
-}
-
 /// State of one answer across the connections that deliver it.
 struct attempt_state
 {
     http::event_splitter events;
     bool has_head = false;
     bool is_event_stream = false;
-    bool has_provable_end = true;
     bool is_past_deadline = false;
     bool is_cancelled = false;
 };
@@ -123,7 +114,8 @@
         cached_connection connection =
             uses_cache ? m_connections.take(request.address)
                        : cached_connection{connection_cache::make_client(request.address), {}, 0};
-        httplib::Client& client = *connection.client;
+        upstream_connection& client = *connection.client;
+        client.set_head_request(request.method == "HEAD");
         set_timeouts(connection, request);
         answer.on_cancel([&client] { client.stop(); });
         if (steady_clock::now() >= request.deadline)
@@ -133,15 +125,15 @@
         m_metrics.count(counter::upstream_attempts);
         const httplib::Result result = client.send(make_request(request, answer, state));
         answer.on_cancel(nullptr);
-        std::optional<attempt_failure> failure = check(request, result, state);
-        if (!failure && uses_cache)
+        std::optional<attempt_failure> failure = check(request, result, client.framing(), state);
+        if (!failure && uses_cache && !client.framing()->has_excess())
             m_connections.put_back(request.address, std::move(connection));
         return failure;
     }
 
     static void set_timeouts(const cached_connection& connection, const upstream_request& request)
     {
-        httplib::Client& client = *connection.client;
+        upstream_connection& client = *connection.client;
         const core::milliseconds left = remaining(request.deadline);
         client.set_connection_timeout(std::min(left, connect_timeout));
         client.set_read_timeout(left);
@@ -173,8 +165,11 @@
     static bool handle_head(const httplib::Response& response, answer_sink& answer,
                             attempt_state& state)
     {
+        // cpp-httplib takes an interim answer other than 100 for the final one.
+        constexpr int first_final_status = 200;
+        if (response.status < first_final_status)
+            return false;
         answer_head head = make_head(response);
-        state.has_provable_end = has_provable_end(response);
         if (state.has_head)
             return head.is_event_stream && head.status == 200;
         state.has_head = true;
@@ -207,10 +202,11 @@
 
     static std::optional<attempt_failure> check(const upstream_request& request,
                                                 const httplib::Result& result,
+                                                const std::optional<answer_framing>& framing,
                                                 const attempt_state& state)
     {
         if (result)
-            return check_complete(request, state);
+            return check_complete(request, *framing, state);
         const std::string upstream = "upstream " + request.address.get();
         switch (result.error())
         {
@@ -245,11 +241,14 @@
                 std::nullopt};
     }
 
+    /// An answer with neither a length nor chunks ends when its connection closes, so a lost
+    /// connection is indistinguishable from its end, but for a stream that has its final event.
     static std::optional<attempt_failure> check_complete(const upstream_request& request,
+                                                         const answer_framing& framing,
                                                          const attempt_state& state)
     {
-        const bool is_whole =
-            state.is_event_stream ? state.events.is_done() : state.has_provable_end;
+        const bool is_whole = state.is_event_stream ? state.events.is_done() && !framing.is_cut()
+                                                    : framing.is_whole();
         if (is_whole)
             return std::nullopt;
         return attempt_failure{
