--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -499,3 +499,55 @@
             CHECK_FALSE_TEXT(request.is_finished && request.status == 200, seen.c_str());
     }
 }
+
+// Fails when a head that its upstream cut becomes a success, a refusal that proves "not run", or
+// the end of a request that may be sent again.
+TEST(call, a_head_that_is_cut_is_no_answer)
+{
+    struct row
+    {
+        const char* name;
+        std::string bytes;
+    };
+    const row rows[] = {
+        {"status line", "HTTP/1.1 200 O"},
+        {"after the status line", "HTTP/1.1 200 OK\r\n"},
+        {"name", "HTTP/1.1 200 OK\r\nServer-Sig"},
+        {"value", "HTTP/1.1 200 OK\r\nServer-Signature: 3e1b"},
+        {"length", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1"},
+        {"before the empty line", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n"},
+        {"interim answer", "HTTP/1.1 103 Early Hints\r\nX-Fie"},
+        {"after an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n"},
+        {"refusal", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n"},
+    };
+    constexpr int bad_gateway = 502;
+    const std::string answer = events(1, 2);
+    const scripted_answer whole{{{0ms, chunked_head + chunk(answer) + last_chunk}},
+                                answer_end::keep};
+    std::string wrong; // the rows with another answer than expected
+    for (const row& each : rows)
+    {
+        for (const answer_end end : {answer_end::close, answer_end::reset})
+        {
+            for (const request_kind kind : {request_kind::idempotent, request_kind::streaming})
+            {
+                for (const unsigned attempts : {1U, 2U})
+                {
+                    call_fixture node(many_retries);
+                    scripted_upstream upstream(node.loop,
+                                               {whole, {{{0ms, each.bytes}}, end}, whole});
+                    node.set_route(make_route(kind, attempts));
+                    node.publish("i-1", upstream.address());
+                    node.finish(node.start("first"));
+                    const recorded_exchange& request = node.start("a");
+                    node.finish(request);
+                    const bool is_right =
+                        attempts == 2 ? request.is(200, answer) : request.status == bad_gateway;
+                    if (!is_right)
+                        wrong += std::string(each.name) + ": " + request.describe() + "\n";
+                }
+            }
+        }
+    }
+    STRCMP_EQUAL("", wrong.c_str());
+}
