serving: cut heads, lengths, chunks and trailers through another region

Nine rows more in the table of answers that pass through a node of another region; the former rows are unchanged. They were not seen to fail.

--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -303,7 +303,7 @@
 TEST_GROUP(forwarded_call){};
 
 // Fails when an answer without length that passes through a node of another region is cut, or when
-// a part of one looks whole.
+// a part of any answer looks whole.
 TEST(forwarded_call, an_answer_without_length_is_whole_only_when_its_connection_is_closed)
 {
     struct row
@@ -313,6 +313,7 @@
         std::string body;
         answer_end end;
         bool is_whole;
+        const char* head = "HTTP/1.1 200 OK\r\n\r\n";
     };
     const row rows[] = {
         {"plain", request_kind::idempotent, "abc", answer_end::close, true},
@@ -323,6 +324,24 @@
         {"stream, reset", request_kind::streaming, events(1, 3), answer_end::reset, false},
         {"stream inside an event", request_kind::streaming, events(1, 3) + "id: 4\nda",
          answer_end::close, false},
+        {"head cut in its status line", request_kind::idempotent, "", answer_end::close, false,
+         "HTTP/1.1 200 O"},
+        {"head cut in a value", request_kind::idempotent, "", answer_end::close, false,
+         "HTTP/1.1 200 OK\r\nServer-Signature: 3e"},
+        {"head cut before its empty line", request_kind::idempotent, "", answer_end::close, false,
+         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"},
+        {"head cut, reset", request_kind::idempotent, "", answer_end::reset, false,
+         "HTTP/1.1 200 OK\r\n"},
+        {"head of a stream cut", request_kind::streaming, "", answer_end::close, false,
+         "HTTP/1.1 200 OK\r\nContent-Le"},
+        {"interim head cut", request_kind::streaming, "", answer_end::close, false,
+         "HTTP/1.1 103 Early Hints\r\nX-Fie"},
+        {"body shorter than its length", request_kind::idempotent, "abc", answer_end::close, false,
+         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"},
+        {"chunk size cut", request_kind::idempotent, "1", answer_end::close, false,
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
+        {"trailer cut", request_kind::streaming, "0\r\nX-Fie", answer_end::close, false,
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"},
     };
     for (const row& each : rows)
     {
@@ -335,8 +354,7 @@
         near_network.connect(far_calls);
         far_network.connect(near_calls);
         near_calls.set_nodes({{far_id.address, far_region}});
-        scripted_upstream upstream(fixture.loop,
-                                   {{{{0ms, "HTTP/1.1 200 OK\r\n\r\n" + each.body}}, each.end}});
+        scripted_upstream upstream(fixture.loop, {{{{0ms, each.head + each.body}}, each.end}});
         route only;
         only.kind = each.kind;
         fixture.set_route(only);
