gateway: a stream without an event is refused, not cut

What callers of the own interface saw: status 200, then the end of the connection and no byte, when an engine ended, closed or fell silent between its head and its first event.

Cause: the head was passed on as soon as it had arrived, so what failed behind it could neither be refused nor sent to another engine.

Change: the head of a stream goes on with its first event, or with its end.

Evidence: the check of truncated answers now asks for at least one byte of the answer, which is stricter than before; four of five tests of truncated_answer failed with it on the former code, all five pass now, and the tests of the gateway do.

--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -67,6 +67,9 @@
 {
     http::event_splitter events;
     bool has_head = false;
+    /// Head of a stream, until its first event has arrived: what fails before that can still be
+    /// refused or sent elsewhere.
+    std::optional<answer_head> unsent_head;
     bool is_event_stream = false;
     bool is_past_deadline = false;
     bool is_cancelled = false;
@@ -85,6 +88,7 @@
             const std::optional<attempt_failure> failure = send_once(request, answer, state);
             if (!failure)
             {
+                put_unsent_head(answer, state);
                 answer.finish();
                 return;
             }
@@ -174,10 +178,20 @@
             return head.is_event_stream && head.status == 200;
         state.has_head = true;
         state.is_event_stream = head.is_event_stream;
-        answer.put_head(std::move(head));
+        state.unsent_head = std::move(head);
+        if (!state.is_event_stream)
+            put_unsent_head(answer, state);
         return true;
     }
 
+    static void put_unsent_head(answer_sink& answer, attempt_state& state)
+    {
+        if (!state.unsent_head)
+            return;
+        answer.put_head(std::move(*state.unsent_head));
+        state.unsent_head.reset();
+    }
+
     static bool handle_content(std::string_view data, const upstream_request& request,
                                answer_sink& answer, attempt_state& state)
     {
@@ -189,7 +203,10 @@
         std::string chunk = state.is_event_stream ? state.events.feed(data) : std::string(data);
         if (state.events.pending_size() > max_event_bytes || state.events.starts_over())
             return false;
-        if (chunk.empty() || answer.put_chunk(std::move(chunk)))
+        if (chunk.empty())
+            return true;
+        put_unsent_head(answer, state);
+        if (answer.put_chunk(std::move(chunk)))
             return true;
         state.is_cancelled = true;
         return false;
--- a/tests/truncated_answer_test.cpp
+++ b/tests/truncated_answer_test.cpp
@@ -36,7 +36,8 @@
     std::unique_ptr<test_fleet> fleet;
 
     /// Checks that an answer with a clean end is correct or a refusal with its reason, and that a
-    /// truncated one is a prefix of the correct answer.
+    /// truncated one is a prefix of the correct answer with something in it: one of which nothing
+    /// has arrived can be refused.
     static void check_answer(const http_answer& answer, const http_request& request,
                              const std::string& what)
     {
@@ -46,6 +47,7 @@
             const std::string expected = test_fleet::expected_draft(request);
             CHECK_TRUE_TEXT(expected.starts_with(answer.body), ("wrong bytes; " + text).c_str());
             CHECK_TRUE_TEXT(answer.end == answer_end::truncated, text.c_str());
+            CHECK_FALSE_TEXT(answer.body.empty(), text.c_str());
             return;
         }
         if (answer.status == 200)
