--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -405,8 +405,8 @@
         scripted_upstream first(
             node.loop, {{{{0ms, chunked_head + chunk(events(1, 2))}, {200ms, chunk(events(3, 4))}},
                          each.end}});
-        scripted_upstream second(node.loop,
-                                 {{{{0ms, chunked_head + chunk(events(5, 6)) + last_chunk}}}});
+        scripted_upstream second(
+            node.loop, {{{{0ms, chunked_head + chunk(events(5, 6)).append(last_chunk)}}}});
         node.set_route(make_route(request_kind::streaming, 3));
         node.publish("i-1", first.address());
         const recorded_exchange& stream = node.start("a");
