--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -373,6 +373,23 @@
     STRCMP_EQUAL("", other.c_str());
 }
 
+// Fails when the node that took a request for a stream can't refuse it, because the serving node of
+// another region passed on a head without an event.
+TEST(call, a_forwarded_stream_without_an_event_is_refused)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {{{{0ms, chunked_head}}, answer_end::reset}});
+    node.set_route(make_route(request_kind::streaming, 2));
+    node.publish("i-1", upstream.address());
+    std::optional<policy::refusal> refused;
+    const recorded_exchange& stream =
+        node.start("a", forwarded_from{5s, [&](const policy::refusal& why) { refused = why; }});
+    node.finish(stream);
+    CHECK_TRUE_TEXT(refused && refused->executed == policy::execution::unknown,
+                    stream.describe().c_str());
+    CHECK_FALSE_TEXT(stream.has_begun(), stream.describe().c_str());
+}
+
 // Fails when a stream that its upstream broke off is cut, because no upstream takes it on at that
 // moment, although one does a moment later.
 TEST(call, a_broken_stream_waits_for_an_upstream_that_takes_it_on)
