soak: whole requests that end servers

Half of the crash_servers faults now send an idempotent request with a fixed path and without a prompt that ends each server that runs it. The verdict counts its runs at servers once the nodes must know of three ends under it. Stand-in servers report which request ended them, and the soak records when it ended, started, froze or resumed a node.

--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -102,7 +102,8 @@
                     {"deadlines", m_deadlines},
                     {"endless_bytes", m_endless_bytes},
                     {"arrivals_ms", m_arrivals_ms},
-                    {"rejected", m_rejected}}
+                    {"rejected", m_rejected},
+                    {"ended_by", m_ended_by}}
             .dump();
     }
 
@@ -124,13 +125,20 @@
                in.get_header_value("Prefix-Hash").find(m_fatal_part + ":") != std::string::npos;
     }
 
+    void set_ended_by(const std::string& path)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ended_by = path;
+    }
+
     /// Ends the program as a crash does, after a last line with what it has seen. Its connections
     /// are reset: a clean end would complete the answers that end with their connection. The
     /// process is gone a moment later, or after the time of `/standin/slow_end`.
-    [[noreturn]] void crash()
+    [[noreturn]] void crash(const std::string& path)
     {
         // Held to the end of the process: several requests may end it at once.
         const std::lock_guard lock(m_end_mutex);
+        set_ended_by(path);
         std::cout << "crashed " << seen() << std::endl;
         constexpr int max_sockets = 1'024;
         for (int socket = STDERR_FILENO + 1; socket < max_sockets; ++socket)
@@ -202,7 +210,7 @@
         else if (is_stream)
             stream(in, out, id, fault);
         else if (is_fatal(in))
-            crash();
+            crash(in.path);
         else
             send_whole(out, "answer of " + FLAGS_id + " to " + in.method + " " + in.path + " " +
                                 in.body);
@@ -242,7 +250,7 @@
         const std::string last = in.get_header_value("Last-Event-Id");
         const int next = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
         const bool is_close_ended = m_is_close_ended;
-        auto write = event_writer(next, id, fault, is_fatal(in), is_close_ended);
+        auto write = event_writer(next, id, fault, is_fatal(in) ? in.path : "", is_close_ended);
         if (!is_close_ended)
         {
             out.set_chunked_content_provider("text/event-stream", std::move(write));
@@ -253,14 +261,14 @@
     }
 
     std::function<bool(std::size_t, httplib::DataSink&)>
-    event_writer(int next, const std::string& id, const std::string& fault, bool is_fatal,
-                 bool is_close_ended)
+    event_writer(int next, const std::string& id, const std::string& fault,
+                 const std::string& fatal, bool is_close_ended)
     {
-        return [this, next, id, fault, is_fatal, is_close_ended](std::size_t,
-                                                                 httplib::DataSink& sink) mutable
+        return [this, next, id, fault, fatal, is_close_ended](std::size_t,
+                                                              httplib::DataSink& sink) mutable
         {
-            if (is_fatal)
-                crash();
+            if (!fatal.empty())
+                crash(fatal);
             if (fault == "break_stream" && next == 3)
             {
                 const std::string half = "id: 3\ndata: to";
@@ -327,6 +335,7 @@
     std::vector<long> m_arrivals_ms; ///< times of the requests since it was told its header
     std::size_t m_endless_bytes = 0; ///< most bytes sent in one endless answer
     int m_rejected = 0;
+    std::string m_ended_by; ///< path of the request that ends this program
     std::atomic<time_point> m_silent_until{time_point{}};
     std::atomic<milliseconds> m_end_delay{milliseconds{0}};
     std::atomic<bool> m_is_close_ended{false}; ///< answers end with their connection
--- a/tests/soak/fault_plan.hpp
+++ b/tests/soak/fault_plan.hpp
@@ -38,7 +38,7 @@
     change_idle_limit,   ///< of the clients' connections
     move_routes,         ///< to another service and back
     version_storm,       ///< a changed configuration every 250 ms
-    crash_servers,       ///< a part of a prompt ends each server that answers it
+    crash_servers,       ///< a part of a prompt, or a whole request, ends each server that runs it
 };
 
 /// @brief Name of the kind in messages.
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -77,10 +77,11 @@
     return milliseconds{(is_long ? min_stream_ms : min_ms) + draw / 7 % range_ms};
 }
 
-bool soak_caller::has_fatal_part(std::uint64_t draw) const
+/// Whether this caller is one of a quarter of the callers, and the request one of a quarter of its.
+bool soak_caller::is_drawn(std::size_t callers, std::uint64_t draw) const
 {
     constexpr std::uint64_t share = 4;
-    return m_view.sends_fatal_part && m_number % share == 1 && draw / 128 % share == 0;
+    return m_number % share == callers && draw / 128 % share == 0;
 }
 
 call_record soak_caller::send(const std::string& id, std::uint64_t draw)
@@ -89,12 +90,18 @@
     call_record made;
     made.id = id;
     made.node = m_node;
-    made.kind = kinds[draw % kinds.size()];
+    made.is_fatal = m_view.sends_fatal_path && is_drawn(2, draw);
+    made.kind = made.is_fatal ? call_kind::read : kinds[draw % kinds.size()];
     made.deadline = deadline_of(made.kind, draw);
-    http_request request = machine_fleet::request("POST", path_of(made.kind, id), id,
-                                                  static_cast<int>(made.deadline.count()));
-    if (has_fatal_part(draw))
+    http_request request =
+        machine_fleet::request("POST", path_of(made), id, static_cast<int>(made.deadline.count()));
+    if (m_view.sends_fatal_part && is_drawn(1, draw))
         request.headers["Prefix-Hash"] = "a:50," + fatal_part + ":50,b:50";
+    if (made.is_fatal)
+    {
+        request.headers.erase("Prefix-Hash");
+        request.headers.erase("Token-Usage");
+    }
     request.keep_alive = true;
     made.sent = now();
     if (m_open && m_open->can_send_again())
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -24,6 +24,7 @@
     bool sends_long_requests = false;
     std::function<std::chrono::milliseconds()> idle_limit; ///< of an open connection; 0 for none
     std::atomic<bool> sends_fatal_part{false};
+    std::atomic<bool> sends_fatal_path{false};
     std::atomic<bool> is_stopped{false};
 };
 
@@ -45,7 +46,7 @@
     void run();
     call_record send(const std::string& id, std::uint64_t draw);
     std::chrono::milliseconds deadline_of(call_kind kind, std::uint64_t draw) const;
-    bool has_fatal_part(std::uint64_t draw) const;
+    bool is_drawn(std::size_t callers, std::uint64_t draw) const;
     std::chrono::milliseconds pause_after(const call_record& made);
 
     std::size_t m_number;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -31,6 +31,11 @@
     return "drain " + std::to_string(server);
 }
 
+bool ends_by_whole_request(const planned_fault& fault)
+{
+    return fault.draw / 7 % 2 == 1;
+}
+
 std::string evacuation_key(const std::string& region)
 {
     return "op/evacuate/" + region + "-a";
@@ -111,6 +116,7 @@
     seen.timeouts = m_configuration.timeouts();
     seen.idle_limits = m_configuration.published_idle_limits();
     seen.stops = m_stops;
+    seen.disturbances = m_disturbances;
     if (seen.is_planned)
         seen.exclusions = m_exclusions;
     for (soak_caller& each : m_callers)
@@ -135,11 +141,13 @@
     {
     case fault_kind::kill_node:
         m_fleet.node(node).program->kill();
+        m_disturbances.push_back({node, now()});
         save_log(node);
         m_nodes[node] = node_state::down;
         break;
     case fault_kind::freeze_node:
         m_fleet.node(node).program->pause();
+        m_disturbances.push_back({node, now()});
         break;
     case fault_kind::freeze_server:
         server.pause();
@@ -163,8 +171,7 @@
         begin_path_fault(fault, path_at(fault.draw));
         break;
     case fault_kind::crash_servers:
-        ++m_active_operations[fatal_part];
-        set_fatal_part(fatal_part);
+        begin_crashes(fault);
         break;
     default:
         begin_planned_operation(fault);
@@ -225,6 +232,7 @@
     if (m_nodes[node] == node_state::down)
         return;
     m_fleet.node(node).program->send_signal(SIGTERM);
+    m_disturbances.push_back({node, now()});
     if (m_nodes[node] == node_state::running)
         m_stops.push_back({node, now(), soak_time::max()});
     m_nodes[node] = node_state::stopping;
@@ -264,6 +272,7 @@
         break;
     case fault_kind::freeze_node:
         m_fleet.node(node).program->resume();
+        m_disturbances.push_back({node, now()});
         break;
     case fault_kind::evacuate_region:
         if (--m_active_operations[evacuated_region(fault)] == 0)
@@ -279,8 +288,7 @@
         end_drop(path_at(fault.draw));
         break;
     case fault_kind::crash_servers:
-        if (--m_active_operations[fatal_part] == 0)
-            set_fatal_part("");
+        end_crashes(fault);
         break;
     case fault_kind::change_timeouts:
     case fault_kind::change_idle_limit:
@@ -335,6 +343,28 @@
     m_view.sends_fatal_part = !part.empty();
 }
 
+/// Half of the time a part of a prompt ends the servers, otherwise a whole request. They end under
+/// `fatal_path` throughout the soak, so that no success ever shows it as harmless to the nodes.
+void soak_fleet::begin_crashes(const planned_fault& fault)
+{
+    if (ends_by_whole_request(fault))
+    {
+        ++m_active_operations[fatal_path];
+        m_view.sends_fatal_path = true;
+        return;
+    }
+    ++m_active_operations[fatal_part];
+    set_fatal_part(fatal_part);
+}
+
+void soak_fleet::end_crashes(const planned_fault& fault)
+{
+    if (ends_by_whole_request(fault))
+        m_view.sends_fatal_path = --m_active_operations[fatal_path] > 0;
+    else if (--m_active_operations[fatal_part] == 0)
+        set_fatal_part("");
+}
+
 void soak_fleet::begin_path_fault(const planned_fault& fault, standin& path)
 {
     constexpr std::uint64_t max_delay_ms = 600;
@@ -371,6 +401,7 @@
 void soak_fleet::start_node(std::size_t index)
 {
     m_fleet.start_node(index);
+    m_disturbances.push_back({index, now()});
     m_nodes[index] = node_state::running;
 }
 
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -56,6 +56,8 @@
     void stop(std::size_t node);
     void end_server_fault(const planned_fault& fault);
     void set_fatal_part(const std::string& part);
+    void begin_crashes(const planned_fault& fault);
+    void end_crashes(const planned_fault& fault);
     void start_callers();
     void tend();
     void restart_stopped_nodes();
@@ -74,6 +76,7 @@
     std::deque<soak_server> m_servers;
     std::vector<node_state> m_nodes;
     std::vector<node_stop> m_stops;
+    std::vector<node_disturbance> m_disturbances;
     std::string m_logs;
     std::vector<exclusion_period> m_exclusions;
     /// Number of active operations of one kind, by server or region.
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -52,6 +52,7 @@
             std::vector<std::string>{"--target", m_program->address(),
                                      m_ends_by_reset ? "--ends_by_reset" : "--noends_by_reset"});
     m_is_down = false;
+    control("/standin/fatal_path", fatal_path);
     publish();
     if (m_is_close_ended)
         set_close_ended(true);
@@ -154,6 +155,7 @@
 
 void soak_server::on_ended()
 {
+    const soak_time ended = now();
     m_is_down = true;
     m_is_paused = false;
     const auto draw = std::hash<std::string>{}(m_id) %
@@ -172,11 +174,12 @@
                    return true;
                });
     m_ended.push_back(record_of(seen));
+    m_ended.back().ended = ended;
 }
 
 server_record soak_server::record_of(const json& seen) const
 {
-    return {m_id, m_place.region, seen["runs"].get<std::map<std::string, int>>()};
+    return {m_id, m_place.region, seen["runs"], seen["ended_by"], {}};
 }
 
 void soak_server::restore()
--- a/tests/soak/soak_verdict.cpp
+++ b/tests/soak/soak_verdict.cpp
@@ -22,6 +22,11 @@
 constexpr std::chrono::milliseconds idle_margin = 20ms;
 /// Longest time between a node's last look at an idle connection and its close.
 constexpr std::chrono::milliseconds max_crossing = 20ms;
+/// Time in which all nodes know of a server that has ended.
+constexpr std::chrono::milliseconds contact_time = 6s;
+/// Servers that end under a request before the nodes refuse it, and runs that they may miss later.
+constexpr std::size_t learning_ends = 3;
+constexpr int allowed_later_runs = 3;
 /// Statuses that guarantee that the request has not run and will not run.
 constexpr std::array not_run_statuses{408, 421, 429, 503};
 
@@ -60,7 +65,7 @@
         return false;
     if (call.kind == call_kind::stream)
         return call.answer.body == whole_stream(record.events);
-    return call.answer.body.find(" " + path_of(call.kind, call.id) + " ") != std::string::npos;
+    return call.answer.body.find(" " + path_of(call) + " ") != std::string::npos;
 }
 
 std::string check_call(const soak_record& record, const call_record& call)
@@ -223,8 +228,60 @@
            std::to_string(call.deadline.count()) + " ms on " + connection + ", ";
 }
 
+/// When the last of the servers had ended from which the nodes learn that a request is fatal.
+std::optional<soak_time> time_of_learning(const soak_record& record)
+{
+    std::vector<soak_time> ends;
+    for (const server_record& each : record.servers)
+    {
+        if (each.ended_by == fatal_path)
+            ends.push_back(each.ended);
+    }
+    if (ends.size() < learning_ends)
+        return std::nullopt;
+    std::sort(ends.begin(), ends.end());
+    return ends[learning_ends - 1];
+}
+
+/// A node that stood still or was started lately may not know what the others know.
+bool was_node_disturbed(const soak_record& record, const call_record& call)
+{
+    return std::any_of(record.disturbances.begin(), record.disturbances.end(),
+                       [&](const node_disturbance& each) {
+                           return each.node == call.node && each.at <= call.sent &&
+                                  call.sent - each.at < contact_time;
+                       });
+}
+
+std::string check_fatal_requests(const soak_record& record)
+{
+    const std::optional<soak_time> learned = time_of_learning(record);
+    if (!learned)
+        return {};
+    int runs = 0;
+    std::string ids;
+    for (const call_record& call : record.calls)
+    {
+        const bool is_judged = call.is_fatal && call.sent - *learned > contact_time;
+        if (!is_judged || was_node_disturbed(record, call) || runs_of(record, call.id) == 0)
+            continue;
+        runs += runs_of(record, call.id);
+        ids += " " + call.id + " at node " + std::to_string(call.node + 1) + " after " +
+               std::to_string(to_ms(call.sent - *learned)) + " ms,";
+    }
+    if (runs <= allowed_later_runs)
+        return {};
+    return fatal_path + " ran " + std::to_string(runs) +
+           " times after servers had ended under it:" + ids;
+}
+
 } // namespace
 
+std::string path_of(const call_record& call)
+{
+    return call.is_fatal ? fatal_path : path_of(call.kind, call.id);
+}
+
 std::string path_of(call_kind kind, const std::string& id)
 {
     static constexpr std::array prefixes{"/book/", "/read/", "/stream/"};
@@ -240,11 +297,13 @@
         {
             const std::string what = check(record, call);
             if (!what.empty())
-                violations.push_back(path_of(call.kind, call.id) + " at node " +
-                                     std::to_string(call.node + 1) + " " + what + "; " +
-                                     describe_times(call) + call.answer.describe());
+                violations.push_back(path_of(call) + " at node " + std::to_string(call.node + 1) +
+                                     " " + what + "; " + describe_times(call) +
+                                     call.answer.describe());
         }
     }
+    if (const std::string what = check_fatal_requests(record); !what.empty())
+        violations.push_back(what);
     return violations;
 }
 
--- a/tests/soak/soak_verdict.hpp
+++ b/tests/soak/soak_verdict.hpp
@@ -25,6 +25,9 @@
     stream, ///< may be resumed
 };
 
+/// @brief Path of the requests without a prompt that end each server that runs one.
+inline const std::string fatal_path = "/read/fatal";
+
 /// @brief One request and the answer that its caller received.
 struct call_record
 {
@@ -37,6 +40,7 @@
     std::size_t node = 0;                  ///< index of the node that it was sent to
     /// Since the former answer on the same connection; none on a new connection.
     std::optional<std::chrono::milliseconds> idle;
+    bool is_fatal = false; ///< sent with `fatal_path`
 };
 
 /// @brief One server and the requests that it reports as run.
@@ -44,7 +48,9 @@
 {
     std::string name;
     std::string region;
-    std::map<std::string, int> runs; ///< number of runs by request id
+    std::map<std::string, int> runs{}; ///< number of runs by request id
+    std::string ended_by{};            ///< path of the request that ended it; empty for none
+    soak_time ended{};
 };
 
 /// @brief Period in which a server must not run newly sent requests.
@@ -70,6 +76,13 @@
     soak_time gone{}; ///< when its process had ended
 };
 
+/// @brief The soak ended, started, froze or resumed a node.
+struct node_disturbance
+{
+    std::size_t node = 0; ///< its index
+    soak_time at{};
+};
+
 /// @brief Everything recorded in one soak.
 struct soak_record
 {
@@ -82,6 +95,7 @@
     std::vector<limit_change> timeouts;    ///< of all routes
     std::vector<limit_change> idle_limits; ///< of connections without a request
     std::vector<node_stop> stops;
+    std::vector<node_disturbance> disturbances;
 };
 
 /// @brief Violated guarantees, one line each; empty when there are none.
@@ -90,6 +104,9 @@
 /// @brief Path of a request of this kind.
 std::string path_of(call_kind kind, const std::string& id);
 
+/// @brief Path of this request.
+std::string path_of(const call_record& call);
+
 } // namespace snipeplank::tests
 
 #endif
--- a/tests/soak_verdict_test.cpp
+++ b/tests/soak_verdict_test.cpp
@@ -198,3 +198,46 @@
         CHECK_EQUAL_TEXT(each.is_violation, !find_violations(seen).empty(), each.name);
     }
 }
+
+// Fails when a fatal request that still runs at servers once all nodes must refuse it is not found,
+// or a run that the nodes could not prevent is reported.
+TEST(soak_verdict, a_fatal_request_may_run_three_times_after_three_servers_ended_under_it)
+{
+    struct fatal_row
+    {
+        const char* name;
+        std::string third_ended_by;
+        std::chrono::milliseconds sent;
+        int runs;
+        std::vector<node_disturbance> disturbances;
+        bool is_fatal;
+        bool is_violation;
+    };
+    const fatal_row fatal_rows[] = {
+        {"four later runs", fatal_path, 9'001ms, 4, {}, true, true},
+        {"three later runs", fatal_path, 9'001ms, 3, {}, true, false},
+        {"sent within the contact time", fatal_path, 9'000ms, 4, {}, true, false},
+        {"the third server ended under another request", "/stream/b", 9'001ms, 4, {}, true, false},
+        {"the third server runs", "", 9'001ms, 4, {}, true, false},
+        {"a harmless request", fatal_path, 9'001ms, 4, {}, false, false},
+        {"its node was disturbed lately", fatal_path, 20s, 4, {{1, start + 15s}}, true, false},
+        {"its node was disturbed earlier", fatal_path, 20s, 4, {{1, start + 14s}}, true, true},
+        {"its node was disturbed later", fatal_path, 20s, 4, {{1, start + 21s}}, true, true},
+        {"another node was disturbed", fatal_path, 20s, 4, {{0, start + 15s}}, true, true},
+    };
+    for (const fatal_row& each : fatal_rows)
+    {
+        soak_record seen;
+        seen.home = "home";
+        // Servers are recorded in any order of their ends.
+        seen.servers = {{"s1", "home", {}, each.third_ended_by, start + 3s},
+                        {"s2", "home", {}, fatal_path, start + 1s},
+                        {"s3", "home", {}, fatal_path, start + 2s},
+                        {"s4", "home", {{"a", each.runs}}, "", {}}};
+        seen.disturbances = each.disturbances;
+        const soak_time sent = start + each.sent;
+        seen.calls = {
+            {"a", call_kind::read, sent, answer(502, ""), sent + 1s, 2s, 1, {}, each.is_fatal}};
+        CHECK_EQUAL_TEXT(each.is_violation, !find_violations(seen).empty(), each.name);
+    }
+}
