--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -63,6 +63,12 @@
     return served;
 }
 
+long count_ended_by_whole_requests(const soak_record& seen)
+{
+    return std::count_if(seen.servers.begin(), seen.servers.end(),
+                         [](const server_record& each) { return each.ended_by == fatal_path; });
+}
+
 void soak(std::uint64_t seed, milliseconds length)
 {
     const soak_shape shape = make_soak_shape(seed, number_from("SNIPEPLANK_SOAK_LARGE", 0) > 0);
@@ -70,9 +76,10 @@
     soak_fleet fleet(seed, shape);
     const soak_record seen = fleet.run(plan);
     const std::vector<std::string> violations = find_violations(seen);
-    const std::string faults = std::to_string(plan.size()) + " faults, " +
-                               std::to_string(seen.servers.size() - shape.servers.size()) +
-                               " servers crashed";
+    const std::string faults =
+        std::to_string(plan.size()) + " faults, " +
+        std::to_string(seen.servers.size() - shape.servers.size()) + " servers crashed, " +
+        std::to_string(count_ended_by_whole_requests(seen)) + " of them under a whole request";
     const std::size_t served = print_summary(seed, faults, seen, violations.size());
     CHECK_TRUE_TEXT(served > 0, "nothing was served");
     if (violations.empty())
--- a/tests/soak/soak_server.cpp
+++ b/tests/soak/soak_server.cpp
@@ -155,7 +155,6 @@
 
 void soak_server::on_ended()
 {
-    const soak_time ended = now();
     m_is_down = true;
     m_is_paused = false;
     const auto draw = std::hash<std::string>{}(m_id) %
@@ -174,7 +173,7 @@
                    return true;
                });
     m_ended.push_back(record_of(seen));
-    m_ended.back().ended = ended;
+    m_ended.back().ended = now();
 }
 
 server_record soak_server::record_of(const json& seen) const
