policy: a request with the same two crashes as another one is held back for a moment only

Cause: two successive crashes hold a request for 30 s, also while another request has the same two and nothing tells them apart. Both are held for 1 s now, as after one crash; the next crash, or an answer, tells. The fatal one ends a third server earlier and is held for 600 s then, so the bound on what it may end stays.

--- a/packages/policy/include/snipeplank/policy/crash_quarantine.hpp
+++ b/packages/policy/include/snipeplank/policy/crash_quarantine.hpp
@@ -62,19 +62,20 @@
 /// A request that comes again is known exactly, so one crash holds it back already: for a moment
 /// after the first, until all nodes know of it, longer after two of which one followed the other,
 /// and for the lifetime of the evidence after three. Several at one moment, as when a host fails,
-/// count as one for this. Requests that ran beside a fatal one crash once with it and are answered
-/// when they are sent again.
+/// count as one for this. Requests that ran beside a fatal one crash with it and are answered when
+/// they are sent again; while two requests have the same two crashes, both are held back only for a
+/// moment, since the next crash tells them apart.
 ///
-/// Which part of a prompt is fatal has to be inferred.
-/// A part that crashes every upstream is never answered; the other parts of the same prompts, and
-/// the parts of prompts that were lost with them, soon are. So an answer clears a part, and a part
-/// with several crashes since its last answer is suspected. Crashes at one moment, as when a host
-/// fails, are no independent evidence: three requests must each have been sent after the crash
-/// before (of five crashes, two). Of suspected parts with the same crashes, only the one that was
-/// answered longest ago is quarantined; of equal ones, the one with more crashes of its own, then
-/// the one furthest back in the prompt: prompts share their first parts. A prompt that tells such
-/// parts apart is sent, since a part that no node has seen answered may be the sound one. Merging
-/// evidence is commutative and idempotent. Pure; not thread-safe.
+/// Which part of a prompt is fatal has to be inferred. A part that crashes every upstream is never
+/// answered; the other parts of the same prompts, and the parts of prompts that were lost with
+/// them, soon are. So an answer clears a part, and a part with several crashes since its last
+/// answer is suspected. Crashes at one moment, as when a host fails, are no independent evidence:
+/// three requests must each have been sent after the crash before (of five crashes, two). Of
+/// suspected parts with the same crashes, only the one that was answered longest ago is
+/// quarantined; of equal ones, the one with more crashes of its own, then the one furthest back in
+/// the prompt: prompts share their first parts. A prompt that tells such parts apart is sent, since
+/// a part that no node has seen answered may be the sound one. Merging evidence is commutative and
+/// idempotent. Pure; not thread-safe.
 class crash_quarantine
 {
   public:
@@ -151,6 +152,7 @@
                                core::time_point now) const;
     bool is_tested_by(std::span<const request_part_key> prompt, const part_state& part,
                       core::time_point now) const;
+    bool is_one_of_several(const part_state& part) const;
     void limit_size(core::time_point now);
 
     std::unordered_map<request_part_key, part_state> m_parts;
--- a/packages/policy/src/crash_quarantine.cpp
+++ b/packages/policy/src/crash_quarantine.cpp
@@ -205,12 +205,32 @@
                        { return is_explained_by(part, entry.second, forgiven_crashes, now); });
 }
 
+/// Whether another whole request has all crashes of this one, which are too few to quarantine it:
+/// one of the two ran beside the other, and only a further crash tells which.
+bool crash_quarantine::is_one_of_several(const part_state& part) const
+{
+    if (!is_of_whole_request(part.crashes) || part.crashes.size() >= crashes_to_quarantine)
+        return false;
+    return std::any_of(m_parts.begin(), m_parts.end(),
+                       [&](const auto& entry)
+                       {
+                           const part_state& other = entry.second;
+                           return &other != &part && is_of_whole_request(other.crashes) &&
+                                  without(part.crashes, other.crashes).empty();
+                       });
+}
+
 std::optional<core::time_point> crash_quarantine::quarantine_end(const part_state& part,
                                                                  std::size_t forgiven_crashes,
                                                                  core::time_point now) const
 {
     const auto end = end_by_kind(part.crashes, forgiven_crashes, now);
-    return end && !is_explained_by_other(part, forgiven_crashes, now) ? end : std::nullopt;
+    if (!end || is_explained_by_other(part, forgiven_crashes, now))
+        return std::nullopt;
+    if (!is_one_of_several(part))
+        return end;
+    const core::time_point first_end = part.crashes.back().at + first_hold;
+    return now < first_end ? std::optional(first_end) : std::nullopt;
 }
 
 /// Whether a prompt tells a part that was never answered from another one that explains its
