--- a/packages/policy/src/crash_quarantine.cpp
+++ b/packages/policy/src/crash_quarantine.cpp
@@ -174,7 +174,7 @@
                                         : suspicion_end(crashes, now);
 }
 
-/// Whether a part is to blame rather than another one whose crashes it explains: the one answered
+/// Whether a part is more suspect than another one whose crashes it explains: the one answered
 /// longer ago, then the one with more crashes of its own, then the one further back.
 bool crash_quarantine::is_more_suspect(const part_state& part, const part_state& other)
 {
--- a/packages/policy/tests/prompt_quarantine_test.cpp
+++ b/packages/policy/tests/prompt_quarantine_test.cpp
@@ -18,7 +18,7 @@
 {
 
 const request_part_key shared{1};
-const request_part_key deadly{2};
+const request_part_key fatal{2};
 
 crash_report crash(request_part_key part, std::uint64_t upstream, long sent_ms, long at)
 {
@@ -78,11 +78,11 @@
         for (const event& one : each.events)
         {
             if (one.upstream == 0)
-                subject.add(answer_report{deadly, at_ms(one.ms)}, now);
+                subject.add(answer_report{fatal, at_ms(one.ms)}, now);
             else
-                subject.add(crash(deadly, one.upstream, one.sent_ms, one.ms), now);
+                subject.add(crash(fatal, one.upstream, one.sent_ms, one.ms), now);
         }
-        const std::vector<request_part_key> parts{shared, deadly};
+        const std::vector<request_part_key> parts{shared, fatal};
         CHECK_EQUAL_TEXT(each.is_quarantined, subject.time_left(parts, now).has_value(), each.what);
         CHECK_EQUAL_TEXT(each.is_quarantined ? 1 : 0, static_cast<int>(subject.quarantined(now)),
                          each.what);
@@ -96,9 +96,9 @@
     for (const std::uint64_t upstream : {1, 2, 3})
     {
         const long ms = static_cast<long>(upstream) * 1'000;
-        subject.add(crash(deadly, upstream, ms - 100, ms), at_ms(ms));
+        subject.add(crash(fatal, upstream, ms - 100, ms), at_ms(ms));
     }
-    const std::vector<request_part_key> parts{deadly};
+    const std::vector<request_part_key> parts{fatal};
     const auto left = subject.time_left(parts, at_ms(3'000));
     CHECK_TRUE(left.has_value());
     LONGS_EQUAL(598'000, left->count());
@@ -129,10 +129,10 @@
     {
         const char* what;
         long shared_answered_ms; ///< 0 for never
-        long deadly_answered_ms;
+        long fatal_answered_ms;
         int own_crashes_of_shared;
         bool shared_is_quarantined;
-        bool deadly_is_quarantined;
+        bool fatal_is_quarantined;
     };
     const row rows[] = {
         {"the first part was answered before", 50, 0, 0, false, true},
@@ -147,13 +147,13 @@
         const core::time_point now = at_ms(5'000);
         if (each.shared_answered_ms != 0)
             subject.add(answer_report{shared, at_ms(each.shared_answered_ms)}, now);
-        if (each.deadly_answered_ms != 0)
-            subject.add(answer_report{deadly, at_ms(each.deadly_answered_ms)}, now);
+        if (each.fatal_answered_ms != 0)
+            subject.add(answer_report{fatal, at_ms(each.fatal_answered_ms)}, now);
         for (const std::uint64_t upstream : {1, 2, 3})
         {
             const long ms = static_cast<long>(upstream) * 200;
             subject.add(crash(shared, upstream, ms - 90, ms), now);
-            subject.add(crash(deadly, upstream, ms - 90, ms), now);
+            subject.add(crash(fatal, upstream, ms - 90, ms), now);
         }
         for (int i = 0; i < each.own_crashes_of_shared; ++i)
         {
@@ -161,10 +161,10 @@
             subject.add(crash(shared, 10 + static_cast<std::uint64_t>(i), ms - 90, ms), now);
         }
         const std::vector<request_part_key> sound{shared, request_part_key{3}};
-        const std::vector<request_part_key> crashing{deadly};
+        const std::vector<request_part_key> crashing{fatal};
         CHECK_EQUAL_TEXT(each.shared_is_quarantined, subject.time_left(sound, now).has_value(),
                          each.what);
-        CHECK_EQUAL_TEXT(each.deadly_is_quarantined, subject.time_left(crashing, now).has_value(),
+        CHECK_EQUAL_TEXT(each.fatal_is_quarantined, subject.time_left(crashing, now).has_value(),
                          each.what);
     }
 }
@@ -178,20 +178,20 @@
     {
         const long ms = static_cast<long>(upstream) * 200;
         subject.add(crash(shared, upstream, ms - 90, ms), at_ms(ms));
-        subject.add(crash(deadly, upstream, ms - 90, ms), at_ms(ms));
+        subject.add(crash(fatal, upstream, ms - 90, ms), at_ms(ms));
     }
     for (const std::uint64_t upstream : {10, 11})
     {
         subject.add(crash(shared, upstream, 700, 750), at_ms(750));
     }
-    const std::vector<request_part_key> crashing{shared, deadly};
+    const std::vector<request_part_key> crashing{shared, fatal};
     const std::vector<request_part_key> sound{shared, request_part_key{3}};
     CHECK_TRUE(subject.time_left(crashing, at_ms(800)).has_value());
     CHECK_FALSE(subject.time_left(sound, at_ms(800)).has_value());
     subject.add(answer_report{shared, at_ms(900)}, at_ms(900));
     CHECK_TRUE(subject.time_left(crashing, at_ms(1'000)).has_value());
     CHECK_FALSE(subject.time_left(sound, at_ms(1'000)).has_value());
-    const std::vector<request_part_key> crashing_alone{deadly, request_part_key{3}};
+    const std::vector<request_part_key> crashing_alone{fatal, request_part_key{3}};
     CHECK_TRUE(subject.time_left(crashing_alone, at_ms(1'000)).has_value());
 }
 
@@ -202,7 +202,7 @@
     for (const std::uint64_t upstream : {1, 2})
     {
         const long ms = static_cast<long>(upstream) * 100;
-        subject.add(crash(deadly, upstream, ms - 50, ms), at_ms(ms));
+        subject.add(crash(fatal, upstream, ms - 50, ms), at_ms(ms));
     }
     for (std::uint64_t part = 10; part < 10 + 2 * crash_quarantine::max_parts; ++part)
     {
@@ -211,8 +211,8 @@
     constexpr std::size_t max_items = 16;
     const crash_evidence known = subject.evidence(max_items, at_ms(600));
     LONGS_EQUAL(max_items, known.crashes.size());
-    CHECK_TRUE(known.crashes.front().part == deadly);
-    CHECK_TRUE(known.crashes[1].part == deadly);
+    CHECK_TRUE(known.crashes.front().part == fatal);
+    CHECK_TRUE(known.crashes[1].part == fatal);
 }
 
 namespace
@@ -320,12 +320,12 @@
     for (std::uint64_t i = 1; i <= 6; ++i)
     {
         const long ms = static_cast<long>(i) * 200;
-        const request_part_key other = i <= 3 ? deadly : request_part_key{i};
+        const request_part_key other = i <= 3 ? fatal : request_part_key{i};
         subject.add(crash(shared, i, ms - 90, ms), at_ms(ms));
         subject.add(crash(other, i, ms - 90, ms), at_ms(ms));
     }
     const std::vector<request_part_key> fatal_first{shared};
-    const std::vector<request_part_key> harmless{deadly};
+    const std::vector<request_part_key> harmless{fatal};
     CHECK_TRUE(subject.time_left(fatal_first, at_ms(2'000)).has_value());
     CHECK_FALSE(subject.time_left(harmless, at_ms(2'000)).has_value());
 }
@@ -353,13 +353,12 @@
                 {
                     crash_evidence evidence;
                     if (one.upstream == 0)
-                        evidence.answers.push_back({deadly, at_ms(one.ms)});
+                        evidence.answers.push_back({fatal, at_ms(one.ms)});
                     else
-                        evidence.crashes.push_back(
-                            crash(deadly, one.upstream, one.sent_ms, one.ms));
+                        evidence.crashes.push_back(crash(fatal, one.upstream, one.sent_ms, one.ms));
                     subject.merge(evidence, now);
                 }
-                const std::vector<request_part_key> parts{deadly};
+                const std::vector<request_part_key> parts{fatal};
                 return subject.time_left(parts, now);
             };
             std::vector<event> shuffled = events;
@@ -387,21 +386,21 @@
     long ms = 0;
     std::uint64_t last_upstream = 0;
 
-    /// One request at a node; the deadly part crashes a server together with one sound prompt.
+    /// One request at a node; the fatal part crashes a server together with one sound prompt.
     /// Returns whether the request was sent.
-    bool send(std::size_t node, bool is_deadly, request_part_key other)
+    bool send(std::size_t node, bool is_fatal, request_part_key other)
     {
-        const std::vector<request_part_key> parts{shared, is_deadly ? deadly : other};
+        const std::vector<request_part_key> parts{shared, is_fatal ? fatal : other};
         if (tables[node].time_left(parts, at_ms(ms)))
             return false;
         for (const request_part_key& part : parts)
         {
-            if (is_deadly)
+            if (is_fatal)
                 tables[node].add(crash(part, last_upstream + 1, ms, ms + 50), at_ms(ms + 50));
             else
                 tables[node].add(answer_report{part, at_ms(ms)}, at_ms(ms));
         }
-        if (!is_deadly)
+        if (!is_fatal)
             return true;
         ++last_upstream;
         for (const request_part_key& part : {shared, other})
@@ -419,9 +418,9 @@
 
 } // namespace
 
-// Fails when a deadly part reaches servers long after its fifth crash, at any node, or a sound
+// Fails when a fatal part reaches servers long after its fifth crash, at any node, or a sound
 // prompt that shares a part with it is refused once the evidence was exchanged.
-TEST(prompt_quarantine, all_nodes_stop_a_deadly_part_in_time_and_serve_sound_prompts)
+TEST(prompt_quarantine, all_nodes_stop_a_fatal_part_in_time_and_serve_sound_prompts)
 {
     snipeplank::tests::check_property(
         "at most 3 of the prompts pass later than 6 s after the fifth crash; sound ones pass",
@@ -433,7 +432,7 @@
             constexpr long contact_ms = 6'000;
             constexpr int fifth = 5;
             constexpr int allowed_later = 3;
-            const int deadly_percent = *rc::gen::inRange(2, 60);
+            const int fatal_percent = *rc::gen::inRange(2, 60);
             long fifth_at = run_ms;
             int late = 0;
             int refused_sound = 0;
@@ -441,15 +440,15 @@
                  fleet.ms += *rc::gen::inRange(20, 200))
             {
                 const auto node = *rc::gen::inRange<std::size_t>(0, nodes);
-                const bool is_deadly = *rc::gen::inRange(0, 100) < deadly_percent;
+                const bool is_fatal = *rc::gen::inRange(0, 100) < fatal_percent;
                 const request_part_key other{*rc::gen::inRange<std::uint64_t>(10, 40)};
-                const bool is_sent = fleet.send(node, is_deadly, other);
-                if (is_deadly && is_sent && fleet.last_upstream == fifth)
+                const bool is_sent = fleet.send(node, is_fatal, other);
+                if (is_fatal && is_sent && fleet.last_upstream == fifth)
                     fifth_at = fleet.ms;
                 const bool is_settled = fleet.ms > fifth_at + contact_ms;
-                late += is_deadly && is_sent && is_settled ? 1 : 0;
+                late += is_fatal && is_sent && is_settled ? 1 : 0;
                 refused_sound +=
-                    !is_deadly && !is_sent && fleet.ms > fifth_at + 2 * contact_ms ? 1 : 0;
+                    !is_fatal && !is_sent && fleet.ms > fifth_at + 2 * contact_ms ? 1 : 0;
                 if (fleet.ms < next_exchange)
                     continue;
                 next_exchange = fleet.ms + 300;
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -729,7 +729,7 @@
 }
 
 // Fails when upstreams that cannot be reached count as crashed, so that prompts are refused.
-TEST(call, upstreams_behind_a_cut_link_blame_no_prompt)
+TEST(call, upstreams_behind_a_cut_link_make_no_prompt_suspect)
 {
     call_fixture node(no_retries);
     node.set_route(make_route(request_kind::streaming, 1));
