tests: the output of a node is waited for

Cause: a thread of the test reads the program's pipe (child_process), and the test looked at what it had read by then.

--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -69,8 +69,12 @@
     CHECK_TRUE_TEXT(metrics.find("snipeplank_rejected_requests_total{status=\"431\"} 1\n") !=
                         std::string::npos,
                     metrics.c_str());
-    const std::string output = fleet->node(0).program->output();
-    CHECK_TRUE_TEXT(output.find("request_rejected") != std::string::npos, output.c_str());
+    wait_until("the line request_rejected",
+               [&]
+               {
+                   const std::string output = fleet->node(0).program->output();
+                   return output.find("request_rejected") != std::string::npos;
+               });
 }
 
 // Fails when a request that may run at most once is sent again, or is reported as not run.
