policy, serving: what is known of a warm-up in a module of its own

`warmup_tracker` holds what a node knows of one upstream's warm-up, and `placement::admit` says why a request may not be sent.

--- a/packages/policy/include/snipeplank/policy/upstream_feedback.hpp
+++ b/packages/policy/include/snipeplank/policy/upstream_feedback.hpp
@@ -31,6 +31,7 @@
     std::optional<core::milliseconds> retry_after;
     /// Requests a second that it takes from all nodes together.
     std::optional<double> limit;
+    std::optional<core::milliseconds> cold_for{}; ///< how long it stays cold
 };
 
 /// @brief A limit, or its end, as one node tells another.
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -38,7 +38,6 @@
     policy::retry_bound retries;
     double cold_overshoot = 1;
     double cold_slack = 0;
-    core::milliseconds heartbeat{1'200}; ///< renewal interval of upstream entries
 };
 
 /// @brief One attempt of a request, to be placed.
@@ -106,6 +105,15 @@
     abandoned,
 };
 
+/// @brief Whether a request may be sent to the upstream that was chosen for it.
+enum class admission
+{
+    granted,
+    out_of_service, ///< unknown, leaving or evacuated
+    throttled,      ///< it takes none now by its own word
+    cold,           ///< its rate limit while cold is used up
+};
+
 /// @brief Decides placements and tracks the load that they cause. Not thread-safe.
 class placement
 {
@@ -144,9 +152,17 @@
     placement_decision decide(const placement_request& request, core::time_point now);
 
     /// @brief Whether the upstream may be sent a request now: it is known under this id, not
-    /// leaving, not in an evacuated availability zone, and takes one by its own word. Counts the
-    /// request against a limit that the upstream has named; called right before it is sent.
-    bool admit(const upstream_id& target, core::time_point now);
+    /// leaving, not in an evacuated availability zone, and takes one by its own word and, while
+    /// cold, by its rate limit. Counts the request against both limits. Called on an open
+    /// connection, right before the first byte: what was known when the upstream was chosen may
+    /// have changed while the connection was being opened.
+    admission admit(const upstream_id& target, core::time_point now);
+
+    /// @brief Records that the upstream has crashed: it may come back cold under the same id.
+    void on_crashed(const upstream_id& target);
+
+    /// @brief Number of upstreams that count as cold. O(upstreams).
+    std::size_t cold_upstreams(core::time_point now) const;
 
     /// @brief Records what an upstream said of itself in an answer.
     /// @return whether it said something new
--- a/packages/serving/include/snipeplank/serving/upstream.hpp
+++ b/packages/serving/include/snipeplank/serving/upstream.hpp
@@ -28,10 +28,11 @@
     core::address address;
     core::zone_id zone;
     core::region_id region;
-    bool is_leaving = false;        ///< takes no new requests
-    core::milliseconds cold_for{0}; ///< remaining warm-up time, if it published one
-    unsigned slots = 1;             ///< requests that it runs concurrently
-    std::uint64_t started_ms = 0;   ///< Unix time of its start, if it published one
+    bool is_leaving = false;         ///< takes no new requests
+    core::milliseconds cold_for{0};  ///< remaining warm-up time, if it published one
+    unsigned slots = 1;              ///< requests that it runs concurrently
+    std::uint64_t started_ms = 0;    ///< Unix time of its start, if it published one
+    std::uint64_t report_number = 0; ///< of this description; rises within one run
 
     friend bool operator==(const upstream&, const upstream&) = default;
 };
--- a/packages/serving/src/attempt_tracker.cpp
+++ b/packages/serving/src/attempt_tracker.cpp
@@ -29,7 +29,6 @@
     attempt.prefill_tokens_before =
         total_prefill_tokens(known, service_of(request.service)) + attempt.prefill_tokens;
     attempt.running_before = total(known).running;
-    known.cold.on_sent(now);
     if (known.own.running == 0)
         known.busy_since = now;
     add(known.own, attempt, 1);
@@ -100,7 +99,9 @@
     if (how == attempt_end::failed)
         learned.ejection.on_failure(address, now);
     if (how == attempt_end::unreachable)
+    {
         avoid(known->second, now);
+    }
     else
         known->second.failed_connections = 0;
     if (how == attempt_end::answered || how == attempt_end::rejected)
--- a/packages/serving/src/crash_guard.cpp
+++ b/packages/serving/src/crash_guard.cpp
@@ -176,7 +176,7 @@
                  {"request_ids", requests},
                  {"quarantined_parts", quarantined()}});
     if (m_on_crash)
-        m_on_crash();
+        m_on_crash(target.id);
 }
 
 bool crash_guard::add_evidence(fleet::gossip& message) const
--- a/packages/serving/src/crash_guard.hpp
+++ b/packages/serving/src/crash_guard.hpp
@@ -58,7 +58,10 @@
     crash_guard(boost::asio::io_context& loop, http::connection_pool& pool, call_log& log);
 
     /// @brief Sets what is called after a crash of an upstream was recorded, to tell other nodes.
-    void on_crash(std::function<void()> action) { m_on_crash = std::move(action); }
+    void on_crash(std::function<void(const upstream_id&)> action)
+    {
+        m_on_crash = std::move(action);
+    }
 
     /// @brief How long requests with these parts are not to be sent; nothing when they may be.
     /// @param forgiven_crashes crashes under the whole request that do not hold it back
@@ -107,7 +110,7 @@
     call_log& m_log;
     policy::crash_quarantine m_quarantine;
     std::map<upstream_id, crash_check> m_checks;
-    std::function<void()> m_on_crash;
+    std::function<void(const upstream_id&)> m_on_crash;
     std::uint64_t m_crashes = 0;
 };
 
--- a/packages/serving/src/load_model.hpp
+++ b/packages/serving/src/load_model.hpp
@@ -8,6 +8,7 @@
 #include <snipeplank/policy/prefix_cache_model.hpp>
 #include <snipeplank/policy/retry_window.hpp>
 #include <snipeplank/policy/upstream_run_key.hpp>
+#include <snipeplank/policy/warmup_tracker.hpp>
 #include <snipeplank/serving/placement.hpp>
 
 #include <cstdint>
@@ -40,7 +41,6 @@
     upstream info;
     std::uint64_t key = 0; ///< hash of the address, used in load reports
     policy::upstream_run_key run;
-    core::time_point cold_until{};
     core::time_point avoid_until{};
     unsigned failed_connections = 0;     ///< consecutive
     core::time_point last_received_at{}; ///< time of the last byte of any answer
@@ -50,6 +50,7 @@
     core::time_point pause_measured_at{};
     policy::prefix_cache_model prefixes;
     policy::cold_start_limit cold;
+    policy::warmup_tracker warmup;
 };
 
 /// @brief Speeds of one service, learned from its answers.
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -48,6 +48,13 @@
     return answer;
 }
 
+/// Whether two descriptions differ at most in their number.
+bool says_the_same(const upstream& earlier, upstream later)
+{
+    later.report_number = earlier.report_number;
+    return earlier == later;
+}
+
 /// @brief Adapts a function to the request handler interface.
 class function_handler final : public http::request_handler
 {
@@ -104,7 +111,11 @@
           m_directory_server(loop, m_control), m_admin_server(loop, m_admin), m_housekeeping(loop),
           m_stop_timer(loop), m_stopping(m_options.stop_time)
     {
-        m_crash_guard.on_crash([this] { m_fleet.send_evidence(); });
+        m_crash_guard.on_crash(
+            [this](const upstream_id&)
+            {
+                m_fleet.send_evidence();
+            });
         m_peers.set_server([this](std::unique_ptr<http::exchange> request, forwarded_from from)
                            { serve_peer(std::move(request), std::move(from)); });
         m_calls.on_rejected([this](int status, std::string_view why)
@@ -180,7 +191,7 @@
         for (const auto& [id, known] : upstreams)
         {
             const auto before = m_upstreams.find(id);
-            if (before != m_upstreams.end() && before->second == known)
+            if (before != m_upstreams.end() && says_the_same(before->second, known))
                 continue;
             m_log.event(line_kind::state_change, "upstream",
                         {{"id", id.get()},
@@ -469,6 +480,7 @@
         gauge("snipeplank_idle_upstream_connections", m_pool.size());
         gauge("snipeplank_live_nodes", m_nodes.size());
         gauge("snipeplank_upstreams", m_upstreams.size());
+        gauge("snipeplank_cold_upstreams", m_placement.cold_upstreams(now()));
         gauge("snipeplank_config_version",
               m_environment.table ? m_environment.table->version.get() : 0);
         gauge("snipeplank_state_source_reachable", m_adapters.source.is_reachable(now()) ? 1 : 0);
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -24,8 +24,6 @@
 constexpr double silence_weight = 3;
 /// An upstream with requests that sends nothing for this long counts as silent.
 constexpr core::milliseconds silence_timeout{1'200};
-/// Added to the published warm-up time for the delay until it is received.
-constexpr core::milliseconds cold_margin{500};
 /// Another region must be better by this much, since its load is reported with a delay.
 constexpr double spill_margin_ms = 50;
 /// Fraction of the objective below which a request stays in its region, whatever the remote load.
@@ -83,8 +81,7 @@
             if (info.region != m_region)
                 continue;
             upstream_state& known = m_upstreams[id];
-            if (info.cold_for.count() > 0 && info.cold_for != known.info.cold_for)
-                known.cold_until = now + info.cold_for + cold_margin;
+            known.warmup.on_report({info.started_ms, info.report_number, info.cold_for}, now);
             known.info = info;
             known.key = core::hash64(info.address.get());
             known.run = run_of(info);
@@ -95,14 +92,10 @@
 
     void set_evacuations(const zone_set& zones, core::time_point now)
     {
-        for (auto& [id, known] : m_upstreams)
+        for (const core::zone_id& each : m_evacuated)
         {
-            const bool is_evacuation_over =
-                m_evacuated.contains(known.info.zone) && !zones.contains(known.info.zone);
-            const service* offered = m_table ? m_table->find_service(known.info.service) : nullptr;
-            if (is_evacuation_over && offered != nullptr && offered->warmup_rate > 0)
-                known.cold_until =
-                    std::max(known.cold_until, now + m_bounds.heartbeat + cold_margin);
+            if (!zones.contains(each))
+                m_evacuation_ends[each] = now;
         }
         m_evacuated = zones;
     }
@@ -127,18 +120,47 @@
                       [&](const auto& each) { return now - each.second.at > load_lifetime; });
     }
 
-    bool admit(const upstream_id& target, core::time_point now)
+    /// Called once the connection is open, so it also counts the warm-up of an upstream that was
+    /// found closed before.
+    admission admit(const upstream_id& target, core::time_point now)
     {
         const auto found = m_upstreams.find(target);
-        return found != m_upstreams.end() && is_in_service(found->second) &&
-               m_feedback.take(found->second.run, now);
+        if (found == m_upstreams.end() || !is_in_service(found->second))
+            return admission::out_of_service;
+        upstream_state& known = found->second;
+        const service* offered = offered_by(known);
+        known.warmup.on_reachable(offered == nullptr ? core::milliseconds{0} : offered->warmup,
+                                  now);
+        if (!m_feedback.take(known.run, now))
+            return admission::throttled;
+        known.cold.on_sent(now);
+        return admission::granted;
     }
 
     bool on_statement(const upstream_id& target, const policy::upstream_statement& said,
                       core::time_point now)
     {
         const auto found = m_upstreams.find(target);
-        return found != m_upstreams.end() && m_feedback.on_answer(found->second.run, said, now);
+        if (found == m_upstreams.end())
+            return false;
+        const service* offered = offered_by(found->second);
+        if (said.cold_for && offered != nullptr)
+            found->second.warmup.on_answer(std::min(*said.cold_for, offered->warmup), now);
+        return m_feedback.on_answer(found->second.run, said, now);
+    }
+
+    void on_crashed(const upstream_id& target)
+    {
+        const auto found = m_upstreams.find(target);
+        if (found != m_upstreams.end())
+            found->second.warmup.on_unreachable();
+    }
+
+    std::size_t cold_upstreams(core::time_point now) const
+    {
+        return static_cast<std::size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(),
+                                                      [&](const auto& each)
+                                                      { return is_cold(each.second, now); }));
     }
 
     placement_decision decide(const placement_request& request, core::time_point now)
@@ -238,6 +260,34 @@
                !m_evacuated.contains(known.info.zone);
     }
 
+    const service* offered_by(const upstream_state& known) const
+    {
+        return m_table ? m_table->find_service(known.info.service) : nullptr;
+    }
+
+    /// Whether the upstream may be cold: by its own word, because it may have restarted, or because
+    /// the evacuation of its zone, during which upstreams may become cold, has just ended. The last
+    /// needs no word of the upstream, which may be late.
+    bool is_cold(const upstream_state& known, core::time_point now) const
+    {
+        if (known.warmup.is_cold(now))
+            return true;
+        const auto ended = m_evacuation_ends.find(known.info.zone);
+        const service* offered = offered_by(known);
+        return ended != m_evacuation_ends.end() && offered != nullptr &&
+               now < ended->second + core::milliseconds{1'200} + policy::warmup_tracker::margin;
+    }
+
+    /// Whether the rate limit of a cold upstream allows another request.
+    bool allows_while_cold(upstream_state& known, const service* offered, core::time_point now)
+    {
+        if (offered == nullptr || offered->warmup_rate <= 0 || !is_cold(known, now))
+            return true;
+        const policy::cold_start_bound bound{offered->warmup_rate, m_bounds.cold_overshoot,
+                                             m_bounds.cold_slack};
+        return known.cold.allows(bound, m_nodes_in_region, now);
+    }
+
     candidate_state state_of(const upstream_state& known, core::time_point now) const
     {
         if (known.info.is_leaving || m_feedback.is_leaving(known.run))
@@ -250,7 +300,7 @@
             return candidate_state::unreachable;
         if (silence(known, now) > silence_timeout)
             return candidate_state::silent;
-        return known.cold_until > now ? candidate_state::cold : candidate_state::good;
+        return is_cold(known, now) ? candidate_state::cold : candidate_state::good;
     }
 
     static candidate_state state_of(const core::region_id& region, const remote_region& known,
@@ -320,13 +370,8 @@
     {
         if (offered == nullptr)
             return true;
-        if (offered->warmup_rate > 0 && known.cold_until > now)
-        {
-            const policy::cold_start_bound bound{offered->warmup_rate, m_bounds.cold_overshoot,
-                                                 m_bounds.cold_slack};
-            if (!known.cold.allows(bound, m_nodes_in_region, now))
-                return false;
-        }
+        if (!allows_while_cold(known, offered, now))
+            return false;
         const double share = max_connection_share * offered->max_connections /
                              static_cast<double>(m_known_in_region);
         return offered->max_connections == 0 || known.own.running < std::max(1.0, share);
@@ -434,6 +479,7 @@
     placement_bounds m_bounds;
     core::random_source& m_random;
     zone_set m_evacuated;
+    std::map<core::zone_id, core::time_point> m_evacuation_ends; ///< as learned by this node
     policy::upstream_feedback m_feedback;
     std::size_t m_nodes_in_region = 1;
     std::size_t m_nodes_in_fleet = 1;
@@ -497,11 +543,21 @@
     m_state->m_feedback.set_nodes(std::move(nodes), std::move(self), now);
 }
 
-bool placement::admit(const upstream_id& target, core::time_point now)
+admission placement::admit(const upstream_id& target, core::time_point now)
 {
     return m_state->admit(target, now);
 }
 
+void placement::on_crashed(const upstream_id& target)
+{
+    m_state->on_crashed(target);
+}
+
+std::size_t placement::cold_upstreams(core::time_point now) const
+{
+    return m_state->cold_upstreams(now);
+}
+
 bool placement::on_statement(const upstream_id& target, const policy::upstream_statement& said,
                              core::time_point now)
 {
--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -30,6 +30,23 @@
 /// Largest body of an answer to another request that is read and dropped.
 constexpr std::size_t max_mismatched_bytes = 262'144;
 
+/// Why a request was not sent, for the log.
+std::string to_string(admission admitted)
+{
+    switch (admitted)
+    {
+    case admission::granted:
+        return "granted";
+    case admission::out_of_service:
+        return "out_of_service";
+    case admission::throttled:
+        return "throttled";
+    case admission::cold:
+        return "cold";
+    }
+    return "unknown";
+}
+
 bool is_refusal(answer_kind kind)
 {
     return kind == answer_kind::not_run || kind == answer_kind::wrong_server;
@@ -68,9 +85,9 @@
     attempt_start result;
     if (!co_await open(result))
         co_return result;
-    if (!m_parts.admit())
+    if (const admission admitted = m_parts.admit(); admitted != admission::granted)
     {
-        result.cause = "the upstream takes no new requests";
+        result.cause = to_string(admitted);
         co_return result;
     }
     const core::milliseconds remaining = m_parts.remaining();
--- a/packages/serving/src/upstream_attempt.hpp
+++ b/packages/serving/src/upstream_attempt.hpp
@@ -4,6 +4,8 @@
 #ifndef SNIPEPLANK_SERVING_SRC_UPSTREAM_ATTEMPT_HPP
 #define SNIPEPLANK_SERVING_SRC_UPSTREAM_ATTEMPT_HPP
 
+#include <snipeplank/serving/placement.hpp>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,7 +25,7 @@
     std::string request_id;
     upstream target;
     std::function<core::milliseconds()> remaining; ///< time until the deadline
-    std::function<bool()> admit;                   ///< called right before the first byte is sent
+    std::function<admission()> admit;              ///< called right before the first byte is sent
     bool may_retry = false; ///< the request may be sent again if its connection is lost
     unsigned priority = 5;
     std::string last_event_id;
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -130,10 +130,10 @@
     {
         CHECK_TRUE(upstream_id{"i-1"} == decide_upstream());
     }
-    CHECK_FALSE(subject->admit(upstream_id{"i-0"}, begin));
+    CHECK_TRUE(admission::out_of_service == subject->admit(upstream_id{"i-0"}, begin));
     subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin);
     CHECK_TRUE(std::holds_alternative<policy::refusal>(subject->decide(ask(), begin)));
-    CHECK_FALSE(subject->admit(upstream_id{"i-1"}, begin));
+    CHECK_TRUE(admission::out_of_service == subject->admit(upstream_id{"i-1"}, begin));
 }
 
 // Fails when an upstream gets what it does not take by its own word: from decisions that were made
@@ -147,7 +147,7 @@
     subject->set_senders({core::address{"10.0.0.1:7"}}, core::address{"10.0.0.1:7"}, begin);
     for (const auto& [id, info] : published)
     {
-        CHECK_TRUE(subject->admit(id, begin));
+        CHECK_TRUE(admission::granted == subject->admit(id, begin));
     }
     subject->on_statement(limited, {false, std::nullopt, 1}, begin);
     subject->on_statement(leaving, {true, std::nullopt, std::nullopt}, begin);
@@ -158,16 +158,16 @@
     {
         CHECK_TRUE(upstream_id{"i-3"} == decide_upstream(begin + 1s));
     }
-    CHECK_FALSE(subject->admit(limited, begin + 1s));
-    CHECK_TRUE(subject->admit(limited, begin + 2s));
-    CHECK_FALSE(subject->admit(limited, begin + 2s));
-    CHECK_FALSE(subject->admit(quiet, begin + 2s));
-    CHECK_TRUE(subject->admit(quiet, begin + 3s));
-    CHECK_FALSE(subject->admit(leaving, begin + 60s));
+    CHECK_TRUE(admission::throttled == subject->admit(limited, begin + 1s));
+    CHECK_TRUE(admission::granted == subject->admit(limited, begin + 2s));
+    CHECK_TRUE(admission::throttled == subject->admit(limited, begin + 2s));
+    CHECK_TRUE(admission::throttled == subject->admit(quiet, begin + 2s));
+    CHECK_TRUE(admission::granted == subject->admit(quiet, begin + 3s));
+    CHECK_TRUE(admission::out_of_service == subject->admit(leaving, begin + 60s));
     upstream_map restarted = published;
     restarted[leaving].started_ms = 1;
     subject->set_upstreams(restarted, begin + 60s);
-    CHECK_TRUE(subject->admit(leaving, begin + 60s));
+    CHECK_TRUE(admission::granted == subject->admit(leaving, begin + 60s));
 }
 
 // Fails when a request that no upstream takes now is not refused at once, with a time at which one
@@ -212,9 +212,9 @@
 // passes the check before sending.
 TEST(placement, a_removed_upstream_gets_no_request)
 {
-    CHECK_TRUE(subject->admit(upstream_id{"i-0"}, begin));
+    CHECK_TRUE(admission::granted == subject->admit(upstream_id{"i-0"}, begin));
     subject->set_upstreams({}, begin);
-    CHECK_FALSE(subject->admit(upstream_id{"i-0"}, begin));
+    CHECK_TRUE(admission::out_of_service == subject->admit(upstream_id{"i-0"}, begin));
 }
 
 // Fails when a burst queues in its region while another region is idle.
@@ -272,7 +272,9 @@
     int sent = 0;
     while (!decide_upstream().get().empty())
     {
-        subject->on_sent(ask(), decide_upstream(), begin);
+        const upstream_id target = decide_upstream();
+        subject->on_sent(ask(), target, begin);
+        CHECK_TRUE(admission::granted == subject->admit(target, begin));
         ++sent;
     }
     LONGS_EQUAL(2, sent);
