serving: a request to a cold upstream is counted when it is sent

Cause: placement asked and counted the limit of a cold upstream when it chose the upstream; the connection is opened after that, up to 400 ms, and `admit`, asked right before the first byte, did not ask about cold. All requests that were chosen while the upstream was warm went out after the node knew it cold. Now `admit` asks and counts. Evidence: placement.a_request_chosen_while_warm_is_counted_when_it_is_sent failed before (20 of 20 sent, 2 allowed).

--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -131,6 +131,8 @@
         const service* offered = offered_by(known);
         known.warmup.on_reachable(offered == nullptr ? core::milliseconds{0} : offered->warmup,
                                   now);
+        if (!allows_while_cold(known, offered, now))
+            return admission::cold;
         if (!m_feedback.take(known.run, now))
             return admission::throttled;
         known.cold.on_sent(now);
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -291,6 +291,26 @@
     CHECK_FALSE(decide_upstream(begin + 5s).get().empty());
 }
 
+// Fails when requests that were chosen while an upstream was warm reach it after the node knows
+// that it is cold (incident FAILBACK): their connections took a moment to open.
+TEST(placement, a_request_chosen_while_warm_is_counted_when_it_is_sent)
+{
+    upstream_map upstreams = make_upstreams(1, model);
+    subject->set_upstreams(upstreams, begin);
+    subject->set_node_counts(4, 7, 3);
+    const upstream_id target = decide_upstream();
+    fill(20);
+    upstreams.begin()->second.cold_for = 3s;
+    upstreams.begin()->second.report_number = 2;
+    subject->set_upstreams(upstreams, begin + 150ms);
+    int sent = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        sent += subject->admit(target, begin + 400ms) == admission::granted ? 1 : 0;
+    }
+    LONGS_EQUAL(2, sent);
+}
+
 // Fails when prompts with a common prefix are spread, so that each upstream prefills it again.
 TEST(placement, prompts_that_share_a_prefix_go_to_one_upstream)
 {
