policy: each report of a warm-up counts once, whatever time it names

Cause: a node took a report up only if its remaining time differed from the last one. An upstream that became cold again and said the same time as before counted as warm. Now a report is identified by the run's start, its number (`Sequence`) and its time; the same report told twice changes nothing. Evidence: placement.each_report_of_a_warm_up_counts_once failed before.

--- a/packages/policy/src/warmup_tracker.cpp
+++ b/packages/policy/src/warmup_tracker.cpp
@@ -8,7 +8,7 @@
 
 void warmup_tracker::on_report(const warmup_report& report, core::time_point now)
 {
-    if (report.remaining == m_last_report.remaining)
+    if (report == m_last_report)
         return;
     if (std::exchange(m_last_report, report).started_ms != report.started_ms)
         m_may_have_restarted = false; // the report is of the run after the restart
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -311,6 +311,38 @@
     LONGS_EQUAL(2, sent);
 }
 
+// Fails when an upstream that becomes cold again counts as warm because its report names the same
+// time as an earlier one (incident FAILBACK), or when a report that is told twice counts twice.
+TEST(placement, each_report_of_a_warm_up_counts_once)
+{
+    struct row
+    {
+        const char* name;
+        std::uint64_t report;
+        std::uint64_t started_ms;
+        bool is_cold;
+    };
+    for (const row& each :
+         {row{"the same report", 1, 1'000, false}, row{"a later report", 2, 1'000, true},
+          row{"the first report of another run", 1, 2'000, true}})
+    {
+        setup();
+        upstream_map upstreams = make_upstreams(1, model);
+        upstream& only = upstreams.begin()->second;
+        only.cold_for = 3s;
+        only.report_number = 1;
+        only.started_ms = 1'000;
+        subject->set_upstreams(upstreams, begin);
+        subject->set_node_counts(20, 40, 3);
+        CHECK_TRUE(decide_upstream(begin + 3s).get().empty());
+        CHECK_FALSE(decide_upstream(begin + 4s).get().empty());
+        only.report_number = each.report;
+        only.started_ms = each.started_ms;
+        subject->set_upstreams(upstreams, begin + 10s);
+        CHECK_EQUAL_TEXT(each.is_cold, decide_upstream(begin + 11s).get().empty(), each.name);
+    }
+}
+
 // Fails when prompts with a common prefix are spread, so that each upstream prefills it again.
 TEST(placement, prompts_that_share_a_prefix_go_to_one_upstream)
 {
