serving: upstreams are cold for their whole warm-up after an evacuation

Cause: after an evacuation an upstream counted as cold for one heartbeat and 0.5 s, and after that only if its report said so. The report may be late: the upstream is cut off from the store, or the store is slow or away. `service.warmup` was used nowhere. Now all upstreams of the zone count as cold for the service's warm-up and 0.5 s from the moment at which the node learns of the end, also those whose entry appears only afterwards. Evidence: the longer placement.upstreams_are_cold_after_an_evacuation failed before (sent 3 s after the end, the warm-up and margin being 3.5 s).

--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -277,7 +277,7 @@
         const auto ended = m_evacuation_ends.find(known.info.zone);
         const service* offered = offered_by(known);
         return ended != m_evacuation_ends.end() && offered != nullptr &&
-               now < ended->second + core::milliseconds{1'200} + policy::warmup_tracker::margin;
+               now < ended->second + offered->warmup + policy::warmup_tracker::margin;
     }
 
     /// Whether the rate limit of a cold upstream allows another request.
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -288,7 +288,15 @@
     subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin);
     subject->set_evacuations({}, begin + 1s);
     CHECK_TRUE(decide_upstream(begin + 2s).get().empty());
+    CHECK_TRUE(decide_upstream(begin + 4s).get().empty());
     CHECK_FALSE(decide_upstream(begin + 5s).get().empty());
+    // An entry that appears only after the end of the evacuation says nothing of it.
+    subject->set_upstreams({}, begin + 5s);
+    subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin + 6s);
+    subject->set_evacuations({}, begin + 7s);
+    subject->set_upstreams(make_upstreams(1, model), begin + 8s);
+    CHECK_TRUE(decide_upstream(begin + 10s).get().empty());
+    CHECK_FALSE(decide_upstream(begin + 11s).get().empty());
 }
 
 // Fails when requests that were chosen while an upstream was warm reach it after the node knows
