serving: a node that may not know all others takes no share of a cold upstream

Cause: from 3 s to 15 s after its start a node counted at least ten nodes, in regions of 23 and more. Until its member list is complete (15 s, and any node answered) a node now counts more nodes than any region has, so its share is nothing. Evidence: the rows of node_count_estimate.* failed before; they ask for more than the former ones.

--- a/packages/serving/src/node_count_estimate.hpp
+++ b/packages/serving/src/node_count_estimate.hpp
@@ -24,12 +24,12 @@
     static constexpr core::seconds seen_lifetime{60};
     /// Allowance for a node that was added and is not a member yet.
     static constexpr std::size_t unknown_nodes = 1;
-    /// Time after a start in which the member list may not have been received.
-    static constexpr core::seconds joining_time{3};
-    static constexpr std::size_t min_nodes_while_joining = 40;
     /// The member list is complete this long after a start, if any node answered.
     static constexpr core::seconds discovery_time{15};
     static constexpr std::size_t min_nodes_while_discovering = 10;
+    /// More nodes than a region has: leaves no share of a limit whose breach makes an upstream
+    /// fail.
+    static constexpr std::size_t unknown_nodes_in_region = 10'000;
 
     /// @brief Records the start of this node.
     void start(core::time_point now) { m_started = now; }
@@ -43,8 +43,8 @@
     /// @brief Nodes of the whole fleet that may be running, this one included. O(nodes).
     std::size_t possible(core::time_point now) const;
 
-    /// @brief The same for one region. While this node is joining, the estimate is high, since it
-    /// divides a limit whose breach makes an upstream fail.
+    /// @brief The same for one region. While the member list may be incomplete, the estimate is
+    /// above any region's size, since it divides a limit whose breach makes an upstream fail.
     std::size_t possible_in(const core::region_id& region, core::time_point now) const;
 
     /// @brief Other nodes of a region that may be running. O(nodes).
@@ -60,7 +60,7 @@
         core::time_point at{};
     };
 
-    std::size_t with_unknown(std::size_t seen, core::time_point now) const;
+    bool may_be_incomplete(core::time_point now) const;
 
     core::time_point m_started{};
     std::map<core::address, seen_node> m_seen;
--- a/packages/serving/tests/node_count_estimate_test.cpp
+++ b/packages/serving/tests/node_count_estimate_test.cpp
@@ -35,8 +35,8 @@
     }
 };
 
-// Fails when nodes that start at the same time, without a member list yet, each take too large a
-// share of a limit (kalkofen scale-2, and larger fleets).
+// Fails when nodes that start at the same time, without a whole member list yet, each take a share
+// of a limit as if they knew all nodes of their region (kalkofen scale-2, and larger fleets).
 TEST(node_count_estimate, nodes_that_start_together_use_high_estimates)
 {
     struct row
@@ -46,12 +46,13 @@
         core::seconds age;
         std::size_t possible;
     };
-    for (const row& each : {row{"just started", 0, core::seconds{1}, 40},
-                            row{"just started, some known", 5, core::seconds{2}, 40},
-                            row{"joined, few known", 1, core::seconds{4}, 10},
-                            row{"joined, many known", 29, core::seconds{4}, 31},
+    constexpr std::size_t unknown = node_count_estimate::unknown_nodes_in_region;
+    for (const row& each : {row{"just started", 0, core::seconds{1}, unknown},
+                            row{"just started, some known", 5, core::seconds{2}, unknown},
+                            row{"joined, few known", 1, core::seconds{4}, unknown},
+                            row{"joined, many known", 29, core::seconds{14}, unknown},
                             row{"member list complete", 1, core::seconds{16}, 3},
-                            row{"alone", 0, core::seconds{16}, 10}})
+                            row{"alone", 0, core::seconds{16}, unknown}})
     {
         subject = {};
         subject.start(start);
@@ -68,7 +69,8 @@
     subject.remove_expired(start + core::seconds{79});
     UNSIGNED_LONGS_EQUAL(5, subject.possible_in(home, start + core::seconds{79}));
     subject.remove_expired(start + core::seconds{81});
-    UNSIGNED_LONGS_EQUAL(10, subject.possible_in(home, start + core::seconds{81}));
+    UNSIGNED_LONGS_EQUAL(node_count_estimate::unknown_nodes_in_region,
+                         subject.possible_in(home, start + core::seconds{81}));
 }
 
 // Fails when nodes of another region count for the limits of this region, or do not count for the
@@ -86,5 +88,6 @@
 TEST(node_count_estimate, repeats_are_not_cut_while_joining)
 {
     UNSIGNED_LONGS_EQUAL(10, subject.possible(start + core::seconds{1}));
-    UNSIGNED_LONGS_EQUAL(40, subject.possible_in(home, start + core::seconds{1}));
+    UNSIGNED_LONGS_EQUAL(node_count_estimate::unknown_nodes_in_region,
+                         subject.possible_in(home, start + core::seconds{1}));
 }
