serving: an upstream that was found closed counts as cold once it is open again

Cause: cold was known from entries of the store only. An upstream that restarts under its id while it is cut off from the store has an entry that says warm. A node that found it closed, or saw it crash, now counts its warm-up from the first connection that opens again, unless an entry of the new run says how long it is. Evidence: placement.an_upstream_that_comes_back_is_cold_until_it_is_warm failed before.

--- a/packages/serving/src/attempt_tracker.cpp
+++ b/packages/serving/src/attempt_tracker.cpp
@@ -101,6 +101,7 @@
     if (how == attempt_end::unreachable)
     {
         avoid(known->second, now);
+        known->second.warmup.on_unreachable();
     }
     else
         known->second.failed_connections = 0;
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -351,6 +351,32 @@
     }
 }
 
+// Fails when an upstream that was found closed, or has crashed, is used as if it were warm once it
+// accepts connections again, although its entry says nothing yet (incident FAILBACK).
+TEST(placement, an_upstream_that_comes_back_is_cold_until_it_is_warm)
+{
+    const upstream_id only{"i-0"};
+    for (const bool has_crashed : {false, true})
+    {
+        setup();
+        upstream_map upstreams = make_upstreams(1, model);
+        subject->set_upstreams(upstreams, begin);
+        subject->set_node_counts(20, 40, 3);
+        const std::uint64_t attempt = subject->on_sent(ask(), only, begin);
+        subject->on_ended(attempt, has_crashed ? attempt_end::failed : attempt_end::unreachable,
+                          begin);
+        if (has_crashed)
+            subject->on_crashed(only);
+        CHECK_TRUE(admission::cold == subject->admit(only, begin + 5s));
+        CHECK_TRUE(decide_upstream(begin + 8s).get().empty());
+        CHECK_TRUE(admission::granted == subject->admit(only, begin + 9s));
+        upstreams.begin()->second.started_ms = 2'000;
+        subject->on_crashed(only);
+        subject->set_upstreams(upstreams, begin + 10s);
+        CHECK_TRUE(admission::granted == subject->admit(only, begin + 10s));
+    }
+}
+
 // Fails when prompts with a common prefix are spread, so that each upstream prefills it again.
 TEST(placement, prompts_that_share_a_prefix_go_to_one_upstream)
 {
