--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -351,6 +351,19 @@
     }
 }
 
+// Fails when an upstream says in an answer that it is cold and is used as if it were warm, or when
+// a time that no upstream of its service can need keeps it out of use.
+TEST(placement, an_upstream_that_says_it_is_cold_is_treated_so)
+{
+    subject->set_upstreams(make_upstreams(1, model), begin);
+    subject->set_node_counts(20, 40, 3);
+    policy::upstream_statement said;
+    said.cold_for = 86'400s;
+    subject->on_statement(upstream_id{"i-0"}, said, begin);
+    CHECK_TRUE(admission::cold == subject->admit(upstream_id{"i-0"}, begin + 3s));
+    CHECK_TRUE(admission::granted == subject->admit(upstream_id{"i-0"}, begin + 4s));
+}
+
 // Fails when an upstream that was found closed, or has crashed, is used as if it were warm once it
 // accepts connections again, although its entry says nothing yet (incident FAILBACK).
 TEST(placement, an_upstream_that_comes_back_is_cold_until_it_is_warm)
