--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -130,10 +130,10 @@
     {
         CHECK_TRUE(upstream_id{"i-1"} == decide_upstream());
     }
-    CHECK_FALSE(subject->admit(upstream_id{"i-0"}, begin));
+    CHECK_TRUE(admission::out_of_service == subject->admit(upstream_id{"i-0"}, begin));
     subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin);
     CHECK_TRUE(std::holds_alternative<policy::refusal>(subject->decide(ask(), begin)));
-    CHECK_FALSE(subject->admit(upstream_id{"i-1"}, begin));
+    CHECK_TRUE(admission::out_of_service == subject->admit(upstream_id{"i-1"}, begin));
 }
 
 // Fails when an upstream gets what it does not take by its own word: from decisions that were made
@@ -147,7 +147,7 @@
     subject->set_senders({core::address{"10.0.0.1:7"}}, core::address{"10.0.0.1:7"}, begin);
     for (const auto& [id, info] : published)
     {
-        CHECK_TRUE(subject->admit(id, begin));
+        CHECK_TRUE(admission::granted == subject->admit(id, begin));
     }
     subject->on_statement(limited, {false, std::nullopt, 1}, begin);
     subject->on_statement(leaving, {true, std::nullopt, std::nullopt}, begin);
@@ -158,16 +158,16 @@
     {
         CHECK_TRUE(upstream_id{"i-3"} == decide_upstream(begin + 1s));
     }
-    CHECK_FALSE(subject->admit(limited, begin + 1s));
-    CHECK_TRUE(subject->admit(limited, begin + 2s));
-    CHECK_FALSE(subject->admit(limited, begin + 2s));
-    CHECK_FALSE(subject->admit(quiet, begin + 2s));
-    CHECK_TRUE(subject->admit(quiet, begin + 3s));
-    CHECK_FALSE(subject->admit(leaving, begin + 60s));
+    CHECK_TRUE(admission::throttled == subject->admit(limited, begin + 1s));
+    CHECK_TRUE(admission::granted == subject->admit(limited, begin + 2s));
+    CHECK_TRUE(admission::throttled == subject->admit(limited, begin + 2s));
+    CHECK_TRUE(admission::throttled == subject->admit(quiet, begin + 2s));
+    CHECK_TRUE(admission::granted == subject->admit(quiet, begin + 3s));
+    CHECK_TRUE(admission::out_of_service == subject->admit(leaving, begin + 60s));
     upstream_map restarted = published;
     restarted[leaving].started_ms = 1;
     subject->set_upstreams(restarted, begin + 60s);
-    CHECK_TRUE(subject->admit(leaving, begin + 60s));
+    CHECK_TRUE(admission::granted == subject->admit(leaving, begin + 60s));
 }
 
 // Fails when a request that no upstream takes now is not refused at once, with a time at which one
@@ -212,9 +212,9 @@
 // passes the check before sending.
 TEST(placement, a_removed_upstream_gets_no_request)
 {
-    CHECK_TRUE(subject->admit(upstream_id{"i-0"}, begin));
+    CHECK_TRUE(admission::granted == subject->admit(upstream_id{"i-0"}, begin));
     subject->set_upstreams({}, begin);
-    CHECK_FALSE(subject->admit(upstream_id{"i-0"}, begin));
+    CHECK_TRUE(admission::out_of_service == subject->admit(upstream_id{"i-0"}, begin));
 }
 
 // Fails when a burst queues in its region while another region is idle.
@@ -272,7 +272,9 @@
     int sent = 0;
     while (!decide_upstream().get().empty())
     {
-        subject->on_sent(ask(), decide_upstream(), begin);
+        const upstream_id target = decide_upstream();
+        subject->on_sent(ask(), target, begin);
+        CHECK_TRUE(admission::granted == subject->admit(target, begin));
         ++sent;
     }
     LONGS_EQUAL(2, sent);
@@ -286,7 +288,106 @@
     subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin);
     subject->set_evacuations({}, begin + 1s);
     CHECK_TRUE(decide_upstream(begin + 2s).get().empty());
+    CHECK_TRUE(decide_upstream(begin + 4s).get().empty());
     CHECK_FALSE(decide_upstream(begin + 5s).get().empty());
+    // An entry that appears only after the end of the evacuation says nothing of it.
+    subject->set_upstreams({}, begin + 5s);
+    subject->set_evacuations({core::zone_id{"salzkammer-a"}}, begin + 6s);
+    subject->set_evacuations({}, begin + 7s);
+    subject->set_upstreams(make_upstreams(1, model), begin + 8s);
+    CHECK_TRUE(decide_upstream(begin + 10s).get().empty());
+    CHECK_FALSE(decide_upstream(begin + 11s).get().empty());
+}
+
+// Fails when requests that were chosen while an upstream was warm reach it after the node knows
+// that it is cold (incident FAILBACK): their connections took a moment to open.
+TEST(placement, a_request_chosen_while_warm_is_counted_when_it_is_sent)
+{
+    upstream_map upstreams = make_upstreams(1, model);
+    subject->set_upstreams(upstreams, begin);
+    subject->set_node_counts(4, 7, 3);
+    const upstream_id target = decide_upstream();
+    fill(20);
+    upstreams.begin()->second.cold_for = 3s;
+    upstreams.begin()->second.report_number = 2;
+    subject->set_upstreams(upstreams, begin + 150ms);
+    int sent = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        sent += subject->admit(target, begin + 400ms) == admission::granted ? 1 : 0;
+    }
+    LONGS_EQUAL(2, sent);
+}
+
+// Fails when an upstream that becomes cold again counts as warm because its report names the same
+// time as an earlier one (incident FAILBACK), or when a report that is told twice counts twice.
+TEST(placement, each_report_of_a_warm_up_counts_once)
+{
+    struct row
+    {
+        const char* name;
+        std::uint64_t report;
+        std::uint64_t started_ms;
+        bool is_cold;
+    };
+    for (const row& each :
+         {row{"the same report", 1, 1'000, false}, row{"a later report", 2, 1'000, true},
+          row{"the first report of another run", 1, 2'000, true}})
+    {
+        setup();
+        upstream_map upstreams = make_upstreams(1, model);
+        upstream& only = upstreams.begin()->second;
+        only.cold_for = 3s;
+        only.report_number = 1;
+        only.started_ms = 1'000;
+        subject->set_upstreams(upstreams, begin);
+        subject->set_node_counts(20, 40, 3);
+        CHECK_TRUE(decide_upstream(begin + 3s).get().empty());
+        CHECK_FALSE(decide_upstream(begin + 4s).get().empty());
+        only.report_number = each.report;
+        only.started_ms = each.started_ms;
+        subject->set_upstreams(upstreams, begin + 10s);
+        CHECK_EQUAL_TEXT(each.is_cold, decide_upstream(begin + 11s).get().empty(), each.name);
+    }
+}
+
+// Fails when an upstream says in an answer that it is cold and is used as if it were warm, or when
+// a time that no upstream of its service can need keeps it out of use.
+TEST(placement, an_upstream_that_says_it_is_cold_is_treated_so)
+{
+    subject->set_upstreams(make_upstreams(1, model), begin);
+    subject->set_node_counts(20, 40, 3);
+    policy::upstream_statement said;
+    said.cold_for = 86'400s;
+    subject->on_statement(upstream_id{"i-0"}, said, begin);
+    CHECK_TRUE(admission::cold == subject->admit(upstream_id{"i-0"}, begin + 3s));
+    CHECK_TRUE(admission::granted == subject->admit(upstream_id{"i-0"}, begin + 4s));
+}
+
+// Fails when an upstream that was found closed, or has crashed, is used as if it were warm once it
+// accepts connections again, although its entry says nothing yet (incident FAILBACK).
+TEST(placement, an_upstream_that_comes_back_is_cold_until_it_is_warm)
+{
+    const upstream_id only{"i-0"};
+    for (const bool has_crashed : {false, true})
+    {
+        setup();
+        upstream_map upstreams = make_upstreams(1, model);
+        subject->set_upstreams(upstreams, begin);
+        subject->set_node_counts(20, 40, 3);
+        const std::uint64_t attempt = subject->on_sent(ask(), only, begin);
+        subject->on_ended(attempt, has_crashed ? attempt_end::failed : attempt_end::unreachable,
+                          begin);
+        if (has_crashed)
+            subject->on_crashed(only);
+        CHECK_TRUE(admission::cold == subject->admit(only, begin + 5s));
+        CHECK_TRUE(decide_upstream(begin + 8s).get().empty());
+        CHECK_TRUE(admission::granted == subject->admit(only, begin + 9s));
+        upstreams.begin()->second.started_ms = 2'000;
+        subject->on_crashed(only);
+        subject->set_upstreams(upstreams, begin + 10s);
+        CHECK_TRUE(admission::granted == subject->admit(only, begin + 10s));
+    }
 }
 
 // Fails when prompts with a common prefix are spread, so that each upstream prefills it again.
