serving: only a refused connection makes an upstream count as restarted

The mend before took a connection that was not answered in time for a sign of a restart too. A node that is slow itself, or cut off from upstreams, would have found all of them closed and left them idle for a warm-up when it reached them again. A refused connection and a crash that was checked are signs; a timeout is none. Evidence: placement.an_upstream_that_was_out_of_reach_is_not_taken_for_cold failed before.

--- a/packages/policy/include/snipeplank/policy/warmup_tracker.hpp
+++ b/packages/policy/include/snipeplank/policy/warmup_tracker.hpp
@@ -38,8 +38,9 @@
     /// @brief Records what the upstream said in an answer.
     void on_answer(core::milliseconds remaining, core::time_point now);
 
-    /// @brief Records that the upstream accepted no connection or has crashed.
-    void on_unreachable() { m_may_have_restarted = true; }
+    /// @brief Records that the upstream refused a connection or has crashed. A connection that is
+    /// not answered in time says nothing: the path may be cut, or this node may be slow.
+    void on_closed() { m_may_have_restarted = true; }
 
     /// @brief Records that the upstream accepts connections.
     /// @param warmup how long an upstream of its service is cold after a start
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -101,6 +101,7 @@
     answered,
     failed, ///< by the upstream's fault
     unreachable,
+    closed,   ///< refused the connection: the upstream's process does not run
     rejected, ///< proven not run
     abandoned,
 };
--- a/packages/serving/src/attempt.hpp
+++ b/packages/serving/src/attempt.hpp
@@ -23,6 +23,7 @@
     http::response_head head;               ///< of the answer, for `success` and `failure`
     bool was_sent = false;                  ///< some byte may have reached an upstream
     bool is_unreachable = false;            ///< no connection could be made
+    bool is_closed = false;                 ///< the connection was refused: nothing listens there
     std::string cause;                      ///< why there is no answer
     /// What an upstream of this region says of itself.
     std::optional<policy::upstream_statement> said;
--- a/packages/serving/src/attempt_tracker.cpp
+++ b/packages/serving/src/attempt_tracker.cpp
@@ -98,11 +98,10 @@
         learned.ejection.on_success(address, now);
     if (how == attempt_end::failed)
         learned.ejection.on_failure(address, now);
-    if (how == attempt_end::unreachable)
-    {
+    if (how == attempt_end::closed)
+        known->second.warmup.on_closed();
+    if (how == attempt_end::unreachable || how == attempt_end::closed)
         avoid(known->second, now);
-        known->second.warmup.on_unreachable();
-    }
     else
         known->second.failed_connections = 0;
     if (how == attempt_end::answered || how == attempt_end::rejected)
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -374,7 +374,7 @@
         report_broken_upstream();
     m_was_unreachable = result.is_unreachable;
     if (result.is_unreachable)
-        end_attempt(attempt_end::unreachable);
+        end_attempt(result.is_closed ? attempt_end::closed : attempt_end::unreachable);
     else
         end_attempt(is_proven ? attempt_end::rejected : attempt_end::failed);
     m_attempt->cancel();
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -155,7 +155,7 @@
     {
         const auto found = m_upstreams.find(target);
         if (found != m_upstreams.end())
-            found->second.warmup.on_unreachable();
+            found->second.warmup.on_closed();
     }
 
     std::size_t cold_upstreams(core::time_point now) const
--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -69,6 +69,8 @@
     if (connected && !m_is_cancelled)
         co_return true;
     result.is_unreachable = !m_is_cancelled;
+    result.is_closed = result.is_unreachable && !connected &&
+                       connected.error().code != core::error_code::upstream_timeout;
     result.cause = connected ? "cancelled" : connected.error().message;
     co_return false;
 }
--- a/packages/serving/tests/cold_start_history.hpp
+++ b/packages/serving/tests/cold_start_history.hpp
@@ -388,7 +388,7 @@
     {
         placement& places = *m_nodes[index].places;
         if (m_is_down)
-            return places.on_ended(attempt, attempt_end::unreachable, m_now);
+            return places.on_ended(attempt, attempt_end::closed, m_now);
         if (places.admit(only, m_now) != admission::granted)
             return places.on_ended(attempt, attempt_end::rejected, m_now);
         if (m_now >= m_known_at && m_now < m_cold_until)
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -376,8 +376,7 @@
         subject->set_upstreams(upstreams, begin);
         subject->set_node_counts(20, 40, 3);
         const std::uint64_t attempt = subject->on_sent(ask(), only, begin);
-        subject->on_ended(attempt, has_crashed ? attempt_end::failed : attempt_end::unreachable,
-                          begin);
+        subject->on_ended(attempt, has_crashed ? attempt_end::failed : attempt_end::closed, begin);
         if (has_crashed)
             subject->on_crashed(only);
         CHECK_TRUE(admission::cold == subject->admit(only, begin + 5s));
@@ -390,6 +389,18 @@
     }
 }
 
+// Fails when a node that is slow itself, or cut off from upstreams, takes them for restarted ones
+// and leaves them idle: its connections are not answered in time.
+TEST(placement, an_upstream_that_was_out_of_reach_is_not_taken_for_cold)
+{
+    const upstream_id only{"i-0"};
+    subject->set_upstreams(make_upstreams(1, model), begin);
+    subject->set_node_counts(20, 40, 3);
+    const std::uint64_t attempt = subject->on_sent(ask(), only, begin);
+    subject->on_ended(attempt, attempt_end::unreachable, begin);
+    CHECK_TRUE(admission::granted == subject->admit(only, begin + 5s));
+}
+
 // Fails when prompts with a common prefix are spread, so that each upstream prefills it again.
 TEST(placement, prompts_that_share_a_prefix_go_to_one_upstream)
 {
