--- a/packages/serving/tests/blind/blind_nodes_test.cpp
+++ b/packages/serving/tests/blind/blind_nodes_test.cpp
@@ -1,7 +1,7 @@
 /// Guards the bound on what all nodes together send to a cold upstream, when nodes cannot know that
 /// it is cold: they have just started, or stood still while the others learned of it.
 
-#include "cold_start_history.hpp"
+#include "../cold_start_history.hpp"
 
 using namespace snipeplank::serving::tests;
 
