--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -129,8 +129,8 @@
             return admission::out_of_service;
         upstream_state& known = found->second;
         const service* offered = offered_by(known);
-        known.warmup.on_reachable(offered == nullptr ? core::milliseconds{0} : offered->warmup,
-                                  now);
+        if (has_warmup(offered))
+            known.warmup.on_reachable(offered->warmup, now);
         if (!allows_while_cold(known, offered, now))
             return admission::cold;
         if (!m_feedback.take(known.run, now))
@@ -146,7 +146,7 @@
         if (found == m_upstreams.end())
             return false;
         const service* offered = offered_by(found->second);
-        if (said.cold_for && offered != nullptr)
+        if (said.cold_for && has_warmup(offered))
             found->second.warmup.on_answer(std::min(*said.cold_for, offered->warmup), now);
         return m_feedback.on_answer(found->second.run, said, now);
     }
@@ -267,6 +267,11 @@
         return m_table ? m_table->find_service(known.info.service) : nullptr;
     }
 
+    static bool has_warmup(const service* offered)
+    {
+        return offered != nullptr && offered->warmup_rate > 0;
+    }
+
     /// Whether the upstream may be cold: by its own word, because it may have restarted, or because
     /// the evacuation of its zone, during which upstreams may become cold, has just ended. The last
     /// needs no word of the upstream, which may be late.
@@ -276,14 +281,14 @@
             return true;
         const auto ended = m_evacuation_ends.find(known.info.zone);
         const service* offered = offered_by(known);
-        return ended != m_evacuation_ends.end() && offered != nullptr &&
+        return ended != m_evacuation_ends.end() && has_warmup(offered) &&
                now < ended->second + offered->warmup + policy::warmup_tracker::margin;
     }
 
     /// Whether the rate limit of a cold upstream allows another request.
     bool allows_while_cold(upstream_state& known, const service* offered, core::time_point now)
     {
-        if (offered == nullptr || offered->warmup_rate <= 0 || !is_cold(known, now))
+        if (!has_warmup(offered) || !is_cold(known, now))
             return true;
         const policy::cold_start_bound bound{offered->warmup_rate, m_bounds.cold_overshoot,
                                              m_bounds.cold_slack};
