--- a/packages/serving/tests/blind/blind_nodes_test.cpp
+++ b/packages/serving/tests/blind/blind_nodes_test.cpp
@@ -21,3 +21,10 @@
     check_histories("the bound holds after a restart", cold_cause::restart_same_id,
                     node_disturbance::blind);
 }
+
+// Fails when nodes that start or wake up flood an upstream that the others know to be cold again.
+TEST(blind_nodes, keep_the_bound_when_an_upstream_is_cold_again)
+{
+    check_histories("the bound holds for a second warm-up", cold_cause::reported_again,
+                    node_disturbance::blind);
+}
