serving: metrics and log lines of the retry bound

Adds snipeplank_possible_nodes, _possible_nodes_in_region, _retry_slack_share, _retries_in_window, _denied_retries_total, the line node_count (on a change of over a tenth) and no_retry_left in a call's attempts. No logic changes.

--- a/packages/policy/include/snipeplank/policy/retry_window.hpp
+++ b/packages/policy/include/snipeplank/policy/retry_window.hpp
@@ -44,6 +44,9 @@
     /// @param nodes upper bound on the number of running nodes
     bool take(std::size_t nodes, core::time_point now);
 
+    /// @brief Retries taken in the latest window. O(steps in the window).
+    double taken(core::time_point now) const;
+
   private:
     struct step
     {
--- a/packages/policy/src/retry_window.cpp
+++ b/packages/policy/src/retry_window.cpp
@@ -28,18 +28,27 @@
     current(now).requests += 1;
 }
 
+double retry_window::taken(core::time_point now) const
+{
+    double retries = 0;
+    for (const step& each : m_steps)
+    {
+        if (each.begin + m_bound.window + step_length >= now)
+            retries += each.retries;
+    }
+    return retries;
+}
+
 bool retry_window::take(std::size_t nodes, core::time_point now)
 {
     step& latest = current(now);
     double requests = 0;
-    double retries = 0;
     for (const step& each : m_steps)
     {
         if (each.begin + m_bound.window / 2 >= now + step_length)
             requests += each.requests;
-        if (each.begin + m_bound.window + step_length >= now)
-            retries += each.retries;
     }
+    const double retries = taken(now);
     const double part = m_bound.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
     if (retries + 1 > m_bound.ratio * requests + part)
         return false;
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -189,6 +189,12 @@
     /// @brief Whether the retry budget allows a retry; consumes it from the budget.
     bool take_retry(const core::service_id& service, core::time_point now);
 
+    /// @brief Retries of each service that this node took in the latest window, for metrics.
+    std::map<core::service_id, double> retries_taken(core::time_point now) const;
+
+    /// @brief Retries in a window that this node may take besides those that its requests earn.
+    double retry_slack_share() const;
+
     /// @brief Records that an attempt was sent.
     /// @return its number, to pass to the functions below
     std::uint64_t on_sent(const placement_request& request, const upstream_id& target,
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -405,8 +405,18 @@
         return false;
     if (!proven_not_run && (!m_route->may_retry() || may_have_crashed_upstream()))
         return false;
-    return std::exchange(m_has_reserved_retry, false) ||
-           m_environment.places.take_retry(m_service, now());
+    return std::exchange(m_has_reserved_retry, false) || take_retry();
+}
+
+bool call::take_retry()
+{
+    const bool is_taken = m_environment.places.take_retry(m_service, now());
+    if (!is_taken)
+    {
+        m_environment.statistics.count_denied_retry();
+        m_line.attempts += "no_retry_left ";
+    }
+    return is_taken;
 }
 
 /// @param runs attempts so far that may have run
@@ -689,7 +699,7 @@
     if (local != nullptr && (local->was_tried || m_environment.places.is_silent(
                                                      local->target.id, core::time_point{}, now())))
         return false;
-    m_has_reserved_retry = m_environment.places.take_retry(m_service, now());
+    m_has_reserved_retry = take_retry();
     return m_has_reserved_retry;
 }
 
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -108,6 +108,7 @@
     bool should_wait_for_upstream(const placement_decision& where) const;
     boost::asio::awaitable<void> wait_for_upstream();
     bool may_retry(bool proven_not_run);
+    bool take_retry();
     bool is_within_attempt_limits(unsigned runs) const;
     next_step retry(policy::retry_reason reason);
     std::size_t forgiven_crashes() const;
--- a/packages/serving/src/call_statistics.cpp
+++ b/packages/serving/src/call_statistics.cpp
@@ -65,6 +65,9 @@
         text += fmt::format("snipeplank_retries_total{{reason=\"{}\"}} {}\n",
                             policy::to_string(reason), count);
     }
+    text += fmt::format("# TYPE snipeplank_denied_retries_total counter\n"
+                        "snipeplank_denied_retries_total {}\n",
+                        m_denied_retries);
     text += "# HELP snipeplank_cut_answers_total Answers that ended early, by who ended them.\n"
             "# TYPE snipeplank_cut_answers_total counter\n";
     for (const auto& [cause, count] : m_cut_answers)
--- a/packages/serving/src/call_statistics.hpp
+++ b/packages/serving/src/call_statistics.hpp
@@ -48,6 +48,9 @@
     void add(const call_outcome_line& ended);
     void count_retry(policy::retry_reason reason) { ++m_retries[reason]; }
 
+    /// @brief Counts a retry that was due but is beyond this node's share of the bound.
+    void count_denied_retry() { ++m_denied_retries; }
+
     /// @brief Counts a request that the protocol or a limit of its size or time forbids.
     void count_rejected(int status) { ++m_rejected[status]; }
 
@@ -57,6 +60,7 @@
   private:
     std::map<std::string, std::uint64_t> m_outcomes;
     std::map<policy::retry_reason, std::uint64_t> m_retries;
+    std::uint64_t m_denied_retries = 0;
     std::map<cut_cause, std::uint64_t> m_cut_answers;
     std::map<int, std::uint64_t> m_rejected; ///< by status
     latency_histogram m_first_byte;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -237,6 +237,7 @@
                           [&](const live_node& each) { return each.region == m_options.region; }));
         m_placement.set_node_counts(m_fleet.possible_nodes(true), m_fleet.possible_nodes(false),
                                     known_in_region + 1);
+        report_node_count();
         m_placement.set_senders(m_fleet.possible_nodes_of_region(), m_options.peer_address, now());
         refresh_regions();
     }
@@ -425,6 +426,23 @@
         return addresses;
     }
 
+    /// Logs the node count by which bounds are divided, when it has changed much.
+    void report_node_count()
+    {
+        constexpr std::size_t reported_part = 10;
+        const std::size_t count = m_fleet.possible_nodes(false);
+        const std::size_t difference =
+            std::max(count, m_reported_node_count) - std::min(count, m_reported_node_count);
+        if (difference * reported_part <= m_reported_node_count)
+            return;
+        m_reported_node_count = count;
+        m_log.event(line_kind::state_change, "node_count",
+                    {{"in_fleet", count},
+                     {"in_region", m_fleet.possible_nodes(true)},
+                     {"live", m_nodes.size()},
+                     {"retry_slack_share", m_placement.retry_slack_share()}});
+    }
+
     void refresh_regions()
     {
         std::set<core::region_id> reachable;
@@ -480,6 +498,8 @@
         gauge("snipeplank_client_connections", m_call_server.connections());
         gauge("snipeplank_idle_upstream_connections", m_pool.size());
         gauge("snipeplank_live_nodes", m_nodes.size());
+        gauge("snipeplank_possible_nodes", m_fleet.possible_nodes(false));
+        gauge("snipeplank_possible_nodes_in_region", m_fleet.possible_nodes(true));
         gauge("snipeplank_upstreams", m_upstreams.size());
         gauge("snipeplank_cold_upstreams", m_placement.cold_upstreams(now()));
         gauge("snipeplank_config_version",
@@ -490,6 +510,20 @@
         text +=
             "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
             std::to_string(m_crash_guard.crashes()) + "\n";
+        return text + retry_metrics();
+    }
+
+    std::string retry_metrics() const
+    {
+        std::string text = "# TYPE snipeplank_retry_slack_share gauge\n"
+                           "snipeplank_retry_slack_share " +
+                           std::to_string(m_placement.retry_slack_share()) +
+                           "\n# TYPE snipeplank_retries_in_window gauge\n";
+        for (const auto& [service, taken] : m_placement.retries_taken(now()))
+        {
+            text += "snipeplank_retries_in_window{service=\"" + service.get() + "\"} " +
+                    std::to_string(static_cast<std::uint64_t>(taken)) + "\n";
+        }
         return text;
     }
 
@@ -519,6 +553,7 @@
     upstream_map m_upstreams;
     stop_schedule m_stopping;
     core::time_point m_stop_began{};
+    std::size_t m_reported_node_count = 0;
     bool m_is_stopping = false;
 };
 
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -241,6 +241,16 @@
         return loads;
     }
 
+    std::map<core::service_id, double> retries_taken(core::time_point now) const
+    {
+        std::map<core::service_id, double> taken;
+        for (const auto& [name, known] : m_services)
+        {
+            taken[name] = known.retries.taken(now);
+        }
+        return taken;
+    }
+
   private:
     /// Marks of upstreams end with their run, so that a late list does not bring one back.
     void forget_feedback(const upstream_map& upstreams, core::time_point now)
@@ -597,6 +607,16 @@
     return m_state->service_of(service).retries.take(m_state->m_nodes_in_fleet, now);
 }
 
+std::map<core::service_id, double> placement::retries_taken(core::time_point now) const
+{
+    return m_state->retries_taken(now);
+}
+
+double placement::retry_slack_share() const
+{
+    return m_state->m_bounds.retries.slack / static_cast<double>(m_state->m_nodes_in_fleet);
+}
+
 std::uint64_t placement::on_sent(const placement_request& request, const upstream_id& target,
                                  core::time_point now)
 {
