serving, policy, fleet: a node that may not know all others takes no share

Cause: a process that starts forgot what its former one took and counted ten nodes, 63 retries of slack each at 295 nodes.

Change: node_count_estimate is the one place that says how many share a bound of several nodes (retries, cold upstreams, named limits, connections). policy::node_share is no share while the list may be incomplete: for 15 s or the longest window of the bounds after a start. Nodes with complete lists tell how many they count in every gossip message; the highest number of the last 60 s counts. A count is republished when it changes without a change of members. Members are recorded once a second and changes by gossip published at most once a tick, which costs a starting fleet less.

--- a/packages/fleet/include/snipeplank/fleet/messages.hpp
+++ b/packages/fleet/include/snipeplank/fleet/messages.hpp
@@ -176,6 +176,9 @@
     std::vector<prompt_crash> prompt_crashes;
     std::vector<prompt_answer> prompt_answers;
     std::vector<upstream_limit> limits;
+    /// Nodes that the sender counts, itself included; 0 while its member list may be incomplete.
+    std::uint16_t nodes_in_fleet = 0;
+    std::uint16_t nodes_in_region = 0; ///< of the sender
 
     friend bool operator==(const gossip&, const gossip&) = default;
 };
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -42,7 +42,7 @@
 
 std::size_t size_of(const gossip& value)
 {
-    constexpr std::size_t scalars = 8;
+    constexpr std::size_t scalars = 16;
     constexpr std::size_t vectors = 2;
     constexpr std::size_t struct_vectors = 5;
     std::size_t total = frame_bytes + table_bytes + scalars + vectors * vector_bytes +
--- a/packages/policy/include/snipeplank/policy/cold_start_limit.hpp
+++ b/packages/policy/include/snipeplank/policy/cold_start_limit.hpp
@@ -5,6 +5,7 @@
 #define SNIPEPLANK_POLICY_COLD_START_LIMIT_HPP
 
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/policy/node_share.hpp>
 
 #include <cstddef>
 #include <deque>
@@ -27,12 +28,12 @@
 class cold_start_limit
 {
   public:
-    /// @brief Requests that one of `senders` nodes may send in one window.
-    static std::size_t share(const cold_start_bound& bound, std::size_t senders);
+    /// @brief Requests that this node may send in one window.
+    static std::size_t share(const cold_start_bound& bound, node_share senders);
 
     /// @brief Whether one more request may be sent now. O(share).
-    /// @param senders upper bound on the number of sending nodes
-    bool allows(const cold_start_bound& bound, std::size_t senders, core::time_point now);
+    /// @param senders nodes that share the bound
+    bool allows(const cold_start_bound& bound, node_share senders, core::time_point now);
 
     /// @brief Records a sent request, whether the upstream is cold or not. O(1) amortised.
     void on_sent(core::time_point now);
--- a/packages/policy/include/snipeplank/policy/retry_window.hpp
+++ b/packages/policy/include/snipeplank/policy/retry_window.hpp
@@ -5,8 +5,8 @@
 #define SNIPEPLANK_POLICY_RETRY_WINDOW_HPP
 
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/policy/node_share.hpp>
 
-#include <cstddef>
 #include <deque>
 
 namespace snipeplank::policy
@@ -23,8 +23,9 @@
 /// @brief Admits retries of one service within this node's share of the bound.
 ///
 /// A node's share is `ratio` of its own requests plus an equal share of the slack. The shares of
-/// all nodes thus add up to at most the bound without any communication, as long as `nodes` is at
-/// least the number of running nodes.
+/// all nodes thus add up to at most the bound without any communication, as long as the slack is
+/// shared by at least the running nodes. A node that has just started takes no slack: its former
+/// process may have taken it in the same window.
 ///
 /// The bound counts the requests of the window itself, of the window before it, or of the window
 /// shifted back by half. Whatever the alignment, one of these contains the latest half window
@@ -41,8 +42,8 @@
     void on_request(core::time_point now);
 
     /// @brief Takes one retry if the bound allows it. O(steps in the window).
-    /// @param nodes upper bound on the number of running nodes
-    bool take(std::size_t nodes, core::time_point now);
+    /// @param nodes nodes that share the slack
+    bool take(node_share nodes, core::time_point now);
 
     /// @brief Retries taken in the latest window. O(steps in the window).
     double taken(core::time_point now) const;
--- a/packages/policy/include/snipeplank/policy/upstream_feedback.hpp
+++ b/packages/policy/include/snipeplank/policy/upstream_feedback.hpp
@@ -70,7 +70,8 @@
     static constexpr core::seconds telling_time{300};
 
     /// @brief Sets the nodes that may send to the upstreams.
-    /// @param nodes nodes of the region that may be running, this one included, in any order
+    /// @param nodes nodes of the region that may be running, this one included, in any order; empty
+    /// while some may not be known: this node has no part of a limit then
     /// @param self this node's address in `nodes`
     void set_nodes(std::vector<core::address> nodes, core::address self, core::time_point now);
 
--- a/packages/policy/src/cold_start_limit.cpp
+++ b/packages/policy/src/cold_start_limit.cpp
@@ -1,6 +1,5 @@
 #include <snipeplank/policy/cold_start_limit.hpp>
 
-#include <algorithm>
 #include <cmath>
 
 namespace snipeplank::policy
@@ -14,13 +13,13 @@
 
 } // namespace
 
-std::size_t cold_start_limit::share(const cold_start_bound& bound, std::size_t senders)
+std::size_t cold_start_limit::share(const cold_start_bound& bound, node_share senders)
 {
     const double all = std::floor(bound.rate * bound.overshoot + bound.slack);
-    return static_cast<std::size_t>(all) / std::max<std::size_t>(1, senders);
+    return static_cast<std::size_t>(senders.of(all));
 }
 
-bool cold_start_limit::allows(const cold_start_bound& bound, std::size_t senders,
+bool cold_start_limit::allows(const cold_start_bound& bound, node_share senders,
                               core::time_point now)
 {
     while (!m_sent.empty() && m_sent.front() + window <= now)
--- a/packages/policy/src/retry_window.cpp
+++ b/packages/policy/src/retry_window.cpp
@@ -39,7 +39,7 @@
     return retries;
 }
 
-bool retry_window::take(std::size_t nodes, core::time_point now)
+bool retry_window::take(node_share nodes, core::time_point now)
 {
     step& latest = current(now);
     double requests = 0;
@@ -49,8 +49,7 @@
             requests += each.requests;
     }
     const double retries = taken(now);
-    const double part = m_bound.slack / static_cast<double>(std::max<std::size_t>(1, nodes));
-    if (retries + 1 > m_bound.ratio * requests + part)
+    if (retries + 1 > m_bound.ratio * requests + nodes.of(m_bound.slack))
         return false;
     latest.retries += 1;
     return true;
--- a/packages/policy/src/upstream_feedback.cpp
+++ b/packages/policy/src/upstream_feedback.cpp
@@ -151,9 +151,11 @@
 }
 
 /// This node's part of a limit: an equal part of it for each of the nodes that rank highest for the
-/// upstream, nothing for the others.
+/// upstream, nothing for the others and for a node that does not know its rank.
 double upstream_feedback::share_of(upstream_run_key upstream, double limit) const
 {
+    if (m_nodes.empty())
+        return 0;
     const double shared = std::max(limit, min_limit);
     const auto whole =
         static_cast<std::size_t>(std::min(std::floor(shared), static_cast<double>(m_nodes.size())));
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -12,6 +12,7 @@
 #include <snipeplank/core/random.hpp>
 #include <snipeplank/core/units.hpp>
 #include <snipeplank/policy/cold_start_limit.hpp>
+#include <snipeplank/policy/node_share.hpp>
 #include <snipeplank/policy/outlier_ejection.hpp>
 #include <snipeplank/policy/prefix_cache_model.hpp>
 #include <snipeplank/policy/refusal.hpp>
@@ -40,6 +41,20 @@
     double cold_slack = 0;
 };
 
+/// @brief Nodes that share the bounds that apply to several nodes, as this one knows them.
+struct sharing_nodes
+{
+    policy::node_share fleet;  ///< of bounds of the whole fleet
+    policy::node_share region; ///< of bounds of the nodes of this region
+    /// Nodes of this region that are known, for fair shares of connection limits. An upstream
+    /// refuses a connection too many, so a number that is too low for a moment is tolerated.
+    std::size_t known_in_region = 1;
+    /// Nodes of this region that may be running, this one included, of which a few send to an
+    /// upstream that names a limit; empty while some may not be known.
+    std::vector<core::address> senders;
+    core::address self;
+};
+
 /// @brief One attempt of a request, to be placed.
 struct placement_request
 {
@@ -129,16 +144,8 @@
     void set_upstreams(const upstream_map& upstreams, core::time_point now);
     void set_evacuations(const zone_set& zones, core::time_point now);
 
-    /// @brief Sets the node counts by which shared limits are divided.
-    /// @param in_region upper bound of the nodes that may be running in this region
-    /// @param in_fleet upper bound of the nodes that may be running in the whole fleet
-    /// @param known_in_region nodes that answer in this region, for fair shares of connection
-    /// limits
-    void set_node_counts(std::size_t in_region, std::size_t in_fleet, std::size_t known_in_region);
-
-    /// @brief Sets the nodes that share the limits that upstreams of this region name.
-    /// @param nodes nodes of this region that may be running, this one included
-    void set_senders(std::vector<core::address> nodes, core::address self, core::time_point now);
+    /// @brief Sets the nodes that share every bound that applies to several nodes.
+    void set_sharing_nodes(sharing_nodes nodes, core::time_point now);
 
     void set_region(const core::region_id& region, const remote_region& known);
 
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "clock.hpp"
@@ -17,6 +18,14 @@
 
 constexpr core::milliseconds exchange_interval{300};
 constexpr std::size_t members_per_message = 12;
+/// Members are recorded as running this often, and when they change.
+constexpr core::seconds record_interval{1};
+
+std::uint16_t saturate(std::size_t count)
+{
+    constexpr std::size_t max_value = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::min(count, max_value));
+}
 
 } // namespace
 
@@ -26,7 +35,8 @@
     : m_loop(loop), m_options(options),
       m_listener(listener), m_self{options.peer_address, core::incarnation{random.next()}},
       m_members({m_self, options.caller_address, options.zone}, random),
-      m_network(std::move(network)), m_timer(loop), m_seeds(options.seeds)
+      m_network(std::move(network)), m_timer(loop), m_seeds(options.seeds),
+      m_node_count(options.region, options.bounds.retries.window)
 {
 }
 
@@ -99,14 +109,12 @@
     m_members.on_tick(time);
     probe_unreachable(time);
     send_probes();
-    record_members(time);
+    if (time >= m_next_record)
+        record_members(time);
     if (m_node_count.is_discovering(time - fleet::ping_interval))
-    {
         announce_to_members();
-        m_listener.on_members_changed();
-    }
-    if (m_members.take_changed())
-        m_listener.on_members_changed();
+    if (m_members.take_changed() || m_has_unpublished || has_changed_share(time))
+        publish_members(time);
     static_cast<void>(m_members.take_urgent());
     static_cast<void>(m_members.take_renewal());
     if (time < m_next_exchange)
@@ -122,6 +130,9 @@
     body.sender = m_members.self();
     body.sender_region = m_options.region;
     body.digest.version = m_listener.version_in_force();
+    const node_count counted = m_node_count.to_tell(now());
+    body.nodes_in_fleet = saturate(counted.in_fleet);
+    body.nodes_in_region = saturate(counted.in_region);
     return body;
 }
 
@@ -261,7 +272,7 @@
     else
         m_unready.erase(sender);
     if (was_unready != is_unready)
-        m_listener.on_members_changed();
+        publish_soon();
 }
 
 void fleet_link::announce_ready()
@@ -274,11 +285,13 @@
 {
     record_readiness(received);
     m_members.on_gossip(received, now());
+    m_node_count.on_told(received.sender_region,
+                         {received.nodes_in_fleet, received.nodes_in_region}, now());
     if (received.wants_members)
         send_members(received.sender.id.address);
     send_probes();
     if (m_members.take_changed())
-        m_listener.on_members_changed();
+        publish_soon();
     if (!received.regions.empty() || !received.loads.empty())
         m_listener.on_peer_loads(received);
     if (!received.prompt_crashes.empty() || !received.prompt_answers.empty() ||
@@ -384,6 +397,7 @@
 
 void fleet_link::record_members(core::time_point time)
 {
+    m_next_record = time + record_interval;
     for (const fleet::member_update& each : m_members.members())
     {
         m_node_count.on_seen(each.id.address, region_of(each.zone), time);
@@ -395,17 +409,56 @@
     m_node_count.remove_expired(time);
 }
 
-std::vector<core::address> fleet_link::possible_nodes_of_region() const
+/// Publishes now, or at the next tick when the last time was just before. Publishing costs time in
+/// proportion to the members, and while a fleet starts nearly every message changes them.
+void fleet_link::publish_soon()
+{
+    m_has_unpublished = true;
+    const core::time_point time = now();
+    if (time - m_published_at >= fleet::tick_interval)
+        publish_members(time);
+}
+
+void fleet_link::publish_members(core::time_point time)
+{
+    m_has_unpublished = false;
+    m_published_at = time;
+    record_members(time);
+    m_published_fleet_share = m_node_count.share_of_fleet(time);
+    m_published_region_share = m_node_count.share_of_region(time);
+    m_published_in_region = m_node_count.known_in_region();
+    m_listener.on_members_changed();
+}
+
+/// Shares also change when the time of discovery ends, when nodes are forgotten, and by what other
+/// nodes tell.
+bool fleet_link::has_changed_share(core::time_point time) const
+{
+    return m_node_count.share_of_fleet(time) != m_published_fleet_share ||
+           m_node_count.share_of_region(time) != m_published_region_share ||
+           m_node_count.known_in_region() != m_published_in_region;
+}
+
+/// Nodes that are ranked for named limits; a rank among a part of them would be too high.
+std::vector<core::address> fleet_link::senders() const
 {
-    std::vector<core::address> nodes = m_node_count.seen_in(m_options.region);
+    std::vector<core::address> nodes = m_node_count.seen_in_region();
     nodes.push_back(m_self.address);
+    if (m_node_count.is_discovering(now()) || nodes.size() < m_node_count.known_in_region())
+        return {};
     return nodes;
 }
 
-std::size_t fleet_link::possible_nodes(bool in_region) const
+sharing_nodes fleet_link::sharing() const
 {
-    return in_region ? m_node_count.possible_in(m_options.region, now())
-                     : m_node_count.possible(now());
+    const core::time_point time = now();
+    sharing_nodes nodes;
+    nodes.fleet = m_node_count.share_of_fleet(time);
+    nodes.region = m_node_count.share_of_region(time);
+    nodes.known_in_region = m_node_count.known_in_region();
+    nodes.senders = senders();
+    nodes.self = m_self.address;
+    return nodes;
 }
 
 } // namespace snipeplank::serving
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -7,6 +7,7 @@
 #include <snipeplank/core/random.hpp>
 #include <snipeplank/fleet/membership.hpp>
 #include <snipeplank/serving/node.hpp>
+#include <snipeplank/serving/placement.hpp>
 #include <snipeplank/wire/peer_network.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -41,6 +42,7 @@
   public:
     virtual ~fleet_listener() = default;
 
+    /// @brief The members, or how they share bounds, have changed.
     virtual void on_members_changed() = 0;
     virtual void on_call_message(const wire::peer_identity& from, const wire::message& what) = 0;
 
@@ -106,11 +108,8 @@
     std::vector<core::address> stopping_nodes(const core::region_id& region,
                                               core::milliseconds age) const;
 
-    /// @brief Upper bound of the nodes that may be running in the region, or in the whole fleet.
-    std::size_t possible_nodes(bool in_region) const;
-
-    /// @brief Nodes of this region that may be running, this one included.
-    std::vector<core::address> possible_nodes_of_region() const;
+    /// @brief Nodes that share bounds with this one. O(nodes).
+    sharing_nodes sharing() const;
 
     wire::peer_network& network() { return *m_network; }
     core::incarnation incarnation() const { return m_self.incarnation; }
@@ -145,6 +144,10 @@
     void send_gossip(const core::address& to, fleet::gossip body);
     fleet::gossip compose(fleet::gossip_kind kind) const;
     void record_members(core::time_point now);
+    void publish_soon();
+    void publish_members(core::time_point now);
+    bool has_changed_share(core::time_point now) const;
+    std::vector<core::address> senders() const;
     core::region_id region_of(const core::zone_id& zone) const;
 
     boost::asio::io_context& m_loop;
@@ -159,6 +162,12 @@
     std::set<core::address> m_unready; ///< reported that they have no configuration
     std::set<core::node_id> m_announced_to;
     node_count_estimate m_node_count;
+    core::time_point m_next_record{};
+    core::time_point m_published_at{};
+    bool m_has_unpublished = false;
+    policy::node_share m_published_fleet_share;
+    policy::node_share m_published_region_share;
+    std::size_t m_published_in_region = 0;
     std::map<core::node_id, core::time_point> m_stopping_since;
     core::time_point m_next_exchange{};
     round_robin_selector m_local_selector{local_fanout};
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -49,10 +49,13 @@
 }
 
 /// Whether two descriptions differ at most in their number.
-bool says_the_same(const upstream& earlier, upstream later)
+bool says_the_same(const upstream& earlier, const upstream& later)
 {
-    later.report_number = earlier.report_number;
-    return earlier == later;
+    if (earlier == later)
+        return true;
+    upstream renumbered = later;
+    renumbered.report_number = earlier.report_number;
+    return earlier == renumbered;
 }
 
 /// @brief Adapts a function to the request handler interface.
@@ -232,13 +235,11 @@
                 others.push_back({each.peer, each.region});
         }
         m_peers.set_nodes(std::move(others));
-        const auto known_in_region = static_cast<std::size_t>(
-            std::count_if(m_nodes.begin(), m_nodes.end(),
-                          [&](const live_node& each) { return each.region == m_options.region; }));
-        m_placement.set_node_counts(m_fleet.possible_nodes(true), m_fleet.possible_nodes(false),
-                                    known_in_region + 1);
+        sharing_nodes sharing = m_fleet.sharing();
+        m_node_share = sharing.fleet;
+        m_region_share = sharing.region;
+        m_placement.set_sharing_nodes(std::move(sharing), now());
         report_node_count();
-        m_placement.set_senders(m_fleet.possible_nodes_of_region(), m_options.peer_address, now());
         refresh_regions();
     }
 
@@ -430,7 +431,7 @@
     void report_node_count()
     {
         constexpr std::size_t reported_part = 10;
-        const std::size_t count = m_fleet.possible_nodes(false);
+        const std::size_t count = m_node_share.nodes();
         const std::size_t difference =
             std::max(count, m_reported_node_count) - std::min(count, m_reported_node_count);
         if (difference * reported_part <= m_reported_node_count)
@@ -438,7 +439,7 @@
         m_reported_node_count = count;
         m_log.event(line_kind::state_change, "node_count",
                     {{"in_fleet", count},
-                     {"in_region", m_fleet.possible_nodes(true)},
+                     {"in_region", m_region_share.nodes()},
                      {"live", m_nodes.size()},
                      {"retry_slack_share", m_placement.retry_slack_share()}});
     }
@@ -498,8 +499,8 @@
         gauge("snipeplank_client_connections", m_call_server.connections());
         gauge("snipeplank_idle_upstream_connections", m_pool.size());
         gauge("snipeplank_live_nodes", m_nodes.size());
-        gauge("snipeplank_possible_nodes", m_fleet.possible_nodes(false));
-        gauge("snipeplank_possible_nodes_in_region", m_fleet.possible_nodes(true));
+        gauge("snipeplank_sharing_nodes", m_node_share.nodes());
+        gauge("snipeplank_sharing_nodes_in_region", m_region_share.nodes());
         gauge("snipeplank_upstreams", m_upstreams.size());
         gauge("snipeplank_cold_upstreams", m_placement.cold_upstreams(now()));
         gauge("snipeplank_config_version",
@@ -553,6 +554,8 @@
     upstream_map m_upstreams;
     stop_schedule m_stopping;
     core::time_point m_stop_began{};
+    policy::node_share m_node_share;
+    policy::node_share m_region_share;
     std::size_t m_reported_node_count = 0;
     bool m_is_stopping = false;
 };
--- a/packages/serving/src/node_count_estimate.hpp
+++ b/packages/serving/src/node_count_estimate.hpp
@@ -1,14 +1,17 @@
 /// @file
-/// Upper bound of the number of nodes that may be running. Pure.
+/// How many nodes may share a bound, for every bound that applies to several nodes. Pure.
 ///
-/// Limits that apply to all nodes together are divided by this number, so it must not be too low:
-/// neither after a start, when a node has no member list, nor while other nodes are cut off.
+/// A bound is divided by this number, so it must not be too low: neither after a start, when a node
+/// has no member list, nor while other nodes are cut off or their entries are late. A node whose
+/// list may be incomplete takes no share; nodes whose lists are complete tell all others how many
+/// they count.
 
 #ifndef SNIPEPLANK_SERVING_SRC_NODE_COUNT_ESTIMATE_HPP
 #define SNIPEPLANK_SERVING_SRC_NODE_COUNT_ESTIMATE_HPP
 
 #include <snipeplank/core/ids.hpp>
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/policy/node_share.hpp>
 
 #include <map>
 #include <vector>
@@ -16,6 +19,15 @@
 namespace snipeplank::serving
 {
 
+/// @brief Nodes that a node with a complete list counts, itself included; 0 while it may lack some.
+struct node_count
+{
+    std::size_t in_fleet = 0;
+    std::size_t in_region = 0;
+
+    friend bool operator==(const node_count&, const node_count&) = default;
+};
+
 /// @brief Estimates the number of running nodes from those that were members recently.
 class node_count_estimate
 {
@@ -25,11 +37,14 @@
     /// Allowance for a node that was added and is not a member yet.
     static constexpr std::size_t unknown_nodes = 1;
     /// The member list is complete this long after a start, if any node answered.
-    static constexpr core::seconds discovery_time{15};
-    static constexpr std::size_t min_nodes_while_discovering = 10;
-    /// More nodes than a region has: leaves no share of a limit whose breach makes an upstream
-    /// fail.
-    static constexpr std::size_t unknown_nodes_in_region = 10'000;
+    static constexpr core::seconds min_discovery_time{15};
+    /// What another node told counts for this long.
+    static constexpr core::seconds told_lifetime{60};
+
+    /// @param region region of this node
+    /// @param longest_window longest window of the shared bounds: a former process of this node may
+    /// have used its share of each
+    explicit node_count_estimate(core::region_id region, core::duration longest_window = {});
 
     /// @brief Records the start of this node.
     void start(core::time_point now) { m_started = now; }
@@ -37,21 +52,31 @@
     /// @brief Records that another node is a member of the fleet, in any state.
     void on_seen(const core::address& peer, const core::region_id& region, core::time_point now);
 
-    /// @brief Removes nodes that were last seen too long ago. O(nodes).
+    /// @brief Records what a node counts.
+    void on_told(const core::region_id& sender_region, const node_count& told,
+                 core::time_point now);
+
+    /// @brief Removes what was last seen or told too long ago. O(nodes).
     void remove_expired(core::time_point now);
 
-    /// @brief Nodes of the whole fleet that may be running, this one included. O(nodes).
-    std::size_t possible(core::time_point now) const;
+    /// @brief This node's share of bounds of the whole fleet. O(1).
+    policy::node_share share_of_fleet(core::time_point now) const;
+
+    /// @brief This node's share of bounds of its region. O(1).
+    policy::node_share share_of_region(core::time_point now) const;
 
-    /// @brief The same for one region. While the member list may be incomplete, the estimate is
-    /// above any region's size, since it divides a limit whose breach makes an upstream fail.
-    std::size_t possible_in(const core::region_id& region, core::time_point now) const;
+    /// @brief Nodes of the region that may be running, this one included, whether the list is
+    /// complete or not. O(1).
+    std::size_t known_in_region() const;
 
-    /// @brief Other nodes of a region that may be running. O(nodes).
-    std::vector<core::address> seen_in(const core::region_id& region) const;
+    /// @brief What to tell other nodes. O(1).
+    node_count to_tell(core::time_point now) const;
+
+    /// @brief Other nodes of the region that may be running. O(nodes).
+    std::vector<core::address> seen_in_region() const;
 
     /// @brief Whether the member list may be incomplete because this node has just started.
-    bool is_discovering(core::time_point now) const { return now < m_started + discovery_time; }
+    bool is_discovering(core::time_point now) const { return now < m_started + m_discovery_time; }
 
   private:
     struct seen_node
@@ -60,10 +85,25 @@
         core::time_point at{};
     };
 
+    /// The highest number that was told lately.
+    struct told_number
+    {
+        std::size_t nodes = 0;
+        core::time_point at{};
+
+        void on_told(std::size_t told, core::time_point now);
+    };
+
     bool may_be_incomplete(core::time_point now) const;
+    node_count counted() const;
 
+    core::region_id m_region;
+    core::duration m_discovery_time;
     core::time_point m_started{};
     std::map<core::address, seen_node> m_seen;
+    std::size_t m_seen_in_region = 0;
+    told_number m_told_in_fleet;
+    told_number m_told_in_region;
 };
 
 } // namespace snipeplank::serving
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -100,11 +100,12 @@
         m_evacuated = zones;
     }
 
-    void set_node_counts(std::size_t in_region, std::size_t in_fleet, std::size_t known_in_region)
+    void set_sharing_nodes(sharing_nodes nodes, core::time_point now)
     {
-        m_known_in_region = std::max<std::size_t>(1, known_in_region);
-        m_nodes_in_region = std::max<std::size_t>(1, in_region);
-        m_nodes_in_fleet = std::max<std::size_t>(1, in_fleet);
+        m_feedback.set_nodes(std::move(nodes.senders), std::move(nodes.self), now);
+        m_known_in_region = std::max<std::size_t>(1, nodes.known_in_region);
+        m_region_share = nodes.region;
+        m_fleet_share = nodes.fleet;
     }
 
     void set_region(const core::region_id& region, const remote_region& known)
@@ -302,7 +303,7 @@
             return true;
         const policy::cold_start_bound bound{offered->warmup_rate, m_bounds.cold_overshoot,
                                              m_bounds.cold_slack};
-        return known.cold.allows(bound, m_nodes_in_region, now);
+        return known.cold.allows(bound, m_region_share, now);
     }
 
     candidate_state state_of(const upstream_state& known, core::time_point now) const
@@ -498,8 +499,8 @@
     zone_set m_evacuated;
     std::map<core::zone_id, core::time_point> m_evacuation_ends; ///< as learned by this node
     policy::upstream_feedback m_feedback;
-    std::size_t m_nodes_in_region = 1;
-    std::size_t m_nodes_in_fleet = 1;
+    policy::node_share m_region_share;
+    policy::node_share m_fleet_share;
     std::size_t m_known_in_region = 1;
 
     friend class placement;
@@ -527,10 +528,9 @@
     m_state->set_evacuations(zones, now);
 }
 
-void placement::set_node_counts(std::size_t in_region, std::size_t in_fleet,
-                                std::size_t known_in_region)
+void placement::set_sharing_nodes(sharing_nodes nodes, core::time_point now)
 {
-    m_state->set_node_counts(in_region, in_fleet, known_in_region);
+    m_state->set_sharing_nodes(std::move(nodes), now);
 }
 
 void placement::set_region(const core::region_id& region, const remote_region& known)
@@ -554,12 +554,6 @@
     return m_state->decide(request, now);
 }
 
-void placement::set_senders(std::vector<core::address> nodes, core::address self,
-                            core::time_point now)
-{
-    m_state->m_feedback.set_nodes(std::move(nodes), std::move(self), now);
-}
-
 admission placement::admit(const upstream_id& target, core::time_point now)
 {
     return m_state->admit(target, now);
@@ -604,7 +598,7 @@
 
 bool placement::take_retry(const core::service_id& service, core::time_point now)
 {
-    return m_state->service_of(service).retries.take(m_state->m_nodes_in_fleet, now);
+    return m_state->service_of(service).retries.take(m_state->m_fleet_share, now);
 }
 
 std::map<core::service_id, double> placement::retries_taken(core::time_point now) const
@@ -614,7 +608,7 @@
 
 double placement::retry_slack_share() const
 {
-    return m_state->m_bounds.retries.slack / static_cast<double>(m_state->m_nodes_in_fleet);
+    return m_state->m_fleet_share.of(m_state->m_bounds.retries.slack);
 }
 
 std::uint64_t placement::on_sent(const placement_request& request, const upstream_id& target,
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -351,6 +351,9 @@
           m_environment{loop,      m_pool,        m_places, m_callers,    m_upstream_protocol,
                         m_regions, m_crash_guard, m_log,    m_statistics, nullptr}
     {
+        const core::address self{"127.0.0.1:7"};
+        m_places.set_sharing_nodes({policy::node_share{1}, policy::node_share{1}, 1, {self}, self},
+                                   std::chrono::steady_clock::now());
     }
 
     /// @brief Puts a configuration with one route in force.
--- a/packages/wire/src/decoder_fleet.cpp
+++ b/packages/wire/src/decoder_fleet.cpp
@@ -93,6 +93,8 @@
         });
     for_each_item(from.regions(), min_table_bytes,
                   [&](const fb::RegionSummary* item) { to.regions.push_back(region(item)); });
+    to.nodes_in_fleet = from.nodes_in_fleet();
+    to.nodes_in_region = from.nodes_in_region();
     return to;
 }
 
--- a/packages/wire/src/encoder_fleet.cpp
+++ b/packages/wire/src/encoder_fleet.cpp
@@ -91,7 +91,7 @@
         m_builder, static_cast<std::uint8_t>(value.kind), value.sequence, target, sender,
         sender_region, value.digest.version.get(), raw.empty() ? nullptr : &sha256, hash_text,
         value.digest.in_force, value.wants_members, members, load_structs, leaving_structs, regions,
-        crash_structs, answer_structs, limit_structs);
+        crash_structs, answer_structs, limit_structs, value.nodes_in_fleet, value.nodes_in_region);
     return {fb::Body::Gossip, table.Union()};
 }
 
--- a/packages/wire/tests/arbitrary_message.hpp
+++ b/packages/wire/tests/arbitrary_message.hpp
@@ -178,6 +178,8 @@
             return fleet::upstream_leaving{any<std::uint64_t>(), any<std::uint32_t>()};
         });
     to.regions = any_list(any_region);
+    to.nodes_in_fleet = any<std::uint16_t>();
+    to.nodes_in_region = any<std::uint16_t>();
     return to;
 }
 
--- a/tests/upstream_feedback_test.cpp
+++ b/tests/upstream_feedback_test.cpp
@@ -92,6 +92,7 @@
     standin& free = fleet->add_server("i-free", "shop", home);
     fleet->start_nodes();
     fleet->wait_until_served(0, "/read/x");
+    fleet->wait_until_sharing();
     machine_fleet::say(limited, "Server-Limit", "2");
     const std::map<int, int> answers = send_for(9s);
     const std::size_t most = machine_fleet::most_arrivals(limited, window, 1s);
@@ -107,6 +108,7 @@
 TEST(upstream_feedback, what_the_limit_leaves_over_is_refused_at_once)
 {
     standin& limited = start({"i-limited"});
+    fleet->wait_until_sharing();
     machine_fleet::say(limited, "Server-Limit", "1");
     send_for(500ms);
     for (std::size_t i = 0; i < node_count; ++i)
