serving: a request that was turned away is not sent to the same upstream again

Cause: decide returned an upstream that was tried when no other was left, also one that had just turned the request away.

Change: upstreams that took the request and did not run it are no candidates for it any more. Another upstream or region gets it, else it is refused at once, to come back after the time predicted there. A stream that has begun still waits and asks again, since it cannot be refused.

call.a_request_that_was_turned_away_is_not_sent_there_again guards it.

--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -63,6 +63,7 @@
     const caller_request* caller = nullptr;
     core::milliseconds remaining{0};
     std::vector<upstream_id> tried;
+    std::vector<upstream_id> turned_away_by; ///< upstreams that took the request and did not run it
     std::vector<core::region_id> tried_regions;
     bool may_leave_region = true; ///< false for a call forwarded by another region
     bool is_retry = false;        ///< an earlier attempt reached an upstream
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -229,6 +229,7 @@
     asio::steady_timer timer(m_environment.loop, upstream_poll_interval);
     boost::system::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    m_turned_away_by.clear();
 }
 
 placement_request call::next_request() const
@@ -239,6 +240,7 @@
     request.caller = &m_caller;
     request.remaining = remaining();
     request.tried = m_tried;
+    request.turned_away_by = m_turned_away_by;
     request.tried_regions = m_tried_regions;
     request.may_leave_region = !m_forwarded;
     request.is_retry = m_sends > 0;
@@ -373,6 +375,8 @@
     if (result.kind == answer_kind::broken && result.was_sent)
         report_broken_upstream();
     m_was_unreachable = result.is_unreachable;
+    if (m_current_upstream && is_proven && result.was_sent)
+        m_turned_away_by.push_back(m_current_upstream->id);
     if (result.is_unreachable)
         end_attempt(result.is_closed ? attempt_end::closed : attempt_end::unreachable);
     else
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -152,6 +152,8 @@
     std::optional<upstream> m_current_upstream; ///< none for a call to another region
     core::time_point m_attempt_sent{};
     std::vector<upstream_id> m_tried;
+    /// They are not asked again, unless a stream that has begun waits for them.
+    std::vector<upstream_id> m_turned_away_by;
     std::vector<core::region_id> m_tried_regions;
     http::event_splitter m_events;
     std::string m_media_type; ///< of the stream that was begun
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -353,7 +353,7 @@
             if (known.info.service != request.service || !is_in_service(known) ||
                 !m_feedback.allows(known.run, now))
                 continue;
-            if (!has_free_capacity(known, offered, now))
+            if (contains(request.turned_away_by, id) || !has_free_capacity(known, offered, now))
                 continue;
             if (known.avoid_until > now || contains(request.tried, id))
                 fallback.push_back(&known);
@@ -456,9 +456,12 @@
     }
 
     /// Refuses a request that nothing can take. If upstreams take none because they said so, the
-    /// caller may come back when the first of them takes one again.
+    /// caller may come back when the first of them takes one again; if they are overloaded, when
+    /// they have worked off what they have.
     policy::refusal refuse_without_upstream(const placement_request& request, core::time_point now)
     {
+        if (!request.turned_away_by.empty())
+            return refuse(policy::refusal_reason::overloaded, shortest_wait(request), request);
         policy::refusal_reason reason = policy::refusal_reason::no_upstream;
         std::optional<core::milliseconds> soonest;
         for (const auto& [id, known] : m_upstreams)
@@ -477,6 +480,22 @@
                       request);
     }
 
+    /// Predicted time in ms at the upstreams that have turned the request away; 0 when none of them
+    /// is known any more.
+    double shortest_wait(const placement_request& request)
+    {
+        std::optional<double> shortest;
+        for (const upstream_id& each : request.turned_away_by)
+        {
+            const auto found = m_upstreams.find(each);
+            if (found == m_upstreams.end())
+                continue;
+            const double wait = predict(found->second, request);
+            shortest = std::min(shortest.value_or(wait), wait);
+        }
+        return shortest.value_or(0);
+    }
+
     policy::refusal refuse(policy::refusal_reason reason, double wait_ms,
                            const placement_request& request)
     {
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -594,6 +594,35 @@
     CHECK_TRUE(refused && refused->executed == policy::execution::unknown);
 }
 
+// Fails when a request that an upstream has turned away for overload is sent there again at once
+// (incident BUDGET): repeats keep the upstream full and use up the retries of all.
+TEST(call, a_request_that_was_turned_away_is_not_sent_there_again)
+{
+    const scripted_answer turned_away{{{0ms, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}},
+                                      answer_end::keep};
+    for (const bool has_other : {false, true})
+    {
+        call_fixture node(many_retries);
+        scripted_upstream busy(node.loop, {turned_away});
+        scripted_upstream other(node.loop, {plain_answer(0ms)});
+        node.set_route(make_route(request_kind::idempotent, 3));
+        node.publish("i-busy", busy.address());
+        if (has_other)
+            node.publish("i-other", other.address());
+        for (const char* id : {"a", "b", "c", "d"})
+        {
+            const std::size_t before = busy.requests().size();
+            const recorded_exchange& request = node.start(id);
+            node.finish(request);
+            CHECK_TRUE_TEXT(
+                request.is(has_other ? 200 : 503, has_other ? "ok" : "upstream_refused"),
+                request.describe().c_str());
+            CHECK_TRUE(busy.requests().size() <= before + 1);
+        }
+        LONGS_EQUAL(has_other ? 4 : 0, other.requests().size());
+    }
+}
+
 // Fails when the error of an upstream is not passed on although the retry budget is spent. With
 // -D_GLIBCXX_ASSERTIONS it also fails when the number of an ended attempt is used.
 TEST(call, an_error_is_passed_on_when_the_retry_budget_is_spent)
