gateway, ctl: bytes without end fill no memory

Shown on the programs: a head of endless fields took a node from 12 to 428 MB and snipeplankctl to 443 MB (64 MiB sent).

Change: requests are read through request_framing, which limits head, chunk size, trailers and body; answers through answer_framing, whose limits snipeplankctl and the platform client now use too, with a largest body and a largest number of interim answers. The stream between socket and library stands in one place for both directions.

--- a/packages/ctl/src/admin_client.cpp
+++ b/packages/ctl/src/admin_client.cpp
@@ -1,6 +1,6 @@
 #include <snipeplank/ctl/admin_client.hpp>
-
-#include <httplib.h>
+#include <snipeplank/gateway/address.hpp>
+#include <snipeplank/gateway/upstream_connection.hpp>
 
 namespace snipeplank::ctl
 {
@@ -10,13 +10,17 @@
 
 constexpr time_t connect_timeout_s = 2;
 constexpr time_t read_timeout_s = 5;
+/// Largest answer of an operators' interface.
+constexpr std::uint64_t max_answer_bytes = 16'777'216;
 
 class http_admin_client final : public admin_client
 {
   public:
     explicit http_admin_client(const core::address& admin)
-        : m_admin(admin), m_client("http://" + admin.get())
+        : m_admin(admin), m_target(gateway::split_host_port(admin)),
+          m_client(m_target.host, m_target.port)
     {
+        m_client.set_max_body(max_answer_bytes);
         m_client.set_connection_timeout(connect_timeout_s);
         m_client.set_read_timeout(read_timeout_s);
         m_client.set_follow_location(false);
@@ -46,7 +50,8 @@
     }
 
     core::address m_admin;
-    httplib::Client m_client;
+    gateway::host_and_port m_target;
+    gateway::upstream_connection m_client;
 };
 
 } // namespace
--- a/packages/ctl/src/load_run.cpp
+++ b/packages/ctl/src/load_run.cpp
@@ -1,11 +1,10 @@
 #include <snipeplank/ctl/load_run.hpp>
 #include <snipeplank/gateway/address.hpp>
+#include <snipeplank/gateway/upstream_connection.hpp>
 #include <snipeplank/http/event_stream.hpp>
 
 #include <nlohmann/json.hpp>
 
-#include <httplib.h>
-
 #include <algorithm>
 #include <chrono>
 #include <mutex>
@@ -22,6 +21,7 @@
 
 constexpr time_t answer_timeout_s = 60;
 constexpr int http_ok = 200;
+constexpr std::size_t max_refusal_bytes = 65'536;
 
 double ms_since(steady_clock::time_point start)
 {
@@ -37,7 +37,7 @@
     load_report run(steady_clock::time_point until)
     {
         const gateway::host_and_port target = gateway::split_host_port(m_plan.entry);
-        httplib::Client client(target.host, target.port);
+        gateway::upstream_connection client(target.host, target.port);
         client.set_keep_alive(true);
         client.set_tcp_nodelay(true);
         client.set_read_timeout(answer_timeout_s);
@@ -60,7 +60,7 @@
         return document.dump();
     }
 
-    void call(httplib::Client& client, std::size_t sent)
+    void call(gateway::upstream_connection& client, std::size_t sent)
     {
         httplib::Request request;
         request.method = "POST";
@@ -84,10 +84,10 @@
             if (status != http_ok)
             {
                 refusal.append(data, size);
-                return true;
+                return refusal.size() <= max_refusal_bytes;
             }
             if (events.feed({data, size}).empty())
-                return true;
+                return !events.is_too_large();
             auto& times = has_token ? m_report.between_tokens_ms : m_report.first_token_ms;
             times.push_back(ms_since(has_token ? last : start));
             has_token = true;
--- a/packages/gateway/src/answer_framing.hpp
+++ b/packages/gateway/include/snipeplank/gateway/answer_framing.hpp
@@ -1,9 +1,11 @@
 /// @file
 /// Checks the framing of an answer while its bytes arrive.
 
-#ifndef SNIPEPLANK_GATEWAY_SRC_ANSWER_FRAMING_HPP
-#define SNIPEPLANK_GATEWAY_SRC_ANSWER_FRAMING_HPP
+#ifndef SNIPEPLANK_GATEWAY_ANSWER_FRAMING_HPP
+#define SNIPEPLANK_GATEWAY_ANSWER_FRAMING_HPP
 
+#include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -14,12 +16,16 @@
 /// @brief Follows the bytes of one answer, to tell a whole answer from a part of one.
 ///
 /// cpp-httplib reads lengths and chunk sizes leniently, and takes a chunked answer that ends
-/// between two chunks for a whole one.
+/// between two chunks for a whole one. It keeps a head or a chunk size of any length, so these are
+/// limited here.
 class answer_framing
 {
   public:
+    static constexpr std::uint64_t any_size = std::numeric_limits<std::uint64_t>::max();
+
     /// @param is_head_answer whether the answer to a HEAD request, which has no body
-    explicit answer_framing(bool is_head_answer);
+    /// @param max_body largest body that can be read, in bytes
+    explicit answer_framing(bool is_head_answer, std::uint64_t max_body = any_size);
     ~answer_framing();
     answer_framing(const answer_framing&) = delete;
     answer_framing& operator=(const answer_framing&) = delete;
@@ -42,8 +48,11 @@
     class parser;
 
     void start_answer();
+    void on_interim_answer();
 
     bool m_is_head_answer;
+    std::uint64_t m_max_body;
+    unsigned m_interim_answers = 0;
     bool m_is_broken = false;
     std::unique_ptr<parser> m_parser;
     std::string m_pending; ///< bytes that the parser could not read yet
--- a/packages/gateway/src/upstream_connection.hpp
+++ b/packages/gateway/include/snipeplank/gateway/upstream_connection.hpp
@@ -1,17 +1,18 @@
 /// @file
 /// A connection to an upstream that checks the framing of its answers.
 
-#ifndef SNIPEPLANK_GATEWAY_SRC_UPSTREAM_CONNECTION_HPP
-#define SNIPEPLANK_GATEWAY_SRC_UPSTREAM_CONNECTION_HPP
+#ifndef SNIPEPLANK_GATEWAY_UPSTREAM_CONNECTION_HPP
+#define SNIPEPLANK_GATEWAY_UPSTREAM_CONNECTION_HPP
+
+#include <snipeplank/gateway/answer_framing.hpp>
 
 #include <httplib.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 
-#include "answer_framing.hpp"
-
 namespace snipeplank::gateway
 {
 
@@ -24,6 +25,10 @@
     /// @brief Says whether the next request is a HEAD request, whose answer has no body.
     void set_head_request(bool is_head_request) { m_is_head_request = is_head_request; }
 
+    /// @brief Limits the bodies of answers; without it they have any size, as a stream may.
+    /// @param bytes largest body that is read
+    void set_max_body(std::uint64_t bytes) { m_max_body = bytes; }
+
     /// @brief Framing of the latest answer; nothing before the first request was sent.
     const std::optional<answer_framing>& framing() const { return m_framing; }
 
@@ -33,6 +38,7 @@
 
     std::optional<answer_framing> m_framing;
     bool m_is_head_request = false;
+    std::uint64_t m_max_body = answer_framing::any_size;
 };
 
 } // namespace snipeplank::gateway
--- a/packages/gateway/src/answer_framing.cpp
+++ b/packages/gateway/src/answer_framing.cpp
@@ -1,12 +1,8 @@
-#include "answer_framing.hpp"
+#include <snipeplank/gateway/answer_framing.hpp>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/http/basic_parser.hpp>
-#include <boost/beast/http/error.hpp>
 
-#include <cstdint>
-#include <limits>
+#include "framing_parser.hpp"
 
 namespace snipeplank::gateway
 {
@@ -16,50 +12,21 @@
 
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using text = boost::beast::string_view;
 
 constexpr int first_final_status = 200;
-constexpr std::uint32_t max_head_bytes = 131'072;
-/// Largest part of an answer that is parsed as a unit: the head, a chunk header or the trailers.
-constexpr std::size_t max_pending_bytes = max_head_bytes;
+/// Interim answers before the final one; a sound server sends one or two.
+constexpr unsigned max_interim_answers = 16;
 
 } // namespace
 
-/// Parses the framing and keeps nothing but the status.
-class answer_framing::parser final : public http::basic_parser<false>
+class answer_framing::parser final : public framing_parser<false>
 {
   public:
-    bool is_interim() const { return m_status < first_final_status; }
-
-  private:
-    void on_request_impl(http::verb, text, text, int, error_code&) override {}
-
-    void on_response_impl(int status, text, int, error_code&) override { m_status = status; }
-
-    void on_field_impl(http::field name, text, text value, error_code& error) override
-    {
-        if (name == http::field::transfer_encoding && !boost::beast::iequals(value, "chunked"))
-            error = http::error::bad_transfer_encoding;
-    }
-
-    void on_header_impl(error_code&) override {}
-    void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
-
-    std::size_t on_body_impl(text body, error_code&) override { return body.size(); }
-
-    void on_chunk_header_impl(std::uint64_t, text, error_code&) override {}
-
-    std::size_t on_chunk_body_impl(std::uint64_t, text body, error_code&) override
-    {
-        return body.size();
-    }
-
-    void on_finish_impl(error_code&) override {}
-
-    int m_status = 0;
+    bool is_interim() const { return status() < first_final_status; }
 };
 
-answer_framing::answer_framing(bool is_head_answer) : m_is_head_answer(is_head_answer)
+answer_framing::answer_framing(bool is_head_answer, std::uint64_t max_body)
+    : m_is_head_answer(is_head_answer), m_max_body(max_body)
 {
     start_answer();
 }
@@ -70,11 +37,17 @@
 {
     m_parser = std::make_unique<parser>();
     m_parser->header_limit(max_head_bytes);
-    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->body_limit(m_max_body);
     m_parser->skip(m_is_head_answer);
     m_parser->eager(true);
 }
 
+void answer_framing::on_interim_answer()
+{
+    m_is_broken = m_is_broken || ++m_interim_answers > max_interim_answers;
+    start_answer();
+}
+
 bool answer_framing::add(std::string_view bytes)
 {
     m_pending += bytes;
@@ -87,7 +60,7 @@
         const bool needs_more = error == http::error::need_more;
         m_is_broken = (error && !needs_more) || m_pending.size() > max_pending_bytes;
         if (m_parser->is_done() && m_parser->is_interim())
-            start_answer();
+            on_interim_answer();
         else if (needs_more || used == 0)
             break;
     }
--- a/packages/gateway/src/connection_cache.hpp
+++ b/packages/gateway/src/connection_cache.hpp
@@ -5,6 +5,7 @@
 #define SNIPEPLANK_GATEWAY_SRC_CONNECTION_CACHE_HPP
 
 #include <snipeplank/core/ids.hpp>
+#include <snipeplank/gateway/upstream_connection.hpp>
 
 #include <chrono>
 #include <memory>
@@ -12,8 +13,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "upstream_connection.hpp"
-
 namespace snipeplank::gateway
 {
 
--- a/packages/gateway/src/http_server.cpp
+++ b/packages/gateway/src/http_server.cpp
@@ -4,14 +4,27 @@
 
 #include <sys/socket.h>
 
+#include <unistd.h>
+
+#include <chrono>
 #include <limits>
 
+#include "framed_stream.hpp"
+#include "request_framing.hpp"
+
 namespace snipeplank::gateway
 {
 
 namespace
 {
 
+using std::chrono::milliseconds;
+
+/// Largest body of a request, unless the server sets another limit.
+constexpr std::size_t max_body_bytes = 65'536;
+/// What may arrive of a body beyond the limit before its refusal is sent.
+constexpr std::uint64_t refused_body_bytes = 1'048'576;
+
 /// Maximum time that an idle keep-alive connection occupies a thread.
 constexpr time_t keep_alive_seconds = 5;
 constexpr time_t read_seconds = 10;
@@ -37,8 +50,41 @@
     worker_pool m_pool;
 };
 
+bool bounded_server::process_and_close_socket(socket_t socket)
+{
+    const bool is_served = serve_requests(socket);
+    ::shutdown(socket, SHUT_RDWR);
+    ::close(socket);
+    return is_served;
+}
+
+/// Waits for the next request in steps, so that a server that is stopped is noticed.
+bool bounded_server::serve_requests(socket_t socket)
+{
+    constexpr milliseconds step{100};
+    request_framing framing(payload_max_length_ + refused_body_bytes);
+    framed_stream stream(socket,
+                         {to_limit(read_timeout_sec_, read_timeout_usec_),
+                          to_limit(write_timeout_sec_, write_timeout_usec_)},
+                         [&](std::string_view bytes) { return framing.add(bytes); });
+    bool is_served = false;
+    const milliseconds idle_limit = to_limit(keep_alive_timeout_sec_, 0);
+    for (milliseconds idle{0}; idle < idle_limit && svr_sock_ != INVALID_SOCKET; idle += step)
+    {
+        if (!stream.waits_for_bytes(step))
+            continue;
+        bool is_closed = false;
+        is_served = process_request(stream, false, is_closed, nullptr);
+        if (!is_served || is_closed)
+            break;
+        idle = milliseconds{0} - step;
+    }
+    return is_served;
+}
+
 http_server::http_server(std::size_t max_connections)
 {
+    m_server.set_payload_max_length(max_body_bytes);
     m_server.new_task_queue = [this, max_connections]
     {
         auto* queue = new task_queue(max_connections);
--- a/packages/gateway/src/http_server.hpp
+++ b/packages/gateway/src/http_server.hpp
@@ -15,6 +15,14 @@
 namespace snipeplank::gateway
 {
 
+/// @brief A server of cpp-httplib that limits every part of a request.
+class bounded_server final : public httplib::Server
+{
+  private:
+    bool process_and_close_socket(socket_t socket) override;
+    bool serve_requests(socket_t socket);
+};
+
 /// @brief An HTTP server that runs on its own threads.
 class http_server
 {
@@ -40,7 +48,7 @@
   private:
     class task_queue;
 
-    httplib::Server m_server;
+    bounded_server m_server;
     worker_pool* m_pool = nullptr; ///< owned by the server's task queue
     std::thread m_acceptor;
     int m_listener = -1;
--- a/packages/gateway/src/platform_client.cpp
+++ b/packages/gateway/src/platform_client.cpp
@@ -20,6 +20,8 @@
 constexpr core::milliseconds connect_timeout{500};
 constexpr core::milliseconds answer_timeout{2'000};
 constexpr int http_ok = 200;
+/// Several times the largest document of the two-year size.
+constexpr std::uint64_t max_answer_bytes = 16'777'216;
 
 class http_platform_client final : public platform_client
 {
@@ -91,6 +93,7 @@
         const auto client = connection_cache::make_client(from);
         client->set_connection_timeout(connect_timeout);
         client->set_read_timeout(limit);
+        client->set_max_body(max_answer_bytes);
         if (!begin(client.get()))
             return core::fail(error_code::connection_closed, "the node is stopping", "none needed");
         const httplib::Result result = client->Get(path);
