--- a/scripts/node_cost.py
+++ b/scripts/node_cost.py
@@ -12,11 +12,12 @@
 import os
 import subprocess
 import tempfile
+import threading
 import time
 import urllib.request
 
 REGIONS = ("r1", "r2", "r3")
-SERVERS = 40
+RENEWAL_SECONDS = 1.2
 SETTLE_SECONDS = 22
 MAX_NODES = 240
 PORTS = {"Front": 18100, "Readiness": 18101, "Control": 18102, "Directory": 18103}
@@ -33,17 +34,35 @@
     urllib.request.urlopen(request)
 
 
-def publish(store):
+def put_server(store, server, sequence):
+    put(store, f"servers/s{server}",
+        {"Service": "shop", "Address": f"127.0.{9 + server // 200}.{server % 200 + 1}:9",
+         "Zone": REGIONS[server % len(REGIONS)] + "-a", "Version": 1, "Slots": 6,
+         "State": "ready", "WarmupLeftMs": 0, "Sequence": sequence})
+
+
+def renew(store, servers, stop):
+    """Writes each server's entry again and again, as running servers do."""
+    sequence = 1
+    while not stop.is_set():
+        sequence += 1
+        began = time.monotonic()
+        for server in range(servers):
+            if stop.is_set():
+                return
+            put_server(store, server, sequence)
+            due = began + RENEWAL_SECONDS * (server + 1) / servers
+            time.sleep(max(0.0, due - time.monotonic()))
+
+
+def publish(store, servers):
     route = {"Name": "read", "Host": "shop.example", "PathPrefix": "/read/", "Kind": "idempotent",
              "TimeoutMs": 8000, "GoalMs": 1000, "Priority": 2, "Service": "shop", "MaxAttempts": 2,
              "Resumable": False, "AllowedRegions": []}
     put(store, "op/config",
         {"Version": 3, "Routes": [route], "Services": [{"Name": "shop"}], "Limits": {}})
-    for server in range(SERVERS):
-        put(store, f"servers/s{server}",
-            {"Service": "shop", "Address": f"127.0.9.{server + 1}:9",
-             "Zone": REGIONS[server % len(REGIONS)] + "-a", "Version": 1, "Slots": 6,
-             "State": "ready", "WarmupLeftMs": 0, "Sequence": 1})
+    for server in range(servers):
+        put_server(store, server, 1)
 
 
 def settings(node, store):
@@ -66,15 +85,19 @@
     return ticks / os.sysconf("SC_CLK_TCK")
 
 
-def measure(build, size, seconds):
+def measure(build, size, seconds, servers):
     started = []
+    stop = threading.Event()
+    renewal = None
     with tempfile.TemporaryDirectory() as folder:
         try:
             store = subprocess.Popen([f"{build}/bin/standin_store", "--address", "127.0.0.1:0"],
                                      stdout=subprocess.PIPE, text=True)
             started.append(store)
             address = store.stdout.readline().split()[1]
-            publish(address)
+            publish(address, servers)
+            renewal = threading.Thread(target=renew, args=(address, servers, stop))
+            renewal.start()
             nodes = []
             for node in range(size):
                 path = f"{folder}/{node}.json"
@@ -91,6 +114,9 @@
             used = processor_seconds(nodes) - before
             return used / (time.monotonic() - began) / size
         finally:
+            stop.set()
+            if renewal:
+                renewal.join()
             for process in started:
                 process.kill()
                 process.wait()
@@ -101,13 +127,14 @@
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--build", default="build", help="folder of the build")
     parser.add_argument("--seconds", type=float, default=6, help="length of the measurement")
+    parser.add_argument("--servers", type=int, default=40, help="servers that renew their entries")
     parser.add_argument("sizes", metavar="SIZE", type=int, nargs="+",
                         help=f"number of nodes, at most {MAX_NODES}")
     options = parser.parse_args()
     if min(options.sizes) < 1 or max(options.sizes) > MAX_NODES:
         parser.error(f"a SIZE is 1 to {MAX_NODES}: each node is a process")
     for size in options.sizes:
-        cores = measure(options.build, size, options.seconds)
+        cores = measure(options.build, size, options.seconds, options.servers)
         print(f"{size} nodes: {cores:.4f} cores a node")
 
 
