wire: idle connections between nodes have a heartbeat each 5 s

In a fleet of 295 a node has a connection to nearly every other node, with a heartbeat a second in each direction. Now a connection has one a second for 10 s after a frame of a call, else one in 5 s; its silence is noticed after 3 s while calls use it or when one is sent, else after 8 s. Gossip finds out which nodes are alive, as before.

--- a/packages/wire/include/snipeplank/wire/peer_network.hpp
+++ b/packages/wire/include/snipeplank/wire/peer_network.hpp
@@ -42,6 +42,10 @@
     std::vector<std::string> fleet_keys; ///< own proofs use the first; any is accepted from peers
 
     core::milliseconds heartbeat_interval{1'000};
+    /// The same for a connection that has carried no frame of a call for `busy_time`. Gossip finds
+    /// out which nodes are alive, so that it costs a large fleet no more.
+    core::milliseconds idle_heartbeat_interval{5'000};
+    core::milliseconds busy_time{10'000};
     core::milliseconds silence_timeout{3'000};
     core::milliseconds handshake_timeout{3'000};
     core::milliseconds initial_reconnect_delay{50};
--- a/packages/wire/include/snipeplank/wire/peer_session.hpp
+++ b/packages/wire/include/snipeplank/wire/peer_session.hpp
@@ -86,7 +86,8 @@
     session_output on_timer(core::time_point now);
 
     /// @brief Records that a frame was queued, which postpones the next heartbeat.
-    void on_sent(core::time_point now) { m_last_sent = now; }
+    /// @param is_of_call whether the frame belongs to a call, so that somebody waits for the peer
+    void on_sent(core::time_point now, bool is_of_call);
 
     /// @brief When `on_timer` is due next.
     core::time_point due_at() const;
@@ -104,7 +105,11 @@
         open,
     };
 
-    void on_frame(const std::string& payload, session_output& out);
+    void on_frame(const std::string& payload, core::time_point now, session_output& out);
+    void on_frame_of_call(core::time_point now);
+    bool is_busy(core::time_point now) const { return now < m_busy_until; }
+    core::time_point heartbeat_due() const;
+    core::time_point silent_at() const;
     void on_hello(const hello& received, session_output& out);
     void answer_challenge(const hello& received, session_output& out);
     void verify_proof(const hello& received, session_output& out);
@@ -123,6 +128,8 @@
     core::time_point m_started;
     core::time_point m_last_sent;
     core::time_point m_last_received;
+    core::time_point m_busy_since; ///< silence before calls were sent is judged as on an idle one
+    core::time_point m_busy_until;
 };
 
 } // namespace snipeplank::wire
--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -225,7 +225,7 @@
     }
     if (connection.queued() + item.frame.size() <= m_settings.max_write_queue.count)
     {
-        write_frame(id, item.frame);
+        write_frame(id, item);
         if (item.kind == frame_kind::call)
         {
             m_handler.on_call_sent(identity_of(id), item.number);
@@ -285,12 +285,13 @@
     }
 }
 
-void peer_loop::write_frame(connection_id id, const std::string& frame)
+void peer_loop::write_frame(connection_id id, const outgoing_frame& item)
 {
     peer_connection& connection = m_connections.at(id);
-    connection.queue(frame);
+    connection.queue(item.frame);
     m_to_write.insert(id);
-    connection.session().on_sent(m_time.now());
+    connection.session().on_sent(m_time.now(), item.kind != frame_kind::load_report);
+    schedule_timer(id);
     m_counters.add(&peer_counters::frames_sent);
 }
 
@@ -457,6 +458,11 @@
     if ((event.events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
     {
         apply(event.id, found->second.read_some(m_time));
+        // A frame of a call makes the next heartbeat due earlier.
+        if (m_connections.contains(event.id))
+        {
+            schedule_timer(event.id);
+        }
     }
 }
 
--- a/packages/wire/src/peer_loop.hpp
+++ b/packages/wire/src/peer_loop.hpp
@@ -77,7 +77,7 @@
     bool is_connected_to(const core::address& peer) const;
     void queue_until_connected(peer_state& peer, outgoing_frame item);
     void drop(const outgoing_frame& item, drop_cause cause);
-    void write_frame(connection_id id, const std::string& frame);
+    void write_frame(connection_id id, const outgoing_frame& item);
     void flush_pending(peer_state& peer);
     void dial_pending_peers();
     void remove_idle_peers();
--- a/packages/wire/src/peer_session.cpp
+++ b/packages/wire/src/peer_session.cpp
@@ -56,7 +56,8 @@
     : m_role(role), m_settings(settings), m_dialed(std::move(dialed)), m_nonce(std::move(nonce)),
       m_reader(max_hello_bytes),
       m_phase(role == session_role::dialer ? phase::awaiting_challenge : phase::awaiting_proof),
-      m_started(now), m_last_sent(now), m_last_received(now)
+      m_started(now), m_last_sent(now), m_last_received(now), m_busy_since(now),
+      m_busy_until(now + settings.busy_time)
 {
 }
 
@@ -89,16 +90,34 @@
         {
             break;
         }
-        on_frame(*payload.value(), out);
+        on_frame(*payload.value(), now, out);
     }
     if (!out.bytes.empty())
     {
-        on_sent(now);
+        m_last_sent = now;
     }
     return out;
 }
 
-void peer_session::on_frame(const std::string& payload, session_output& out)
+void peer_session::on_sent(core::time_point now, bool is_of_call)
+{
+    m_last_sent = now;
+    if (is_of_call)
+    {
+        on_frame_of_call(now);
+    }
+}
+
+void peer_session::on_frame_of_call(core::time_point now)
+{
+    if (!is_busy(now))
+    {
+        m_busy_since = now;
+    }
+    m_busy_until = now + m_settings.busy_time;
+}
+
+void peer_session::on_frame(const std::string& payload, core::time_point now, session_output& out)
 {
     auto decoded = decode(payload);
     if (!decoded)
@@ -124,6 +143,10 @@
     }
     if (!std::holds_alternative<heartbeat>(received))
     {
+        if (!std::holds_alternative<fleet::gossip>(received))
+        {
+            on_frame_of_call(now);
+        }
         out.received.push_back(std::move(received));
     }
 }
@@ -258,7 +281,7 @@
         }
         return out;
     }
-    if (now - m_last_received >= m_settings.silence_timeout)
+    if (now >= silent_at())
     {
         fail(out, session_fault::silent,
              {core::error_code::peer_silent,
@@ -267,22 +290,38 @@
               remedy_retry});
         return out;
     }
-    if (now - m_last_sent >= m_settings.heartbeat_interval)
+    if (now >= heartbeat_due())
     {
         out.bytes = encode(heartbeat{}).value();
-        on_sent(now);
+        m_last_sent = now;
     }
     return out;
 }
 
+/// While calls use the connection, heartbeats are frequent, so that its silence is noticed soon.
+core::time_point peer_session::heartbeat_due() const
+{
+    const core::time_point due = m_last_sent + m_settings.heartbeat_interval;
+    return due <= m_busy_until ? due : m_last_sent + m_settings.idle_heartbeat_interval;
+}
+
+/// The peer may have sent its heartbeats as on an idle connection until calls began.
+core::time_point peer_session::silent_at() const
+{
+    const core::time_point idle_limit =
+        m_last_received + m_settings.idle_heartbeat_interval + m_settings.silence_timeout;
+    const core::time_point busy_limit =
+        std::max(m_last_received, m_busy_since) + m_settings.silence_timeout;
+    return busy_limit <= m_busy_until ? std::min(busy_limit, idle_limit) : idle_limit;
+}
+
 core::time_point peer_session::due_at() const
 {
     if (!is_open())
     {
         return m_started + m_settings.handshake_timeout;
     }
-    return std::min(m_last_sent + m_settings.heartbeat_interval,
-                    m_last_received + m_settings.silence_timeout);
+    return std::min(heartbeat_due(), silent_at());
 }
 
 } // namespace snipeplank::wire
