tests: test processes reserve the ports that they choose

whole_path failed in repeated runs of its seven tests at once, once with 'cannot listen on 127.0.0.1:29935': two tests had chosen the same free port. A UDP socket on the port reserves it while the test runs. (Two more of its failures in such runs had no connection, or 30 s without one; their node's output was not kept.)

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -49,6 +49,21 @@
     return bound;
 }
 
+/// Keeps other test processes from taking the port: they reserve it too before they use it. The
+/// reservation, a UDP socket, ends with this process.
+bool reserve(int port)
+{
+    const int socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0)
+        return true;
+    ::close(socket);
+    return false;
+}
+
 int describe_status(int status)
 {
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
@@ -222,7 +237,7 @@
     for (int attempt = 0; attempt < attempts; ++attempt)
     {
         const int port = draw(random);
-        if (!given.contains(port) && is_free(port))
+        if (!given.contains(port) && reserve(port) && is_free(port))
         {
             given.insert(port);
             return "127.0.0.1:" + std::to_string(port);
