--- a/tests/endless_bytes_test.cpp
+++ b/tests/endless_bytes_test.cpp
@@ -23,8 +23,8 @@
 {
 
 /// More than a program may keep; what the socket buffers hold is a few MiB of it.
-constexpr std::size_t endless_bytes = 64U * 1'024 * 1'024;
-constexpr std::size_t max_growth_kb = 24U * 1'024;
+constexpr std::size_t endless_bytes = 67'108'864;
+constexpr std::size_t max_growth_kb = 24'576;
 
 struct bytes_without_end
 {
@@ -107,7 +107,7 @@
         : m_what(std::move(what)), m_socket(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in any = to_sockaddr("127.0.0.1:0");
-        ::bind(m_socket, reinterpret_cast<sockaddr*>(&any), sizeof(any));
+        static_cast<void>(::bind(m_socket, reinterpret_cast<sockaddr*>(&any), sizeof(any)));
         ::listen(m_socket, 16);
         socklen_t size = sizeof(any);
         ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&any), &size);
