--- a/review/standins/steady_client.cpp
+++ b/review/standins/steady_client.cpp
@@ -1,9 +1,10 @@
 /// Stand-in for clients that send short generations at a steady rate, each on a new connection.
 
 #include <gflags/gflags.h>
+
 #include <httplib.h>
 
-#include <atomic>
+#include <array>
 #include <chrono>
 #include <cstdio>
 #include <iostream>
@@ -81,8 +82,8 @@
             const std::chrono::duration<double> due((number * count + client) / FLAGS_rate);
             if (due > length)
                 return;
-            std::this_thread::sleep_until(
-                begin + std::chrono::duration_cast<steady_clock::duration>(due));
+            std::this_thread::sleep_until(begin +
+                                          std::chrono::duration_cast<steady_clock::duration>(due));
             send(client, number);
         }
     }
