--- a/review/build.sh
+++ b/review/build.sh
@@ -14,8 +14,9 @@
 compile standins/server/main.cpp standin_server &
 compile review/standins/paging_store.cpp paging_store &
 compile review/standins/steady_client.cpp steady_client &
-for _ in 1 2 3 4 5; do wait -n; done
-for name in standin_store standin_server paging_store steady_client; do
+compile review/standins/cold_server.cpp cold_server &
+for _ in 1 2 3 4 5 6; do wait -n; done
+for name in standin_store standin_server paging_store steady_client cold_server; do
   g++ "$out/$name.o" "$out/http_server.o" -o "$out/$name" "${libraries[@]}" -pthread
 done
 echo "built into $out"
--- a/review/standins/steady_client.cpp
+++ b/review/standins/steady_client.cpp
@@ -56,7 +56,7 @@
 
     void run()
     {
-        constexpr int count = 24;
+        constexpr int count = 200;
         std::vector<std::thread> threads;
         const auto begin = steady_clock::now();
         for (int client = 0; client < count; ++client)
