http, platform: names and values in targets of own requests are percent-encoded

Cause: read_all_pages put the last key of a page into the query of the next read as it was. The store saw `after=servers/edge` and a parameter `test`, answered with the same page again, and the node read it for ever. A node that had its state kept a watch, so only a start or a forgotten history showed it.

Change: http::request_target composes path and query and encodes every name and value, and fetch takes nothing else, so no caller can forget it. It also composes the targets between nodes (state feed) and those of the own interface to the configuration service and the host list, which were put together from text as well. An X-Consul-Index that is no number is an error now, it was cut at the first odd character.

The stand-in of the store answers in pages (500 items or 1 MB, fewer when a test says so), with a length or in small chunks.

Evidence: machine_state.a_key_at_the_end_of_a_page_does_not_change_the_next_read, 17 keys, with pages of one item.

--- a/packages/gateway/src/platform_client.cpp
+++ b/packages/gateway/src/platform_client.cpp
@@ -1,4 +1,6 @@
 #include <snipeplank/gateway/platform_client.hpp>
+#include <snipeplank/http/message.hpp>
+#include <snipeplank/http/request_target.hpp>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -20,6 +22,8 @@
 constexpr core::milliseconds connect_timeout{500};
 constexpr core::milliseconds answer_timeout{2'000};
 constexpr int http_ok = 200;
+/// Version of the value, for the next call that waits for a change.
+constexpr char index_header[] = "X-Consul-Index";
 /// Several times the largest document of the two-year size.
 constexpr std::uint64_t max_answer_bytes = 16'777'216;
 
@@ -34,16 +38,17 @@
     core::result<watched_value> read_key(const std::string& key, std::uint64_t index,
                                          core::milliseconds wait) override
     {
-        const std::string path = wait.count() > 0 ? fmt::format("/v1/kv/{}?raw&index={}&wait={}ms",
-                                                                key, index, wait.count())
-                                                  : fmt::format("/v1/kv/{}?raw", key);
+        http::request_target target("/v1/kv/" + key);
+        target.add("raw", "");
+        if (wait.count() > 0)
+            add_wait(target, index, wait);
         core::error last{error_code::connection_failed, "no configuration service is configured",
                          "name its addresses in the settings"};
         for (std::size_t tried = 0; tried < m_config_service.size(); ++tried)
         {
             const core::address& replica =
                 m_config_service[(m_replica + tried) % m_config_service.size()];
-            auto read = get(replica, path, wait + answer_timeout);
+            auto read = get(replica, target, wait + answer_timeout);
             if (read)
             {
                 m_replica = (m_replica + tried) % m_config_service.size();
@@ -56,9 +61,9 @@
 
     core::result<host_listing> read_hosts(std::uint64_t index, core::milliseconds wait) override
     {
-        const auto read =
-            get(m_host_list, fmt::format("/v1/hosts?index={}&wait={}ms", index, wait.count()),
-                wait + answer_timeout);
+        http::request_target target("/v1/hosts");
+        add_wait(target, index, wait);
+        const auto read = get(m_host_list, target, wait + answer_timeout);
         if (!read)
             return boost::outcome_v2::failure(read.error());
         return parse_host_listing(read.value().body);
@@ -66,7 +71,7 @@
 
     core::result<upstream_report> read_load(const core::address& upstream) override
     {
-        const auto read = get(upstream, "/metrics", answer_timeout);
+        const auto read = get(upstream, http::request_target("/metrics"), answer_timeout);
         if (!read)
             return boost::outcome_v2::failure(read.error());
         return parse_load_report(read.value().body);
@@ -87,7 +92,12 @@
         std::uint64_t index = 0;
     };
 
-    core::result<page> get(const core::address& from, const std::string& path,
+    static void add_wait(http::request_target& target, std::uint64_t index, core::milliseconds wait)
+    {
+        target.add("index", index).add("wait", std::to_string(wait.count()) + "ms");
+    }
+
+    core::result<page> get(const core::address& from, const http::request_target& target,
                            core::milliseconds limit)
     {
         const auto client = connection_cache::make_client(from);
@@ -96,7 +106,7 @@
         client->set_max_body(max_answer_bytes);
         if (!begin(client.get()))
             return core::fail(error_code::connection_closed, "the node is stopping", "none needed");
-        const httplib::Result result = client->Get(path);
+        const httplib::Result result = client->Get(target.text());
         end();
         if (!result)
             return core::fail(error_code::connection_failed,
@@ -113,8 +123,12 @@
                               "check the platform");
         page read;
         read.body = result->body;
-        const std::string index = result->get_header_value("X-Consul-Index");
-        read.index = std::strtoull(index.c_str(), nullptr, 10);
+        const std::string index = result->get_header_value(index_header);
+        if (!index.empty() && !http::parse_number(index))
+            return core::fail(error_code::connection_failed,
+                              from.get() + " answered with a malformed " + index_header,
+                              "check the platform");
+        read.index = http::parse_number(index).value_or(0);
         return read;
     }
 
--- a/packages/http/include/snipeplank/http/message.hpp
+++ b/packages/http/include/snipeplank/http/message.hpp
@@ -21,7 +21,7 @@
 struct request_head
 {
     std::string method;
-    std::string target; ///< path and query, byte for byte
+    std::string target; ///< path and query, byte for byte; see `request_target` for composed ones
     header_list headers;
 };
 
@@ -47,6 +47,10 @@
 
 /// @brief Value of a query parameter with percent escapes decoded, or nothing.
 /// @param target path and query
+/// @brief Names and values of a query in their order, with percent escapes decoded. A part without
+/// an equals sign is left out.
+std::vector<std::pair<std::string, std::string>> query_parameters(std::string_view query);
+
 std::optional<std::string> query_value(std::string_view target, std::string_view name);
 
 /// @brief The path of a target, without its query.
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -109,16 +109,28 @@
     return target.substr(std::min(target.size(), path_of(target).size() + 1));
 }
 
-std::optional<std::string> query_value(std::string_view target, std::string_view name)
+std::vector<std::pair<std::string, std::string>> query_parameters(std::string_view query)
 {
-    std::string_view rest = query_of(target);
-    while (!rest.empty())
+    std::vector<std::pair<std::string, std::string>> parameters;
+    while (!query.empty())
     {
-        const std::string_view pair = rest.substr(0, rest.find('&'));
-        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        const std::string_view pair = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(query.size(), pair.size() + 1));
         const std::size_t equals = pair.find('=');
-        if (pair.substr(0, equals) == name && equals != std::string_view::npos)
-            return decode_percent(pair.substr(equals + 1));
+        if (equals == std::string_view::npos)
+            continue;
+        parameters.emplace_back(decode_percent(pair.substr(0, equals)),
+                                decode_percent(pair.substr(equals + 1)));
+    }
+    return parameters;
+}
+
+std::optional<std::string> query_value(std::string_view target, std::string_view name)
+{
+    for (auto& [known, value] : query_parameters(query_of(target)))
+    {
+        if (known == name)
+            return std::move(value);
     }
     return std::nullopt;
 }
--- a/packages/serving/include/snipeplank/serving/state_feed.hpp
+++ b/packages/serving/include/snipeplank/serving/state_feed.hpp
@@ -12,6 +12,7 @@
 #include <snipeplank/core/error.hpp>
 #include <snipeplank/core/ids.hpp>
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/http/request_target.hpp>
 #include <snipeplank/serving/replica.hpp>
 
 #include <cstddef>
@@ -49,8 +50,11 @@
 /// @return the feed, or an error that names the invalid field
 core::result<state_feed> decode_feed(const std::string& text);
 
-/// @brief Encodes a position as the query of a request.
-std::string encode_position(const feed_position& position);
+/// Path at which a node answers with its state.
+constexpr char state_path[] = "/v1/state";
+
+/// @brief Target of a request for the changes after a position.
+http::request_target encode_position(const feed_position& position);
 
 /// @brief Decodes the query of a request; an unknown or damaged one gives the empty position.
 feed_position decode_position(std::string_view query);
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -1,6 +1,7 @@
 #include <snipeplank/core/random.hpp>
 #include <snipeplank/serving/node.hpp>
 #include <snipeplank/serving/stop_schedule.hpp>
+#include <snipeplank/serving/state_feed.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -389,7 +390,7 @@
             co_await request.send(text_response(ok, metrics()));
         else if (path == "/readyz")
             co_await request.send(status_answer(is_ready()));
-        else if (path == "/v1/state")
+        else if (path == state_path)
             co_await request.send(
                 text_response(ok, m_adapters.source.feed(http::query_of(request.head().target)),
                               "application/json"));
--- a/packages/serving/src/state_feed.cpp
+++ b/packages/serving/src/state_feed.cpp
@@ -1,10 +1,10 @@
 #include <snipeplank/core/rendezvous.hpp>
 #include <snipeplank/serving/state_feed.hpp>
+#include <snipeplank/http/message.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace snipeplank::serving
 {
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 constexpr char watcher_key[] = "state watchers";
-constexpr char separator = '&';
+constexpr char instance_name[] = "instance";
 
 auto invalid(const std::string& what)
 {
@@ -117,14 +117,6 @@
     return changes;
 }
 
-/// Parses a number that takes up the whole text; 0 for any other text.
-std::uint64_t parse_number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return code == std::errc() && end == text.data() + text.size() ? value : 0;
-}
-
 } // namespace
 
 std::string encode_feed(const state_feed& feed)
@@ -161,29 +153,24 @@
     return feed;
 }
 
-std::string encode_position(const feed_position& position)
+http::request_target encode_position(const feed_position& position)
 {
-    std::string text = "instance=" + std::to_string(position.instance);
+    http::request_target target(state_path);
+    target.add(instance_name, position.instance);
     for (const auto& [prefix, since] : position.prefixes)
     {
-        text += separator + prefix + "=" + std::to_string(since);
+        target.add(prefix, since);
     }
-    return text;
+    return target;
 }
 
 feed_position decode_position(std::string_view query)
 {
     feed_position position;
-    while (!query.empty())
+    for (const auto& [name, text] : http::query_parameters(query))
     {
-        const std::string_view field = query.substr(0, query.find(separator));
-        query.remove_prefix(std::min(query.size(), field.size() + 1));
-        const std::size_t equals = field.find('=');
-        if (equals == std::string_view::npos)
-            continue;
-        const std::string name(field.substr(0, equals));
-        const std::uint64_t value = parse_number(field.substr(equals + 1));
-        if (name == "instance")
+        const std::uint64_t value = http::parse_number(text).value_or(0);
+        if (name == instance_name)
             position.instance = value;
         else
             position.prefixes[name] = value;
--- a/packages/serving/tests/state_feed_test.cpp
+++ b/packages/serving/tests/state_feed_test.cpp
@@ -1,5 +1,6 @@
 /// Tests which node a node follows, and that followers receive every change.
 
+#include <snipeplank/http/message.hpp>
 #include <snipeplank/serving/state_feed.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -24,6 +25,12 @@
     return core::address{"10.0.0." + std::to_string(index) + ":7"};
 }
 
+/// The query with which a node asks for the changes after a position, as the other one receives it.
+std::string query_to(const feed_position& position)
+{
+    return std::string(http::query_of(encode_position(position).text()));
+}
+
 /// The nodes of a region without one of them.
 std::vector<core::address> others(std::size_t count, std::size_t self)
 {
@@ -199,7 +206,7 @@
     const auto follow = [&](core::time_point time)
     {
         const feed_position asked =
-            decode_position(encode_position(subject.position({{"p/", follower.revision()}})));
+            decode_position(query_to(subject.position({{"p/", follower.revision()}})));
         const auto since = asked.prefixes.find("p/");
         const bool is_known = asked.instance == 7 && since != asked.prefixes.end();
         const state_feed feed{
@@ -262,8 +269,9 @@
 
 TEST(state_feed, a_position_survives_its_encoding)
 {
-    const feed_position sent{12, {{"op/", 3}, {"servers/", 18'446'744'073'709'551'615U}}};
-    const feed_position received = decode_position(encode_position(sent));
+    const feed_position sent{
+        12, {{"op/", 3}, {"servers/", 18'446'744'073'709'551'615U}, {"a&b=1 \r\n", 4}}};
+    const feed_position received = decode_position(query_to(sent));
     CHECK_TRUE(received.instance == sent.instance && received.prefixes == sent.prefixes);
     for (const char* damaged : {"", "&&", "instance", "instance=x", "op/=-1", "op/=9z"})
     {
--- a/standins/store/main.cpp
+++ b/standins/store/main.cpp
@@ -1,5 +1,5 @@
-/// Stand-in for the key-value store of the users' platform: range reads and watches over items that
-/// a test sets.
+/// Stand-in for the key-value store of the users' platform: range reads in pages and watches over
+/// items that a test sets.
 
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
@@ -11,6 +11,8 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 DEFINE_string(address, "127.0.0.1:0", "IP:PORT to listen on; port 0 takes a free one");
@@ -23,10 +25,17 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
+constexpr int ok = 200;
 constexpr int bad_request = 400;
 constexpr int gone = 410;
 constexpr int no_content = 204;
 
+/// Limits of a page.
+constexpr std::size_t max_items_per_page = 500;
+constexpr std::size_t max_bytes_per_page = 1'048'576;
+/// Part of an answer in the chunked transfer coding.
+constexpr std::size_t max_chunk_bytes = 7;
+
 std::string encode_base64(const std::string& bytes)
 {
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -61,15 +70,24 @@
         m_server.Post("/standin/compact", [this](const request&, response&) { compact(); });
         m_server.Post("/standin/copy", [this](const request&, response&) { copy(); });
         m_server.Post("/standin/restore", [this](const request&, response&) { restore(); });
-        m_server.Get(
-            "/standin/counts",
-            [this](const request&, response& out)
-            {
-                const std::lock_guard lock(m_mutex);
-                out.set_content(
-                    json{{"longest_wait_ms", m_longest_wait_ms}, {"calls", m_calls.load()}}.dump(),
-                    "application/json");
-            });
+        m_server.Get("/standin/counts",
+                     [this](const request&, response& out)
+                     {
+                         const std::lock_guard lock(m_mutex);
+                         out.set_content(json{{"longest_wait_ms", m_longest_wait_ms},
+                                              {"calls", m_calls.load()},
+                                              {"range_reads", m_range_reads.load()}}
+                                             .dump(),
+                                         "application/json");
+                     });
+        m_server.Post("/standin/page_items",
+                      [this](const request& in, response&) { m_page_items = std::stoul(in.body); });
+        m_server.Post("/standin/chunked",
+                      [this](const request& in, response&) { m_is_chunked = in.body == "yes"; });
+        m_server.Post("/standin/repeat_page",
+                      [this](const request& in, response&) { m_repeats_page = in.body == "yes"; });
+        m_server.Post("/standin/range_status", [this](const request& in, response&)
+                      { m_range_status = std::stoi(in.body); });
         m_server.Post("/standin/down",
                       [this](const request& in, response&) { m_is_down = in.body == "yes"; });
     }
@@ -98,22 +116,64 @@
         return m_is_down;
     }
 
+    /// An answer of JSON, with a length or in small chunks.
+    void answer(response& out, const json& document) const
+    {
+        std::string text = document.dump();
+        if (!m_is_chunked)
+        {
+            out.set_content(text, "application/json");
+            return;
+        }
+        out.set_chunked_content_provider(
+            "application/json",
+            [text = std::move(text)](std::size_t offset, httplib::DataSink& sink)
+            {
+                const std::string_view rest = std::string_view(text).substr(offset);
+                const std::string_view part = rest.substr(0, max_chunk_bytes);
+                sink.write(part.data(), part.size());
+                if (part.size() == rest.size())
+                    sink.done();
+                return true;
+            });
+    }
+
     void read_range(const request& in, response& out)
     {
         ++m_calls;
+        ++m_range_reads;
         if (refuse_when_down())
             return;
-        const std::string prefix = in.get_param_value("PathPrefix");
         const std::lock_guard lock(m_mutex);
         out.set_header("Store-Era", std::to_string(m_era));
+        if (m_range_status != ok)
+        {
+            out.status = m_range_status;
+            return;
+        }
+        const std::string after = m_repeats_page ? "" : in.get_param_value("after");
+        answer(out, page_after(in.get_param_value("PathPrefix"), after));
+    }
+
+    /// The items below a prefix that follow a key, as many as fit in a page.
+    json page_after(const std::string& prefix, const std::string& after) const
+    {
         json items = json::array();
-        for (const auto& [key, latest] : m_items)
+        std::size_t bytes = 0;
+        const auto begin = after.empty() ? m_items.lower_bound(prefix) : m_items.upper_bound(after);
+        auto each = begin;
+        for (; each != m_items.end() && each->first.starts_with(prefix); ++each)
         {
-            if (key.starts_with(prefix))
-                items.push_back(to_json(latest));
+            const std::size_t size = each->first.size() + each->second.value.size();
+            const bool is_full = items.size() >= m_page_items || bytes + size > max_bytes_per_page;
+            if (is_full && !items.empty())
+                break;
+            bytes += size;
+            items.push_back(to_json(each->second));
         }
-        out.set_content(json{{"items", items}, {"HasMore", false}, {"AsOf", m_revision}}.dump(),
-                        "application/json");
+        const bool has_more = each != m_items.end() && each->first.starts_with(prefix);
+        return json{
+            {"items", items}, {"HasMore", has_more || m_repeats_page}, {"AsOf", m_revision}};
     }
 
     void watch(const request& in, response& out)
@@ -157,7 +217,7 @@
             if (each.revision > after && each.key.starts_with(prefix))
                 events.push_back(to_json(each));
         }
-        out.set_content(json{{"events", events}, {"AsOf", m_revision}}.dump(), "application/json");
+        answer(out, json{{"events", events}, {"AsOf", m_revision}});
         return !events.empty();
     }
 
@@ -215,6 +275,11 @@
     std::uint64_t m_compacted = 0;
     long m_longest_wait_ms = 0;
     std::atomic<long> m_calls{0}; ///< reads and watches
+    std::atomic<long> m_range_reads{0};
+    std::atomic<std::size_t> m_page_items{max_items_per_page};
+    std::atomic<int> m_range_status{ok};
+    std::atomic<bool> m_is_chunked{false};
+    std::atomic<bool> m_repeats_page{false}; ///< answers the first page again, whatever is asked
     std::atomic<bool> m_is_down{false};
 };
 
--- a/tests/machine_state_test.cpp
+++ b/tests/machine_state_test.cpp
@@ -194,6 +194,30 @@
     }
 }
 
+// Fails when a key that another program wrote changes the read that begins after it: a node that
+// starts then reads the same page for ever, and finds no server (review/2, RECOVER).
+TEST(machine_state, a_key_at_the_end_of_a_page_does_not_change_the_next_read)
+{
+    set_up({home});
+    fleet->add_server("i-s", "shop", home);
+    fleet->tell_store("/standin/page_items", "1");
+    const std::string keys[] = {"edge&test",   "a b",      "a+b",       "100%",      "a%26b",
+                                "#x",          "?x=1",     "a=b",       "q\"\\",     "\x01",
+                                "caf\xc3\xa9", "&after=z", "a\r\n\r\n", "a\r\nX: y", "a;b,c",
+                                "a/b",         ""};
+    for (const std::string& each : keys)
+    {
+        fleet->put("servers/" + each, "no entry");
+    }
+    for (const char* is_chunked : {"no", "yes"})
+    {
+        fleet->tell_store("/standin/chunked", is_chunked);
+        fleet->start_nodes();
+        fleet->wait_until_served(0, "/read/x");
+        fleet->node(0).program->kill();
+    }
+}
+
 // Fails when the directory sends clients to a node without configuration, which refuses every
 // request.
 TEST(machine_state, a_node_without_configuration_is_not_listed)
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -1,5 +1,7 @@
 #include "machine_fleet.hpp"
 
+#include <snipeplank/http/request_target.hpp>
+
 #include <CppUTest/TestHarness.h>
 #include <nlohmann/json.hpp>
 
@@ -38,6 +40,11 @@
             {"AllowedRegions", regions}};
 }
 
+std::string item_target(const std::string& key)
+{
+    return http::request_target("/standin/item").add("Key", key).text();
+}
+
 } // namespace
 
 machine_fleet::machine_fleet(const std::vector<std::string>& regions, store_path path,
@@ -85,6 +92,13 @@
     std::filesystem::remove_all(m_directory);
 }
 
+std::string machine_fleet::store_address() const
+{
+    if (!m_other_store.empty())
+        return m_other_store;
+    return (m_store_relay ? m_store_relay : m_store)->address();
+}
+
 void machine_fleet::write_settings(const machine_node& node) const
 {
     json zones;
@@ -95,25 +109,24 @@
         seeds.push_back(each.peer);
     }
     const int admin_port = std::stoi(node.admin.substr(node.admin.rfind(':') + 1));
-    const json settings{
-        {"Node", node.name},
-        {"Ip", node.callers.substr(0, node.callers.rfind(':'))},
-        {"Zone", zone_of(node.region)},
-        {"Region", node.region},
-        {"Zones", zones},
-        {"Listen",
-         {{"Front", node.callers},
-          {"Readiness", node.readiness},
-          {"Control", node.peer},
-          {"Directory", node.directory}}},
-        {"PortRange", {admin_port, admin_port}},
-        {"Seeds", seeds},
-        {"Bounds",
-         {{"GraceS", m_grace.count()},
-          {"RetryRatio", m_allows_retries ? m_retries.ratio : 0},
-          {"RetrySlack", m_allows_retries ? m_retries.slack : 0},
-          {"RetryWindowS", 10}}},
-        {"Provider", {{"Address", (m_store_relay ? m_store_relay : m_store)->address()}}}};
+    const json settings{{"Node", node.name},
+                        {"Ip", node.callers.substr(0, node.callers.rfind(':'))},
+                        {"Zone", zone_of(node.region)},
+                        {"Region", node.region},
+                        {"Zones", zones},
+                        {"Listen",
+                         {{"Front", node.callers},
+                          {"Readiness", node.readiness},
+                          {"Control", node.peer},
+                          {"Directory", node.directory}}},
+                        {"PortRange", {admin_port, admin_port}},
+                        {"Seeds", seeds},
+                        {"Bounds",
+                         {{"GraceS", m_grace.count()},
+                          {"RetryRatio", m_allows_retries ? m_retries.ratio : 0},
+                          {"RetrySlack", m_allows_retries ? m_retries.slack : 0},
+                          {"RetryWindowS", 10}}},
+                        {"Provider", {{"Address", store_address()}}}};
     std::ofstream(node.settings_path) << settings.dump();
 }
 
@@ -196,16 +209,27 @@
 
 void machine_fleet::put(const std::string& key, const std::string& value) const
 {
-    const http_request request{"PUT", "/standin/item?Key=" + key, {}, value};
+    const http_request request{"PUT", item_target(key), {}, value};
     CHECK_TRUE(http_call(m_store->address(), request).is(204));
 }
 
 void machine_fleet::remove(const std::string& key) const
 {
-    const http_request request{"DELETE", "/standin/item?Key=" + key, {}, ""};
+    const http_request request{"DELETE", item_target(key), {}, ""};
     CHECK_TRUE(http_call(m_store->address(), request).is(204));
 }
 
+void machine_fleet::tell_store(const std::string& path, const std::string& body) const
+{
+    CHECK_TRUE(http_post(m_store->address(), path, body).is(200));
+}
+
+void machine_fleet::use_store(const std::string& address)
+{
+    m_other_store = address;
+    write_all_settings();
+}
+
 void machine_fleet::start_node(std::size_t index)
 {
     machine_node& node = m_nodes.at(index);
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -94,10 +94,17 @@
     void publish_configuration(int version, const std::string& bound_region = "");
     void publish_configuration(const fleet_configuration& config) const;
 
+    /// @param key may hold any text
     void put(const std::string& key, const std::string& value) const;
     void remove(const std::string& key) const;
     standin& store() { return *m_store; }
 
+    /// @brief Posts to the stand-in of the store.
+    void tell_store(const std::string& path, const std::string& body) const;
+
+    /// @brief Starts nodes that read another store from now on.
+    void use_store(const std::string& address);
+
     /// @brief The relay in front of the store; only with `store_path::relayed`.
     standin& store_relay() { return *m_store_relay; }
 
@@ -137,6 +144,7 @@
     static void silence(const standin& server, std::chrono::milliseconds duration);
 
   private:
+    std::string store_address() const;
     void write_settings(const machine_node& node) const;
     void write_all_settings() const;
 
@@ -144,6 +152,7 @@
     std::string m_directory;
     bool m_allows_retries = true;
     std::chrono::seconds m_grace{8};
+    std::string m_other_store; ///< address of a store besides the stand-in
     std::unique_ptr<standin> m_store;
     std::unique_ptr<standin> m_store_relay;
     std::vector<std::unique_ptr<standin>> m_servers;
