--- a/packages/core/include/snipeplank/core/error.hpp
+++ b/packages/core/include/snipeplank/core/error.hpp
@@ -24,6 +24,7 @@
     settings_bad_value = 206,
     settings_out_of_range = 207,
     config_invalid = 210,
+    listing_invalid = 211,
     answers_contradict = 220,
     ticket_malformed = 301,
     ticket_bad_signature = 302,
@@ -37,6 +38,8 @@
     connection_closed = 502,
     upstream_timeout = 503,
     answer_truncated = 504,
+    message_invalid = 505,
+    answer_too_large = 506,
 };
 
 /// @brief An error: its code, what went wrong and how to resolve it.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -26,6 +26,8 @@
 
 /// Delay after a failed accept, for example when no file descriptor is free.
 constexpr core::milliseconds accept_retry_delay{50};
+/// Connections that wait to be accepted.
+constexpr int max_waiting = asio::socket_base::max_listen_connections;
 /// Connections beyond the limit that are open at a time, to refuse their requests. Further ones
 /// wait to be accepted.
 constexpr std::size_t max_refusing = 100;
@@ -65,7 +67,7 @@
         if (!error)
             m_acceptor.bind(*endpoint, error);
         if (!error)
-            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+            m_acceptor.listen(max_waiting, error);
         if (error)
             return core::fail(core::error_code::connection_failed,
                               "cannot listen on " + where.get() + ": " + error.message(),
@@ -74,12 +76,13 @@
         return to_address(m_acceptor.local_endpoint());
     }
 
-    /// Accepts the connections that the kernel has opened already, then stops listening.
+    /// Accepts the connections that the kernel has opened already, then stops listening. Clients
+    /// that go on connecting do not hold up the stop: no more can have waited than the backlog.
     void drain_listener()
     {
         error_code error;
         m_acceptor.non_blocking(true, error);
-        while (m_acceptor.is_open() && !error)
+        for (int i = 0; i <= max_waiting && m_acceptor.is_open() && !error; ++i)
         {
             tcp::socket socket(m_loop);
             m_acceptor.accept(socket, error);
--- a/tests/endless_bytes_test.cpp
+++ b/tests/endless_bytes_test.cpp
@@ -1,5 +1,5 @@
-/// Bytes that are no message and come without end, at the own interface: as requests to a node, and
-/// as answers to `snipeplankctl` and to a node that reads its configuration service.
+/// Bytes that are no message and come without end: as requests to a node, and as answers to
+/// `snipeplankctl` and to a node that reads the platform's store.
 
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
@@ -15,6 +15,7 @@
 #include <string>
 #include <thread>
 
+#include "machine_fleet.hpp"
 #include "test_fleet.hpp"
 
 using namespace snipeplank::tests;
@@ -207,3 +208,24 @@
         CHECK_TRUE_TEXT(peak < 2 * max_growth_kb, seen.c_str());
     }
 }
+
+// Fails when an answer of the store without end fills the memory of a node.
+TEST(endless_bytes, answers_of_the_store_do_not_fill_the_memory_of_a_node)
+{
+    for (const bytes_without_end& each : messages("HTTP/1.1 200 OK\r\n"))
+    {
+        const endless_server store(each);
+        machine_fleet fleet({"salzkammer"});
+        fleet.use_store(store.address());
+        fleet.start_node(0);
+        wait_for_status(fleet.node(0).readiness, "/api/readyz", 503);
+        const pid_t process = fleet.node(0).program->id();
+        const std::size_t before = peak_memory_kb(process);
+        // A read of the store takes at most 2 s.
+        std::this_thread::sleep_for(std::chrono::seconds{3});
+        const std::size_t after = peak_memory_kb(process);
+        const std::string seen = std::string(each.name) + ": " + std::to_string(before) +
+                                 " KiB, then " + std::to_string(after);
+        CHECK_TRUE_TEXT(after > 0 && after < 2 * max_growth_kb, seen.c_str());
+    }
+}
--- a/tests/machine_state_test.cpp
+++ b/tests/machine_state_test.cpp
@@ -218,6 +218,46 @@
     }
 }
 
+// Fails when a node goes on reading a listing that does not end, without a pause, or gives up what
+// it knows for it.
+TEST(machine_state, a_listing_that_does_not_end_is_given_up)
+{
+    struct row
+    {
+        const char* path;
+        const char* on;
+        const char* off;
+    };
+    // A node pauses for 200 ms after a failed read: 5 listings a second for each of two prefixes,
+    // of two pages until the second one repeats the first.
+    constexpr long max_reads_per_s = 20;
+    constexpr std::chrono::seconds observed{2};
+    set_up({home});
+    fleet->add_server("i-0", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    int number = 0;
+    for (const row& each :
+         {row{"/standin/repeat_page", "yes", "no"}, row{"/standin/range_status", "410", "200"}})
+    {
+        fleet->tell_store(each.path, each.on);
+        fleet->tell_store("/standin/compact", "");
+        const long before = fleet->store().counts()["range_reads"].get<long>();
+        std::this_thread::sleep_for(observed);
+        const long reads = fleet->store().counts()["range_reads"].get<long>() - before;
+        const std::string seen = std::string(each.path) + ": " + std::to_string(reads) + " reads";
+        CHECK_TRUE_TEXT(reads > 0 && reads <= max_reads_per_s * observed.count(), seen.c_str());
+        CHECK_TRUE_TEXT(call("GET", "/read/x", "during").is(200), each.path);
+        fleet->tell_store(each.path, each.off);
+        fleet->remove("servers/i-" + std::to_string(number));
+        const std::string added = "i-" + std::to_string(++number);
+        fleet->add_server(added, "shop", home);
+        wait_until(
+            "the next server gets requests",
+            [&] { return call("GET", "/read/x", "after").body.find(added) != std::string::npos; });
+    }
+}
+
 // Fails when the directory sends clients to a node without configuration, which refuses every
 // request.
 TEST(machine_state, a_node_without_configuration_is_not_listed)
