http, serving, gateway: a head with parts that end their line is not written

The id of an upstream is the key of its entry, and goes into Expect-Instance; the id of an event goes into Last-Event-Id; heads come from other nodes in frames. None was checked: a key such as "i-1\r\nX: y" added a field to each request to that upstream, and an event id took in what follows a bare carriage return, which ends a line too.

Change: to_text of both heads, through which every head goes, refuses an invalid method, target, name or value with message_invalid (new). client_connection::send returns it; an attempt counts as not sent then. A server answers 500 in place of such an answer, or closes. The own interface checks with the same function before cpp-httplib writes a head as it is; its on_cancel no longer refers to a client that was given up unsent. Lines of events end with CR, LF or both.

--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -1,6 +1,7 @@
 #include <snipeplank/gateway/metrics.hpp>
 #include <snipeplank/gateway/upstream_client.hpp>
 #include <snipeplank/http/event_stream.hpp>
+#include <snipeplank/http/message.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -121,13 +122,16 @@
         upstream_connection& client = *connection.client;
         client.set_head_request(request.method == "HEAD");
         set_timeouts(connection, request);
-        answer.on_cancel([&client] { client.stop(); });
+        auto message = make_request(request, answer, state);
+        if (!message)
+            return attempt_failure{message.error(), false, std::nullopt};
         if (steady_clock::now() >= request.deadline)
             return not_sent(error_code::upstream_timeout,
                             "the deadline passed before the call was sent");
 
+        answer.on_cancel([&client] { client.stop(); });
         m_metrics.count(counter::upstream_attempts);
-        const httplib::Result result = client.send(make_request(request, answer, state));
+        const httplib::Result result = client.send(message.value());
         answer.on_cancel(nullptr);
         std::optional<attempt_failure> failure = check(request, result, client.framing(), state);
         if (!failure && uses_cache && !client.framing()->has_excess())
@@ -144,19 +148,27 @@
         client.set_write_timeout(left);
     }
 
-    static httplib::Request make_request(const upstream_request& request, answer_sink& answer,
-                                         attempt_state& state)
+    /// cpp-httplib writes a head as it is, and this one has text of callers, nodes and upstreams.
+    static core::result<httplib::Request> make_request(const upstream_request& request,
+                                                       answer_sink& answer, attempt_state& state)
     {
-        httplib::Request message;
-        message.method = request.method;
-        message.path = request.target;
-        message.body = request.body;
+        http::request_head head{request.method, request.target, {}};
         for (const header_field& field : request.headers)
         {
-            message.headers.emplace(field.name, field.value);
+            head.headers.emplace_back(field.name, field.value);
         }
         if (state.has_head)
-            message.headers.emplace("Last-Event-ID", state.events.last_event_id());
+            head.headers.emplace_back("Last-Event-ID", state.events.last_event_id());
+        if (const auto text = http::to_text(head); !text)
+            return boost::outcome_v2::failure(text.error());
+        httplib::Request message;
+        message.method = std::move(head.method);
+        message.path = std::move(head.target);
+        message.body = request.body;
+        for (auto& [name, value] : head.headers)
+        {
+            message.headers.emplace(std::move(name), std::move(value));
+        }
         message.response_handler = [&](const httplib::Response& response)
         { return handle_head(response, answer, state); };
         message.content_receiver = [&](const char* data, std::size_t size, std::uint64_t,
--- a/packages/gateway/tests/upstream_client_test.cpp
+++ b/packages/gateway/tests/upstream_client_test.cpp
@@ -89,12 +89,17 @@
     }
 
     void finish() override { is_finished = true; }
-    void fail(attempt_failure failure) override { failure_message = failure.cause.message; }
+    void fail(attempt_failure failure) override
+    {
+        failure_code = failure.cause.code;
+        failure_message = failure.cause.message;
+    }
     void on_cancel(std::function<void()>) override {}
 
     int status = 0;
     std::string body;
     std::string failure_message;
+    core::error_code failure_code{};
     bool is_finished = false;
 };
 
@@ -117,6 +122,32 @@
 
 TEST_GROUP(upstream_client){};
 
+// Fails when a part of a request that comes from a caller or a peer ends its line, and so adds
+// fields or a whole request.
+TEST(upstream_client, a_request_whose_head_is_invalid_is_not_sent)
+{
+    const std::pair<std::string, header_field> rows[] = {
+        {"/a", {"X-Id", "a\r\nX-Forged: y"}},
+        {"/a", {"X-Id: a\r\nX-Forged", "y"}},
+        {"/a HTTP/1.1\r\nX-Forged: y\r\n\r\nGET /b", {"X-Id", "a"}},
+    };
+    for (const auto& [target, field] : rows)
+    {
+        metrics counters;
+        const std::unique_ptr<upstream_client> client = make_http_upstream_client(counters);
+        upstream_request request;
+        request.address = core::address{"127.0.0.1:1"}; // a send would fail in another way
+        request.method = "GET";
+        request.target = target;
+        request.headers = {field};
+        request.deadline = std::chrono::steady_clock::now() + 2s;
+        recorded_answer answer;
+        client->run(request, answer);
+        CHECK_TRUE(answer.failure_code == core::error_code::message_invalid);
+        CHECK_FALSE(answer.is_finished);
+    }
+}
+
 // Fails when an upstream that answers before the deadline is given up earlier, because the request
 // uses a connection that carried another one before.
 TEST(upstream_client, a_reused_connection_is_waited_for_until_the_deadline)
--- a/packages/http/include/snipeplank/http/message.hpp
+++ b/packages/http/include/snipeplank/http/message.hpp
@@ -4,6 +4,8 @@
 #ifndef SNIPEPLANK_HTTP_MESSAGE_HPP
 #define SNIPEPLANK_HTTP_MESSAGE_HPP
 
+#include <snipeplank/core/error.hpp>
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -45,12 +47,12 @@
 /// @brief Parses a non-negative decimal integer that spans the whole text, or returns nothing.
 std::optional<std::uint64_t> parse_number(std::string_view text);
 
-/// @brief Value of a query parameter with percent escapes decoded, or nothing.
-/// @param target path and query
 /// @brief Names and values of a query in their order, with percent escapes decoded. A part without
 /// an equals sign is left out.
 std::vector<std::pair<std::string, std::string>> query_parameters(std::string_view query);
 
+/// @brief Value of a query parameter with percent escapes decoded, or nothing.
+/// @param target path and query
 std::optional<std::string> query_value(std::string_view target, std::string_view name);
 
 /// @brief The path of a target, without its query.
@@ -59,11 +61,20 @@
 /// @brief The query of a request target, without the question mark; empty if there is none.
 std::string_view query_of(std::string_view target);
 
+/// @brief Whether the text can be the value of a header field and is received as it was sent: not
+/// empty, no control characters, no space at either end (RFC 9110, 5.5).
+bool is_field_value(std::string_view text);
+
 /// @brief Text form of a request head with the empty line at its end.
-std::string to_text(const request_head& head);
+///
+/// Method, target, names and values may come from other programs. A head in which one of them would
+/// end its line or its field is not written.
+/// @return the text, or `message_invalid` with the part that is invalid
+core::result<std::string> to_text(const request_head& head);
 
 /// @brief Text form of a response head with the empty line at its end.
-std::string to_text(const response_head& head);
+/// @return the text, or `message_invalid` with the part that is invalid
+core::result<std::string> to_text(const response_head& head);
 
 /// @brief Standard reason phrase of a status code.
 std::string_view reason_phrase(int status);
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -70,10 +70,13 @@
         co_return boost::outcome_v2::success();
     }
 
-    void send(const request_head& head, const std::string& body)
+    core::result<void> send(const request_head& head, const std::string& body)
     {
+        auto text = to_text(head);
+        if (!text)
+            return boost::outcome_v2::failure(text.error());
         m_is_head_request = head.method == "HEAD";
-        m_request_text = to_text(head);
+        m_request_text = std::move(text.value());
         m_request_text += body;
         m_has_started_write = true;
         m_is_write_complete = false;
@@ -81,6 +84,7 @@
         asio::async_write(m_socket, asio::buffer(m_request_text),
                           [self = shared_from_this()](const error_code& error, std::size_t)
                           { self->m_is_write_complete = !error; });
+        return boost::outcome_v2::success();
     }
 
     asio::awaitable<core::result<response_head>> read_head()
@@ -240,9 +244,9 @@
     return m_state->connect(limit);
 }
 
-void client_connection::send(const request_head& head, const std::string& body)
+core::result<void> client_connection::send(const request_head& head, const std::string& body)
 {
-    m_state->send(head, body);
+    return m_state->send(head, body);
 }
 
 asio::awaitable<core::result<response_head>> client_connection::read_head()
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -311,7 +311,8 @@
         co_await send(m_handler.reject(internal_error, failure));
 }
 
-std::string connection::frame_head(response_head head, std::optional<std::size_t> length)
+core::result<std::string> connection::frame_head(response_head head,
+                                                 std::optional<std::size_t> length)
 {
     // A request that has arrived behind this one is answered, too.
     if ((m_close_after || m_is_closing) && !has_unread_bytes())
@@ -352,7 +353,18 @@
 {
     m_has_begun = true;
     m_is_finished = true;
-    std::string text = frame_head(std::move(answer.head), answer.body.size());
+    auto head = frame_head(std::move(answer.head), answer.body.size());
+    if (!head)
+    {
+        answer = m_handler.reject(internal_error, head.error().message);
+        head = frame_head(std::move(answer.head), answer.body.size());
+    }
+    if (!head)
+    {
+        abort();
+        co_return false;
+    }
+    std::string text = std::move(head.value());
     if (!m_has_head_only)
         text += answer.body;
     co_return co_await write_text(std::move(text));
@@ -361,7 +373,13 @@
 asio::awaitable<bool> connection::begin(response_head head)
 {
     m_has_begun = true;
-    co_return co_await write_text(frame_head(std::move(head), std::nullopt));
+    auto text = frame_head(std::move(head), std::nullopt);
+    if (!text)
+    {
+        abort();
+        co_return false;
+    }
+    co_return co_await write_text(std::move(text.value()));
 }
 
 asio::awaitable<bool> connection::write(std::string_view data)
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -90,7 +90,7 @@
     bool has_unread_bytes();
     bool has_arrived_bytes();
     void close_socket();
-    std::string frame_head(response_head head, std::optional<std::size_t> length);
+    core::result<std::string> frame_head(response_head head, std::optional<std::size_t> length);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_watchdog;
--- a/packages/http/src/event_stream.cpp
+++ b/packages/http/src/event_stream.cpp
@@ -64,11 +64,8 @@
 {
     while (!event.empty())
     {
-        const std::size_t end = event.find('\n');
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-        if (!line.empty() && line.back() == '\r')
-            line.remove_suffix(1);
+        const std::string_view line = event.substr(0, event.find_first_of("\r\n"));
+        event.remove_prefix(std::min(event.size(), line.size() + 1));
         if (line.starts_with("id:"))
             record_id(value_after_name(line, "id:"));
         if (line.starts_with("data:") && value_after_name(line, "data:") == "[DONE]")
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -53,13 +53,67 @@
     return decoded;
 }
 
-void append_headers(std::string& text, const header_list& headers)
+bool is_control(char c)
+{
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char delete_character = 0x7f;
+    const auto byte = static_cast<unsigned char>(c);
+    return byte < first_printable || byte == delete_character;
+}
+
+bool is_space(char c)
+{
+    return c == ' ' || c == '\t';
+}
+
+/// Whether the text is a token (RFC 9110, 5.6.2): a method or the name of a header field.
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view separators = "\"(),/:;<=>?@[\\]{}";
+    const auto is_allowed = [&](char c)
+    {
+        const bool is_ascii = static_cast<signed char>(c) >= 0;
+        return is_ascii && !is_control(c) && !is_space(c) &&
+               separators.find(c) == std::string_view::npos;
+    };
+    return !text.empty() && std::all_of(text.begin(), text.end(), is_allowed);
+}
+
+/// Whether the text ends neither the target nor the request line. Bytes beyond ASCII are forwarded
+/// as the client sent them.
+bool is_target(std::string_view text)
+{
+    return !text.empty() && std::none_of(text.begin(), text.end(),
+                                         [](char c) { return is_control(c) || is_space(c); });
+}
+
+/// Whether the text stays within its line as the value of a field.
+bool is_within_line(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(),
+                        [](char c) { return is_control(c) && !is_space(c); });
+}
+
+/// Invalid parts may hold any bytes, so the message names the part and not its content.
+auto invalid(const std::string& part)
+{
+    return core::fail(core::error_code::message_invalid,
+                      "the " + part + " has characters that do not belong there",
+                      "correct what the text comes from, for example a key or an id");
+}
+
+core::result<void> append_headers(std::string& text, const header_list& headers)
 {
     for (const auto& [name, value] : headers)
     {
+        if (!is_token(name))
+            return invalid("name of a header field");
+        if (!is_within_line(value))
+            return invalid("value of the header field " + name);
         text.append(name).append(": ").append(value).append("\r\n");
     }
     text += "\r\n";
+    return boost::outcome_v2::success();
 }
 
 } // namespace
@@ -141,18 +195,30 @@
     return {text.data(), text.size()};
 }
 
-std::string to_text(const request_head& head)
+bool is_field_value(std::string_view text)
+{
+    return !text.empty() && !is_space(text.front()) && !is_space(text.back()) &&
+           is_within_line(text);
+}
+
+core::result<std::string> to_text(const request_head& head)
 {
+    if (!is_token(head.method))
+        return invalid("method");
+    if (!is_target(head.target))
+        return invalid("target");
     std::string text = head.method + " " + head.target + " HTTP/1.1\r\n";
-    append_headers(text, head.headers);
+    if (const auto appended = append_headers(text, head.headers); !appended)
+        return boost::outcome_v2::failure(appended.error());
     return text;
 }
 
-std::string to_text(const response_head& head)
+core::result<std::string> to_text(const response_head& head)
 {
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
     text.append(reason_phrase(head.status)).append("\r\n");
-    append_headers(text, head.headers);
+    if (const auto appended = append_headers(text, head.headers); !appended)
+        return boost::outcome_v2::failure(appended.error());
     return text;
 }
 
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -33,7 +33,8 @@
     head.method = "GET";
     head.target = "/";
     connection.expire_after(core::milliseconds{5'000});
-    connection.send(head, std::string());
+    if (!connection.send(head, std::string()))
+        co_return;
     const auto answer = co_await connection.read_head();
     if (!answer)
         co_return;
--- a/packages/http/tests/event_stream_test.cpp
+++ b/packages/http/tests/event_stream_test.cpp
@@ -109,3 +109,15 @@
     STRCMP_EQUAL(event(2).c_str(), splitter.feed(event(2)).c_str());
     CHECK_FALSE(splitter.starts_over());
 }
+
+// Fails when the id of an event takes in what follows a carriage return, which ends a line too.
+TEST(event_stream, an_id_ends_with_its_line)
+{
+    for (const char* bytes : {"id: 5\ndata: x\n\n", "id: 5\r\ndata: x\r\n\r\n",
+                              "id: 5\rdata: x\n\n", "data: x\rid: 5\rX: y\n\n", "id:5\n\n"})
+    {
+        event_splitter splitter;
+        splitter.feed(bytes);
+        STRCMP_EQUAL_TEXT("5", splitter.last_event_id().c_str(), bytes);
+    }
+}
--- a/packages/http/tests/request_target_test.cpp
+++ b/packages/http/tests/request_target_test.cpp
@@ -62,5 +62,6 @@
                            target.add(name, value);
                        }
                        RC_ASSERT(query_parameters(query_of(target.text())) == given);
+                       RC_ASSERT(to_text(request_head{"GET", target.text(), {}}).has_value());
                    });
 }
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -880,3 +880,44 @@
     const std::string answer = client.read_all();
     CHECK_TRUE_TEXT(answer.find("Connection: close") != std::string::npos, answer.c_str());
 }
+
+namespace
+{
+
+/// Answers with a header field that ends its line: at once for "/whole", as a stream for others.
+class invalid_head_handler final : public request_handler
+{
+  public:
+    boost::asio::awaitable<void> handle(exchange& request) override
+    {
+        response answer;
+        answer.head = {200, {{"Id", "a\r\nX-Forged: y"}}};
+        answer.body = "body";
+        if (request.head().target == "/whole")
+            co_await request.send(std::move(answer));
+        else if (co_await request.begin(std::move(answer.head)))
+            co_await request.write("body");
+    }
+};
+
+} // namespace
+
+// Fails when a field of an answer that another program wrote ends its line.
+TEST(http_server, an_answer_whose_head_is_invalid_is_not_written)
+{
+    invalid_head_handler invalid;
+    server other(thread->loop, invalid);
+    const core::address where = other.listen(core::address{"127.0.0.1:0"}).value();
+    raw_connection client(where);
+    client.send("GET /whole HTTP/1.1\r\n" + host + "\r\n");
+    const std::string whole = client.read_until("\r\n\r\n");
+    CHECK_TRUE_TEXT(whole.starts_with("HTTP/1.1 500 "), whole.c_str());
+    raw_connection stream(where);
+    stream.send("GET /stream HTTP/1.1\r\n" + host + "\r\n");
+    const std::string begun = stream.read_until("\r\n\r\n");
+    for (const std::string& seen : {whole, begun})
+    {
+        CHECK_TRUE_TEXT(seen.find("X-Forged") == std::string::npos, seen.c_str());
+    }
+    thread->stop();
+}
--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -75,11 +75,11 @@
     co_return false;
 }
 
-void upstream_attempt::send(core::milliseconds remaining)
+core::result<void> upstream_attempt::send(core::milliseconds remaining)
 {
     const send_options options{&m_parts.target, remaining, m_parts.priority, m_parts.last_event_id};
-    m_link->send(m_parts.protocol.compose(m_parts.request, m_parts.body.size(), options),
-                 m_parts.body);
+    return m_link->send(m_parts.protocol.compose(m_parts.request, m_parts.body.size(), options),
+                        m_parts.body);
 }
 
 asio::awaitable<attempt_start> upstream_attempt::start()
@@ -99,8 +99,12 @@
         co_return result;
     }
     m_link->expire_after(remaining + answer_slack);
+    if (const auto sent = send(remaining); !sent)
+    {
+        result.cause = sent.error().message;
+        co_return result;
+    }
     result.was_sent = true;
-    send(remaining);
     co_await read_answer(result);
     co_return result;
 }
--- a/packages/serving/src/upstream_attempt.hpp
+++ b/packages/serving/src/upstream_attempt.hpp
@@ -44,7 +44,7 @@
 
   private:
     boost::asio::awaitable<bool> open(attempt_start& result);
-    void send(core::milliseconds remaining);
+    core::result<void> send(core::milliseconds remaining);
     boost::asio::awaitable<void> read_answer(attempt_start& result);
     boost::asio::awaitable<core::result<void>> drop_body();
 
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -874,3 +874,45 @@
     }
     STRCMP_EQUAL("", wrong.c_str());
 }
+
+// Fails when the id of an event, which is a header of the request that resumes its stream, ends its
+// line there, or when such a stream begins anew at another upstream.
+TEST(call, a_stream_is_resumed_only_after_an_id_that_a_header_can_hold)
+{
+    struct row
+    {
+        const char* id;
+        bool is_resumed;
+    };
+    for (const row& each :
+         {row{"2", true}, row{"2\rX-Forged: y", true}, row{"2\x01", false}, row{"2\x7f", false}})
+    {
+        call_fixture node(many_retries);
+        const std::string second = "id: " + std::string(each.id) + "\ndata: token 2\n\n";
+        scripted_upstream upstream(
+            node.loop, {{{{0ms, chunked_head + chunk(events(1, 1) + second)}}, answer_end::reset},
+                        {{{0ms, chunked_head + chunk(events(3, 5)) + last_chunk}}}});
+        node.set_route(make_route(request_kind::streaming, 2));
+        node.publish("i-1", upstream.address());
+        const recorded_exchange& stream = node.start("a");
+        node.finish(stream);
+        const std::string seen = std::string(each.id) + ": " + stream.describe();
+        LONGS_EQUAL_TEXT(each.is_resumed, stream.is_finished, seen.c_str());
+        UNSIGNED_LONGS_EQUAL_TEXT(each.is_resumed ? 2 : 1, upstream.requests().size(),
+                                  seen.c_str());
+        CHECK_TRUE(upstream.requests().back().find("X-Forged") == std::string::npos);
+    }
+}
+
+// Fails when an id that no header can hold reaches an upstream, or is counted as sent there.
+TEST(call, a_request_whose_head_is_invalid_is_not_sent)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+    node.set_route(make_route(request_kind::non_idempotent, 1));
+    node.publish("i-1", upstream.address());
+    const recorded_exchange& refused = node.start("a", std::nullopt, "part\r\nX-Forged: y");
+    node.finish(refused);
+    CHECK_TRUE_TEXT(refused.status == 503, refused.describe().c_str());
+    UNSIGNED_LONGS_EQUAL(0, upstream.requests().size());
+}
