core, gateway, serving: text of other programs stays within its line, label and document

- Log lines: spdlog wrote keys and causes as they were; a key with a line feed began a line of its own in the log.
Both programs now log through one formatter that escapes control characters and bytes that are not UTF-8 (core::printable); error::to_string does the same, which is also written to standard error.
- Metrics: the name of a service went into a label as it was; core::metric_label.
- JSON documents: dump() throws on bytes that are not UTF-8. core::json_text replaces them and is used everywhere; the linter step refuses dump elsewhere.
What callers saw on the own interface: the outcome of a booking whose answer was no UTF-8 could not be looked up, and GET /v1/tickets answered 500 with "executed": "no" although it had run.
Such a body is given in base64 now (body_base64).
A refusal or an explanation that quotes a header that is no UTF-8 failed in the same way.
- snipeplankctl load ended when the reason in a refusal was no string (from reading; no test).

--- a/packages/core/include/snipeplank/core/error.hpp
+++ b/packages/core/include/snipeplank/core/error.hpp
@@ -4,6 +4,8 @@
 #ifndef SNIPEPLANK_CORE_ERROR_HPP
 #define SNIPEPLANK_CORE_ERROR_HPP
 
+#include <snipeplank/core/printable.hpp>
+
 #include <boost/outcome/result.hpp>
 
 #include <stdexcept>
@@ -49,10 +51,11 @@
     std::string message;
     std::string remedy;
 
-    /// @brief One line: `[code] message; remedy`.
+    /// @brief One line: `[code] message; remedy`. The message may quote other programs.
     std::string to_string() const
     {
-        return "[" + std::to_string(static_cast<int>(code)) + "] " + message + "; " + remedy;
+        return "[" + std::to_string(static_cast<int>(code)) + "] " +
+               printable(message + "; " + remedy);
     }
 };
 
--- a/packages/ctl/src/json_text.cpp
+++ b/packages/ctl/src/json_text.cpp
@@ -1,3 +1,4 @@
+#include <snipeplank/core/json_text.hpp>
 #include <snipeplank/ctl/json_text.hpp>
 
 #include <nlohmann/json.hpp>
@@ -20,7 +21,7 @@
 /// that a value cannot inject terminal control sequences.
 std::string scalar_text(const json& value)
 {
-    std::string dumped = value.dump(-1, ' ', false, json::error_handler_t::replace);
+    std::string dumped = core::json_text(value);
     const bool is_plain = value.is_string() && dumped.find('\\') == std::string::npos;
     return is_plain ? dumped.substr(1, dumped.size() - 2) : dumped;
 }
--- a/packages/ctl/src/load_run.cpp
+++ b/packages/ctl/src/load_run.cpp
@@ -1,3 +1,4 @@
+#include <snipeplank/core/json_text.hpp>
 #include <snipeplank/ctl/load_run.hpp>
 #include <snipeplank/gateway/address.hpp>
 #include <snipeplank/gateway/upstream_connection.hpp>
@@ -57,7 +58,7 @@
                                          {"stream", true},
                                          {"max_tokens", m_plan.tokens},
                                          {"messages", {{{"role", "user"}, {"content", prompt}}}}};
-        return document.dump();
+        return core::json_text(document);
     }
 
     void call(gateway::upstream_connection& client, std::size_t sent)
@@ -106,7 +107,10 @@
     static std::string reason_in(const std::string& problem)
     {
         const nlohmann::json document = nlohmann::json::parse(problem, nullptr, false);
-        return document.is_object() ? document.value("reason", "unknown") : "unknown";
+        const auto reason = document.is_object() ? document.find("reason") : document.end();
+        const bool is_text =
+            document.is_object() && reason != document.end() && reason->is_string();
+        return is_text ? reason->get<std::string>() : "unknown";
     }
 
     const load_plan& m_plan;
@@ -179,7 +183,7 @@
                                  {"refused", report.refused},
                                  {"first_token_ms", quantiles(report.first_token_ms)},
                                  {"between_tokens_ms", quantiles(report.between_tokens_ms)}};
-    return line.dump();
+    return core::json_text(line);
 }
 
 } // namespace snipeplank::ctl
--- a/packages/gateway/src/caller_tickets.cpp
+++ b/packages/gateway/src/caller_tickets.cpp
@@ -1,5 +1,9 @@
 /// Handlers for tickets and entry points.
 
+#include <snipeplank/core/base64.hpp>
+#include <snipeplank/core/json_text.hpp>
+#include <snipeplank/core/printable.hpp>
+
 #include <chrono>
 #include <utility>
 
@@ -23,6 +27,17 @@
     return {reason, execution::no, std::move(remedy), core::milliseconds{0}};
 }
 
+/// A JSON string holds no bytes that are not UTF-8, so such a body is given in base64.
+json describe_answer(const policy::upstream_answer& answer)
+{
+    json described = {{"state", "done"}, {"executed", "yes"}, {"status", answer.status}};
+    if (core::is_utf8(answer.body))
+        described["body"] = answer.body;
+    else
+        described["body_base64"] = core::encode_base64(answer.body);
+    return described;
+}
+
 } // namespace
 
 void caller_handlers::issue_ticket(const httplib::Request& http, const std::string& body,
@@ -56,7 +71,7 @@
     const json answer = {{"ticket", ticket.text},
                          {"expires_in_ms", ticket.expires_in.count()},
                          {"entry_point", m_parts.settings.caller_address.get()}};
-    response.set_content(answer.dump(), "application/json");
+    response.set_content(core::json_text(answer), "application/json");
 }
 
 void caller_handlers::ticket_outcome(const httplib::Request& http, httplib::Response& response)
@@ -70,7 +85,7 @@
                               {"executed", "unknown"},
                               {"remedy", "the call is running or its node is out of reach; "
                                          "ask again"}};
-        response.set_content(pending.dump(), "application/json");
+        response.set_content(core::json_text(pending), "application/json");
         return;
     }
     if (outcome->why.reason == refusal_reason::ticket_invalid &&
@@ -79,7 +94,7 @@
         send_refusal(response, outcome->why, request_id);
         return;
     }
-    response.set_content(describe(*outcome).dump(), "application/json");
+    response.set_content(core::json_text(describe(*outcome)), "application/json");
 }
 
 json caller_handlers::describe(const policy::call_outcome& outcome)
@@ -87,10 +102,7 @@
     switch (outcome.kind)
     {
     case policy::outcome_kind::answered:
-        return {{"state", "done"},
-                {"executed", "yes"},
-                {"status", outcome.answer.status},
-                {"body", outcome.answer.body}};
+        return describe_answer(outcome.answer);
     case policy::outcome_kind::answer_not_kept:
         return {{"state", "done"}, {"executed", "yes"}, {"status", outcome.answer.status}};
     case policy::outcome_kind::not_run:
@@ -113,7 +125,7 @@
     const json answer = {{"region", home.get()},
                          {"entry_points", std::move(addresses)},
                          {"ttl_ms", entry_point_ttl_ms}};
-    response.set_content(answer.dump(), "application/json");
+    response.set_content(core::json_text(answer), "application/json");
 }
 
 std::vector<core::address> caller_handlers::addresses_for(const core::region_id& home,
--- a/packages/gateway/src/decision_log.cpp
+++ b/packages/gateway/src/decision_log.cpp
@@ -1,3 +1,4 @@
+#include <snipeplank/core/json_text.hpp>
 #include <snipeplank/gateway/decision_log.hpp>
 
 #include <nlohmann/json.hpp>
@@ -81,7 +82,7 @@
     const auto found = m_index.find(request_id);
     if (found == m_index.end())
         return std::nullopt;
-    return to_json(m_records[found->second]).dump(2);
+    return core::json_text(to_json(m_records[found->second]), 2);
 }
 
 } // namespace snipeplank::gateway
--- a/packages/gateway/src/fleet_reads.cpp
+++ b/packages/gateway/src/fleet_reads.cpp
@@ -1,5 +1,6 @@
 /// Reader threads of the fleet driver, and updates of the dispatcher from their results.
 
+#include <snipeplank/core/json_text.hpp>
 #include <snipeplank/gateway/fleet_driver.hpp>
 
 #include <nlohmann/json.hpp>
@@ -298,7 +299,7 @@
          {{"watcher", roles.watcher}, {"relay", roles.relay}, {"probes", std::move(probes)}}},
         {"leaving_upstreams", std::move(leaving)},
         {"regions", std::move(regions)}};
-    return status.dump(2);
+    return core::json_text(status, 2);
 }
 
 } // namespace snipeplank::gateway
--- a/packages/gateway/src/log_format.cpp
+++ b/packages/gateway/src/log_format.cpp
@@ -1,3 +1,5 @@
+#include <snipeplank/core/json_text.hpp>
+#include <snipeplank/core/printable.hpp>
 #include <snipeplank/gateway/log_format.hpp>
 
 #include <nlohmann/json.hpp>
@@ -30,28 +32,49 @@
     }
 };
 
+/// Formats the message without control characters, as `%*` in a pattern: text of other programs in
+/// it cannot begin a line of its own.
+class printable_message final : public spdlog::custom_flag_formatter
+{
+  public:
+    void format(const spdlog::details::log_msg& line, const std::tm&,
+                spdlog::memory_buf_t& output) override
+    {
+        const std::string text =
+            core::printable(std::string_view(line.payload.data(), line.payload.size()));
+        output.append(text.data(), text.data() + text.size());
+    }
+
+    std::unique_ptr<spdlog::custom_flag_formatter> clone() const override
+    {
+        return std::make_unique<printable_message>();
+    }
+};
+
+/// Writes every message with this flag formatter.
+template <typename Message>
+void set_line_format(const std::string& pattern)
+{
+    auto formatter = std::make_unique<spdlog::pattern_formatter>();
+    formatter->add_flag<Message>('*').set_pattern(pattern);
+    spdlog::set_formatter(std::move(formatter));
+}
+
 } // namespace
 
 std::string escape_json(std::string_view text)
 {
-    const std::string quoted =
-        nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string quoted = core::json_text(nlohmann::json(text));
     return quoted.substr(1, quoted.size() - 2);
 }
 
 void set_up_log(const settings::node_settings& settings)
 {
     if (settings.format == settings::log_format::json)
-    {
-        auto formatter = std::make_unique<spdlog::pattern_formatter>();
-        formatter->add_flag<json_message>('*').set_pattern(
+        set_line_format<json_message>(
             R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","thread":%t,"message":"%*"})");
-        spdlog::set_formatter(std::move(formatter));
-    }
     else
-    {
-        spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %^%l%$ %v");
-    }
+        set_line_format<printable_message>("%Y-%m-%dT%H:%M:%S.%e %^%l%$ %*");
     spdlog::set_level(spdlog::level::from_str(settings.log_level));
     spdlog::flush_on(spdlog::level::info);
 }
--- a/packages/gateway/src/problem.cpp
+++ b/packages/gateway/src/problem.cpp
@@ -1,3 +1,4 @@
+#include <snipeplank/core/json_text.hpp>
 #include <snipeplank/gateway/problem.hpp>
 
 #include <nlohmann/json.hpp>
@@ -14,7 +15,7 @@
         {"executed", policy::to_string(refused.executed)}, {"remedy", refused.remedy},
         {"retry_after_ms", refused.retry_after.count()},   {"request_id", request_id},
     };
-    return body.dump();
+    return core::json_text(body);
 }
 
 long retry_after_seconds(const policy::refusal& refused)
--- a/packages/node/src/machine_node.cpp
+++ b/packages/node/src/machine_node.cpp
@@ -1,5 +1,6 @@
 #include "machine_node.hpp"
 
+#include <snipeplank/gateway/log_format.hpp>
 #include <snipeplank/platform/machine_settings.hpp>
 #include <snipeplank/platform/protocols.hpp>
 #include <snipeplank/platform/store_source.hpp>
@@ -101,6 +102,7 @@
         std::fprintf(stderr, "%s\n", settings.error().to_string().c_str());
         return exit_bad_settings;
     }
+    gateway::set_up_log({});
     std::signal(SIGPIPE, SIG_IGN);
     constexpr int concurrency_hint = 1;
     asio::io_context loop(concurrency_hint);
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -1,5 +1,7 @@
 #include "call_log.hpp"
 
+#include <snipeplank/core/json_text.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <poll.h>
@@ -32,11 +34,6 @@
     return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
 }
 
-std::string dump(const nlohmann::ordered_json& line)
-{
-    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 std::int64_t wall_ms()
 {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -80,7 +77,7 @@
         line["lines_dropped"] = m_dropped;
         m_dropped_reported = m_dropped;
     }
-    write(dump(line));
+    write(core::json_text(line));
 }
 
 void call_log::event(line_kind kind, std::string_view what, const nlohmann::json& fields)
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -1,7 +1,8 @@
+#include <snipeplank/core/printable.hpp>
 #include <snipeplank/core/random.hpp>
 #include <snipeplank/serving/node.hpp>
-#include <snipeplank/serving/stop_schedule.hpp>
 #include <snipeplank/serving/state_feed.hpp>
+#include <snipeplank/serving/stop_schedule.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -523,8 +524,8 @@
                            "\n# TYPE snipeplank_retries_in_window gauge\n";
         for (const auto& [service, taken] : m_placement.retries_taken(now()))
         {
-            text += "snipeplank_retries_in_window{service=\"" + service.get() + "\"} " +
-                    std::to_string(static_cast<std::uint64_t>(taken)) + "\n";
+            text += "snipeplank_retries_in_window{service=\"" + core::metric_label(service.get()) +
+                    "\"} " + std::to_string(static_cast<std::uint64_t>(taken)) + "\n";
         }
         return text;
     }
--- a/packages/serving/src/state_feed.cpp
+++ b/packages/serving/src/state_feed.cpp
@@ -1,6 +1,7 @@
+#include <snipeplank/core/json_text.hpp>
 #include <snipeplank/core/rendezvous.hpp>
-#include <snipeplank/serving/state_feed.hpp>
 #include <snipeplank/http/message.hpp>
+#include <snipeplank/serving/state_feed.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -130,7 +131,7 @@
                            {"age_ms", feed.age.count()},
                            {"reachable", feed.is_source_reachable},
                            {"prefixes", std::move(prefixes)}};
-    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+    return core::json_text(document);
 }
 
 core::result<state_feed> decode_feed(const std::string& text)
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,6 +9,12 @@
   exit 0
 fi
 clang-format --dry-run --Werror "${files[@]}"
+# `dump` throws on bytes that are not UTF-8, which documents take from other programs.
+if git grep -n '\.dump(' -- 'packages/*/src' 'packages/*/include' platform/src platform/include \
+    ':!packages/core/include/snipeplank/core/json_text.hpp'; then
+  echo "use core::json_text in place of dump"
+  exit 1
+fi
 build=${BUILD_DIR:-build}
 # A file that passed is checked again only when its text, a header of the project that it includes,
 # the rules, the linter or its compile command have changed.
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -105,7 +105,9 @@
             {"confirmation", core::sha256_hex(FLAGS_name + in.body)},
             {"padding", std::string(booking.value("answer_bytes", std::size_t{0}), 'x')}};
         constexpr int created = 201;
-        send_whole(m_server, out, fault, created, answer.dump());
+        // Bytes that are not UTF-8, as in an answer that is no text.
+        const std::string bytes = booking.value("binary", false) ? "\xff\xfe" : "";
+        send_whole(m_server, out, fault, created, answer.dump() + bytes);
     }
 
     std::size_t execute(const std::string& id, const std::string& slot)
--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -2,6 +2,8 @@
 /// not run, while processes are killed, paused or silent and the caller repeats the call at each
 /// entry node.
 
+#include <snipeplank/core/base64.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <thread>
@@ -305,3 +307,23 @@
         client.check_final(what);
     }
 }
+
+// Fails when the outcome of a booking cannot be looked up because its answer is not UTF-8.
+TEST(at_most_once, an_answer_of_any_bytes_is_looked_up)
+{
+    const std::string ticket = test_fleet::take_ticket(fleet->node(home, 0));
+    http_request booking = test_fleet::booking(ticket, booking_id);
+    json body = json::parse(booking.body);
+    body["binary"] = true;
+    booking.body = body.dump();
+    const std::string& node = fleet->node(home, 0).caller_address;
+    const http_answer booked = http_call(node, booking);
+    CHECK_TRUE_TEXT(booked.is(201), booked.describe().c_str());
+    const http_answer found = http_get(node, "/v1/tickets/" + ticket);
+    CHECK_TRUE_TEXT(found.is(200), found.describe().c_str());
+    const json outcome = json::parse(found.body);
+    CHECK_EQUAL(std::string("yes"), outcome.value("executed", ""));
+    CHECK_FALSE(outcome.contains("body"));
+    const auto kept = snipeplank::core::decode_base64(outcome.value("body_base64", ""));
+    CHECK_TRUE_TEXT(kept == booked.body, found.describe().c_str());
+}
--- a/tests/machine_state_test.cpp
+++ b/tests/machine_state_test.cpp
@@ -218,6 +218,19 @@
     }
 }
 
+// Fails when the key of an item begins a line of its own in a node's log.
+TEST(machine_state, a_key_begins_no_line_of_the_log)
+{
+    set_up({home});
+    fleet->add_server("i-s", "shop", home);
+    fleet->put("servers/a\nforged line", "no entry");
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    const std::string output = fleet->node(0).program->output();
+    CHECK_TRUE_TEXT(output.find("forged line") != std::string::npos, output.c_str());
+    CHECK_TRUE_TEXT(output.find("\nforged line") == std::string::npos, output.c_str());
+}
+
 // Fails when a node goes on reading a listing that does not end, without a pause, or gives up what
 // it knows for it.
 TEST(machine_state, a_listing_that_does_not_end_is_given_up)
