platform: an entry of a server is read whole or not at all

Cause: parse_server rejected an entry only without Service, Address, Zone or a known State, and replaced every other field that was missing or of another type by a default. PROTOCOL.md: "fields missing or of another type (...) It names no server to use".

A field that is named twice makes a published document invalid. born, RemainingMs, Phase and Models may be absent.

Fixtures and scripts whose entries lacked fields have whole ones now, among them the leaving entry of machine_node.leaving_and_evacuated_servers_get_no_requests.

--- a/scripts/demo_platform.sh
+++ b/scripts/demo_platform.sh
@@ -66,7 +66,7 @@
 
 echo "2. The operator publishes a configuration, a server registers, and the node serves"
 put op/config '{"Version":1,"Routes":[{"Name":"r","Host":"shop.example","PathPrefix":"/stream/","Kind":"streaming","TimeoutMs":8000,"GoalMs":1000,"Priority":1,"Service":"s","MaxAttempts":1}],"Services":[{"Name":"s"}]}'
-put servers/i-1 "{\"Service\":\"s\",\"Address\":\"$server\",\"Zone\":\"duluth-a\",\"Slots\":6,\"State\":\"ready\"}"
+put servers/i-1 "{\"Service\":\"s\",\"Address\":\"$server\",\"Zone\":\"duluth-a\",\"Version\":\"v1\",\"Slots\":6,\"State\":\"ready\",\"WarmupLeftMs\":0,\"Sequence\":1}"
 status=0
 for i in $(seq 100); do
   status=$(curl -s -m 5 -o "$work/body" -w '%{http_code}' "$front/stream/1" -H 'Host: shop.example' -H "Attempt-Id: b$i" || true)
--- a/scripts/node_cost.py
+++ b/scripts/node_cost.py
@@ -37,7 +37,7 @@
 def put_server(store, server, sequence):
     put(store, f"servers/s{server}",
         {"Service": "shop", "Address": f"127.0.{9 + server // 200}.{server % 200 + 1}:9",
-         "Zone": REGIONS[server % len(REGIONS)] + "-a", "Version": 1, "Slots": 6,
+         "Zone": REGIONS[server % len(REGIONS)] + "-a", "Version": "v1", "Slots": 6,
          "State": "ready", "WarmupLeftMs": 0, "Sequence": sequence})
 
 
--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -119,17 +119,53 @@
     LONGS_EQUAL(0, runs_of(first, "last") + runs_of(second, "last"));
 }
 
+// Fails when an entry of another writer that is not whole names a server: requests run at a server
+// of another service, to which no route leads (review/1, ROUTE).
+TEST(machine_node, an_entry_that_is_not_whole_names_no_server)
+{
+    set_up({home});
+    standin& good = fleet->add_server("i-good", "shop", home);
+    standin& other = fleet->add_server("i-other", "archive", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    const std::string place = R"("Service":"shop","Zone":"salzkammer-a","State":"ready",)"
+                              R"("Address":")" +
+                              other.address() + "\",";
+    const std::string rows[] = {
+        R"("Slots":"6")",
+        R"("Slots":6,"Version":"v1","WarmupLeftMs":0)",
+        R"("Slots":6,"Version":"v1","WarmupLeftMs":0,"Sequence":1,"born":"now")",
+        R"("Slots":6,"Version":"v1","WarmupLeftMs":0,"Sequence":1,"Slots":6)",
+    };
+    int number = 0;
+    for (const std::string& row : rows)
+    {
+        fleet->put("servers/i-other", "{" + place + row + "}");
+        const std::string marker = "i-" + std::to_string(++number);
+        fleet->add_server(marker, "shop", home);
+        wait_until("the node has read the entries",
+                   [&] {
+                       return fleet->node(0).program->output().find("\"id\":\"" + marker) !=
+                              std::string::npos;
+                   });
+        for (int i = 0; i < 20; ++i)
+        {
+            const std::string id = "b" + std::to_string(number) + "-" + std::to_string(i);
+            CHECK_TRUE_TEXT(call("POST", "/book/x", id).is(200), row.c_str());
+            LONGS_EQUAL_TEXT(0, runs_of(other, id), row.c_str());
+        }
+        fleet->remove("servers/" + marker);
+    }
+    CHECK_TRUE(good.process().is_running());
+}
+
 // Fails when a request runs at a server that took over another server's address, or is not retried
 // at the right server.
 TEST(machine_node, a_server_at_a_reused_address_does_not_run_the_request)
 {
     set_up({home});
     standin& reused = fleet->add_server("i-new", "other", home);
-    fleet->put("servers/i-old", json{{"Service", "shop"},
-                                     {"Address", reused.address()},
-                                     {"Zone", home + "-a"},
-                                     {"State", "ready"}}
-                                    .dump());
+    fleet->publish_server("i-old", "shop", home, reused.address(), "ready");
     standin& good = fleet->add_server("i-good", "shop", home);
     fleet->start_nodes();
     fleet->wait_until_served(0, "/read/x");
@@ -421,11 +457,7 @@
     standin& staying = fleet->add_server("i-2", "shop", home);
     fleet->start_nodes();
     fleet->wait_until_served(0, "/read/x");
-    fleet->put("servers/i-1", json{{"Service", "shop"},
-                                   {"Address", leaving.address()},
-                                   {"Zone", home + "-a"},
-                                   {"State", "draining"}}
-                                  .dump());
+    fleet->publish_server("i-1", "shop", home, leaving.address(), "draining");
     wait_until(
         "the node has read that the server is leaving", [&]
         { return fleet->node(0).program->output().find("\"leaving\":true") != std::string::npos; });
--- a/tests/machine_state_test.cpp
+++ b/tests/machine_state_test.cpp
@@ -111,7 +111,8 @@
     start_region();
     const auto store = [&](const char* call)
     { CHECK_TRUE(http_post(fleet->store().address(), call, "").is(200)); };
-    const std::string entry = R"("Service":"shop","Zone":"salzkammer-a","State":"ready",)";
+    const std::string entry = R"("Service":"shop","Zone":"salzkammer-a","State":"ready",)"
+                              R"("Version":"v1","Slots":6,"WarmupLeftMs":0,)";
     standin& left = fleet->start_server("i-left");
     const auto publish = [&](const std::string& id, const standin& server, int sequence)
     {
@@ -169,14 +170,15 @@
     fleet->add_server("i-1", "shop", home);
     fleet->start_nodes();
     fleet->wait_until_served(0, "/read/x");
-    const std::string known = R"({"Service":"shop","Zone":"salzkammer-a","State":"ready",)";
+    const std::string known = R"({"Service":"shop","Zone":"salzkammer-a","State":"ready",)"
+                              R"("Version":"v1","Sequence":1,)";
     const std::string nested(400'000, '[');
     const std::string rows[] = {
         nested,
         R"({"a":)" + nested,
-        known + R"("Address":"127.0.0.1:70000"})",
+        known + R"("Address":"127.0.0.1:70000","Slots":6,"WarmupLeftMs":0})",
         known + R"("Address":"127.0.0.1:1","Slots":1e300,"WarmupLeftMs":1e300,"born":1e300})",
-        known + R"("Address":"127.0.0.1:1","Slots":1e999})",
+        known + R"("Address":"127.0.0.1:1","WarmupLeftMs":0,"Slots":1e999})",
         std::string("\xff\xfe\x00", 3),
     };
     int number = 1;
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -167,6 +167,7 @@
                               {"Address", address},
                               {"Zone", zone_of(region)},
                               {"Slots", 6},
+                              {"Version", "v1"},
                               {"State", state},
                               {"WarmupLeftMs", 0},
                               {"Sequence", 1}}
