http: a connection that waits for its next request holds no body

Cause: a connection kept the body of its last request until the next one. A pooled connection to an upstream kept the text of the request that it had sent in the same way.

The side of upstreams has no test.

--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -83,7 +83,11 @@
         m_is_answer_complete = false;
         asio::async_write(m_socket, asio::buffer(m_request_text),
                           [self = shared_from_this()](const error_code& error, std::size_t)
-                          { self->m_is_write_complete = !error; });
+                          {
+                              // The connection may stay open without another request for long.
+                              std::string().swap(self->m_request_text);
+                              self->m_is_write_complete = !error;
+                          });
         return boost::outcome_v2::success();
     }
 
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -28,6 +28,8 @@
 /// Largest part of a request, besides its head, that is parsed as a unit: a chunk header or the
 /// trailers.
 constexpr std::size_t max_buffered_bytes = 131'072;
+/// Buffer that a connection keeps between requests; a larger one grew for a body.
+constexpr std::size_t max_idle_buffer_bytes = 8'192;
 /// What is read and dropped of a refused request before its connection is closed.
 constexpr std::size_t max_dropped_bytes = 5'242'880;
 /// Part of an answer that a client has to take within the write timeout.
@@ -97,6 +99,7 @@
         m_is_active = true;
         co_await answer_request();
         m_is_active = false;
+        release_request();
         if (!m_is_finished)
             abort();
     }
@@ -247,6 +250,17 @@
     m_keep_alive = message.keep_alive();
 }
 
+/// Frees what the answered request took: the connection may stay open without another one for as
+/// long as the idle timeout.
+void connection::release_request()
+{
+    m_head = {};
+    // An assignment would keep the allocation.
+    std::string().swap(m_body);
+    if (m_buffer.capacity() > max_idle_buffer_bytes)
+        m_buffer.shrink_to_fit();
+}
+
 asio::awaitable<void> connection::reject(const error_code& error)
 {
     namespace http = beast::http;
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -77,6 +77,7 @@
     boost::asio::awaitable<void> drop_rest();
     boost::asio::awaitable<bool> write_text(std::string text);
     void take_head(const parser_type& parser);
+    void release_request();
     void watch_client();
     void notify_client_disconnected();
     void start_watchdog(core::milliseconds limit, watchdog_action action = watchdog_action::close);
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <atomic>
 #include <functional>
@@ -921,3 +923,43 @@
     }
     thread->stop();
 }
+
+namespace
+{
+
+/// Bytes that the process has allocated.
+std::size_t allocated_bytes()
+{
+    const struct mallinfo2 all = ::mallinfo2();
+    return all.uordblks + all.hblkhd;
+}
+
+} // namespace
+
+// Fails when connections that wait for their next request keep the body of the last one: clients
+// that send one request at a time fill the memory of a node (review/4).
+TEST(http_server, a_kept_connection_holds_no_body)
+{
+    constexpr std::size_t body_bytes = 4'194'304;
+    constexpr std::size_t clients = 20;
+    constexpr std::size_t max_bytes_per_connection = 20'480;
+    streaming_handler streaming(nullptr, nullptr);
+    serve(streaming);
+    std::vector<std::unique_ptr<raw_connection>> kept;
+    const std::string request = "POST /1 HTTP/1.1\r\n" + host +
+                                "Content-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+                                std::string(body_bytes, 'x');
+    const std::size_t before = allocated_bytes();
+    for (std::size_t i = 0; i < clients; ++i)
+    {
+        kept.push_back(std::make_unique<raw_connection>(address));
+        CHECK_TRUE(kept.back()->send(request));
+        const std::string answer = kept.back()->read_until("0\r\n\r\n");
+        CHECK_TRUE_TEXT(answer.starts_with("HTTP/1.1 200"), answer.c_str());
+    }
+    std::this_thread::sleep_for(core::milliseconds{100});
+    const std::size_t held = allocated_bytes() - before;
+    const std::string seen = std::to_string(held / clients) + " bytes a connection";
+    CHECK_TRUE_TEXT(held < clients * max_bytes_per_connection, seen.c_str());
+    thread->stop();
+}
--- a/packages/serving/src/item_listing.cpp
+++ b/packages/serving/src/item_listing.cpp
@@ -52,7 +52,7 @@
 core::result<void> item_listing::add(listing_page page)
 {
     if (const auto checked = check_era(page.as_of); !checked)
-        return checked;
+        return boost::outcome_v2::failure(checked.error());
     if (m_pages == 0)
         m_as_of = page.as_of;
     ++m_pages;
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -888,10 +888,13 @@
          {row{"2", true}, row{"2\rX-Forged: y", true}, row{"2\x01", false}, row{"2\x7f", false}})
     {
         call_fixture node(many_retries);
-        const std::string second = "id: " + std::string(each.id) + "\ndata: token 2\n\n";
+        std::string first = events(1, 1);
+        first.append("id: ").append(each.id).append("\ndata: token 2\n\n");
+        std::string rest = chunked_head;
+        rest.append(chunk(events(3, 5))).append(last_chunk);
         scripted_upstream upstream(
-            node.loop, {{{{0ms, chunked_head + chunk(events(1, 1) + second)}}, answer_end::reset},
-                        {{{0ms, chunked_head + chunk(events(3, 5)) + last_chunk}}}});
+            node.loop,
+            {{{{0ms, chunked_head + chunk(first)}}, answer_end::reset}, {{{0ms, rest}}}});
         node.set_route(make_route(request_kind::streaming, 2));
         node.publish("i-1", upstream.address());
         const recorded_exchange& stream = node.start("a");
