--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -140,7 +140,9 @@
     int number = 0;
     for (const std::string& row : rows)
     {
-        fleet->put("servers/i-other", "{" + place + row + "}");
+        std::string entry = "{" + place;
+        entry.append(row).append("}");
+        fleet->put("servers/i-other", entry);
         const std::string marker = "i-" + std::to_string(++number);
         fleet->add_server(marker, "shop", home);
         wait_until("the node has read the entries",
