--- a/packages/http/include/snipeplank/http/request_target.hpp
+++ b/packages/http/include/snipeplank/http/request_target.hpp
@@ -17,7 +17,7 @@
 /// but unreserved characters (RFC 3986, 2.3) is percent-encoded here, so a value can neither end
 /// its parameter nor the request line.
 /// @code
-/// const auto target = request_target("/api/kv-range").add("PathPrefix", "servers/");
+/// const auto target = request_target("/items").add("after", last_key);
 /// @endcode
 class request_target
 {
