--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "answer_body.hpp"
 #include "clock.hpp"
 
 namespace snipeplank::serving
@@ -27,8 +28,6 @@
 
 /// An upstream may first send a duplicate answer to an earlier request.
 constexpr int max_mismatched_answers = 2;
-/// Largest body of an answer to another request that is read and dropped.
-constexpr std::size_t max_mismatched_bytes = 262'144;
 
 /// Why a request was not sent, for the log.
 std::string to_string(admission admitted)
@@ -136,7 +135,7 @@
             co_return;
         }
         m_is_reusable = false;
-        const auto dropped = co_await drop_body();
+        const auto dropped = co_await drop_body(*m_link);
         if (!dropped)
         {
             result.cause = dropped.error().message;
@@ -146,24 +145,6 @@
     result.cause = "answers to other requests only";
 }
 
-asio::awaitable<core::result<void>> upstream_attempt::drop_body()
-{
-    std::size_t dropped = 0;
-    for (bool is_last = false; !is_last;)
-    {
-        const auto chunk = co_await m_link->read_chunk();
-        if (!chunk)
-            co_return boost::outcome_v2::failure(chunk.error());
-        is_last = chunk.value().is_last;
-        dropped += chunk.value().data.size();
-        if (dropped > max_mismatched_bytes)
-            co_return core::fail(core::error_code::answer_truncated,
-                                 "the answer to another request is too large to be dropped",
-                                 "check that the server runs");
-    }
-    co_return boost::outcome_v2::success();
-}
-
 asio::awaitable<core::result<http::body_chunk>> upstream_attempt::next()
 {
     co_return co_await m_link->read_chunk();
--- a/packages/serving/src/upstream_attempt.hpp
+++ b/packages/serving/src/upstream_attempt.hpp
@@ -46,7 +46,6 @@
     boost::asio::awaitable<bool> open(attempt_start& result);
     core::result<void> send(core::milliseconds remaining);
     boost::asio::awaitable<void> read_answer(attempt_start& result);
-    boost::asio::awaitable<core::result<void>> drop_body();
 
     upstream_attempt_parts m_parts;
     http::connection_pool::owned m_link;
