--- a/packages/http/include/snipeplank/http/client.hpp
+++ b/packages/http/include/snipeplank/http/client.hpp
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,6 +49,14 @@
 
     boost::asio::awaitable<core::result<void>> connect(core::milliseconds limit);
 
+    /// @brief When the connection was opened.
+    core::time_point opened_at() const;
+
+    /// @brief When the user of the connection last made sure who serves it; nothing if it never
+    /// did. Kept while the connection is idle.
+    std::optional<core::time_point> verified_at() const;
+    void set_verified_at(core::time_point when);
+
     /// @brief Starts to send a request and returns at once. The body is sent while `read_head`
     /// waits, because a server may answer before it has read the whole request.
     /// @return `message_invalid` if the head cannot be written; nothing is sent then
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -14,6 +14,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <chrono>
 #include <limits>
 #include <optional>
 
@@ -67,9 +68,16 @@
         if (error || m_is_closed)
             co_return boost::outcome_v2::failure(failure(error, "cannot connect to "));
         set_connection_options(m_socket);
+        m_opened_at = std::chrono::steady_clock::now();
         co_return boost::outcome_v2::success();
     }
 
+    core::time_point opened_at() const { return m_opened_at; }
+
+    std::optional<core::time_point> verified_at() const { return m_verified_at; }
+
+    void set_verified_at(core::time_point when) { m_verified_at = when; }
+
     core::result<void> send(const request_head& head, const std::string& body)
     {
         auto text = to_text(head);
@@ -218,6 +226,8 @@
     beast::flat_buffer m_buffer{max_buffered_bytes};
     std::optional<parser_type> m_parser;
     std::string m_request_text;
+    core::time_point m_opened_at{};
+    std::optional<core::time_point> m_verified_at;
     /// Identifies the current timer; the handler of an earlier one does nothing.
     std::uint64_t m_timer_generation = 0;
     bool m_is_head_request = false;
@@ -248,6 +258,21 @@
     return m_state->connect(limit);
 }
 
+core::time_point client_connection::opened_at() const
+{
+    return m_state->opened_at();
+}
+
+std::optional<core::time_point> client_connection::verified_at() const
+{
+    return m_state->verified_at();
+}
+
+void client_connection::set_verified_at(core::time_point when)
+{
+    m_state->set_verified_at(when);
+}
+
 core::result<void> client_connection::send(const request_head& head, const std::string& body)
 {
     return m_state->send(head, body);
