serving: a suspension of the host is a pause of the node

A cold server could get more than its bound from a node whose host was suspended: the steady clock does not count that time, so what was proven before the suspension looked fresh afterwards. The clock that counts it is compared at each tick and right before each first byte.

--- a/packages/policy/include/snipeplank/policy/pause_watch.hpp
+++ b/packages/policy/include/snipeplank/policy/pause_watch.hpp
@@ -33,8 +33,13 @@
     /// @brief Records the end of a pause if the last tick is too old.
     void check(core::time_point now)
     {
-        if (!m_last_tick || now - *m_last_tick <= longest_gap)
-            return;
+        if (m_last_tick && now - *m_last_tick > longest_gap)
+            on_resumed(now);
+    }
+
+    /// @brief Records the end of a pause that the ticks do not show: the clock stood still, too.
+    void on_resumed(core::time_point now)
+    {
         m_resumed_at = now;
         m_last_tick = now;
     }
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -176,6 +176,9 @@
     /// it knew before a pause proves nothing of upstreams any more.
     void on_tick(core::time_point now);
 
+    /// @brief Records that the host was suspended, which the times of ticks do not show.
+    void on_resumed(core::time_point now);
+
     /// @brief Begins to ask the upstream's process which one it is. Ends with one of the following.
     policy::verification_turn begin_verification(const upstream_id& target, core::time_point now);
 
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -253,6 +253,13 @@
     return offered == nullptr ? std::string() : offered->health_path;
 }
 
+admission call::admit(const upstream_id& target, policy::connection_record& over)
+{
+    if (m_environment.suspensions->take_suspension())
+        m_environment.places.on_resumed(now());
+    return m_environment.places.admit(target, *m_attempt_number, over, now());
+}
+
 std::unique_ptr<attempt> call::make_attempt(const placement_decision& where)
 {
     if (const auto* region = std::get_if<to_region>(&where))
@@ -278,8 +285,7 @@
         m_caller.id,
         local.target,
         [this] { return remaining(); },
-        [this, id = local.target.id](policy::connection_record& over)
-        { return m_environment.places.admit(id, *m_attempt_number, over, now()); },
+        [this, id = local.target.id](policy::connection_record& over) { return admit(id, over); },
         process_check({m_environment.loop, m_environment.places, m_environment.upstreams,
                        m_environment.statistics, local.target, health_path()}),
         m_route->may_retry() && is_within_attempt_limits(m_runs + 1),
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -26,6 +26,7 @@
 #include "call_statistics.hpp"
 #include "crash_guard.hpp"
 #include "serving_end.hpp"
+#include "suspension_watch.hpp"
 
 namespace snipeplank::serving
 {
@@ -57,6 +58,7 @@
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
     std::shared_ptr<serving_end> end = std::make_shared<serving_end>();
+    std::shared_ptr<suspension_watch> suspensions = std::make_shared<suspension_watch>();
 };
 
 /// @brief Origin of a call that another region forwarded.
@@ -104,6 +106,7 @@
     void record_event();
     void record_failure(const core::result<http::body_chunk>& chunk);
     std::string health_path() const;
+    admission admit(const upstream_id& target, policy::connection_record& over);
     std::unique_ptr<attempt> make_attempt(const placement_decision& where);
     placement_request next_request() const;
     bool should_wait_for_upstream(const placement_decision& where) const;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -474,6 +474,8 @@
 
     void run_ticks()
     {
+        if (m_environment.suspensions->take_suspension())
+            m_placement.on_resumed(now());
         m_placement.on_tick(now());
         m_ticks.expires_after(policy::pause_watch::tick_interval);
         m_ticks.async_wait(
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -670,6 +670,11 @@
     m_state->m_pauses.on_tick(now);
 }
 
+void placement::on_resumed(core::time_point now)
+{
+    m_state->m_pauses.on_resumed(now);
+}
+
 policy::verification_turn placement::begin_verification(const upstream_id& target,
                                                         core::time_point now)
 {
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -378,6 +378,12 @@
                                    std::chrono::steady_clock::now());
     }
 
+    /// @brief Sets the clock that tells for how long the host has been suspended.
+    void set_suspended_time(std::function<core::duration()> suspended_time)
+    {
+        m_environment.suspensions = std::make_shared<suspension_watch>(std::move(suspended_time));
+    }
+
     /// @brief Puts a configuration with one route in force.
     void set_route(route only, service offered = {})
     {
--- a/packages/serving/tests/process_check_test.cpp
+++ b/packages/serving/tests/process_check_test.cpp
@@ -77,6 +77,27 @@
     CHECK_TRUE(upstream.requests().front().starts_with("GET " + health_path));
 }
 
+// Fails when a process that was asked before the host was suspended is not asked again: it may have
+// been replaced while no clock of the node ran (incident FAILBACK).
+TEST(process_check, a_process_is_asked_again_after_a_suspension_of_the_host)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {health("Process: i-1\r\n"), plain_answer(0ms),
+                                           health("Process: i-1\r\n"), plain_answer(0ms)});
+    core::duration suspended{0};
+    node.set_suspended_time([&] { return suspended; });
+    node.set_route(make_route(), make_service());
+    node.publish("i-1", upstream.address());
+    for (const char* id : {"a", "b"})
+    {
+        const recorded_exchange& request = node.start(id);
+        node.finish(request);
+        CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
+        suspended += 2s;
+    }
+    UNSIGNED_LONGS_EQUAL(2, questions(upstream));
+}
+
 // Fails when requests that come together each ask the process, or when those that wait for the
 // answer are not sent.
 TEST(process_check, requests_that_come_together_cost_one_question)
