--- a/packages/http/include/snipeplank/http/client.hpp
+++ b/packages/http/include/snipeplank/http/client.hpp
@@ -57,6 +57,12 @@
     std::optional<core::time_point> verified_at() const;
     void set_verified_at(core::time_point when);
 
+    /// @brief A time after which all bytes of the latest read arrived; nothing when some may have
+    /// waited for the read, or when this was not looked at. It is looked at every
+    /// `arrival_check_interval`.
+    std::optional<core::time_point> arrived_after() const;
+    static constexpr core::milliseconds arrival_check_interval{100};
+
     /// @brief Starts to send a request and returns at once. The body is sent while `read_head`
     /// waits, because a server may answer before it has read the whole request.
     /// @return `message_invalid` if the head cannot be written; nothing is sent then
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -78,6 +78,8 @@
 
     void set_verified_at(core::time_point when) { m_verified_at = when; }
 
+    std::optional<core::time_point> arrived_after() const { return m_arrived_after; }
+
     core::result<void> send(const request_head& head, const std::string& body)
     {
         auto text = to_text(head);
@@ -102,6 +104,7 @@
     asio::awaitable<core::result<response_head>> read_head()
     {
         const auto self = shared_from_this();
+        check_arrivals();
         for (int interim = 0; interim <= max_interim_answers; ++interim)
         {
             m_parser.emplace();
@@ -124,6 +127,7 @@
     asio::awaitable<core::result<body_chunk>> read_chunk()
     {
         const auto self = shared_from_this();
+        check_arrivals();
         body_chunk chunk;
         if (!m_parser->is_done())
         {
@@ -169,12 +173,7 @@
                m_parser->keep_alive() && m_buffer.size() == 0;
     }
 
-    bool is_stale()
-    {
-        char byte = 0;
-        const auto count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return m_is_closed || count >= 0 || errno != EAGAIN;
-    }
+    bool is_stale() { return m_is_closed || !has_nothing_to_read(); }
 
     void close()
     {
@@ -208,6 +207,26 @@
                 what + m_server.get() + ": " + cause, "check that the server runs"};
     }
 
+    /// Whether the connection is open and no byte waits to be read from it.
+    bool has_nothing_to_read()
+    {
+        char byte = 0;
+        const auto count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count < 0 && errno == EAGAIN;
+    }
+
+    /// Called when a read begins.
+    void check_arrivals()
+    {
+        m_arrived_after.reset();
+        const core::time_point now = std::chrono::steady_clock::now();
+        if (now < m_next_arrival_check)
+            return;
+        m_next_arrival_check = now + client_connection::arrival_check_interval;
+        if (m_buffer.size() == 0 && has_nothing_to_read())
+            m_arrived_after = now;
+    }
+
     response_head take_head()
     {
         response_head head;
@@ -228,6 +247,8 @@
     std::string m_request_text;
     core::time_point m_opened_at{};
     std::optional<core::time_point> m_verified_at;
+    std::optional<core::time_point> m_arrived_after;
+    core::time_point m_next_arrival_check{};
     /// Identifies the current timer; the handler of an earlier one does nothing.
     std::uint64_t m_timer_generation = 0;
     bool m_is_head_request = false;
@@ -273,6 +294,11 @@
     m_state->set_verified_at(when);
 }
 
+std::optional<core::time_point> client_connection::arrived_after() const
+{
+    return m_state->arrived_after();
+}
+
 core::result<void> client_connection::send(const request_head& head, const std::string& body)
 {
     return m_state->send(head, body);
--- a/packages/policy/include/snipeplank/policy/process_proof.hpp
+++ b/packages/policy/include/snipeplank/policy/process_proof.hpp
@@ -57,7 +57,9 @@
     void on_contact(core::time_point opened_at);
 
     /// @brief Records that bytes came on a connection that was proven at `proven_at`.
-    void on_received(core::time_point proven_at, core::time_point doubted_at, core::time_point now);
+    /// @param sent_after a time at which the process still ran
+    void on_received(core::time_point proven_at, core::time_point doubted_at,
+                     core::time_point sent_after);
 
     /// @brief Records that the process may have ended: the upstream refused a connection, crashed,
     /// or was reported as another run. Open connections stay connections to their process.
--- a/packages/policy/src/process_proof.cpp
+++ b/packages/policy/src/process_proof.cpp
@@ -27,11 +27,11 @@
 }
 
 void process_proof::on_received(core::time_point proven_at, core::time_point doubted_at,
-                                core::time_point now)
+                                core::time_point sent_after)
 {
     if (proven_at < doubted_at)
         return;
-    m_seen_running_at = now;
+    m_seen_running_at = std::max(m_seen_running_at.value_or(sent_after), sent_after);
     m_ask_again_at = core::time_point{};
 }
 
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -167,10 +167,15 @@
     /// cold, by its rate limit. Counts the request against both limits. Called on an open
     /// connection, right before the first byte: what was known when the upstream was chosen may
     /// have changed while the connection was being opened.
-    /// @param attempt its number
     /// @param over the connection; becomes proven when what is known of the upstream proves it
-    admission admit(const upstream_id& target, std::uint64_t attempt,
-                    policy::connection_record& over, core::time_point now);
+    admission admit(const upstream_id& target, policy::connection_record& over,
+                    core::time_point now);
+
+    /// @brief Records that bytes have just been read on a proven connection.
+    /// @param proven_at when the connection was last proven
+    /// @param arrived_after a time after which they arrived
+    void on_received(const upstream_id& target, core::time_point proven_at,
+                     core::time_point arrived_after, core::time_point now);
 
     /// @brief Records that the node runs; called every `policy::pause_watch::tick_interval`. What
     /// it knew before a pause proves nothing of upstreams any more.
@@ -239,6 +244,9 @@
                           core::time_point now);
     std::uint64_t on_sent(const placement_request& request, const core::region_id& target,
                           core::time_point now);
+    /// @brief Records that an attempt was sent this much later, while its upstream's process was
+    /// asked which one it is.
+    void add_delay(std::uint64_t attempt, core::duration spent);
     void on_first_byte(std::uint64_t attempt, core::time_point now);
     /// @brief Records the time between two events of a stream.
     void on_pause(std::uint64_t attempt, double ms, core::time_point now);
--- a/packages/serving/src/attempt_tracker.cpp
+++ b/packages/serving/src/attempt_tracker.cpp
@@ -55,7 +55,7 @@
         return;
     open_attempt& attempt = found->second;
     attempt.has_first_byte = true;
-    record_received(attempt, now);
+    record_received(attempt.target, now);
     if (own_load* own = own_load_of(attempt))
     {
         own->waiting = std::max(0.0, own->waiting - 1);
@@ -69,10 +69,10 @@
     const auto found = m_open.find(number);
     if (found == m_open.end() || found->second.target.get().empty())
         return;
-    record_received(found->second, now);
     const auto known = m_upstreams.find(found->second.target);
     if (known == m_upstreams.end())
         return;
+    known->second.last_received_at = now;
     learn_pause(known->second, found->second.service, ms, now);
 }
 
@@ -107,17 +107,15 @@
         avoid(known->second, now);
     else
         known->second.failed_connections = 0;
-    if (how == attempt_end::answered)
-        record_received(attempt, now);
-    if (how == attempt_end::rejected)
+    if (how == attempt_end::answered || how == attempt_end::rejected)
         known->second.last_received_at = now;
 }
 
-void attempt_tracker::set_proven(std::uint64_t number, core::time_point now)
+void attempt_tracker::add_delay(std::uint64_t number, core::duration spent)
 {
     const auto found = m_open.find(number);
     if (found != m_open.end())
-        found->second.proven_at = now;
+        found->second.sent += spent;
 }
 
 void attempt_tracker::avoid(upstream_state& known, core::time_point now)
@@ -127,15 +125,11 @@
     ++known.failed_connections;
 }
 
-void attempt_tracker::record_received(const open_attempt& attempt, core::time_point now)
+void attempt_tracker::record_received(const upstream_id& target, core::time_point now)
 {
-    const auto found = m_upstreams.find(attempt.target);
-    if (found == m_upstreams.end())
-        return;
-    found->second.last_received_at = now;
-    m_pauses.check(now);
-    if (attempt.proven_at)
-        found->second.proof.on_received(*attempt.proven_at, m_pauses.resumed_at(), now);
+    const auto found = m_upstreams.find(target);
+    if (found != m_upstreams.end())
+        found->second.last_received_at = now;
 }
 
 open_attempt attempt_tracker::begin_attempt(const placement_request& request,
--- a/packages/serving/src/attempt_tracker.hpp
+++ b/packages/serving/src/attempt_tracker.hpp
@@ -29,20 +29,19 @@
                           core::time_point now);
     std::uint64_t on_sent(const placement_request& request, const core::region_id& target,
                           core::time_point now);
+    /// Adds to the time at which the attempt was sent.
+    void add_delay(std::uint64_t number, core::duration spent);
     void on_first_byte(std::uint64_t number, core::time_point now);
     void on_pause(std::uint64_t number, double ms, core::time_point now);
     void on_ended(std::uint64_t number, attempt_end how, core::time_point now);
 
   protected:
-    /// Records that the attempt is sent on a proven connection.
-    void set_proven(std::uint64_t number, core::time_point now);
-
     policy::pause_watch m_pauses;
 
   private:
     static void avoid(upstream_state& known, core::time_point now);
     static void add(own_load& own, const open_attempt& attempt, double sign);
-    void record_received(const open_attempt& attempt, core::time_point now);
+    void record_received(const upstream_id& target, core::time_point now);
     open_attempt begin_attempt(const placement_request& request, core::time_point now) const;
     std::uint64_t store(open_attempt attempt);
     own_load* own_load_of(const open_attempt& attempt);
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -257,7 +257,7 @@
 {
     if (m_environment.suspensions->take_suspension())
         m_environment.places.on_resumed(now());
-    return m_environment.places.admit(target, *m_attempt_number, over, now());
+    return m_environment.places.admit(target, over, now());
 }
 
 std::unique_ptr<attempt> call::make_attempt(const placement_decision& where)
@@ -286,6 +286,9 @@
         local.target,
         [this] { return remaining(); },
         [this, id = local.target.id](policy::connection_record& over) { return admit(id, over); },
+        [this, id = local.target.id](core::time_point proven_at, core::time_point arrived_after)
+        { m_environment.places.on_received(id, proven_at, arrived_after, now()); },
+        [this](core::duration spent) { m_environment.places.add_delay(*m_attempt_number, spent); },
         process_check({m_environment.loop, m_environment.places, m_environment.upstreams,
                        m_environment.statistics, local.target, health_path()}),
         m_route->may_retry() && is_within_attempt_limits(m_runs + 1),
@@ -394,6 +397,8 @@
         m_turned_away_by.push_back(m_current_upstream->id);
     if (result.is_unreachable)
         end_attempt(result.is_closed ? attempt_end::closed : attempt_end::unreachable);
+    else if (!result.was_sent)
+        end_attempt(attempt_end::abandoned);
     else
         end_attempt(is_proven ? attempt_end::rejected : attempt_end::failed);
     m_attempt->cancel();
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -125,8 +125,8 @@
 
     /// Called once the connection is open, so it also counts the warm-up of an upstream that was
     /// found closed before.
-    admission admit(const upstream_id& target, std::uint64_t attempt,
-                    policy::connection_record& over, core::time_point now)
+    admission admit(const upstream_id& target, policy::connection_record& over,
+                    core::time_point now)
     {
         const auto found = m_upstreams.find(target);
         if (found == m_upstreams.end() || !is_in_service(found->second))
@@ -141,11 +141,22 @@
         if (!m_feedback.take(known.run, now))
             return admission::throttled;
         known.cold.on_sent(now);
-        if (is_proven)
-            set_proven(attempt, now);
         return admission::granted;
     }
 
+    /// A byte is read, or a pause of the node is noticed, within `longest_gap` of its arrival.
+    void on_received(const upstream_id& target, core::time_point proven_at,
+                     core::time_point arrived_after, core::time_point now)
+    {
+        const auto found = m_upstreams.find(target);
+        if (found == m_upstreams.end())
+            return;
+        m_pauses.check(now);
+        found->second.proof.on_received(
+            proven_at, m_pauses.resumed_at(),
+            std::max(arrived_after, now - policy::pause_watch::longest_gap));
+    }
+
     policy::verification_turn begin_verification(const upstream_id& target, core::time_point now)
     {
         const auto found = m_upstreams.find(target);
@@ -166,11 +177,13 @@
         const service* offered = offered_by(known);
         if (offered != nullptr)
             known.warmup.on_answer(std::min(cold_for, offered->warmup), now);
+        known.last_received_at = now;
         m_pauses.check(now);
         if (cold_for.count() > 0 || asked_at < m_pauses.resumed_at())
             return;
         over.proven_at = now;
-        known.proof.on_received(now, m_pauses.resumed_at(), now);
+        known.proof.on_received(now, m_pauses.resumed_at(),
+                                std::max(asked_at, now - policy::pause_watch::longest_gap));
     }
 
     void on_unverified(const upstream_id& target, core::time_point now)
@@ -659,10 +672,16 @@
     return m_state->decide(request, now);
 }
 
-admission placement::admit(const upstream_id& target, std::uint64_t attempt,
-                           policy::connection_record& over, core::time_point now)
+admission placement::admit(const upstream_id& target, policy::connection_record& over,
+                           core::time_point now)
 {
-    return m_state->admit(target, attempt, over, now);
+    return m_state->admit(target, over, now);
+}
+
+void placement::on_received(const upstream_id& target, core::time_point proven_at,
+                            core::time_point arrived_after, core::time_point now)
+{
+    m_state->on_received(target, proven_at, arrived_after, now);
 }
 
 void placement::on_tick(core::time_point now)
@@ -767,6 +786,11 @@
     return m_state->on_sent(request, target, now);
 }
 
+void placement::add_delay(std::uint64_t attempt, core::duration spent)
+{
+    m_state->add_delay(attempt, spent);
+}
+
 void placement::on_first_byte(std::uint64_t attempt, core::time_point now)
 {
     m_state->on_first_byte(attempt, now);
--- a/packages/serving/src/process_check.cpp
+++ b/packages/serving/src/process_check.cpp
@@ -30,8 +30,13 @@
                                               policy::connection_record& record,
                                               core::milliseconds remaining)
 {
-    if (m_parts.path.empty() || m_questions == max_questions || remaining.count() <= 0)
+    if (m_questions == max_questions || remaining.count() <= 0)
         co_return check_end::gave_up;
+    if (m_parts.path.empty())
+    {
+        m_parts.places.on_unverified(m_parts.target.id, now());
+        co_return check_end::gave_up;
+    }
     switch (m_parts.places.begin_verification(m_parts.target.id, now()))
     {
     case policy::verification_turn::own:
--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -95,6 +95,7 @@
 
 asio::awaitable<admission> upstream_attempt::admit(bool& has_lost_connection)
 {
+    const core::time_point began = now();
     policy::connection_record record{m_link->opened_at(), m_link->verified_at()};
     admission admitted = m_parts.admit(record);
     check_end checked = check_end::ask_again;
@@ -104,8 +105,10 @@
         if (checked == check_end::ask_again)
             admitted = m_parts.admit(record);
     }
+    m_parts.on_checked(now() - began);
     m_is_reused = m_is_reused || m_parts.check.has_asked();
     has_lost_connection = checked == check_end::lost_connection;
+    m_proven_at = record.proven_at;
     if (record.proven_at)
         m_link->set_verified_at(*record.proven_at);
     if (admitted == admission::unverified && m_link->is_reusable())
@@ -153,6 +156,7 @@
             result.cause = head.error().message;
             co_return;
         }
+        record_received();
         const upstream_answer_head read = m_parts.protocol.read(head.value(), m_parts.request_id);
         if (is_refusal(read.kind) && m_is_reused && !read.names_request)
         {
@@ -181,7 +185,17 @@
 
 asio::awaitable<core::result<http::body_chunk>> upstream_attempt::next()
 {
-    co_return co_await m_link->read_chunk();
+    auto chunk = co_await m_link->read_chunk();
+    if (chunk)
+        record_received();
+    co_return chunk;
+}
+
+void upstream_attempt::record_received()
+{
+    const auto arrived_after = m_link->arrived_after();
+    if (m_proven_at && arrived_after)
+        m_parts.on_received(*m_proven_at, *arrived_after);
 }
 
 void upstream_attempt::cancel()
--- a/packages/serving/src/upstream_attempt.hpp
+++ b/packages/serving/src/upstream_attempt.hpp
@@ -28,6 +28,11 @@
     std::function<core::milliseconds()> remaining; ///< time until the deadline
     /// Called right before the first byte is sent.
     std::function<admission(policy::connection_record&)> admit;
+    /// Called when bytes were read on a proven connection, with the time when it was proven and
+    /// one after which the bytes arrived.
+    std::function<void(core::time_point, core::time_point)> on_received;
+    /// Called with the time that a check took.
+    std::function<void(core::duration)> on_checked;
     process_check check;
     bool may_retry = false; ///< the request may be sent again if its connection is lost
     unsigned priority = 5;
@@ -49,11 +54,13 @@
     boost::asio::awaitable<bool> open(attempt_start& result);
     boost::asio::awaitable<bool> open_admitted(attempt_start& result);
     boost::asio::awaitable<admission> admit(bool& has_lost_connection);
+    void record_received();
     core::result<void> send(core::milliseconds remaining);
     boost::asio::awaitable<void> read_answer(attempt_start& result);
 
     upstream_attempt_parts m_parts;
     http::connection_pool::owned m_link;
+    std::optional<core::time_point> m_proven_at; ///< of the connection
     core::milliseconds m_idle_time{0};
     bool m_is_reused = false; ///< the connection carried another request before
     bool m_is_reusable = true;
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -73,9 +73,11 @@
 class scripted_upstream
 {
   public:
-    scripted_upstream(asio::io_context& loop, std::vector<scripted_answer> answers)
+    /// @param port to listen on; 0 takes a free one
+    scripted_upstream(asio::io_context& loop, std::vector<scripted_answer> answers,
+                      unsigned short port = 0)
         : m_loop(loop), m_answers(std::move(answers)),
-          m_acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0}),
+          m_acceptor(loop, {asio::ip::make_address("127.0.0.1"), port}),
           m_address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
     {
         asio::co_spawn(loop, accept_all(), asio::detached);
@@ -84,6 +86,10 @@
     scripted_upstream& operator=(const scripted_upstream&) = delete;
 
     const core::address& address() const { return m_address; }
+    unsigned short port() const { return m_acceptor.local_endpoint().port(); }
+
+    /// @brief Connections that were accepted.
+    std::size_t connections() const { return m_sockets.size(); }
 
     /// @brief A later request on a connection finds it closed.
     unsigned requests_per_connection = std::numeric_limits<unsigned>::max();
--- a/packages/serving/tests/cold_start_history.hpp
+++ b/packages/serving/tests/cold_start_history.hpp
@@ -489,7 +489,7 @@
         placement& places = places_of(placed);
         if (!is_open(placed.over))
             return places.on_ended(placed.attempt, attempt_end::failed, m_now);
-        const admission admitted = places.admit(only, placed.attempt, placed.over.record, m_now);
+        const admission admitted = places.admit(only, placed.over.record, m_now);
         if (admitted == admission::unverified)
             return verify(placed);
         if (admitted != admission::granted)
@@ -505,6 +505,8 @@
         placement& places = places_of(placed);
         if (!is_open(placed.over))
             return places.on_ended(placed.attempt, attempt_end::failed, m_now);
+        if (const auto proven_at = placed.over.record.proven_at)
+            places.on_received(only, *proven_at, m_now - up_to(300ms), m_now);
         places.on_first_byte(placed.attempt, m_now);
         places.on_ended(placed.attempt, attempt_end::answered, m_now);
         keep(placed);
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -118,7 +118,7 @@
     admission admit(const upstream_id& target, core::time_point now)
     {
         policy::connection_record over{begin - 1min, std::nullopt};
-        return subject->admit(target, 0, over, now);
+        return subject->admit(target, over, now);
     }
 
     void load_region(double running, double waiting, bool reachable = true)
@@ -429,16 +429,16 @@
     policy::connection_record over{begin, std::nullopt};
     for (int i = 0; i < 2; ++i)
     {
-        CHECK_TRUE(admission::granted == subject->admit(only, 0, over, begin));
+        CHECK_TRUE(admission::granted == subject->admit(only, over, begin));
     }
-    CHECK_TRUE(admission::unverified == subject->admit(only, 0, over, begin));
+    CHECK_TRUE(admission::unverified == subject->admit(only, over, begin));
     CHECK_TRUE(policy::verification_turn::own == subject->begin_verification(only, begin));
     subject->on_verified(only, 0ms, begin, over, begin + 10ms);
-    CHECK_TRUE(admission::granted == subject->admit(only, 0, over, begin + 10ms));
+    CHECK_TRUE(admission::granted == subject->admit(only, over, begin + 10ms));
     policy::connection_record other{begin + 20ms, std::nullopt};
-    CHECK_TRUE(admission::granted == subject->admit(only, 0, other, begin + 20ms));
+    CHECK_TRUE(admission::granted == subject->admit(only, other, begin + 20ms));
     policy::connection_record late{begin + 600ms, std::nullopt};
-    CHECK_TRUE(admission::unverified == subject->admit(only, 0, late, begin + 600ms));
+    CHECK_TRUE(admission::unverified == subject->admit(only, late, begin + 600ms));
 }
 
 // Fails when an upstream that is asked in vain keeps getting requests, cannot be told from others
@@ -471,14 +471,14 @@
         share_among(20, 40, 3);
         subject->on_tick(begin);
         policy::connection_record over{begin, std::nullopt};
-        CHECK_TRUE(admission::unverified == subject->admit(only, 0, over, begin));
+        CHECK_TRUE(admission::unverified == subject->admit(only, over, begin));
         CHECK_TRUE(policy::verification_turn::own == subject->begin_verification(only, begin));
         subject->on_verified(only, is_cold ? 2s : 0s, begin, over, begin + 10ms);
         CHECK_TRUE((is_cold ? admission::cold : admission::granted) ==
-                   subject->admit(only, 0, over, begin + 20ms));
+                   subject->admit(only, over, begin + 20ms));
         subject->on_tick(begin + 100ms);
         CHECK_TRUE((is_cold ? admission::cold : admission::unverified) ==
-                   subject->admit(only, 0, over, begin + 500ms));
+                   subject->admit(only, over, begin + 500ms));
     }
 }
 
@@ -493,19 +493,59 @@
         subject->set_upstreams(make_upstreams(1, model), begin);
         share_among(is_proven ? 20 : 10, 40, 3);
         policy::connection_record over{is_proven ? begin - 1min : begin, std::nullopt};
-        const std::uint64_t attempt = subject->on_sent(ask(), only, begin);
-        CHECK_TRUE(admission::granted == subject->admit(only, attempt, over, begin));
-        subject->on_first_byte(attempt, begin + 300ms);
-        subject->on_pause(attempt, 200, begin + 500ms);
+        CHECK_TRUE(admission::granted == subject->admit(only, over, begin));
+        CHECK_EQUAL(is_proven, over.proven_at.has_value());
+        if (over.proven_at)
+            subject->on_received(only, *over.proven_at, begin + 450ms, begin + 500ms);
         policy::connection_record other{begin + 900ms, std::nullopt};
         CHECK_TRUE((is_proven ? admission::granted : admission::unverified) ==
-                   subject->admit(only, 0, other, begin + 900ms));
+                   subject->admit(only, other, begin + 900ms));
         subject->on_ended(subject->on_sent(ask(), only, begin), attempt_end::closed, begin + 900ms);
         policy::connection_record next{begin + 910ms, std::nullopt};
-        CHECK_TRUE(admission::cold == subject->admit(only, 0, next, begin + 910ms));
+        CHECK_TRUE(admission::cold == subject->admit(only, next, begin + 910ms));
+    }
+}
+
+// Fails when bytes that a process sent before it ended, and that were read late, prove its
+// successor (incident FAILBACK).
+TEST(placement, bytes_prove_a_process_only_as_of_their_arrival)
+{
+    const upstream_id only{"i-0"};
+    struct row
+    {
+        core::milliseconds arrived_after;
+        admission next;
+    };
+    const row rows[] = {{1'900ms, admission::granted}, {1'500ms, admission::granted}};
+    for (const row& each : rows)
+    {
+        setup();
+        subject->set_upstreams(make_upstreams(1, model), begin);
+        share_among(20, 40, 3);
+        policy::connection_record over{begin - 1min, std::nullopt};
+        CHECK_TRUE(admission::granted == subject->admit(only, over, begin));
+        subject->on_received(only, *over.proven_at, begin + each.arrived_after, begin + 2s);
+        policy::connection_record early{begin + 2'200ms, std::nullopt};
+        CHECK_TRUE(each.next == subject->admit(only, early, begin + 2'200ms));
+        policy::connection_record late{begin + 2'401ms, std::nullopt};
+        CHECK_TRUE(admission::unverified == subject->admit(only, late, begin + 2'401ms));
     }
 }
 
+// Fails when an upstream that stands still counts as one that sends because it is asked in vain,
+// and requests wait for it until their deadline.
+TEST(placement, an_upstream_that_is_asked_in_vain_is_silent)
+{
+    const upstream_id only{"i-0"};
+    subject->set_upstreams(make_upstreams(1, model), begin);
+    share_among(20, 40, 3);
+    subject->on_sent(ask(), only, begin);
+    const std::uint64_t asking = subject->on_sent(ask(), only, begin + 1s);
+    subject->on_unverified(only, begin + 1'400ms);
+    subject->on_ended(asking, attempt_end::abandoned, begin + 1'400ms);
+    CHECK_TRUE(subject->is_silent(only, begin, begin + 1'500ms));
+}
+
 // Fails when prompts with a common prefix are spread, so that each upstream prefills it again.
 TEST(placement, prompts_that_share_a_prefix_go_to_one_upstream)
 {
--- a/packages/serving/tests/process_check_test.cpp
+++ b/packages/serving/tests/process_check_test.cpp
@@ -47,6 +47,17 @@
     return answer_of("HTTP/1.1 200 OK\r\n" + headers + "Content-Length: 2\r\n\r\nup", pause);
 }
 
+std::string stream_of(int events)
+{
+    std::string body;
+    for (int i = 1; i <= events; ++i)
+    {
+        body += "id: " + std::to_string(i) + "\ndata: x\n\n";
+    }
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::size_t questions(const scripted_upstream& upstream)
 {
     const std::vector<std::string>& all = upstream.requests();
@@ -216,6 +227,52 @@
     }
 }
 
+// Fails when the bytes of a process that has ended, which were held back by a slow client, prove
+// the successor at its address (incident FAILBACK).
+TEST(process_check, bytes_that_are_read_late_do_not_prove_a_successor)
+{
+    struct row
+    {
+        const char* name;
+        int events;
+        core::milliseconds until_next;
+    };
+    const row rows[] = {{"the last bytes are written late", 3, 2'100ms},
+                        {"bytes wait in the socket", 3'000, 2'100ms}};
+    for (const row& each : rows)
+    {
+        call_fixture node(many_retries);
+        scripted_upstream first(node.loop, {health("Process: i-1\r\n"),
+                                            {{{0ms, stream_of(each.events)}}, answer_end::crash}});
+        const unsigned short port = first.port();
+        route streaming = make_route();
+        streaming.kind = request_kind::streaming;
+        node.set_route(streaming, make_service());
+        node.publish("i-1", first.address());
+        recorded_exchange& slow = node.start("slow");
+        slow.next_write_takes = 2s;
+        node.run_for(800ms);
+        scripted_upstream second(
+            node.loop, {health("Process: i-1\r\nCold-Ms: 900\r\n"), answer_of(stream_of(1))}, port);
+        node.run_for(each.until_next - 800ms);
+        node.finish(node.start("next"));
+        UNSIGNED_LONGS_EQUAL_TEXT(questions(second), second.requests().size(), each.name);
+    }
+}
+
+// Fails when an upstream that cannot be asked is connected to again and again for one request.
+TEST(process_check, an_upstream_that_cannot_be_asked_costs_one_connection)
+{
+    call_fixture node(many_retries);
+    scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+    node.set_route(make_route(), make_service(""));
+    node.publish("i-1", upstream.address());
+    const recorded_exchange& request = node.start("a");
+    node.finish(request);
+    LONGS_EQUAL(503, request.status);
+    UNSIGNED_LONGS_EQUAL(1, upstream.connections());
+}
+
 // Fails when services without a warm-up pay for health checks.
 TEST(process_check, an_upstream_without_a_warm_up_is_not_asked)
 {
