--- a/packages/serving/include/snipeplank/serving/protocols.hpp
+++ b/packages/serving/include/snipeplank/serving/protocols.hpp
@@ -38,6 +38,8 @@
     double max_output_tokens = 0;
     std::vector<prompt_part> prompt; ///< in sequence; the last part is never shared
     std::string last_event_id;       ///< of a stream that the caller resumes
+    /// Id of the caller's attempt that brought the first event of that stream; empty: not named.
+    std::string resumes;
 };
 
 /// @brief Reads callers' requests and writes the system's own answers.
--- a/packages/serving/include/snipeplank/serving/upstream.hpp
+++ b/packages/serving/include/snipeplank/serving/upstream.hpp
@@ -33,6 +33,7 @@
     unsigned slots = 1;              ///< requests that it runs concurrently
     std::uint64_t started_ms = 0;    ///< Unix time of its start, if it published one
     std::uint64_t report_number = 0; ///< of this description; rises within one run
+    std::string software_version;    ///< of its program; streams of two don't fit together
 
     friend bool operator==(const upstream&, const upstream&) = default;
 };
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -204,6 +204,7 @@
                          {"address", known.address.get()},
                          {"service", known.service.get()},
                          {"zone", known.zone.get()},
+                         {"software_version", known.software_version},
                          {"leaving", known.is_leaving},
                          {"cold_ms", known.cold_for.count()}});
         }
