--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -253,8 +253,8 @@
     core::time_point m_received;
 };
 
-/// @brief Reads the headers `Id`, `Host` and `Prompt` (its parts, separated by spaces); a refusal
-/// has status 503 if it proves "not run".
+/// @brief Reads the headers `Id`, `Host`, `Prompt` (its parts, separated by spaces), `Last-Event-Id`
+/// and `Resumes`; a refusal has status 503 if it proves "not run".
 class plain_caller_protocol final : public caller_protocol
 {
   public:
@@ -263,6 +263,9 @@
         caller_request request;
         request.id = std::string(http::find_header(head.headers, "Id").value_or(""));
         request.host = std::string(http::find_header(head.headers, "Host").value_or(""));
+        request.last_event_id =
+            std::string(http::find_header(head.headers, "Last-Event-Id").value_or(""));
+        request.resumes = std::string(http::find_header(head.headers, "Resumes").value_or(""));
         std::istringstream prompt{
             std::string(http::find_header(head.headers, "Prompt").value_or(""))};
         for (std::string part; prompt >> part;)
@@ -302,8 +305,11 @@
                               const std::string& last_event_id) const override
     {
         http::request_head resumed = request;
-        if (!last_event_id.empty())
-            resumed.headers.emplace_back("Last-Event-Id", last_event_id);
+        if (last_event_id.empty())
+            return resumed;
+        std::erase_if(resumed.headers,
+                      [](const auto& field) { return field.first == "Last-Event-Id"; });
+        resumed.headers.emplace_back("Last-Event-Id", last_event_id);
         return resumed;
     }
 
@@ -373,7 +379,8 @@
     }
 
     /// @brief Publishes an upstream at an address, or changes its entry.
-    void publish(const std::string& id, const core::address& address, bool is_leaving = false)
+    void publish(const std::string& id, const core::address& address, bool is_leaving = false,
+                 const std::string& software_version = "v1")
     {
         upstream entry;
         entry.id = upstream_id{id};
@@ -382,6 +389,7 @@
         entry.zone = own_zone;
         entry.region = own_region;
         entry.is_leaving = is_leaving;
+        entry.software_version = software_version;
         m_published[entry.id] = entry;
         m_places.set_upstreams(m_published, std::chrono::steady_clock::now());
     }
@@ -408,10 +416,28 @@
                              std::optional<forwarded_from> forwarded = std::nullopt,
                              const std::string& prompt = "")
     {
-        m_exchanges.push_back(std::make_unique<recorded_exchange>(
-            loop, http::request_head{"GET",
-                                     "/" + id,
-                                     {{"Host", "shop.example"}, {"Id", id}, {"Prompt", prompt}}}));
+        return start(http::request_head{"GET",
+                                        "/" + id,
+                                        {{"Host", "shop.example"}, {"Id", id}, {"Prompt", prompt}}},
+                     std::move(forwarded));
+    }
+
+    /// @brief Starts a call by which a client takes up a stream after an event.
+    /// @param resumes id of the call that brought its first event; empty: not named
+    recorded_exchange& take_up(const std::string& id, const std::string& resumes,
+                               const std::string& last_event_id)
+    {
+        http::request_head head{
+            "GET", "/" + id, {{"Host", "shop.example"}, {"Id", id}, {"Last-Event-Id", last_event_id}}};
+        if (!resumes.empty())
+            head.headers.emplace_back("Resumes", resumes);
+        return start(std::move(head), std::nullopt);
+    }
+
+    /// @brief Starts a call with this head.
+    recorded_exchange& start(http::request_head head, std::optional<forwarded_from> forwarded)
+    {
+        m_exchanges.push_back(std::make_unique<recorded_exchange>(loop, std::move(head)));
         recorded_exchange& started = *m_exchanges.back();
         asio::co_spawn(loop, serve(started, std::move(forwarded)), asio::detached);
         return started;
