wire: a refusal because upstreams take nothing is read by the other region's node

Callers saw: a request that another region's node refused with upstream_throttled did not go elsewhere as not run. The decoder took quarantined for the last reason, so a frame with the reason that was added after it counted as invalid, and its connection was closed with the calls on it. The bound is last_refusal_reason now, which the count uses too.

With the generator of arbitrary messages widened alone, codec.every_message_survives_encoding_and_decoding failed after 9 tests; it passes with the decoder's bound.

--- a/packages/policy/include/snipeplank/policy/refusal.hpp
+++ b/packages/policy/include/snipeplank/policy/refusal.hpp
@@ -46,8 +46,8 @@
     upstream_throttled, ///< the upstreams take no request now, by their own word
 };
 
-constexpr std::size_t refusal_reason_count =
-    static_cast<std::size_t>(refusal_reason::upstream_throttled) + 1;
+constexpr refusal_reason last_refusal_reason = refusal_reason::upstream_throttled;
+constexpr std::size_t refusal_reason_count = static_cast<std::size_t>(last_refusal_reason) + 1;
 
 /// @brief Whether an upstream executed the refused request.
 enum class execution
--- a/packages/wire/src/decoder.cpp
+++ b/packages/wire/src/decoder.cpp
@@ -20,7 +20,7 @@
         return {};
     }
     policy::refusal to;
-    to.reason = enumerator(from->reason(), policy::refusal_reason::quarantined);
+    to.reason = enumerator(from->reason(), policy::last_refusal_reason);
     to.executed = enumerator(from->executed(), policy::execution::yes);
     to.remedy = text(from->remedy());
     to.retry_after = milliseconds(from->retry_after_ms());
--- a/packages/wire/tests/arbitrary_message.hpp
+++ b/packages/wire/tests/arbitrary_message.hpp
@@ -74,7 +74,7 @@
 
 inline policy::refusal any_refusal()
 {
-    return {any_enumerator(policy::refusal_reason::quarantined),
+    return {any_enumerator(policy::last_refusal_reason),
             any_enumerator(policy::execution::yes), any<std::string>(), any_duration(),
             any<bool>()};
 }
