wire: origins of streams between nodes, and the software version of a forwarded call

Fields at the end of their tables: gossip tells and asks for origins of streams (16 bytes each), a call names the software version at which it may run, the head of its answer the one that answers. Nothing uses them yet.

--- a/packages/fleet/include/snipeplank/fleet/messages.hpp
+++ b/packages/fleet/include/snipeplank/fleet/messages.hpp
@@ -3,9 +3,9 @@
 ///
 /// The codec is in `wire`. The size of gossip is bounded: `estimated_size` is an upper bound for
 /// the encoded size, provided that strings are in tables and that `upstream_load`,
-/// `upstream_leaving`, `service_load`, `prompt_crash`, `prompt_answer` and `upstream_limit` are
-/// encoded as FlatBuffers structs of 24, 16, 16, 32, 16 and 16 bytes. Hashes may be encoded as 32
-/// raw bytes.
+/// `upstream_leaving`, `service_load`, `prompt_crash`, `prompt_answer`, `upstream_limit` and
+/// `stream_origin` are encoded as FlatBuffers structs of 24, 16, 16, 32, 16, 16 and 16 bytes.
+/// Hashes may be encoded as 32 raw bytes.
 
 #ifndef SNIPEPLANK_FLEET_MESSAGES_HPP
 #define SNIPEPLANK_FLEET_MESSAGES_HPP
@@ -114,6 +114,20 @@
     friend bool operator==(const upstream_limit&, const upstream_limit&) = default;
 };
 
+/// @brief The software version that began a stream, or a question for it. 16 bytes encoded.
+struct stream_origin
+{
+    std::uint64_t stream_key = 0; ///< hash of the client's attempt that brought the first event
+    /// Of service and software version; 0: not known; 0xFFFF'FFFF: it may be one of several. In a
+    /// question the `service_key`.
+    std::uint32_t version_key = 0;
+    /// How long the stream may still be taken up; 0 in a question, and in an answer that no record
+    /// stands behind: the version is the only one that can have begun a stream of the service.
+    std::uint32_t left_ms = 0;
+
+    friend bool operator==(const stream_origin&, const stream_origin&) = default;
+};
+
 /// @brief Total load of the upstreams of one service in one region. 16 bytes encoded.
 struct service_load
 {
@@ -179,6 +193,8 @@
     /// Nodes that the sender counts, itself included; 0 while its member list may be incomplete.
     std::uint16_t nodes_in_fleet = 0;
     std::uint16_t nodes_in_region = 0; ///< of the sender
+    std::vector<stream_origin> stream_origins;
+    std::vector<stream_origin> wanted_origins; ///< asks for an answer in `stream_origins`
 
     friend bool operator==(const gossip&, const gossip&) = default;
 };
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t prompt_crash_bytes = 32;
 constexpr std::size_t prompt_answer_bytes = 16;
 constexpr std::size_t upstream_limit_bytes = 16;
+constexpr std::size_t stream_origin_bytes = 16;
 
 /// Offset, length, terminating zero and alignment.
 std::size_t string_bytes(const std::string& text)
@@ -44,7 +45,7 @@
 {
     constexpr std::size_t scalars = 16;
     constexpr std::size_t vectors = 2;
-    constexpr std::size_t struct_vectors = 5;
+    constexpr std::size_t struct_vectors = 7;
     std::size_t total = frame_bytes + table_bytes + scalars + vectors * vector_bytes +
                         struct_vectors * struct_vector_bytes;
     total += string_bytes(value.target.get()) + string_bytes(value.sender_region.get());
@@ -54,7 +55,8 @@
     total += value.loads.size() * load_bytes + value.leaving.size() * leaving_bytes;
     total += value.prompt_crashes.size() * prompt_crash_bytes +
              value.prompt_answers.size() * prompt_answer_bytes +
-             value.limits.size() * upstream_limit_bytes;
+             value.limits.size() * upstream_limit_bytes +
+             (value.stream_origins.size() + value.wanted_origins.size()) * stream_origin_bytes;
     for (const region_summary& item : value.regions)
         total += estimated_size(item);
     return total;
--- a/packages/gateway/src/peer_server.cpp
+++ b/packages/gateway/src/peer_server.cpp
@@ -128,7 +128,7 @@
                               running_answer& answer, const cancel_flag& cancelled)
 {
     const answer_head& head = answer.head();
-    m_parts.network.reply(to, wire::call_head{number, head.status, head_headers(head)});
+    m_parts.network.reply(to, wire::call_head{number, head.status, head_headers(head), {}});
     core::checksum64 sum;
     std::uint64_t offset = 0;
     while (!cancelled->load() && !answer.is_complete() && !answer.failure())
--- a/packages/wire/include/snipeplank/wire/messages.hpp
+++ b/packages/wire/include/snipeplank/wire/messages.hpp
@@ -9,6 +9,7 @@
 #include <snipeplank/fleet/messages.hpp>
 #include <snipeplank/policy/call_outcome.hpp>
 #include <snipeplank/policy/refusal.hpp>
+#include <snipeplank/policy/software_version_key.hpp>
 #include <snipeplank/policy/ticket_table.hpp>
 #include <snipeplank/settings/published_config.hpp>
 
@@ -67,6 +68,8 @@
     std::string target; ///< path and query for the upstream
     policy::header_list headers;
     std::string body;
+    /// The only one at which the stream may go on, of which this is a continuation; 0: any.
+    policy::software_version_key software_version;
 
     friend bool operator==(const call_request&, const call_request&) = default;
 };
@@ -86,6 +89,7 @@
     core::call_number number;
     int status = 0;
     policy::header_list headers;
+    policy::software_version_key software_version; ///< of the upstream; 0: not told
 
     friend bool operator==(const call_head&, const call_head&) = default;
 };
--- a/packages/wire/src/decoder.cpp
+++ b/packages/wire/src/decoder.cpp
@@ -80,6 +80,7 @@
     to.target = text(from->target());
     to.headers = headers(from->headers());
     to.body = text(from->body());
+    to.software_version = policy::software_version_key{from->software_version()};
     return to;
 }
 
@@ -107,7 +108,8 @@
 
 call_head decoder::decode(const fb::CallHead& from)
 {
-    return {core::call_number{from.number()}, from.status(), headers(from.headers())};
+    return {core::call_number{from.number()}, from.status(), headers(from.headers()),
+            policy::software_version_key{from.software_version()}};
 }
 
 call_chunk decoder::decode(const fb::CallChunk& from)
--- a/packages/wire/src/decoder_fleet.cpp
+++ b/packages/wire/src/decoder_fleet.cpp
@@ -91,6 +91,15 @@
         [&](const fb::UpstreamLimit* item) {
             to.limits.push_back({item->upstream_key(), item->limit_millis(), item->age_ms()});
         });
+    for (const auto& [items, list] : {std::pair{from.stream_origins(), &to.stream_origins},
+                                      std::pair{from.wanted_origins(), &to.wanted_origins}})
+    {
+        for_each_item(
+            items, sizeof(fb::StreamOrigin),
+            [list = list](const fb::StreamOrigin* item) {
+                list->push_back({item->stream_key(), item->version_key(), item->left_ms()});
+            });
+    }
     for_each_item(from.regions(), min_table_bytes,
                   [&](const fb::RegionSummary* item) { to.regions.push_back(region(item)); });
     to.nodes_in_fleet = from.nodes_in_fleet();
--- a/packages/wire/src/encoder.cpp
+++ b/packages/wire/src/encoder.cpp
@@ -66,7 +66,7 @@
     return fb::CreateCallRequest(m_builder, service, account, home,
                                  static_cast<std::uint8_t>(value.residency), value.is_interactive,
                                  request_id, value.remaining.count(), hops, method, target,
-                                 header_tables, body);
+                                 header_tables, body, value.software_version.get());
 }
 
 encoder::body encoder::operator()(const hello& value)
@@ -93,8 +93,8 @@
 
 encoder::body encoder::operator()(const call_head& value)
 {
-    const auto table =
-        fb::CreateCallHead(m_builder, value.number.get(), value.status, headers(value.headers));
+    const auto table = fb::CreateCallHead(m_builder, value.number.get(), value.status,
+                                          headers(value.headers), value.software_version.get());
     return {fb::Body::CallHead, table.Union()};
 }
 
--- a/packages/wire/src/encoder_fleet.cpp
+++ b/packages/wire/src/encoder_fleet.cpp
@@ -6,6 +6,22 @@
 namespace snipeplank::wire
 {
 
+namespace
+{
+
+std::vector<fb::StreamOrigin> to_structs(const std::vector<fleet::stream_origin>& origins)
+{
+    std::vector<fb::StreamOrigin> structs;
+    structs.reserve(origins.size());
+    for (const fleet::stream_origin& item : origins)
+    {
+        structs.emplace_back(item.stream_key, item.version_key, item.left_ms);
+    }
+    return structs;
+}
+
+} // namespace
+
 flatbuffers::Offset<fb::MemberUpdate> encoder::member(const fleet::member_update& value)
 {
     const auto address = text(value.id.address.get());
@@ -75,6 +91,10 @@
     {
         limits.emplace_back(item.upstream_key, item.limit_millis, item.age_ms);
     }
+    const std::vector<fb::StreamOrigin> origins = to_structs(value.stream_origins);
+    const std::vector<fb::StreamOrigin> wanted = to_structs(value.wanted_origins);
+    const auto origin_structs = origins.empty() ? 0 : m_builder.CreateVectorOfStructs(origins);
+    const auto wanted_structs = wanted.empty() ? 0 : m_builder.CreateVectorOfStructs(wanted);
     const auto limit_structs = limits.empty() ? 0 : m_builder.CreateVectorOfStructs(limits);
     const auto crash_structs = crashes.empty() ? 0 : m_builder.CreateVectorOfStructs(crashes);
     const auto answer_structs = answers.empty() ? 0 : m_builder.CreateVectorOfStructs(answers);
@@ -91,7 +111,8 @@
         m_builder, static_cast<std::uint8_t>(value.kind), value.sequence, target, sender,
         sender_region, value.digest.version.get(), raw.empty() ? nullptr : &sha256, hash_text,
         value.digest.in_force, value.wants_members, members, load_structs, leaving_structs, regions,
-        crash_structs, answer_structs, limit_structs, value.nodes_in_fleet, value.nodes_in_region);
+        crash_structs, answer_structs, limit_structs, value.nodes_in_fleet, value.nodes_in_region,
+        origin_structs, wanted_structs);
     return {fb::Body::Gossip, table.Union()};
 }
 
--- a/packages/wire/tests/arbitrary_message.hpp
+++ b/packages/wire/tests/arbitrary_message.hpp
@@ -74,9 +74,8 @@
 
 inline policy::refusal any_refusal()
 {
-    return {any_enumerator(policy::last_refusal_reason),
-            any_enumerator(policy::execution::yes), any<std::string>(), any_duration(),
-            any<bool>()};
+    return {any_enumerator(policy::last_refusal_reason), any_enumerator(policy::execution::yes),
+            any<std::string>(), any_duration(), any<bool>()};
 }
 
 inline policy::call_outcome any_outcome()
@@ -105,6 +104,7 @@
     to.target = any<std::string>();
     to.headers = any_headers();
     to.body = any<std::string>();
+    to.software_version = any_strong<policy::software_version_key>();
     return to;
 }
 
@@ -180,6 +180,12 @@
     to.regions = any_list(any_region);
     to.nodes_in_fleet = any<std::uint16_t>();
     to.nodes_in_region = any<std::uint16_t>();
+    const auto any_origin = [] {
+        return fleet::stream_origin{any<std::uint64_t>(), any<std::uint32_t>(),
+                                    any<std::uint32_t>()};
+    };
+    to.stream_origins = any_list(any_origin);
+    to.wanted_origins = any_list(any_origin);
     return to;
 }
 
@@ -230,7 +236,8 @@
     case 5:
         return call{number, any_request()};
     case 6:
-        return call_head{number, any<std::int32_t>(), any_headers()};
+        return call_head{number, any<std::int32_t>(), any_headers(),
+                         any_strong<policy::software_version_key>()};
     case 7:
         return call_chunk{number, any<std::uint64_t>(), any<std::string>()};
     case 8:
