--- a/packages/policy/src/refusal.cpp
+++ b/packages/policy/src/refusal.cpp
@@ -45,6 +45,8 @@
     {"internal", 500},
     {"quarantined", 503},
     {"upstream_throttled", 503},
+    {"stream_origin_unknown", 503},
+    {"stream_version_gone", 503},
 }};
 
 } // namespace
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -17,6 +17,7 @@
 #include <snipeplank/policy/prefix_cache_model.hpp>
 #include <snipeplank/policy/refusal.hpp>
 #include <snipeplank/policy/retry_window.hpp>
+#include <snipeplank/policy/software_version_key.hpp>
 #include <snipeplank/policy/upstream_feedback.hpp>
 #include <snipeplank/serving/protocols.hpp>
 #include <snipeplank/serving/routing_table.hpp>
@@ -67,6 +68,8 @@
     std::vector<core::region_id> tried_regions;
     bool may_leave_region = true; ///< false for a call forwarded by another region
     bool is_retry = false;        ///< an earlier attempt reached an upstream
+    /// The only one at which the stream may go on; 0: any.
+    policy::software_version_key software_version;
 };
 
 /// @brief Load of one service in one region, as reported by the region's nodes.
@@ -167,6 +170,13 @@
     /// have changed while the connection was being opened.
     admission admit(const upstream_id& target, core::time_point now);
 
+    /// @brief The software version of an upstream of this region; 0 if it is not known.
+    policy::software_version_key version_of(const upstream_id& target) const;
+
+    /// @brief Whether an upstream of the request's software version is listed where it may be
+    /// served, whatever its state. O(upstreams).
+    bool is_version_listed(const placement_request& request) const;
+
     /// @brief Records that the upstream has crashed: it may come back cold under the same id.
     void on_crashed(const upstream_id& target);
 
--- a/packages/serving/src/attempt.hpp
+++ b/packages/serving/src/attempt.hpp
@@ -6,6 +6,7 @@
 
 #include <snipeplank/http/client.hpp>
 #include <snipeplank/policy/refusal.hpp>
+#include <snipeplank/policy/software_version_key.hpp>
 #include <snipeplank/serving/protocols.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -27,6 +28,8 @@
     std::string cause;                      ///< why there is no answer
     /// What an upstream of this region says of itself.
     std::optional<policy::upstream_statement> said;
+    /// Software version of the upstream that answers; 0 if it is not known.
+    policy::software_version_key software_version;
     /// Refusal of a node of another region.
     std::optional<policy::refusal> refused;
 
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -59,7 +59,8 @@
            std::optional<forwarded_from> forwarded)
     : m_environment(environment), m_end(environment.end), m_exchange(request),
       m_forwarded(std::move(forwarded)), m_table(environment.table), m_timer(environment.loop),
-      m_silence_timer(environment.loop), m_self(std::make_shared<call*>(this))
+      m_silence_timer(environment.loop), m_stream(environment.streams),
+      m_self(std::make_shared<call*>(this))
 {
     m_end->add(*this);
 }
@@ -81,7 +82,8 @@
     if (m_route->may_retry() && !m_forwarded)
         schedule_silence_check();
     m_exchange.on_client_disconnected([this] { on_client_disconnected(); });
-    co_await attempt_until_answered();
+    if (co_await find_origin())
+        co_await attempt_until_answered();
     m_timer.cancel();
     m_silence_timer.cancel();
     m_exchange.on_client_disconnected(nullptr);
@@ -122,10 +124,13 @@
                "no route matches host and path", core::milliseconds{0}};
         return false;
     }
-    m_service = choose_service(*m_route, uniform_value(m_caller.id));
+    m_service = choose_service(*m_route, uniform_value(first_attempt_of(m_caller)));
     m_line.route = m_route->name;
     m_line.service = m_service.get();
     m_resume_from = m_caller.last_event_id;
+    m_stream.set_request(m_caller, *m_route, m_service);
+    if (m_forwarded)
+        m_stream.bind(m_forwarded->software_version);
     if (!m_forwarded)
         m_environment.places.on_request(m_service, now());
     m_deadline = m_exchange.received_at() + time_limit();
@@ -145,6 +150,20 @@
     return std::min(timeout, m_route->timeout);
 }
 
+/// @return false if the request was refused, because nobody knows where its stream may go on
+asio::awaitable<bool> call::find_origin()
+{
+    const bool is_found = co_await m_stream.find(m_environment.loop);
+    m_line.stream_origin = m_stream.describe();
+    if (is_found || m_client_is_gone || m_is_expired)
+        co_return true;
+    policy::refusal why = final_refusal();
+    why.reason = policy::refusal_reason::stream_origin_unknown;
+    why.remedy = "begin the stream anew: no node knows which software version began it";
+    co_await refuse(std::move(why));
+    co_return false;
+}
+
 asio::awaitable<void> call::refuse(policy::refusal why)
 {
     why.has_reached_upstream = m_sends > 0;
@@ -215,7 +234,8 @@
 /// that were just found closed.
 bool call::should_wait_for_upstream(const placement_decision& where) const
 {
-    if (!m_exchange.has_begun() || now() >= m_waits_until)
+    if (!m_exchange.has_begun() || now() >= m_waits_until ||
+        !m_environment.places.is_version_listed(next_request()))
         return false;
     const auto* local = std::get_if<to_upstream>(&where);
     const bool is_closed = local != nullptr && local->was_tried && m_was_unreachable;
@@ -244,6 +264,7 @@
     request.tried_regions = m_tried_regions;
     request.may_leave_region = !m_forwarded;
     request.is_retry = m_sends > 0;
+    request.software_version = m_stream.required();
     return request;
 }
 
@@ -257,7 +278,8 @@
         m_line.attempts += region->region.get();
         const http::request_head head =
             m_environment.upstreams.resume(m_exchange.head(), m_resume_from);
-        return m_environment.regions.call(region->region, head, m_exchange.body(), remaining());
+        return m_environment.regions.call(region->region, head, m_exchange.body(), remaining(),
+                                          m_stream.required());
     }
     const auto& local = std::get<to_upstream>(where);
     m_current_upstream = local.target;
@@ -271,14 +293,21 @@
                                  m_caller.id,
                                  local.target,
                                  [this] { return remaining(); },
-                                 [this, id = local.target.id]
-                                 { return m_environment.places.admit(id, now()); },
+                                 [this, id = local.target.id] { return admit(id); },
                                  m_route->may_retry() && is_within_attempt_limits(m_runs + 1),
                                  m_route->priority,
                                  m_resume_from};
     return std::make_unique<upstream_attempt>(std::move(parts));
 }
 
+/// The upstream may have come back with another software version since it was chosen.
+admission call::admit(const upstream_id& target)
+{
+    if (!m_stream.set_attempt(m_environment.places.version_of(target)))
+        return admission::out_of_service;
+    return m_environment.places.admit(target, now());
+}
+
 asio::awaitable<call::next_step> call::attempt_once(const placement_decision& where)
 {
     const placement_request request = next_request();
@@ -300,6 +329,8 @@
     m_silent_checks = 0;
     attempt_start result = co_await m_attempt->start();
     m_awaits_answer = false;
+    if (m_current_upstream)
+        result.software_version = m_stream.attempt_version();
     if (m_current_upstream && result.said)
         record_statement(*result.said);
     if (region != nullptr && result.kind == answer_kind::success)
@@ -340,11 +371,13 @@
     // After the answer head was sent, only a successful attempt can continue the stream.
     if (m_exchange.has_begun() && result.kind != answer_kind::success)
         co_return co_await on_failed_start(result);
-    if (m_exchange.has_begun() && media_type_of(result.head) != m_media_type)
+    const bool has_other_version =
+        result.kind == answer_kind::success && !m_stream.allows(result.software_version);
+    if (has_other_version || (m_exchange.has_begun() && media_type_of(result.head) != m_media_type))
     {
         attempt_start other = result;
         other.kind = answer_kind::broken;
-        other.cause = "another media type";
+        other.cause = has_other_version ? "another software version" : "another media type";
         co_return co_await on_failed_start(other);
     }
     const bool is_server_error =
@@ -400,7 +433,7 @@
 
 bool call::may_retry(bool proven_not_run)
 {
-    if (m_client_is_gone || m_is_expired)
+    if (m_client_is_gone || m_is_expired || (m_exchange.has_begun() && !m_stream.is_bound()))
         return false;
     // What may have run is sent again by the entry node only, which knows its other attempts.
     if (m_forwarded && !proven_not_run)
@@ -457,7 +490,7 @@
             m_environment.places.on_first_byte(*m_attempt_number, now());
             ++m_events_received;
             record_event();
-            const bool is_written = co_await write_stream(result.head, events);
+            const bool is_written = co_await write_stream(result, events);
             if (!is_written)
                 co_return co_await on_broken_stream();
         }
@@ -465,7 +498,7 @@
             continue;
         const std::string line_ends = m_events.take_line_ends();
         const bool is_whole = m_events.pending_size() == 0;
-        const bool is_written = is_whole && co_await write_stream(result.head, line_ends);
+        const bool is_written = is_whole && co_await write_stream(result, line_ends);
         if (!is_written)
             co_return co_await on_broken_stream();
         report_whole_answer(chunk.value());
@@ -482,12 +515,17 @@
 
 /// Writes a part of a stream. The first part takes the head with it, so that a stream of which
 /// nothing has arrived can still be refused.
-asio::awaitable<bool> call::write_stream(const http::response_head& head, std::string_view events)
+asio::awaitable<bool> call::write_stream(const attempt_start& result, std::string_view events)
 {
     if (!m_exchange.has_begun())
     {
-        m_media_type = media_type_of(head);
-        http::response_head forwarded = m_environment.callers.forward(head);
+        m_media_type = media_type_of(result.head);
+        m_stream.bind(result.software_version);
+        if (m_forwarded && m_forwarded->tell_version)
+            m_forwarded->tell_version(result.software_version);
+        if (!m_forwarded)
+            m_stream.record(m_exchange.received_at());
+        http::response_head forwarded = m_environment.callers.forward(result.head);
         const bool is_open = co_await m_exchange.begin(std::move(forwarded));
         if (!is_open)
             co_return false;
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -26,6 +26,7 @@
 #include "call_statistics.hpp"
 #include "crash_guard.hpp"
 #include "serving_end.hpp"
+#include "stream_binding.hpp"
 
 namespace snipeplank::serving
 {
@@ -37,10 +38,11 @@
     virtual ~region_caller() = default;
 
     /// @brief Creates an attempt at a node of `region`; null when no node there answers.
+    /// @param version the only software version at which it may run; 0: any
     virtual std::unique_ptr<attempt> call(const core::region_id& region,
                                           const http::request_head& request,
-                                          const std::string& body,
-                                          core::milliseconds remaining) = 0;
+                                          const std::string& body, core::milliseconds remaining,
+                                          policy::software_version_key version) = 0;
 };
 
 /// @brief Objects shared by all calls of a node. They outlive the calls.
@@ -53,6 +55,7 @@
     const upstream_protocol& upstreams;
     region_caller& regions;
     crash_guard& crashes;
+    stream_directory& streams;
     call_log& log;
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
@@ -64,6 +67,10 @@
 {
     core::milliseconds remaining{0};
     std::function<void(const policy::refusal&)> refuse; ///< sends the refusal to the other node
+    /// The only software version at which the request may run; 0: any.
+    policy::software_version_key software_version{};
+    /// Tells the other node which software version answers, before the answer begins.
+    std::function<void(policy::software_version_key)> tell_version = nullptr;
 };
 
 /// @brief Serves one request. Owned by the coroutine that runs it.
@@ -98,8 +105,9 @@
     boost::asio::awaitable<next_step> on_failed_start(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_stream(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_buffered(const attempt_start& result);
-    boost::asio::awaitable<bool> write_stream(const http::response_head& head,
-                                              std::string_view events);
+    boost::asio::awaitable<bool> write_stream(const attempt_start& result, std::string_view events);
+    boost::asio::awaitable<bool> find_origin();
+    admission admit(const upstream_id& target);
     boost::asio::awaitable<next_step> on_broken_stream();
     void record_event();
     void record_failure(const core::result<http::body_chunk>& chunk);
@@ -155,6 +163,7 @@
     /// They are not asked again, unless a stream that has begun waits for them.
     std::vector<upstream_id> m_turned_away_by;
     std::vector<core::region_id> m_tried_regions;
+    stream_binding m_stream;
     http::event_splitter m_events;
     std::string m_media_type; ///< of the stream that was begun
     std::string m_resume_from;
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -102,6 +102,7 @@
                   {"config_version", line.config_version},
                   {"attempts", line.attempts},
                   {"upstreams", line.upstreams},
+                  {"stream_origin", line.stream_origin},
                   {"predicted_ms", line.predicted_ms},
                   {"remaining_ms", line.remaining_ms},
                   {"retry_after_ms", line.retry_after_ms},
--- a/packages/serving/src/call_outcome.hpp
+++ b/packages/serving/src/call_outcome.hpp
@@ -40,7 +40,10 @@
     std::uint64_t config_version = 0;
     std::string attempts;  ///< targets and their results in order
     std::string upstreams; ///< states of the candidates, when it was refused
-    std::string outcome;   ///< answered, or the reason of the refusal
+    /// Of a stream that the caller takes up: its first attempt, its software version, how that is
+    /// known.
+    std::string stream_origin;
+    std::string outcome; ///< answered, or the reason of the refusal
     int status = 0;
     std::string executed;
     cut_cause cut_by = cut_cause::none;
--- a/packages/serving/src/candidate_state.hpp
+++ b/packages/serving/src/candidate_state.hpp
@@ -20,19 +20,20 @@
     unreachable,
     silent, ///< it has sent nothing for longer than the silence timeout
     cold,
-    not_allowed, ///< the request may not leave this region, or not for that one
-    tried,       ///< by an earlier attempt
-    no_upstream, ///< the region has none for the service
+    not_allowed,   ///< the request may not leave this region, or not for that one
+    tried,         ///< by an earlier attempt
+    no_upstream,   ///< the region has none for the service
+    other_version, ///< not the software version that began the stream
 };
 
 constexpr std::size_t candidate_state_count =
-    static_cast<std::size_t>(candidate_state::no_upstream) + 1;
+    static_cast<std::size_t>(candidate_state::other_version) + 1;
 
 constexpr std::string_view to_string(candidate_state state)
 {
     constexpr std::array<std::string_view, candidate_state_count> names{
-        "good",   "leaving", "evacuated",   "throttled", "unreachable",
-        "silent", "cold",    "not_allowed", "tried",     "no_upstream"};
+        "good", "leaving",     "evacuated", "throttled",   "unreachable",  "silent",
+        "cold", "not_allowed", "tried",     "no_upstream", "other_version"};
     return names.at(static_cast<std::size_t>(state));
 }
 
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -237,6 +237,15 @@
     }
 }
 
+void fleet_link::send_origins(const core::address& to, std::vector<fleet::stream_origin> origins,
+                              std::vector<fleet::stream_origin> wanted)
+{
+    fleet::gossip body = compose(fleet::gossip_kind::announce);
+    body.stream_origins = std::move(origins);
+    body.wanted_origins = std::move(wanted);
+    send_gossip(to, std::move(body));
+}
+
 void fleet_link::exchange_loads()
 {
     if (m_is_leaving)
@@ -297,6 +306,8 @@
     if (!received.prompt_crashes.empty() || !received.prompt_answers.empty() ||
         !received.leaving.empty() || !received.limits.empty())
         m_listener.on_evidence(received);
+    if (!received.stream_origins.empty() || !received.wanted_origins.empty())
+        m_listener.on_stream_origins(received);
 }
 
 void fleet_link::record_received(const core::address& peer)
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -57,6 +57,10 @@
                                  wire::drop_cause cause) = 0;
     virtual void on_peer_loads(const fleet::gossip& received) = 0;
     virtual void on_evidence(const fleet::gossip& received) = 0;
+
+    /// @brief Another node tells, or asks for, the origins of streams.
+    virtual void on_stream_origins(const fleet::gossip& received) = 0;
+
     virtual std::vector<fleet::upstream_load> own_loads() = 0;
 
     /// @brief Adds what this node knows of requests that crash upstreams, and of what upstreams say
@@ -99,6 +103,10 @@
     /// `fleet_listener::add_evidence` adds; at most once in `min_evidence_interval`.
     void send_evidence();
 
+    /// @brief Sends origins of streams, and questions for them, to a node.
+    void send_origins(const core::address& to, std::vector<fleet::stream_origin> origins,
+                      std::vector<fleet::stream_origin> wanted);
+
     void stop();
 
     /// @brief Nodes that answer, have a configuration and are not stopping; this one included.
--- a/packages/serving/src/load_model.hpp
+++ b/packages/serving/src/load_model.hpp
@@ -41,6 +41,7 @@
     upstream info;
     std::uint64_t key = 0; ///< hash of the address, used in load reports
     policy::upstream_run_key run;
+    policy::software_version_key version;
     core::time_point avoid_until{};
     unsigned failed_connections = 0;     ///< consecutive
     core::time_point last_received_at{}; ///< time of the last byte of any answer
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -24,6 +24,7 @@
 #include "load_exchange.hpp"
 #include "peer_calls.hpp"
 #include "serving_end.hpp"
+#include "stream_directory.hpp"
 
 namespace snipeplank::serving
 {
@@ -50,6 +51,12 @@
     return answer;
 }
 
+/// The software version as other lines name it.
+std::string version_key_of(const upstream& known)
+{
+    return to_hex(policy::software_version_of(known.service, known.software_version));
+}
+
 /// Whether two descriptions differ at most in their number.
 bool says_the_same(const upstream& earlier, const upstream& later)
 {
@@ -93,7 +100,7 @@
 
 } // namespace
 
-class node::state final : public state_listener, public fleet_listener
+class node::state final : public state_listener, public fleet_listener, public origin_network
 {
   public:
     state(asio::io_context& loop, node_options options, node_adapters adapters)
@@ -103,18 +110,29 @@
           m_placement(m_options.region, m_options.bounds, m_random),
           m_loads(m_options.region, m_placement),
           m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
+          m_streams(m_options.region, *this,
+                    [this] { return m_adapters.source.is_reachable(now()); }),
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
               m_random),
-          m_environment{loop,    m_pool,        m_placement, adapters.callers, adapters.upstreams,
-                        m_peers, m_crash_guard, m_log,       m_statistics,     nullptr},
+          m_environment{loop,
+                        m_pool,
+                        m_placement,
+                        adapters.callers,
+                        adapters.upstreams,
+                        m_peers,
+                        m_crash_guard,
+                        m_streams,
+                        m_log,
+                        m_statistics,
+                        nullptr},
           m_calls([this](http::exchange& request) { return serve_call(request); }),
           m_control([this](http::exchange& request) { return serve_control(request); }),
           m_admin([this](http::exchange& request) { return serve_admin(request); }),
           m_call_server(loop, m_calls), m_ready_server(loop, m_control),
           m_directory_server(loop, m_control), m_admin_server(loop, m_admin), m_housekeeping(loop),
-          m_stop_timer(loop), m_stopping(m_options.stop_time)
+          m_stop_timer(loop), m_origin_timer(loop), m_stopping(m_options.stop_time)
     {
         m_crash_guard.on_crash(
             [this](const upstream_id& crashed)
@@ -171,6 +189,7 @@
         m_stop_began = now();
         m_log.event(line_kind::lifecycle, "stop_begins",
                     {{"active", m_call_server.active()}, {"forwarded", m_peers.served()}});
+        m_streams.send_all(now());
         m_fleet.begin_leaving();
         m_call_server.begin_closing(m_stopping.service_time());
         m_environment.end->set(m_stop_began + m_stopping.last_answer_time());
@@ -189,6 +208,13 @@
         }
         m_log.event(line_kind::state_change, "configuration",
                     {{"version", table->version.get()}, {"routes", table->routes.size()}});
+        core::milliseconds longest{0};
+        for (const route& each : table->routes)
+        {
+            if (each.kind == request_kind::streaming)
+                longest = std::max(longest, each.timeout);
+        }
+        m_streams.set_longest_stream(longest);
         m_placement.set_table(std::move(table));
     }
 
@@ -205,6 +231,7 @@
                          {"service", known.service.get()},
                          {"zone", known.zone.get()},
                          {"software_version", known.software_version},
+                         {"version_key", version_key_of(known)},
                          {"leaving", known.is_leaving},
                          {"cold_ms", known.cold_for.count()}});
         }
@@ -215,6 +242,7 @@
         }
         m_upstreams = upstreams;
         m_placement.set_upstreams(upstreams, now());
+        m_streams.set_upstreams(upstreams, now());
     }
 
     void on_evacuations(const zone_set& zones) override
@@ -232,12 +260,16 @@
     {
         m_nodes = m_fleet.live_nodes();
         std::vector<region_node> others;
+        std::vector<live_node> all_others;
         for (const live_node& each : m_nodes)
         {
             if (each.region != m_options.region)
                 others.push_back({each.peer, each.region});
+            if (each.peer != m_options.peer_address)
+                all_others.push_back(each);
         }
         m_peers.set_nodes(std::move(others));
+        m_streams.set_nodes(all_others, now());
         sharing_nodes sharing = m_fleet.sharing();
         m_node_share = sharing.fleet;
         m_region_share = sharing.region;
@@ -285,6 +317,34 @@
             m_loads.on_feedback(received, now());
     }
 
+    void on_stream_origins(const fleet::gossip& received) override
+    {
+        m_streams.on_received(received, now());
+    }
+
+    void send_origins(const core::address& to, std::vector<fleet::stream_origin> origins,
+                      std::vector<fleet::stream_origin> wanted) override
+    {
+        m_fleet.send_origins(to, std::move(origins), std::move(wanted));
+    }
+
+    void wake_in(core::milliseconds span) override
+    {
+        const core::time_point at = now() + span;
+        if (m_origins_due && *m_origins_due <= at)
+            return;
+        m_origins_due = at;
+        m_origin_timer.expires_at(at);
+        m_origin_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (error)
+                    return;
+                m_origins_due.reset();
+                m_streams.send_due(now());
+            });
+    }
+
     bool add_evidence(fleet::gossip& message) override
     {
         const bool has_prompts = m_crash_guard.add_evidence(message);
@@ -460,6 +520,7 @@
     void run_housekeeping()
     {
         m_pool.sweep(now());
+        m_streams.check_versions(now());
         m_housekeeping.expires_after(housekeeping_interval);
         m_housekeeping.async_wait(
             [this](const boost::system::error_code& error)
@@ -514,7 +575,32 @@
         text +=
             "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
             std::to_string(m_crash_guard.crashes()) + "\n";
-        return text + retry_metrics();
+        return text + stream_metrics() + retry_metrics();
+    }
+
+    std::string stream_metrics() const
+    {
+        const directory_counters& counted = m_streams.counters();
+        std::string text = "# TYPE snipeplank_held_streams gauge\nsnipeplank_held_streams " +
+                           std::to_string(m_streams.held(now())) +
+                           "\n# TYPE snipeplank_stream_origins_total counter\n";
+        const auto add = [&](std::string_view name, std::string_view label, std::uint64_t value)
+        {
+            text += "snipeplank_" + std::string(name) + "{" + std::string(label) + "} " +
+                    std::to_string(value) + "\n";
+        };
+        add("stream_origins_total", "kind=\"told\"", counted.told);
+        add("stream_origins_total", "kind=\"asked\"", counted.asked);
+        add("stream_origins_total", "kind=\"answered\"", counted.answered);
+        add("stream_origins_total", "kind=\"message\"", counted.messages);
+        text += "# TYPE snipeplank_stream_take_ups_total counter\n";
+        for (std::size_t i = 0; i < origin_source_count; ++i)
+        {
+            add("stream_take_ups_total",
+                "origin=\"" + std::string(to_string(static_cast<origin_source>(i))) + "\"",
+                counted.take_ups.at(i));
+        }
+        return text;
     }
 
     std::string retry_metrics() const
@@ -542,6 +628,7 @@
     placement m_placement;
     load_exchange m_loads;
     fleet_link m_fleet;
+    stream_directory m_streams;
     peer_calls m_peers;
     call_environment m_environment;
     function_handler m_calls;
@@ -553,6 +640,8 @@
     http::server m_admin_server;
     asio::steady_timer m_housekeeping;
     asio::steady_timer m_stop_timer;
+    asio::steady_timer m_origin_timer;
+    std::optional<core::time_point> m_origins_due;
     std::vector<live_node> m_nodes;
     upstream_map m_upstreams;
     stop_schedule m_stopping;
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -66,6 +66,7 @@
             result.kind = answer_kind::success;
             result.head.status = head->status;
             result.head.headers = head->headers;
+            result.software_version = head->software_version;
             co_return result;
         }
         if (const auto* refused = std::get_if<wire::call_refused>(&received))
@@ -216,6 +217,9 @@
     bool has_begun() const override { return m_has_begun; }
     const wire::peer_identity& from() const { return m_from; }
 
+    /// The software version of the upstream that answers, sent with the head.
+    void set_version(policy::software_version_key version) { m_version = version; }
+
     asio::awaitable<bool> send(http::response answer) override
     {
         co_await begin(std::move(answer.head));
@@ -271,7 +275,8 @@
     bool send_head(http::response_head head)
     {
         m_has_begun = true;
-        return reply(wire::call_head{m_key.number, head.status, std::move(head.headers)});
+        return reply(
+            wire::call_head{m_key.number, head.status, std::move(head.headers), m_version});
     }
 
     void send_chunk(std::string_view data)
@@ -313,6 +318,7 @@
     std::function<void()> m_on_disconnected;
     core::checksum64 m_sum;
     std::uint64_t m_length = 0;
+    policy::software_version_key m_version;
     bool m_has_begun = false;
     bool m_is_finished = false;
     bool m_is_disconnected = false;
@@ -328,7 +334,8 @@
 
 std::unique_ptr<attempt> peer_calls::call(const core::region_id& region,
                                           const http::request_head& request,
-                                          const std::string& body, core::milliseconds remaining)
+                                          const std::string& body, core::milliseconds remaining,
+                                          policy::software_version_key version)
 {
     std::vector<const region_node*> nodes;
     for (const region_node& each : m_nodes)
@@ -347,6 +354,7 @@
     what.request.target = request.target;
     what.request.headers = request.headers;
     what.request.body = body;
+    what.request.software_version = version;
     const core::address peer = nodes[m_random.below(nodes.size())]->peer;
     return std::make_unique<peer_attempt>(*this, m_loop, peer, std::move(what), remaining);
 }
@@ -368,7 +376,9 @@
     auto request = std::make_unique<served_exchange>(*this, from, received);
     served_exchange* raw = request.get();
     m_server(std::move(request),
-             {received.request.remaining, [raw](const policy::refusal& why) { raw->refuse(why); }});
+             {received.request.remaining, [raw](const policy::refusal& why) { raw->refuse(why); },
+              received.request.software_version,
+              [raw](policy::software_version_key version) { raw->set_version(version); }});
 }
 
 void peer_calls::on_message(const wire::peer_identity& from, const wire::message& received)
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -76,11 +76,18 @@
         std::erase_if(m_upstreams,
                       [&](const auto& known) { return !upstreams.contains(known.first); });
         forget_feedback(upstreams, now);
+        m_remote_versions.clear();
         for (const auto& [id, info] : upstreams)
         {
+            const auto version = policy::software_version_of(info.service, info.software_version);
             if (info.region != m_region)
+            {
+                bool& is_in_service = m_remote_versions[info.region][version];
+                is_in_service = is_in_service || !info.is_leaving;
                 continue;
+            }
             upstream_state& known = m_upstreams[id];
+            known.version = version;
             known.warmup.on_report({info.started_ms, info.report_number, info.cold_for}, now);
             known.info = info;
             known.key = core::hash64(info.address.get());
@@ -140,6 +147,28 @@
         return admission::granted;
     }
 
+    policy::software_version_key version_of(const upstream_id& target) const
+    {
+        const auto found = m_upstreams.find(target);
+        return found == m_upstreams.end() ? policy::software_version_key{} : found->second.version;
+    }
+
+    bool is_version_listed(const placement_request& request) const
+    {
+        const bool is_here = request.chosen->may_be_served_in(m_region) &&
+                             std::any_of(m_upstreams.begin(), m_upstreams.end(),
+                                         [&](const auto& each) {
+                                             return each.second.version == request.software_version;
+                                         });
+        return is_here || (request.may_leave_region &&
+                           std::any_of(m_remote_versions.begin(), m_remote_versions.end(),
+                                       [&](const auto& each)
+                                       {
+                                           return request.chosen->may_be_served_in(each.first) &&
+                                                  each.second.contains(request.software_version);
+                                       }));
+    }
+
     bool on_statement(const upstream_id& target, const policy::upstream_statement& said,
                       core::time_point now)
     {
@@ -193,7 +222,8 @@
         for (const auto& [id, known] : m_upstreams)
         {
             if (known.info.service == request.service)
-                ++counts[state_of(known, now)];
+                ++counts[has_version(known, request) ? state_of(known, now)
+                                                     : candidate_state::other_version];
         }
         std::string text;
         for (const auto& [state, count] : counts)
@@ -321,8 +351,27 @@
         return is_cold(known, now) ? candidate_state::cold : candidate_state::good;
     }
 
-    static candidate_state state_of(const core::region_id& region, const remote_region& known,
-                                    const placement_request& request, core::time_point now)
+    /// Whether the upstream has the software version that the request is bound to.
+    static bool has_version(const upstream_state& known, const placement_request& request)
+    {
+        return request.software_version == policy::software_version_key{} ||
+               request.software_version == known.version;
+    }
+
+    /// Whether an upstream of the version that the request is bound to takes requests there.
+    bool has_version(const core::region_id& region, const placement_request& request) const
+    {
+        if (request.software_version == policy::software_version_key{})
+            return true;
+        const auto versions = m_remote_versions.find(region);
+        if (versions == m_remote_versions.end())
+            return false;
+        const auto found = versions->second.find(request.software_version);
+        return found != versions->second.end() && found->second;
+    }
+
+    candidate_state state_of(const core::region_id& region, const remote_region& known,
+                             const placement_request& request, core::time_point now) const
     {
         if (!request.may_leave_region || !request.chosen->may_be_served_in(region))
             return candidate_state::not_allowed;
@@ -332,6 +381,8 @@
             return candidate_state::unreachable;
         if (now - known.last_received > region_lifetime)
             return candidate_state::silent;
+        if (!has_version(region, request))
+            return candidate_state::other_version;
         const auto offered = known.services.find(request.service);
         const bool offers = offered != known.services.end() && offered->second.upstreams > 0;
         return offers ? candidate_state::good : candidate_state::no_upstream;
@@ -350,8 +401,8 @@
         const service* offered = m_table->find_service(request.service);
         for (auto& [id, known] : m_upstreams)
         {
-            if (known.info.service != request.service || !is_in_service(known) ||
-                !m_feedback.allows(known.run, now))
+            if (known.info.service != request.service || !has_version(known, request) ||
+                !is_in_service(known) || !m_feedback.allows(known.run, now))
                 continue;
             if (contains(request.turned_away_by, id) || !has_free_capacity(known, offered, now))
                 continue;
@@ -462,11 +513,14 @@
     {
         if (!request.turned_away_by.empty())
             return refuse(policy::refusal_reason::overloaded, shortest_wait(request), request);
-        policy::refusal_reason reason = policy::refusal_reason::no_upstream;
+        const bool is_bound = request.software_version != policy::software_version_key{};
+        policy::refusal_reason reason = is_bound && !is_version_listed(request)
+                                            ? policy::refusal_reason::stream_version_gone
+                                            : policy::refusal_reason::no_upstream;
         std::optional<core::milliseconds> soonest;
         for (const auto& [id, known] : m_upstreams)
         {
-            if (known.info.service != request.service ||
+            if (known.info.service != request.service || !has_version(known, request) ||
                 state_of(known, now) != candidate_state::throttled)
                 continue;
             reason = policy::refusal_reason::upstream_throttled;
@@ -516,6 +570,8 @@
     placement_bounds m_bounds;
     core::random_source& m_random;
     zone_set m_evacuated;
+    /// Software versions listed in other regions, and whether one of their upstreams may be used.
+    std::map<core::region_id, std::map<policy::software_version_key, bool>> m_remote_versions;
     std::map<core::zone_id, core::time_point> m_evacuation_ends; ///< as learned by this node
     policy::upstream_feedback m_feedback;
     policy::node_share m_region_share;
@@ -578,6 +634,16 @@
     return m_state->admit(target, now);
 }
 
+policy::software_version_key placement::version_of(const upstream_id& target) const
+{
+    return m_state->version_of(target);
+}
+
+bool placement::is_version_listed(const placement_request& request) const
+{
+    return m_state->is_version_listed(request);
+}
+
 void placement::on_crashed(const upstream_id& target)
 {
     m_state->on_crashed(target);
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -21,6 +21,7 @@
 #include <cstdio>
 #include <deque>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -253,8 +254,8 @@
     core::time_point m_received;
 };
 
-/// @brief Reads the headers `Id`, `Host`, `Prompt` (its parts, separated by spaces), `Last-Event-Id`
-/// and `Resumes`; a refusal has status 503 if it proves "not run".
+/// @brief Reads the headers `Id`, `Host`, `Prompt` (its parts, separated by spaces),
+/// `Last-Event-Id` and `Resumes`; a refusal has status 503 if it proves "not run".
 class plain_caller_protocol final : public caller_protocol
 {
   public:
@@ -334,14 +335,64 @@
 {
   public:
     std::unique_ptr<attempt> call(const core::region_id& region, const http::request_head& request,
-                                  const std::string& body, core::milliseconds remaining) override
+                                  const std::string& body, core::milliseconds remaining,
+                                  policy::software_version_key version) override
     {
-        return target != nullptr ? target->call(region, request, body, remaining) : nullptr;
+        return target != nullptr ? target->call(region, request, body, remaining, version)
+                                 : nullptr;
     }
 
     region_caller* target = nullptr;
 };
 
+/// @brief Delivers origins and questions to the directories of other nodes on the same loop; those
+/// of a node without others are dropped.
+class memory_origin_network final : public origin_network
+{
+  public:
+    explicit memory_origin_network(asio::io_context& loop) : m_loop(loop) {}
+
+    /// @brief Connects two nodes, of which this one has the address `self`.
+    void connect(core::address self, stream_directory& own, const core::address& other,
+                 stream_directory& theirs)
+    {
+        m_self = std::move(self);
+        m_own = &own;
+        m_others[other] = &theirs;
+    }
+
+    void send_origins(const core::address& to, std::vector<fleet::stream_origin> origins,
+                      std::vector<fleet::stream_origin> wanted) override
+    {
+        const auto found = m_others.find(to);
+        if (found == m_others.end())
+            return;
+        fleet::gossip body;
+        body.sender.id.address = m_self;
+        body.stream_origins = std::move(origins);
+        body.wanted_origins = std::move(wanted);
+        asio::post(m_loop, [target = found->second, body]
+                   { target->on_received(body, std::chrono::steady_clock::now()); });
+    }
+
+    void wake_in(core::milliseconds span) override
+    {
+        auto timer = std::make_shared<asio::steady_timer>(m_loop, span);
+        timer->async_wait(
+            [this, timer](const boost::system::error_code&)
+            {
+                if (m_own != nullptr)
+                    m_own->send_due(std::chrono::steady_clock::now());
+            });
+    }
+
+  private:
+    asio::io_context& m_loop;
+    core::address m_self;
+    stream_directory* m_own = nullptr;
+    std::map<core::address, stream_directory*> m_others;
+};
+
 const core::region_id own_region{"salzkammer"};
 const core::zone_id own_zone{"salzkammer-a"};
 const core::service_id own_service{"shop"};
@@ -353,9 +404,10 @@
     /// @param retries budget of retries
     explicit call_fixture(policy::retry_bound retries)
         : m_places(own_region, bounds_with(retries), m_random), m_log("test"),
-          m_crash_guard(loop, m_pool, m_log),
-          m_environment{loop,      m_pool,        m_places, m_callers,    m_upstream_protocol,
-                        m_regions, m_crash_guard, m_log,    m_statistics, nullptr}
+          m_crash_guard(loop, m_pool, m_log), m_streams(own_region, m_origins, [] { return true; }),
+          m_environment{loop,      m_pool,        m_places,  m_callers, m_upstream_protocol,
+                        m_regions, m_crash_guard, m_streams, m_log,     m_statistics,
+                        nullptr}
     {
         const core::address self{"127.0.0.1:7"};
         m_places.set_sharing_nodes({policy::node_share{1}, policy::node_share{1}, 1, {self}, self},
@@ -392,8 +444,13 @@
         entry.software_version = software_version;
         m_published[entry.id] = entry;
         m_places.set_upstreams(m_published, std::chrono::steady_clock::now());
+        m_streams.set_upstreams(m_published, std::chrono::steady_clock::now());
     }
 
+    /// @brief What the node knows of streams, to connect it with that of another node.
+    stream_directory& streams() { return m_streams; }
+    memory_origin_network& origins() { return m_origins; }
+
     /// @brief Reports what an upstream says of itself in an answer to another request.
     void hear(const std::string& id, const policy::upstream_statement& said)
     {
@@ -401,8 +458,17 @@
     }
 
     /// @brief Makes another region known, with one idle upstream.
-    void add_region(const core::region_id& region, region_caller& caller)
+    void add_region(const core::region_id& region, region_caller& caller,
+                    const std::string& software_version = "v1")
     {
+        upstream entry;
+        entry.id = upstream_id{"i-" + region.get()};
+        entry.service = own_service;
+        entry.region = region;
+        entry.software_version = software_version;
+        m_published[entry.id] = entry;
+        m_places.set_upstreams(m_published, std::chrono::steady_clock::now());
+        m_streams.set_upstreams(m_published, std::chrono::steady_clock::now());
         m_regions.target = &caller;
         remote_region known;
         known.services[own_service] = {1, 0, 0};
@@ -428,7 +494,9 @@
                                const std::string& last_event_id)
     {
         http::request_head head{
-            "GET", "/" + id, {{"Host", "shop.example"}, {"Id", id}, {"Last-Event-Id", last_event_id}}};
+            "GET",
+            "/" + id,
+            {{"Host", "shop.example"}, {"Id", id}, {"Last-Event-Id", last_event_id}}};
         if (!resumes.empty())
             head.headers.emplace_back("Resumes", resumes);
         return start(std::move(head), std::nullopt);
@@ -500,6 +568,8 @@
     region_link m_regions;
     call_log m_log;
     crash_guard m_crash_guard;
+    memory_origin_network m_origins{loop};
+    stream_directory m_streams;
     call_statistics m_statistics;
     call_environment m_environment;
     upstream_map m_published;
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -67,6 +67,7 @@
     {
         crashes_received += received.prompt_crashes.size();
     }
+    void on_stream_origins(const fleet::gossip&) override {}
     bool add_evidence(fleet::gossip& message) override
     {
         message.prompt_crashes = known_crashes;
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -165,7 +165,7 @@
 TEST(peer_calls, a_call_whose_connection_was_lost_is_not_proven_not_run)
 {
     calls.set_nodes({{far_id.address, far_region}});
-    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
     CHECK_FALSE(is_over);
@@ -192,7 +192,7 @@
     for (const row& each : rows)
     {
         is_over = false;
-        const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+        const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
         boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
         run_for(20ms);
         ++number;
@@ -260,7 +260,7 @@
 TEST(peer_calls, a_call_that_could_not_be_sent_is_proven_not_run)
 {
     calls.set_nodes({{far_id.address, far_region}});
-    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
     calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
@@ -274,8 +274,8 @@
 TEST(peer_calls, a_call_behind_a_dropped_one_is_not_proven_not_run)
 {
     calls.set_nodes({{far_id.address, far_region}});
-    const auto first = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
-    const auto waiting = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    const auto first = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
+    const auto waiting = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
     boost::asio::co_spawn(loop, run_attempt(*waiting), boost::asio::detached);
     run_for(50ms);
     calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
@@ -290,7 +290,7 @@
 TEST(peer_calls, a_call_that_found_the_write_queue_full_is_told_at_once)
 {
     calls.set_nodes({{far_id.address, far_region}});
-    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s);
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
     calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::queue_full);
@@ -367,7 +367,7 @@
                                       boost::asio::detached);
             });
         const auto sent = near_calls.call(
-            far_region, {"GET", "/a", {{"Host", "shop.example"}, {"Id", "a"}}}, "", 5s);
+            far_region, {"GET", "/a", {{"Host", "shop.example"}, {"Id", "a"}}}, "", 5s, {});
         read_answer received;
         boost::asio::co_spawn(fixture.loop, read_whole(*sent, received), boost::asio::detached);
         for (int i = 0; i < 500 && !received.is_over; ++i)
@@ -453,3 +453,69 @@
     node.finish(request);
     CHECK_TRUE_TEXT(request.is(200, "ok"), request.describe().c_str());
 }
+
+// Fails when a stream that is forwarded to another region begins at one software version and goes
+// on at another: the entry node passes on no version, or does not learn it, or the other node does
+// not keep to it (ORDER, issue 49).
+TEST(forwarded_call, a_stream_keeps_its_software_version_through_another_region)
+{
+    call_fixture far(policy::retry_bound{0, 100, 10s});
+    core::seeded_random random{1};
+    memory_network near_network(far.loop, near_id);
+    memory_network far_network(far.loop, far_id);
+    peer_calls near_calls(far.loop, near_network, {near_region, own_zone, near_id}, random);
+    peer_calls far_calls(far.loop, far_network, {far_region, own_zone, far_id}, random);
+    near_network.connect(far_calls);
+    far_network.connect(near_calls);
+    near_calls.set_nodes({{far_id.address, far_region}});
+    const scripted_answer whole{{{0ms, chunked_head + chunk(events(3, 4)) + last_chunk}},
+                                answer_end::keep};
+    scripted_upstream first(far.loop, {whole});
+    scripted_upstream second(far.loop, {whole});
+    scripted_upstream third(far.loop, {whole});
+    route only;
+    only.kind = request_kind::streaming;
+    only.is_resumable = true;
+    far.set_route(only);
+    far.publish("i-1", first.address(), false, "v1");
+    far.publish("i-2", second.address(), false, "v2");
+    far.publish("i-3", third.address(), false, "v2");
+    far_calls.set_server(
+        [&](std::unique_ptr<http::exchange> request, forwarded_from from)
+        {
+            boost::asio::co_spawn(far.loop, far.serve_owned(std::move(request), std::move(from)),
+                                  boost::asio::detached);
+        });
+    for (const char* version : {"v1", "v2", "v1", "v1", "v3"})
+    {
+        const auto key = policy::software_version_of(own_service, version);
+        const auto sent = near_calls.call(
+            far_region,
+            {"GET", "/b", {{"Host", "shop.example"}, {"Id", "b"}, {"Last-Event-Id", "2"}}}, "", 5s,
+            key);
+        attempt_start result;
+        bool is_over = false;
+        boost::asio::co_spawn(
+            far.loop,
+            [&]() -> boost::asio::awaitable<void>
+            {
+                result = co_await sent->start();
+                is_over = true;
+            },
+            boost::asio::detached);
+        for (int i = 0; i < 100 && !is_over; ++i)
+        {
+            far.run_for(10ms);
+        }
+        CHECK_TRUE(is_over);
+        const bool is_served = std::string(version) != "v3";
+        CHECK_EQUAL_TEXT(is_served, result.kind == answer_kind::success, version);
+        CHECK_EQUAL_TEXT(is_served, result.software_version == key, version);
+        CHECK_EQUAL_TEXT(is_served, !result.refused.has_value(), version);
+        if (!is_served)
+            STRCMP_EQUAL("stream_version_gone", result.cause.c_str());
+        far.run_for(20ms);
+    }
+    UNSIGNED_LONGS_EQUAL(3, first.requests().size());
+    UNSIGNED_LONGS_EQUAL(1, second.requests().size() + third.requests().size());
+}
--- a/packages/serving/tests/stream_version_test.cpp
+++ b/packages/serving/tests/stream_version_test.cpp
@@ -135,3 +135,52 @@
         UNSIGNED_LONGS_EQUAL(0, first.requests().size() + second.requests().size());
     }
 }
+
+// Fails when a client's take-up at another node than the one that served the beginning of the
+// stream is refused, or goes on at another software version (ORDER and LOST, issue 49).
+TEST(stream_version, a_client_takes_a_stream_up_at_another_node)
+{
+    const core::address first_address{"10.0.0.1:1"};
+    const core::address second_address{"10.0.0.2:1"};
+    call_fixture first_node(many_retries);
+    call_fixture second_node(many_retries);
+    first_node.origins().connect(first_address, first_node.streams(), second_address,
+                                 second_node.streams());
+    second_node.origins().connect(second_address, second_node.streams(), first_address,
+                                  first_node.streams());
+    first_node.streams().set_nodes({{second_address, {}, own_zone, own_region}}, {});
+    second_node.streams().set_nodes({{first_address, {}, own_zone, own_region}}, {});
+    const auto run_both = [&](core::milliseconds span)
+    {
+        constexpr core::milliseconds step{5};
+        for (core::milliseconds at{0}; at < span; at += 2 * step)
+        {
+            first_node.run_for(step);
+            second_node.run_for(step);
+        }
+    };
+    scripted_upstream beginning_only(first_node.loop, {beginning(answer_end::crash)});
+    scripted_upstream own(second_node.loop, {rest()});
+    scripted_upstream other(second_node.loop, {rest()});
+    scripted_upstream another(second_node.loop, {rest()});
+    first_node.set_route(streaming_route(1));
+    second_node.set_route(streaming_route(1));
+    first_node.publish("i-1", beginning_only.address());
+    const recorded_exchange& begun = first_node.start("a");
+    run_both(500ms);
+    CHECK_TRUE(begun.is_over);
+    CHECK_FALSE(begun.is_finished);
+    second_node.publish("i-2", own.address());
+    second_node.publish("i-3", other.address(), false, "v2");
+    second_node.publish("i-4", another.address(), false, "v2");
+    for (const char* id : {"b", "c", "d"})
+    {
+        const recorded_exchange& taken_up = second_node.take_up(id, "a", "2");
+        run_both(400ms);
+        CHECK_TRUE_TEXT(taken_up.is(200, events(3, 4)), taken_up.describe().c_str());
+    }
+    UNSIGNED_LONGS_EQUAL(0, other.requests().size() + another.requests().size());
+    const recorded_exchange& unknown = second_node.take_up("e", "never begun", "2");
+    run_both(400ms);
+    LONGS_EQUAL_TEXT(503, unknown.status, unknown.describe().c_str());
+}
