--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -21,6 +21,7 @@
 #include <cstdio>
 #include <deque>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -259,8 +260,8 @@
     core::time_point m_received;
 };
 
-/// @brief Reads the headers `Id`, `Host` and `Prompt` (its parts, separated by spaces); a refusal
-/// has status 503 if it proves "not run".
+/// @brief Reads the headers `Id`, `Host`, `Prompt` (its parts, separated by spaces),
+/// `Last-Event-Id` and `Resumes`; a refusal has status 503 if it proves "not run".
 class plain_caller_protocol final : public caller_protocol
 {
   public:
@@ -269,6 +270,9 @@
         caller_request request;
         request.id = std::string(http::find_header(head.headers, "Id").value_or(""));
         request.host = std::string(http::find_header(head.headers, "Host").value_or(""));
+        request.last_event_id =
+            std::string(http::find_header(head.headers, "Last-Event-Id").value_or(""));
+        request.resumes = std::string(http::find_header(head.headers, "Resumes").value_or(""));
         std::istringstream prompt{
             std::string(http::find_header(head.headers, "Prompt").value_or(""))};
         for (std::string part; prompt >> part;)
@@ -308,8 +312,11 @@
                               const std::string& last_event_id) const override
     {
         http::request_head resumed = request;
-        if (!last_event_id.empty())
-            resumed.headers.emplace_back("Last-Event-Id", last_event_id);
+        if (last_event_id.empty())
+            return resumed;
+        std::erase_if(resumed.headers,
+                      [](const auto& field) { return field.first == "Last-Event-Id"; });
+        resumed.headers.emplace_back("Last-Event-Id", last_event_id);
         return resumed;
     }
 
@@ -356,14 +363,64 @@
 {
   public:
     std::unique_ptr<attempt> call(const core::region_id& region, const http::request_head& request,
-                                  const std::string& body, core::milliseconds remaining) override
+                                  const std::string& body, core::milliseconds remaining,
+                                  policy::software_version_key version) override
     {
-        return target != nullptr ? target->call(region, request, body, remaining) : nullptr;
+        return target != nullptr ? target->call(region, request, body, remaining, version)
+                                 : nullptr;
     }
 
     region_caller* target = nullptr;
 };
 
+/// @brief Delivers origins and questions to the directories of other nodes on the same loop; those
+/// of a node without others are dropped.
+class memory_origin_network final : public origin_network
+{
+  public:
+    explicit memory_origin_network(asio::io_context& loop) : m_loop(loop) {}
+
+    /// @brief Connects two nodes, of which this one has the address `self`.
+    void connect(core::address self, stream_directory& own, const core::address& other,
+                 stream_directory& theirs)
+    {
+        m_self = std::move(self);
+        m_own = &own;
+        m_others[other] = &theirs;
+    }
+
+    void send_origins(const core::address& to, std::vector<fleet::stream_origin> origins,
+                      std::vector<fleet::stream_origin> wanted) override
+    {
+        const auto found = m_others.find(to);
+        if (found == m_others.end())
+            return;
+        fleet::gossip body;
+        body.sender.id.address = m_self;
+        body.stream_origins = std::move(origins);
+        body.wanted_origins = std::move(wanted);
+        asio::post(m_loop, [target = found->second, body]
+                   { target->on_received(body, std::chrono::steady_clock::now()); });
+    }
+
+    void wake_in(core::milliseconds span) override
+    {
+        auto timer = std::make_shared<asio::steady_timer>(m_loop, span);
+        timer->async_wait(
+            [this, timer](const boost::system::error_code&)
+            {
+                if (m_own != nullptr)
+                    m_own->send_due(std::chrono::steady_clock::now());
+            });
+    }
+
+  private:
+    asio::io_context& m_loop;
+    core::address m_self;
+    stream_directory* m_own = nullptr;
+    std::map<core::address, stream_directory*> m_others;
+};
+
 const core::region_id own_region{"salzkammer"};
 const core::zone_id own_zone{"salzkammer-a"};
 const core::service_id own_service{"shop"};
@@ -375,9 +432,10 @@
     /// @param retries budget of retries
     explicit call_fixture(policy::retry_bound retries)
         : m_places(own_region, bounds_with(retries), m_random), m_log("test"),
-          m_crash_guard(loop, m_pool, m_log),
-          m_environment{loop,      m_pool,        m_places, m_callers,    m_upstream_protocol,
-                        m_regions, m_crash_guard, m_log,    m_statistics, nullptr}
+          m_crash_guard(loop, m_pool, m_log), m_streams(own_region, m_origins, [] { return true; }),
+          m_environment{loop,      m_pool,        m_places,  m_callers, m_upstream_protocol,
+                        m_regions, m_crash_guard, m_streams, m_log,     m_statistics,
+                        nullptr}
     {
         const core::address self{"127.0.0.1:7"};
         m_places.set_sharing_nodes({policy::node_share{1}, policy::node_share{1}, 1, {self}, self},
@@ -406,7 +464,8 @@
     }
 
     /// @brief Publishes an upstream at an address, or changes its entry.
-    void publish(const std::string& id, const core::address& address, bool is_leaving = false)
+    void publish(const std::string& id, const core::address& address, bool is_leaving = false,
+                 const std::string& software_version = "v1")
     {
         upstream entry;
         entry.id = upstream_id{id};
@@ -415,10 +474,16 @@
         entry.zone = own_zone;
         entry.region = own_region;
         entry.is_leaving = is_leaving;
+        entry.software_version = software_version;
         m_published[entry.id] = entry;
         m_places.set_upstreams(m_published, std::chrono::steady_clock::now());
+        m_streams.set_upstreams(m_published, std::chrono::steady_clock::now());
     }
 
+    /// @brief What the node knows of streams, to connect it with that of another node.
+    stream_directory& streams() { return m_streams; }
+    memory_origin_network& origins() { return m_origins; }
+
     /// @brief Reports what an upstream says of itself in an answer to another request.
     void hear(const std::string& id, const policy::upstream_statement& said)
     {
@@ -426,8 +491,17 @@
     }
 
     /// @brief Makes another region known, with one idle upstream.
-    void add_region(const core::region_id& region, region_caller& caller)
+    void add_region(const core::region_id& region, region_caller& caller,
+                    const std::string& software_version = "v1")
     {
+        upstream entry;
+        entry.id = upstream_id{"i-" + region.get()};
+        entry.service = own_service;
+        entry.region = region;
+        entry.software_version = software_version;
+        m_published[entry.id] = entry;
+        m_places.set_upstreams(m_published, std::chrono::steady_clock::now());
+        m_streams.set_upstreams(m_published, std::chrono::steady_clock::now());
         m_regions.target = &caller;
         remote_region known;
         known.services[own_service] = {1, 0, 0};
@@ -441,10 +515,30 @@
                              std::optional<forwarded_from> forwarded = std::nullopt,
                              const std::string& prompt = "")
     {
-        m_exchanges.push_back(std::make_unique<recorded_exchange>(
-            loop, http::request_head{"GET",
-                                     "/" + id,
-                                     {{"Host", "shop.example"}, {"Id", id}, {"Prompt", prompt}}}));
+        return start(http::request_head{"GET",
+                                        "/" + id,
+                                        {{"Host", "shop.example"}, {"Id", id}, {"Prompt", prompt}}},
+                     std::move(forwarded));
+    }
+
+    /// @brief Starts a call by which a client takes up a stream after an event.
+    /// @param resumes id of the call that brought its first event; empty: not named
+    recorded_exchange& take_up(const std::string& id, const std::string& resumes,
+                               const std::string& last_event_id)
+    {
+        http::request_head head{
+            "GET",
+            "/" + id,
+            {{"Host", "shop.example"}, {"Id", id}, {"Last-Event-Id", last_event_id}}};
+        if (!resumes.empty())
+            head.headers.emplace_back("Resumes", resumes);
+        return start(std::move(head), std::nullopt);
+    }
+
+    /// @brief Starts a call with this head.
+    recorded_exchange& start(http::request_head head, std::optional<forwarded_from> forwarded)
+    {
+        m_exchanges.push_back(std::make_unique<recorded_exchange>(loop, std::move(head)));
         recorded_exchange& started = *m_exchanges.back();
         asio::co_spawn(loop, serve(started, std::move(forwarded)), asio::detached);
         return started;
@@ -507,6 +601,8 @@
     region_link m_regions;
     call_log m_log;
     crash_guard m_crash_guard;
+    memory_origin_network m_origins{loop};
+    stream_directory m_streams;
     call_statistics m_statistics;
     call_environment m_environment;
     upstream_map m_published;
