--- a/packages/gateway/src/http_server.cpp
+++ b/packages/gateway/src/http_server.cpp
@@ -1,9 +1,11 @@
 #include "http_server.hpp"
 
 #include <snipeplank/gateway/address.hpp>
+#include <snipeplank/http/listener.hpp>
 
 #include <sys/socket.h>
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -58,7 +60,8 @@
     return is_served;
 }
 
-/// Waits for the next request in steps, so that a server that is stopped is noticed.
+/// Waits for the next request in steps, so that a server that is stopped is noticed. A connection
+/// that was accepted last has a step for its first request.
 bool bounded_server::serve_requests(socket_t socket)
 {
     constexpr milliseconds step{100};
@@ -69,12 +72,15 @@
                          [&](std::string_view bytes) { return framing.add(bytes); });
     bool is_served = false;
     const milliseconds idle_limit = to_limit(keep_alive_timeout_sec_, 0);
-    for (milliseconds idle{0}; idle < idle_limit && svr_sock_ != INVALID_SOCKET; idle += step)
+    const auto is_stopped = [this] { return svr_sock_ == INVALID_SOCKET; };
+    bool is_first_step = true;
+    for (milliseconds idle{0}; idle < idle_limit && (is_first_step || !is_stopped()); idle += step)
     {
+        is_first_step = false;
         if (!stream.waits_for_bytes(step))
             continue;
         bool is_closed = false;
-        is_served = process_request(stream, false, is_closed, nullptr);
+        is_served = process_request(stream, is_stopped(), is_closed, nullptr);
         if (!is_served || is_closed)
             break;
         idle = milliseconds{0} - step;
@@ -117,10 +123,25 @@
     return boost::outcome_v2::success();
 }
 
+/// Waits until every connection that the kernel has opened is accepted.
+void http_server::drain_listener() const
+{
+    constexpr milliseconds step{1};
+    constexpr milliseconds limit{1'000};
+    if (http::stop_handshakes(m_listener))
+        std::this_thread::sleep_for(http::handshake_time);
+    pollfd waiting{m_listener, POLLIN, 0};
+    for (milliseconds waited{0}; waited<limit&& ::poll(&waiting, 1, 0)> 0; waited += step)
+    {
+        std::this_thread::sleep_for(step);
+    }
+}
+
 void http_server::stop()
 {
     if (!m_acceptor.joinable())
         return;
+    drain_listener();
     m_server.stop();
     m_acceptor.join();
 }
--- a/packages/gateway/src/http_server.hpp
+++ b/packages/gateway/src/http_server.hpp
@@ -48,6 +48,8 @@
   private:
     class task_queue;
 
+    void drain_listener() const;
+
     bounded_server m_server;
     worker_pool* m_pool = nullptr; ///< owned by the server's task queue
     std::thread m_acceptor;
--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -106,10 +106,13 @@
     /// @return the bound address, or `connection_failed`
     core::result<core::address> listen(const core::address& where);
 
-    /// @brief Stops accepting connections; open connections are kept, and those that wait to be
-    /// accepted are served.
+    /// @brief Stops listening after `handshake_time`; open connections are kept, and each that the
+    /// kernel has opened until then is served.
     void close_listener();
 
+    /// @brief Whether connections are still accepted.
+    bool is_listening() const;
+
     /// @brief Closes each connection after its next answer, and idle connections after `grace`.
     void begin_closing(core::milliseconds grace);
 
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -89,6 +89,7 @@
     {
         if (!co_await read_request())
             break;
+        m_has_read_request = true;
         if (m_admit && m_admit())
             m_admit = nullptr;
         if (is_refusing())
@@ -150,8 +151,12 @@
 void connection::close_when_idle()
 {
     m_is_closing = true;
-    if (m_is_idle && !has_unread_bytes())
-        close_socket();
+    if (!m_is_idle || has_unread_bytes())
+        return;
+    // The first request of a new connection may be on its way.
+    if (!m_has_read_request && may_stay_idle())
+        return;
+    close_socket();
 }
 
 asio::awaitable<bool> connection::wait_first_byte()
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -31,7 +31,7 @@
     boost::asio::awaitable<void> run();
 
     /// @brief Closes the connection at once if it is idle, otherwise after the answer that
-    /// announces it, or soon after the current one.
+    /// announces it, or soon after the current one. A new one has a moment for its first request.
     void close_when_idle();
 
     /// @brief Adds `Connection: close` to the next answer.
@@ -106,8 +106,9 @@
     std::function<bool()> m_admit; ///< set while requests are refused
     /// Identifies the current timer; the handler of an earlier one does nothing.
     std::uint64_t m_watchdog_generation = 0;
-    bool m_is_active = false; ///< a complete request is being answered
-    bool m_is_idle = false;   ///< waiting for the first byte of a request
+    bool m_is_active = false;        ///< a complete request is being answered
+    bool m_is_idle = false;          ///< waiting for the first byte of a request
+    bool m_has_read_request = false; ///< at least one
     bool m_has_begun = false;
     bool m_is_finished = false;
     bool m_has_head_only = false; ///< the current answer has no body
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -1,3 +1,4 @@
+#include <snipeplank/http/listener.hpp>
 #include <snipeplank/http/server.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -49,7 +50,8 @@
 {
   public:
     state(asio::io_context& loop, request_handler& handler)
-        : m_loop(loop), m_handler(handler), m_acceptor(loop), m_grace_timer(loop)
+        : m_loop(loop), m_handler(handler), m_acceptor(loop), m_grace_timer(loop),
+          m_handshake_timer(loop)
     {
     }
 
@@ -76,22 +78,29 @@
         return to_address(m_acceptor.local_endpoint());
     }
 
-    /// Accepts the connections that the kernel has opened already, then stops listening. Clients
-    /// that go on connecting do not hold up the stop: no more can have waited than the backlog.
-    void drain_listener()
+    /// Closes the listener once the kernel opens no further connection, so that none can come
+    /// between the last accept and the close: the kernel would reset it.
+    void begin_closing_listener()
     {
-        error_code error;
-        m_acceptor.non_blocking(true, error);
-        for (int i = 0; i <= max_waiting && m_acceptor.is_open() && !error; ++i)
+        if (!m_acceptor.is_open() || m_is_ending_handshakes)
+            return;
+        m_is_ending_handshakes = true;
+        if (!stop_handshakes(m_acceptor.native_handle()))
         {
-            tcp::socket socket(m_loop);
-            m_acceptor.accept(socket, error);
-            if (!error)
-                begin_serving(std::move(socket));
+            drain_listener();
+            return;
         }
-        close_listener();
+        m_handshake_timer.expires_after(handshake_time);
+        m_handshake_timer.async_wait(
+            [self = shared_from_this()](const error_code& error)
+            {
+                if (!error)
+                    self->drain_listener();
+            });
     }
 
+    bool is_listening() const { return m_acceptor.is_open(); }
+
     void close_listener()
     {
         error_code ignored;
@@ -117,6 +126,7 @@
 
     void close_idle()
     {
+        m_is_idle_closed = true;
         const std::set<connection*> open = m_connections;
         for (connection* each : open)
         {
@@ -138,6 +148,24 @@
     bool is_closing() const { return m_is_closing; }
 
   private:
+    /// Accepts the connections that the kernel has opened already, then stops listening. Clients
+    /// that go on connecting do not hold up the stop: no more can have waited than the backlog.
+    void drain_listener()
+    {
+        error_code error;
+        m_acceptor.non_blocking(true, error);
+        for (int i = 0; i <= max_waiting && m_acceptor.is_open() && !error; ++i)
+        {
+            tcp::socket socket(m_loop);
+            m_acceptor.accept(socket, error);
+            if (!error)
+                begin_serving(std::move(socket));
+        }
+        close_listener();
+        if (m_is_idle_closed)
+            close_idle();
+    }
+
     static asio::awaitable<void> accept_loop(std::shared_ptr<state> self)
     {
         asio::steady_timer retry_timer(self->m_loop);
@@ -200,8 +228,11 @@
     request_handler& m_handler;
     tcp::acceptor m_acceptor;
     asio::steady_timer m_grace_timer;
+    asio::steady_timer m_handshake_timer;
     std::set<connection*> m_connections;
     std::size_t m_refusing = 0; ///< connections beyond the limit
+    bool m_is_ending_handshakes = false;
+    bool m_is_idle_closed = false; ///< connections are closed as soon as they are idle
     std::atomic<bool> m_is_closing{false};
 };
 
@@ -222,7 +253,12 @@
 
 void server::close_listener()
 {
-    m_state->drain_listener();
+    m_state->begin_closing_listener();
+}
+
+bool server::is_listening() const
+{
+    return m_state->is_listening();
 }
 
 void server::begin_closing(core::milliseconds grace)
--- a/packages/serving/include/snipeplank/serving/stop_schedule.hpp
+++ b/packages/serving/include/snipeplank/serving/stop_schedule.hpp
@@ -57,7 +57,16 @@
         return is_idle && !serves_new(since_signal);
     }
 
+    /// @brief How long the last connections are served once the process must exit.
+    core::milliseconds closing_time() const { return end_margin() / end_margin_parts; }
+
+    /// @brief How long the process waits for the reader of its log at the very end.
+    core::milliseconds flush_time() const { return end_margin() / end_margin_parts; }
+
   private:
+    /// A part each for the last connections, for the log, and two as a reserve.
+    static constexpr int end_margin_parts = 4;
+
     core::milliseconds end_margin() const
     {
         constexpr int shortest_margin_share = 10;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -37,6 +38,7 @@
 constexpr core::milliseconds advertise_after_stop{2'000};
 constexpr core::milliseconds housekeeping_interval{250};
 constexpr core::milliseconds stop_check_interval{50};
+constexpr core::milliseconds end_check_interval{5};
 constexpr int ok = 200;
 constexpr int not_found = 404;
 constexpr int unavailable = 503;
@@ -473,8 +475,42 @@
         const core::duration elapsed = now() - m_stop_began;
         if (!m_stopping.serves_new(elapsed))
             m_call_server.close_listener();
-        const bool is_idle = m_call_server.connections() == 0 && m_peers.served() == 0;
+        const bool is_idle = !m_call_server.is_listening() && m_call_server.connections() == 0 &&
+                             m_peers.served() == 0;
         if (m_stopping.must_exit(elapsed, is_idle))
+        {
+            begin_end();
+            return;
+        }
+        m_stop_timer.expires_after(stop_check_interval);
+        m_stop_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                    check_stop();
+            });
+    }
+
+    /// Closes the listeners that serve until the end.
+    void begin_end()
+    {
+        m_end_began = now();
+        for (http::server* each : servers())
+        {
+            each->close_listener();
+            each->begin_closing(core::milliseconds{0});
+        }
+        check_end();
+    }
+
+    void check_end()
+    {
+        const auto all = servers();
+        const bool has_ended =
+            std::all_of(all.begin(), all.end(),
+                        [](const http::server* each)
+                        { return !each->is_listening() && each->connections() == 0; });
+        if (has_ended || now() - m_end_began >= m_stopping.closing_time())
         {
             m_log.event(line_kind::lifecycle, "stop",
                         {{"active", m_call_server.active()}, {"forwarded", m_peers.served()}});
@@ -482,15 +518,20 @@
             m_loop.stop();
             return;
         }
-        m_stop_timer.expires_after(stop_check_interval);
+        m_stop_timer.expires_after(end_check_interval);
         m_stop_timer.async_wait(
             [this](const boost::system::error_code& error)
             {
                 if (!error)
-                    check_stop();
+                    check_end();
             });
     }
 
+    std::array<http::server*, 4> servers()
+    {
+        return {&m_call_server, &m_ready_server, &m_directory_server, &m_admin_server};
+    }
+
     std::string metrics() const
     {
         std::string text = m_statistics.render();
@@ -556,6 +597,7 @@
     upstream_map m_upstreams;
     stop_schedule m_stopping;
     core::time_point m_stop_began{};
+    core::time_point m_end_began{};
     policy::node_share m_node_share;
     policy::node_share m_region_share;
     std::size_t m_reported_node_count = 0;
--- a/packages/serving/tests/stop_schedule_test.cpp
+++ b/packages/serving/tests/stop_schedule_test.cpp
@@ -72,3 +72,18 @@
     CHECK_FALSE(subject.must_exit(6s, false));
     CHECK_TRUE(subject.must_exit(7500ms, false));
 }
+
+// Fails when the last connections and the reader of the log are waited for longer than the process
+// has until it is killed.
+TEST(stop_schedule, the_end_of_the_process_leaves_a_reserve)
+{
+    const core::milliseconds graces[] = {30s, 8s, 3s, 1s, 400ms};
+    for (const core::milliseconds grace : graces)
+    {
+        const stop_schedule schedule{grace};
+        const core::milliseconds wait = schedule.closing_time() + schedule.flush_time();
+        const std::string seen = std::to_string(grace.count());
+        CHECK_TRUE_TEXT(wait > 0ms, seen.c_str());
+        CHECK_TRUE_TEXT(schedule.must_exit(grace - 2 * wait, false), seen.c_str());
+    }
+}
--- a/tests/machine_stop_test.cpp
+++ b/tests/machine_stop_test.cpp
@@ -6,7 +6,11 @@
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <optional>
+#include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "machine_test.hpp"
 
@@ -133,3 +137,48 @@
     }
     LONGS_EQUAL(0, fleet->node(0).program->wait());
 }
+
+// Fails when a listener of a stopping node resets a connection that it has opened: for callers when
+// the node takes no more requests, for the others when it ends.
+TEST(machine_stop, no_listener_resets_a_connection_that_is_open)
+{
+    constexpr int clients = 2; // of each listener
+    set_up({home});
+    fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    const machine_node& node = fleet->node(0);
+    const http_request read = machine_fleet::request("GET", "/read/x", "id");
+    http_request is_ready;
+    is_ready.path = "/api/readyz";
+    http_request metrics;
+    metrics.path = "/metrics";
+    std::vector<std::future<std::string>> broken;
+    for (const auto& [address, request] :
+         {std::pair{node.callers, read}, std::pair{node.readiness, is_ready},
+          std::pair{node.directory, is_ready}, std::pair{node.admin, metrics}})
+    {
+        for (int i = 0; i < clients; ++i)
+        {
+            broken.push_back(std::async(std::launch::async,
+                                        [address = address, request = request]() -> std::string
+                                        {
+                                            http_answer answer;
+                                            do
+                                            {
+                                                answer = http_call(address, request);
+                                            } while (answer.end == answer_end::clean);
+                                            return answer.end == answer_end::no_connection
+                                                       ? ""
+                                                       : address + ": " + answer.describe();
+                                        }));
+        }
+    }
+    node.program->send_signal(SIGTERM);
+    const std::optional<int> status = node.program->wait_for(8s);
+    CHECK_TRUE(status.has_value() && *status == 0);
+    for (std::future<std::string>& each : broken)
+    {
+        STRCMP_EQUAL("", each.get().c_str());
+    }
+}
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -105,13 +105,16 @@
         ::close(ends[0]);
         fail_test("cannot start " + program);
     }
-    m_reader = std::thread([this, pipe = ends[0]] { read_output(pipe); });
+    m_pipe = ends[0];
+    m_reader = std::thread([this] { read_output(); });
 }
 
 child_process::~child_process()
 {
     kill();
+    release_output();
     m_reader.join();
+    ::close(m_pipe);
 }
 
 std::vector<std::string> child_process::wait_ready_words()
@@ -194,17 +197,67 @@
     return m_output;
 }
 
-void child_process::read_output(int pipe)
+void child_process::hold_output()
+{
+    constexpr std::chrono::milliseconds settling_time{50};
+    const std::array<char, 4096> empty_lines = []
+    {
+        std::array<char, 4096> filled{};
+        filled.fill('\n');
+        return filled;
+    }();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_is_held = true;
+    }
+    const std::string same_pipe = "/proc/self/fd/" + std::to_string(m_pipe);
+    const int writer = ::open(same_pipe.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+    if (writer < 0)
+        fail_test("cannot fill the output of " + m_program);
+    // The reader may still take a part; then it holds.
+    for (bool has_room = true; has_room;)
+    {
+        has_room = false;
+        while (::write(writer, empty_lines.data(), empty_lines.size()) > 0)
+        {
+            has_room = true;
+        }
+        std::this_thread::sleep_for(settling_time);
+    }
+    ::close(writer);
+}
+
+void child_process::release_output()
+{
+    const std::lock_guard lock(m_mutex);
+    m_is_held = false;
+    m_changed.notify_all();
+}
+
+std::optional<int> child_process::wait_for(std::chrono::milliseconds limit)
+{
+    constexpr std::chrono::milliseconds step{5};
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    while (is_running())
+    {
+        if (std::chrono::steady_clock::now() >= deadline)
+            return std::nullopt;
+        std::this_thread::sleep_for(step);
+    }
+    return wait();
+}
+
+void child_process::read_output()
 {
     std::array<char, 4096> buffer;
     ssize_t count = 0;
-    while ((count = ::read(pipe, buffer.data(), buffer.size())) > 0)
+    while ((count = ::read(m_pipe, buffer.data(), buffer.size())) > 0)
     {
-        const std::lock_guard lock(m_mutex);
+        std::unique_lock lock(m_mutex);
         m_output.append(buffer.data(), static_cast<std::size_t>(count));
         m_changed.notify_all();
+        m_changed.wait(lock, [this] { return !m_is_held; });
     }
-    ::close(pipe);
     const std::lock_guard lock(m_mutex);
     m_output_ended = true;
     m_changed.notify_all();
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -69,11 +70,22 @@
     /// @brief Everything written to standard output and error so far.
     std::string output() const;
 
+    /// @brief Fills the pipe of the output and reads it no longer, as a collector of logs that
+    /// stands still does.
+    void hold_output();
+
+    /// @brief Goes on reading the output.
+    void release_output();
+
+    /// @brief Waits until the process exits by itself, for at most `limit`.
+    /// @return the exit status, or nothing when it still runs
+    std::optional<int> wait_for(std::chrono::milliseconds limit);
+
     /// @brief Process id.
     pid_t id() const { return m_id; }
 
   private:
-    void read_output(int pipe);
+    void read_output();
     std::optional<std::string> find_line(const std::string& prefix) const;
 
     std::string m_program;
@@ -83,6 +95,8 @@
     std::condition_variable m_changed;
     std::string m_output;
     bool m_output_ended = false;
+    bool m_is_held = false;
+    int m_pipe = -1; ///< end from which the output is read
     std::thread m_reader;
 };
 
