--- a/packages/gateway/src/fleet_driver.cpp
+++ b/packages/gateway/src/fleet_driver.cpp
@@ -1,10 +1,12 @@
 #include <snipeplank/gateway/fleet_driver.hpp>
+#include <snipeplank/log/process_log.hpp>
 #include <snipeplank/settings/config_builder.hpp>
 
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 namespace snipeplank::gateway
@@ -186,7 +188,7 @@
     }
     if (std::holds_alternative<fleet::incarnation_renewed>(what))
     {
-        spdlog::warn("peers declared this node dead; it rejoined with a new incarnation");
+        log::warn("rejoined", "peers declared this node dead; it rejoined with a new incarnation");
         return;
     }
     if (const auto* raised = std::get_if<fleet::alarm>(&what))
@@ -195,23 +197,28 @@
 
 void fleet_driver::report(const fleet::alarm& raised)
 {
+    std::string_view cause;
     switch (raised.kind)
     {
     case fleet::alarm_kind::config_conflict:
+        cause = "conflict of configurations";
         m_parts.counters.count(counter::config_conflicts);
         break;
     case fleet::alarm_kind::config_invalid:
     case fleet::alarm_kind::config_corrupt:
+        cause = "rejected configuration";
         m_parts.counters.count(counter::config_rejected);
         break;
     case fleet::alarm_kind::paused:
+        cause = "expired view";
         m_parts.counters.count(counter::view_expired);
         break;
     case fleet::alarm_kind::own_link:
+        cause = "own link";
         m_parts.counters.count(counter::own_link_suspected);
         break;
     }
-    spdlog::warn("{}; {}", raised.message, raised.remedy);
+    log::warn(cause, raised.message + "; " + raised.remedy);
 }
 
 void fleet_driver::publish_view(core::time_point now)
--- a/packages/gateway/src/log_format.cpp
+++ b/packages/gateway/src/log_format.cpp
@@ -1,6 +1,7 @@
 #include <snipeplank/core/json_text.hpp>
 #include <snipeplank/core/printable.hpp>
 #include <snipeplank/gateway/log_format.hpp>
+#include <snipeplank/log/process_log.hpp>
 
 #include <nlohmann/json.hpp>
 #include <spdlog/pattern_formatter.h>
@@ -70,13 +71,13 @@
 
 void set_up_log(const settings::node_settings& settings)
 {
+    log::take_default_logger();
     if (settings.format == settings::log_format::json)
         set_line_format<json_message>(
             R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","thread":%t,"message":"%*"})");
     else
         set_line_format<printable_message>("%Y-%m-%dT%H:%M:%S.%e %^%l%$ %*");
     spdlog::set_level(spdlog::level::from_str(settings.log_level));
-    spdlog::flush_on(spdlog::level::info);
 }
 
 } // namespace snipeplank::gateway
--- a/packages/gateway/src/node.cpp
+++ b/packages/gateway/src/node.cpp
@@ -4,6 +4,7 @@
 #include <snipeplank/gateway/node.hpp>
 #include <snipeplank/gateway/peer_client.hpp>
 #include <snipeplank/gateway/peer_server.hpp>
+#include <snipeplank/log/process_log.hpp>
 
 #include <spdlog/spdlog.h>
 
@@ -127,6 +128,9 @@
     void refresh_gauges()
     {
         fleet.refresh_gauges();
+        counters.set_gauge("snipeplank_log_lines_dropped",
+                           static_cast<double>(log::standard_output().dropped()));
+        counters.set_gauge("snipeplank_log_lines_left_out", static_cast<double>(log::left_out()));
         const wire::peer_counters peers = network->counters();
         const std::pair<const char*, std::uint64_t> values[] = {
             {"frames_sent", peers.frames_sent},
--- a/packages/node/src/machine_node.cpp
+++ b/packages/node/src/machine_node.cpp
@@ -1,19 +1,19 @@
 #include "machine_node.hpp"
 
 #include <snipeplank/gateway/log_format.hpp>
+#include <snipeplank/log/process_log.hpp>
 #include <snipeplank/platform/machine_settings.hpp>
 #include <snipeplank/platform/protocols.hpp>
 #include <snipeplank/platform/store_source.hpp>
 #include <snipeplank/serving/node.hpp>
+#include <snipeplank/serving/stop_schedule.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <spdlog/spdlog.h>
 
 #include <chrono>
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 
 #include "exit_status.hpp"
@@ -75,8 +75,8 @@
         const auto changed = platform::load_machine_settings(m_path);
         if (!changed)
         {
-            spdlog::warn("cannot reload the settings, the former ones stay in use: {}",
-                         changed.error().to_string());
+            log::warn("settings", "cannot reload the settings, the former ones stay in use: " +
+                                      changed.error().to_string());
             return;
         }
         if (changed.value().node.seeds == m_seeds)
@@ -99,7 +99,7 @@
     const auto settings = platform::load_machine_settings(settings_path);
     if (!settings)
     {
-        std::fprintf(stderr, "%s\n", settings.error().to_string().c_str());
+        log::write_last_line(settings.error().to_string());
         return exit_bad_settings;
     }
     gateway::set_up_log({});
@@ -115,12 +115,12 @@
     const process_events events(loop, node, settings_path);
     if (const auto started = node.start(); !started)
     {
-        std::fprintf(stderr, "%s\n", started.error().to_string().c_str());
+        log::write_last_line(started.error().to_string());
         return exit_cannot_start;
     }
     loop.run();
     // The loop may hold suspended calls, which use the node: neither can be destroyed first.
-    std::fflush(stdout);
+    log::finish(serving::stop_schedule(settings.value().node.stop_time).flush_time());
     std::_Exit(0);
 }
 
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -2,6 +2,7 @@
 
 #include <snipeplank/gateway/log_format.hpp>
 #include <snipeplank/gateway/node.hpp>
+#include <snipeplank/log/process_log.hpp>
 #include <snipeplank/platform/machine_settings.hpp>
 #include <snipeplank/settings/node_settings.hpp>
 
@@ -9,7 +10,6 @@
 #include <spdlog/spdlog.h>
 
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 #include <thread>
 
@@ -25,6 +25,9 @@
 using snipeplank::exit_bad_settings;
 using snipeplank::exit_cannot_start;
 
+/// How long the reader of the log is waited for when the process ends.
+constexpr snipeplank::core::milliseconds log_flush_limit{200};
+
 /// Blocks SIGTERM and SIGINT in this thread and in every thread that it starts later; ignores
 /// SIGPIPE.
 sigset_t block_stop_signals()
@@ -46,6 +49,7 @@
     node.begin_drain();
     sigwait(&signals, &received);
     spdlog::warn("second signal: exiting without waiting for requests in flight");
+    snipeplank::log::finish(log_flush_limit);
     std::_Exit(exit_cannot_start);
 }
 
@@ -56,6 +60,7 @@
     if (const auto started = node.start(); !started)
     {
         spdlog::error("{}", started.error().to_string());
+        snipeplank::log::finish(log_flush_limit);
         return exit_cannot_start;
     }
     spdlog::info("serving callers on {}, peers on {}, operators on {}",
@@ -65,7 +70,7 @@
     node.wait_for_drain();
     node.stop();
     spdlog::info("stopped");
-    spdlog::shutdown();
+    snipeplank::log::finish(log_flush_limit);
     std::_Exit(0); // the signal thread still waits for a second signal
 }
 
@@ -85,13 +90,13 @@
         return snipeplank::run_machine_node(machine_settings);
     if (FLAGS_settings.empty())
     {
-        std::fprintf(stderr, "no settings file is given; start with --settings FILE\n");
+        snipeplank::log::write_last_line("no settings file is given; start with --settings FILE");
         return exit_bad_settings;
     }
     const auto settings = snipeplank::settings::load_node_settings(FLAGS_settings);
     if (!settings)
     {
-        std::fprintf(stderr, "%s\n", settings.error().to_string().c_str());
+        snipeplank::log::write_last_line(settings.error().to_string());
         return exit_bad_settings;
     }
     if (FLAGS_check)
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -4,10 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include <poll.h>
-#include <unistd.h>
-
 #include <chrono>
+#include <utility>
 
 namespace snipeplank::serving
 {
@@ -27,13 +25,6 @@
     return {rate, rate * burst_seconds};
 }
 
-/// Whether a line up to PIPE_BUF bytes can be written to standard output without blocking.
-bool is_output_ready()
-{
-    pollfd output{STDOUT_FILENO, POLLOUT, 0};
-    return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
-}
-
 std::int64_t wall_ms()
 {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -42,9 +33,10 @@
 
 } // namespace
 
-call_log::call_log(std::string node)
-    : m_node(std::move(node)), m_budgets{budget(lifecycle_rate), budget(state_change_rate),
-                                         budget(failure_rate), budget(success_rate)}
+call_log::call_log(std::string node, log::line_writer& output)
+    : m_node(std::move(node)),
+      m_output(output), m_budgets{budget(lifecycle_rate), budget(state_change_rate),
+                                  budget(failure_rate), budget(success_rate)}
 {
 }
 
@@ -55,29 +47,16 @@
     return allowed;
 }
 
-void call_log::write(const std::string& line)
-{
-    constexpr std::size_t max_line_bytes = 4'000;
-    if (line.size() > max_line_bytes || !is_output_ready())
-    {
-        ++m_dropped;
-        return;
-    }
-    const std::string text = line + "\n";
-    if (::write(STDOUT_FILENO, text.data(), text.size()) < 0)
-        ++m_dropped;
-}
-
 void call_log::emit(std::string_view what, const nlohmann::json& fields)
 {
     nlohmann::ordered_json line{{"time_ms", wall_ms()}, {"node", m_node}, {"event", what}};
     line.update(nlohmann::ordered_json(fields));
-    if (m_dropped != m_dropped_reported)
+    if (const std::uint64_t all = dropped(); all != m_dropped_reported)
     {
-        line["lines_dropped"] = m_dropped;
-        m_dropped_reported = m_dropped;
+        line["lines_dropped"] = all;
+        m_dropped_reported = all;
     }
-    write(core::json_text(line));
+    m_output.push(core::json_text(line));
 }
 
 void call_log::event(line_kind kind, std::string_view what, const nlohmann::json& fields)
--- a/packages/serving/src/call_log.hpp
+++ b/packages/serving/src/call_log.hpp
@@ -1,10 +1,11 @@
 /// @file
-/// Structured log: one JSON object per line, rate-limited, never blocking.
+/// Structured log: one JSON object per line, rate-limited, which waits for no reader.
 
 #ifndef SNIPEPLANK_SERVING_SRC_CALL_LOG_HPP
 #define SNIPEPLANK_SERVING_SRC_CALL_LOG_HPP
 
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/log/process_log.hpp>
 #include <snipeplank/policy/token_bucket.hpp>
 
 #include <nlohmann/json_fwd.hpp>
@@ -28,28 +29,29 @@
     success,
 };
 
-/// @brief Writes log lines to standard output. Used on the event loop only.
+/// @brief Writes log lines. Used on the event loop only.
 class call_log
 {
   public:
-    explicit call_log(std::string node);
+    /// @param output outlives the log
+    explicit call_log(std::string node, log::line_writer& output = log::standard_output());
 
     void event(line_kind kind, std::string_view what, const nlohmann::json& fields);
     void call_ended(const call_outcome_line& line);
 
     /// @brief Number of lines dropped by the rate limit or because the reader is too slow.
-    std::uint64_t dropped() const { return m_dropped; }
+    std::uint64_t dropped() const { return m_dropped + m_output.dropped(); }
 
   private:
     static constexpr std::size_t kind_count = 4;
 
     bool take(line_kind kind, core::time_point now);
     void emit(std::string_view what, const nlohmann::json& fields);
-    void write(const std::string& line);
 
     std::string m_node;
+    log::line_writer& m_output;
     std::array<policy::token_bucket, kind_count> m_budgets;
-    std::uint64_t m_dropped = 0;
+    std::uint64_t m_dropped = 0; ///< by the rate limit
     std::uint64_t m_dropped_reported = 0;
 };
 
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -550,6 +550,7 @@
               m_environment.table ? m_environment.table->version.get() : 0);
         gauge("snipeplank_state_source_reachable", m_adapters.source.is_reachable(now()) ? 1 : 0);
         gauge("snipeplank_log_lines_dropped", m_log.dropped());
+        gauge("snipeplank_log_lines_left_out", log::left_out());
         gauge("snipeplank_quarantined_prompt_parts", m_crash_guard.quarantined());
         text +=
             "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
