unread_log: a program that stands still fails the test at once

The test asked for the status with the usual patience of 30 s for each question, so it had no result in 300 s against the programs of the code before. It allows 2 s now and fails there in 7 s; passes on this code.

--- a/tests/unread_log_test.cpp
+++ b/tests/unread_log_test.cpp
@@ -187,10 +187,14 @@
         wait_until("version " + std::to_string(version),
                    [&]
                    {
-                       const auto status = nlohmann::json::parse(
-                           http_get(node.admin_address, "/v1/status").body, nullptr, false);
-                       return status.is_object() &&
-                              status.value("config_version", std::uint64_t{0}) == version;
+                       http_request question;
+                       question.path = "/v1/status";
+                       question.read_timeout = answer_limit;
+                       const http_answer status = http_call(node.admin_address, question);
+                       CHECK_TRUE_TEXT(status.is(200), status.describe().c_str());
+                       const auto document = nlohmann::json::parse(status.body, nullptr, false);
+                       return document.is_object() &&
+                              document.value("config_version", std::uint64_t{0}) == version;
                    });
         http_request request = test_fleet::drafting("text", 8);
         request.read_timeout = answer_limit;
