--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -274,6 +274,7 @@
     return offered == nullptr ? std::string() : offered->health_path;
 }
 
+/// The upstream may have come back with another software version since it was chosen.
 admission call::admit(const upstream_id& target, policy::connection_record& over)
 {
     if (m_environment.suspensions->take_suspension())
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -39,6 +40,7 @@
 constexpr core::milliseconds advertise_after_stop{2'000};
 constexpr core::milliseconds housekeeping_interval{250};
 constexpr core::milliseconds stop_check_interval{50};
+constexpr core::milliseconds end_check_interval{5};
 constexpr int ok = 200;
 constexpr int not_found = 404;
 constexpr int unavailable = 503;
@@ -552,8 +554,42 @@
         const core::duration elapsed = now() - m_stop_began;
         if (!m_stopping.serves_new(elapsed))
             m_call_server.close_listener();
-        const bool is_idle = m_call_server.connections() == 0 && m_peers.served() == 0;
+        const bool is_idle = !m_call_server.is_listening() && m_call_server.connections() == 0 &&
+                             m_peers.served() == 0;
         if (m_stopping.must_exit(elapsed, is_idle))
+        {
+            begin_end();
+            return;
+        }
+        m_stop_timer.expires_after(stop_check_interval);
+        m_stop_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                    check_stop();
+            });
+    }
+
+    /// Closes the listeners that serve until the end.
+    void begin_end()
+    {
+        m_end_began = now();
+        for (http::server* each : servers())
+        {
+            each->close_listener();
+            each->begin_closing(core::milliseconds{0});
+        }
+        check_end();
+    }
+
+    void check_end()
+    {
+        const auto all = servers();
+        const bool has_ended =
+            std::all_of(all.begin(), all.end(),
+                        [](const http::server* each)
+                        { return !each->is_listening() && each->connections() == 0; });
+        if (has_ended || now() - m_end_began >= m_stopping.closing_time())
         {
             m_log.event(line_kind::lifecycle, "stop",
                         {{"active", m_call_server.active()}, {"forwarded", m_peers.served()}});
@@ -561,15 +597,20 @@
             m_loop.stop();
             return;
         }
-        m_stop_timer.expires_after(stop_check_interval);
+        m_stop_timer.expires_after(end_check_interval);
         m_stop_timer.async_wait(
             [this](const boost::system::error_code& error)
             {
                 if (!error)
-                    check_stop();
+                    check_end();
             });
     }
 
+    std::array<http::server*, 4> servers()
+    {
+        return {&m_call_server, &m_ready_server, &m_directory_server, &m_admin_server};
+    }
+
     std::string metrics() const
     {
         std::string text = m_statistics.render();
@@ -589,6 +630,7 @@
               m_environment.table ? m_environment.table->version.get() : 0);
         gauge("snipeplank_state_source_reachable", m_adapters.source.is_reachable(now()) ? 1 : 0);
         gauge("snipeplank_log_lines_dropped", m_log.dropped());
+        gauge("snipeplank_log_lines_left_out", log::left_out());
         gauge("snipeplank_quarantined_prompt_parts", m_crash_guard.quarantined());
         text +=
             "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
@@ -665,6 +707,7 @@
     upstream_map m_upstreams;
     stop_schedule m_stopping;
     core::time_point m_stop_began{};
+    core::time_point m_end_began{};
     policy::node_share m_node_share;
     policy::node_share m_region_share;
     std::size_t m_reported_node_count = 0;
