standins: a server answers health checks, says what it is, and can be cold or of another software version

Until now the stand-in answered every path alike, so that no test could show what a node does with a server that started again under its id, or beside servers of another version.

It now has GET of its health path (200 with Instance-Id and Warmup-Ms, 503 when failing or leaving, and the awkward ways: 404, no id, another id, bytes in each framing, cut, late, silent), /api/report with born and Sequence, a time in which it is cold (it counts the requests of each second without those that get 421, and ends at a rate if told so), the version of its software in each event, the Last-Event-Id and Resumes of what it ran, and an idle timeout. The test fleet publishes entries with born, Sequence, version and warm-up, and starts a server again at its address.

--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -1,7 +1,10 @@
-/// Stand-in for a server of the users' platform: signs its answers, or injects a fault.
+/// Stand-in for a server of the users' platform: signs its answers, or injects a fault. A process
+/// that is started with the address and the id of one that has ended is the same server again.
 
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
+#include <standins/server/cold_phase.hpp>
+#include <standins/server/health.hpp>
 #include <standins/support/http_server.hpp>
 
 #include <unistd.h>
@@ -24,6 +27,12 @@
 DEFINE_int32(events, 5, "events of a streamed answer");
 DEFINE_int32(event_ms, 5, "time between two events");
 DEFINE_int32(work_ms, 0, "time from the start of a run to its answer, or to its fault");
+DEFINE_string(software, "", "version of its software, which each event then names");
+DEFINE_string(health_path, "/healthz", "path of its health checks");
+DEFINE_string(health, "", "way of answering health checks, as in `/standin/health`");
+DEFINE_int32(cold_ms, 0, "time for which it is cold after its start");
+DEFINE_int32(cold_crash_at, 0, "requests in one second that end it while it is cold; 0: none do");
+DEFINE_int32(idle_s, 600, "time after which it closes an idle connection; 0: after each answer");
 
 namespace snipeplank::standins
 {
@@ -40,13 +49,59 @@
 class server
 {
   public:
-    server()
+    server() : m_health(m_server, FLAGS_id)
     {
+        m_health.set_way(FLAGS_health);
+        m_cold.begin(milliseconds(FLAGS_cold_ms));
+        m_server.set_idle_timeout(std::chrono::seconds(FLAGS_idle_s));
         const auto serve = [this](const request& in, response& out)
         {
             answer(in, out);
+            if (m_is_leaving || FLAGS_idle_s == 0)
+                out.set_header("Connection", "close");
             stay_silent_if_told();
         };
+        add_states();
+        add_faults();
+        m_server.Get("/api/report", [this](const request&, response& out)
+                     { out.set_content(report(), "application/json"); });
+        m_server.Get(FLAGS_health_path,
+                     [this](const request& in, response& out)
+                     {
+                         if (!is_expected(in, out))
+                             return;
+                         m_health.answer(out, m_cold.remaining(), m_is_leaving);
+                         stay_silent_if_told();
+                     });
+        m_server.Get("/.*", serve);
+        m_server.Post("/.*", serve);
+    }
+
+    int run() { return m_server.run(FLAGS_address); }
+
+  private:
+    using request = httplib::Request;
+    using response = httplib::Response;
+    using time_point = std::chrono::steady_clock::time_point;
+
+    static time_point now() { return std::chrono::steady_clock::now(); }
+
+    /// Calls that say what the server considers itself to be.
+    void add_states()
+    {
+        m_server.Post("/standin/cold", [this](const request& in, response&)
+                      { m_cold.begin(milliseconds(std::atol(in.body.c_str()))); });
+        m_server.Post("/standin/leaving",
+                      [this](const request& in, response&) { m_is_leaving = in.body == "1"; });
+        m_server.Post("/standin/health",
+                      [this](const request& in, response&) { m_health.set_way(in.body); });
+        m_server.Post("/standin/health_delay", [this](const request& in, response&)
+                      { m_health.set_delay(milliseconds(std::atol(in.body.c_str()))); });
+        m_server.Post("/standin/crash", [this](const request&, response&) { crash(""); });
+    }
+
+    void add_faults()
+    {
         m_server.Post("/standin/fault",
                       [this](const request& in, response&)
                       {
@@ -81,24 +136,30 @@
                           m_said_value = in.body;
                           m_arrivals_ms.clear();
                       });
-        m_server.Get("/.*", serve);
-        m_server.Post("/.*", serve);
     }
 
-    int run() { return m_server.run(FLAGS_address); }
-
-  private:
-    using request = httplib::Request;
-    using response = httplib::Response;
-    using time_point = std::chrono::steady_clock::time_point;
-
-    static time_point now() { return std::chrono::steady_clock::now(); }
+    /// What it says of itself. No order was ever accepted.
+    std::string report() const
+    {
+        const json model{{"Name", "m"}, {"Version", 1}, {"Adapters", json::array()}};
+        return json{{"Phase", "both"}, {"Models", {model}}, {"Busy", false}, {"Sequence", 0},
+                    {"QueueDepth", 0}, {"Running", 0},      {"KvUsed", 0},   {"KvTotal", 444'000},
+                    {"Handles", 0},    {"born", m_born_ms}}
+            .dump();
+    }
 
     std::string seen()
     {
         const std::lock_guard lock(m_mutex);
         return json{{"runs", m_runs},
+                    {"resumed", m_resumed},
+                    {"born", m_born_ms},
+                    {"version", FLAGS_software},
+                    {"health_checks", m_health.checks()},
+                    {"cold_most", m_cold.most()},
+                    {"cold_arrivals_ms", m_cold.arrivals_ms()},
                     {"cancelled", m_cancelled},
+                    {"cancelled_ms", m_cancelled_ms},
                     {"deadlines", m_deadlines},
                     {"endless_bytes", m_endless_bytes},
                     {"arrivals_ms", m_arrivals_ms},
@@ -149,23 +210,45 @@
         std::_Exit(EXIT_FAILURE);
     }
 
+    /// Refuses what names another server.
+    static bool is_expected(const request& in, response& out)
+    {
+        if (!in.has_header("Expect-Instance") || in.get_header_value("Expect-Instance") == FLAGS_id)
+            return true;
+        out.status = wrong_server;
+        out.set_header("Instance-Id", FLAGS_id);
+        return false;
+    }
+
+    /// Counts a request that it does not answer with 421.
+    void record_arrival(const request& in)
+    {
+        const std::size_t count = m_cold.on_arrival();
+        if (FLAGS_cold_crash_at > 0 && count >= static_cast<std::size_t>(FLAGS_cold_crash_at))
+            crash(in.path);
+    }
+
     void answer(const request& in, response& out)
     {
         const std::string id = in.get_header_value("Attempt-Id");
         const std::string expected = in.get_header_value("Expect-Instance");
+        if (expected == FLAGS_id)
+            record_arrival(in);
         std::string fault;
         {
             const std::lock_guard lock(m_mutex);
             fault = m_fault;
             if (!m_said_name.empty())
                 out.set_header(m_said_name, m_said_value);
-            m_arrivals_ms.push_back(
-                std::chrono::duration_cast<milliseconds>(now().time_since_epoch()).count());
+            m_arrivals_ms.push_back(steady_ms());
             const bool is_rejected = fault == "shed" || expected != FLAGS_id;
             m_rejected += is_rejected ? 1 : 0;
             if (!is_rejected)
             {
                 ++m_runs[id];
+                if (in.has_header("Last-Event-Id") || in.has_header("Resumes"))
+                    m_resumed[id] = {{"Last-Event-Id", in.get_header_value("Last-Event-Id")},
+                                     {"Resumes", in.get_header_value("Resumes")}};
                 m_deadlines[id] = std::atol(in.get_header_value("Deadline-Ms").c_str());
             }
         }
@@ -286,7 +369,8 @@
                 return !is_close_ended;
             }
             const std::string event =
-                "id: " + std::to_string(next) + "\ndata: token " + std::to_string(next) + "\n\n";
+                "id: " + std::to_string(next) + "\ndata: token " + std::to_string(next) +
+                (FLAGS_software.empty() ? "" : " of " + FLAGS_software) + "\n\n";
             ++next;
             if (!m_server.wait_for(std::chrono::milliseconds(FLAGS_event_ms)) ||
                 !sink.write(event.data(), event.size()))
@@ -321,15 +405,33 @@
     {
         const std::lock_guard lock(m_mutex);
         m_cancelled.insert(id);
+        m_cancelled_ms[id] = steady_ms();
+    }
+
+    static long steady_ms()
+    {
+        return std::chrono::duration_cast<milliseconds>(now().time_since_epoch()).count();
+    }
+
+    static long unix_ms()
+    {
+        const auto since = std::chrono::system_clock::now().time_since_epoch();
+        return std::chrono::duration_cast<milliseconds>(since).count();
     }
 
     http_server m_server;
+    health m_health;
+    cold_phase m_cold;
+    const long m_born_ms = unix_ms();
+    std::atomic<bool> m_is_leaving{false};
     std::mutex m_mutex;
     std::mutex m_end_mutex;
     std::string m_fault;
     std::map<std::string, int> m_runs;
+    json m_resumed = json::object(); ///< what the requests that it ran say of a stream before
     std::map<std::string, long> m_deadlines;
     std::set<std::string> m_cancelled;
+    std::map<std::string, long> m_cancelled_ms; ///< when it stopped work, on the steady clock
     std::string m_said_name; ///< header that it adds to all answers; empty for none
     std::string m_said_value;
     std::vector<long> m_arrivals_ms; ///< times of the requests since it was told its header
--- a/standins/support/http_server.cpp
+++ b/standins/support/http_server.cpp
@@ -6,6 +6,7 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <csignal>
 #include <cstdlib>
@@ -21,7 +22,7 @@
 {
 
 constexpr int poll_interval_ms = 20;
-constexpr int idle_timeout_ms = 600'000;
+constexpr std::chrono::seconds default_idle_timeout{600};
 constexpr std::size_t max_keep_alive_requests = 1'000'000;
 
 thread_local int current_socket = -1;
@@ -62,8 +63,9 @@
 class socket_stream final : public httplib::Stream
 {
   public:
-    socket_stream(int socket, const std::atomic<bool>& stopping)
-        : m_socket(socket), m_stopping(stopping)
+    socket_stream(int socket, std::chrono::milliseconds idle_timeout,
+                  const std::atomic<bool>& stopping)
+        : m_socket(socket), m_idle_timeout(idle_timeout), m_stopping(stopping)
     {
     }
 
@@ -109,7 +111,8 @@
 
     bool wait(short events) const
     {
-        for (int waited = 0; waited < idle_timeout_ms && !m_stopping; waited += poll_interval_ms)
+        for (int waited = 0; waited < m_idle_timeout.count() && !m_stopping;
+             waited += poll_interval_ms)
         {
             pollfd entry{m_socket, events, 0};
             if (::poll(&entry, 1, poll_interval_ms) > 0)
@@ -121,6 +124,7 @@
     }
 
     int m_socket;
+    std::chrono::milliseconds m_idle_timeout;
     const std::atomic<bool>& m_stopping;
 };
 
@@ -184,7 +188,7 @@
     static_cast<void>(::connect(m_socket, &none, sizeof(none)));
 }
 
-http_server::http_server()
+http_server::http_server() : m_idle_timeout(default_idle_timeout)
 {
     // Threads inherit the mask, so only sigwait() in run() receives these signals.
     const sigset_t signals = termination_signals();
@@ -193,7 +197,7 @@
     set_tcp_nodelay(true);
     // These only set the Keep-Alive header; socket_stream applies the same idle timeout.
     set_keep_alive_max_count(max_keep_alive_requests);
-    set_keep_alive_timeout(idle_timeout_ms / 1000);
+    set_keep_alive_timeout(default_idle_timeout.count());
     // The default options of httplib allow two servers on one port, which would hide a port
     // conflict in a test.
     set_socket_options(
@@ -205,6 +209,13 @@
         });
 }
 
+void http_server::set_idle_timeout(std::chrono::seconds timeout)
+{
+    constexpr std::chrono::seconds min_timeout{1};
+    m_idle_timeout = std::max(timeout, min_timeout);
+    set_keep_alive_timeout(std::max(timeout, min_timeout).count());
+}
+
 int http_server::run(const std::string& address, const std::string& relayed_address)
 {
     const host_port where = parse_host_port(address);
@@ -270,7 +281,7 @@
 bool http_server::process_and_close_socket(socket_t socket)
 {
     current_socket = socket;
-    socket_stream stream(socket, m_stopping);
+    socket_stream stream(socket, m_idle_timeout, m_stopping);
     bool closed = false;
     while (!closed && stream.is_readable())
     {
--- a/standins/support/http_server.hpp
+++ b/standins/support/http_server.hpp
@@ -64,6 +64,10 @@
     /// @return exit status of the program
     int run(const std::string& address, const std::string& relayed_address = "");
 
+    /// @brief Closes idle connections after this time, and says so; by default after 10 minutes.
+    /// At zero the handlers say `Connection: close`.
+    void set_idle_timeout(std::chrono::seconds timeout);
+
     /// @brief Whether SIGTERM or SIGINT has arrived; every wait in a handler checks this.
     bool is_stopping() const { return m_stopping; }
 
@@ -78,6 +82,7 @@
     bool process_and_close_socket(socket_t socket) override;
 
     std::atomic<bool> m_stopping{false};
+    std::chrono::milliseconds m_idle_timeout;
     socket_t m_listener = INVALID_SOCKET;
 };
 
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 namespace snipeplank::tests
 {
@@ -19,6 +20,9 @@
 namespace
 {
 
+constexpr double warmup_overshoot = 1.5;
+constexpr double warmup_slack = 3;
+
 std::string zone_of(const std::string& region)
 {
     return region + "-a";
@@ -40,6 +44,16 @@
             {"AllowedRegions", regions}};
 }
 
+json service(const std::string& name, const fleet_configuration& config)
+{
+    json made{{"Name", name},
+              {"WarmupS", static_cast<double>(config.warmup.count()) / 1'000},
+              {"WarmupPerS", config.warmup_rate}};
+    if (!config.health_path.empty())
+        made["HealthPath"] = config.health_path;
+    return made;
+}
+
 std::string item_target(const std::string& key)
 {
     return http::request_target("/standin/item").add("Key", key).text();
@@ -47,6 +61,11 @@
 
 } // namespace
 
+std::size_t cold_bound(const fleet_configuration& config)
+{
+    return static_cast<std::size_t>(config.warmup_rate * warmup_overshoot + warmup_slack);
+}
+
 machine_fleet::machine_fleet(const std::vector<std::string>& regions, store_path path,
                              retry_settings retries)
     : m_retries(retries)
@@ -125,7 +144,9 @@
                          {{"GraceS", m_grace.count()},
                           {"RetryRatio", m_allows_retries ? m_retries.ratio : 0},
                           {"RetrySlack", m_allows_retries ? m_retries.slack : 0},
-                          {"RetryWindowS", 10}}},
+                          {"RetryWindowS", 10},
+                          {"WarmupOvershoot", warmup_overshoot},
+                          {"WarmupSlack", warmup_slack}}},
                         {"Provider", {{"Address", store_address()}}}};
     std::ofstream(node.settings_path) << settings.dump();
 }
@@ -159,19 +180,37 @@
     return *m_servers.back();
 }
 
+void machine_fleet::restart_server(standin& server, const std::string& id,
+                                   std::chrono::milliseconds pause,
+                                   const std::vector<std::string>& more)
+{
+    server.process().kill();
+    std::this_thread::sleep_for(pause);
+    std::vector<std::string> arguments{"--id", id, "--address", server.address()};
+    arguments.insert(arguments.end(), more.begin(), more.end());
+    server.restart(arguments);
+}
+
+void machine_fleet::publish_server(const server_entry& entry) const
+{
+    json document{{"Service", entry.service},
+                  {"Address", entry.address},
+                  {"Zone", zone_of(entry.region)},
+                  {"Slots", 6},
+                  {"Version", entry.version},
+                  {"State", entry.state},
+                  {"WarmupLeftMs", entry.cold_for.count()},
+                  {"Sequence", entry.sequence}};
+    if (entry.born_ms > 0)
+        document["born"] = entry.born_ms;
+    put("servers/" + entry.id, document.dump());
+}
+
 void machine_fleet::publish_server(const std::string& id, const std::string& service,
                                    const std::string& region, const std::string& address,
                                    const std::string& state) const
 {
-    put("servers/" + id, json{{"Service", service},
-                              {"Address", address},
-                              {"Zone", zone_of(region)},
-                              {"Slots", 6},
-                              {"Version", "v1"},
-                              {"State", state},
-                              {"WarmupLeftMs", 0},
-                              {"Sequence", 1}}
-                             .dump());
+    publish_server({id, service, region, address, state});
 }
 
 standin& machine_fleet::add_server(const std::string& id, const std::string& service,
@@ -200,9 +239,8 @@
                     route("/book/", "non_idempotent", config.book_service, config, anywhere),
                     route("/read/", "idempotent", config.read_service, config, bound)}},
                   {"Services",
-                   {{{"Name", "model"}, {"Engine", {{"Slots", 64}, {"KvCapacity", 444'000}}}},
-                    {{"Name", "shop"}},
-                    {{"Name", "stall"}}}}};
+                   {service("model", config), service("shop", config), service("stall", config)}}};
+    document["Services"][0]["Engine"] = {{"Slots", 64}, {"KvCapacity", 444'000}};
     if (config.idle_timeout.count() > 0)
         document["Limits"] = {{"IdleTimeoutMs", config.idle_timeout.count()}};
     put("op/config", document.dump());
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -49,6 +49,26 @@
     std::string stream_service = "model";
     std::string book_service = "shop";
     std::string read_service = "shop";
+    std::string health_path;             ///< of all services; empty for none
+    std::chrono::milliseconds warmup{0}; ///< after the start of a server of any service
+    double warmup_rate = 0;              ///< requests/s that a cold server tolerates; 0: any number
+};
+
+/// @brief Requests in one second that the rules allow a cold server.
+std::size_t cold_bound(const fleet_configuration& config);
+
+/// @brief What the entry of a server says.
+struct server_entry
+{
+    std::string id;
+    std::string service;
+    std::string region;
+    std::string address;
+    std::string state = "ready";
+    std::string version = "v1"; ///< of its software
+    std::chrono::milliseconds cold_for{0};
+    long born_ms = 0; ///< Unix time of its start; 0 for an entry without it
+    int sequence = 1;
 };
 
 /// @brief Bound on the retries of all nodes. A node that has just started has no part of the slack,
@@ -80,7 +100,14 @@
     standin& start_server(const std::string& id, int work_ms = 0,
                           const std::vector<std::string>& more = {});
 
+    /// @brief Ends a server and starts its next run, with its id and address. Its entry stays.
+    /// @param pause from the end to the start
+    /// @param more arguments of the next run
+    void restart_server(standin& server, const std::string& id, std::chrono::milliseconds pause,
+                        const std::vector<std::string>& more);
+
     /// @brief Writes the entry of a server.
+    void publish_server(const server_entry& entry) const;
     void publish_server(const std::string& id, const std::string& service,
                         const std::string& region, const std::string& address,
                         const std::string& state) const;
@@ -117,6 +144,7 @@
     void start_node(std::size_t index);
     void start_nodes();
     machine_node& node(std::size_t index) { return m_nodes.at(index); }
+    std::size_t node_count() const { return m_nodes.size(); }
 
     /// @brief Waits until every node takes its share of the bounds that apply to all nodes.
     void wait_until_sharing();
--- a/tests/support/standin.cpp
+++ b/tests/support/standin.cpp
@@ -6,9 +6,16 @@
 {
 
 standin::standin(const std::string& program, const std::vector<std::string>& arguments)
-    : m_process(program, arguments)
+    : m_program(program)
 {
-    const std::vector<std::string> words = m_process.wait_ready_words();
+    restart(arguments);
+}
+
+void standin::restart(const std::vector<std::string>& arguments)
+{
+    m_process.reset();
+    m_process = std::make_unique<child_process>(m_program, arguments);
+    const std::vector<std::string> words = m_process->wait_ready_words();
     m_address = words.front();
     m_control = words.back();
 }
--- a/tests/support/standin.hpp
+++ b/tests/support/standin.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -45,10 +46,14 @@
     /// @brief The JSON document at `path`.
     nlohmann::json get_json(const std::string& path) const;
 
-    child_process& process() { return m_process; }
+    child_process& process() { return *m_process; }
+
+    /// @brief Starts the program again after its process has ended.
+    void restart(const std::vector<std::string>& arguments);
 
   private:
-    child_process m_process;
+    std::string m_program;
+    std::unique_ptr<child_process> m_process;
     std::string m_address;
     std::string m_control;
 };
