soak: a cut of a late request whose server was at work in the last sixth of the grace is no loss

RULES.md (LOST) does not count a request that was sent no later than 3 s after SIGTERM if the server was still at work on it in the last sixth of GraceS.

The check now takes the server's record: it excuses a request that was sent from the signal until 3 s after it, whose server stopped work in the last sixth, and nothing else (rows for both sides of each limit; a request that was sent before the signal stays a failure, as no trace shows such a cut).

--- a/tests/soak/soak_verdict.cpp
+++ b/tests/soak/soak_verdict.cpp
@@ -151,6 +151,28 @@
                        });
 }
 
+/// Whether the server was still at work in the last sixth of the grace, on a request that was sent
+/// up to three seconds after the stop signal. The rules do not count these.
+bool is_late_work(const soak_record& record, const call_record& call)
+{
+    constexpr std::chrono::seconds latest_sent = 3s;
+    constexpr std::chrono::milliseconds last_sixth = stop_grace - stop_grace / 6;
+    return std::any_of(record.stops.begin(), record.stops.end(),
+                       [&](const node_stop& stop)
+                       {
+                           if (stop.node != call.node || call.sent < stop.at ||
+                               call.sent > stop.at + latest_sent)
+                               return false;
+                           return std::any_of(record.servers.begin(), record.servers.end(),
+                                              [&](const server_record& each)
+                                              {
+                                                  const auto found = each.cancelled.find(call.id);
+                                                  return found != each.cancelled.end() &&
+                                                         found->second >= stop.at + last_sixth;
+                                              });
+                       });
+}
+
 std::string describe_end_of_work(const soak_record& record, const call_record& call, soak_time from)
 {
     std::string text;
@@ -184,7 +206,7 @@
     const bool was_accepted =
         call.answer.close != connection_close::before_request || runs_of(record, call.id) > 0;
     if (!was_accepted || crosses_idle_close(record, call) || is_past_limit(record, call) ||
-        is_past_grace(record, call))
+        is_past_grace(record, call) || is_late_work(record, call))
         return {};
     const std::string where = call.answer.status == 0 ? "got neither an answer nor a refusal"
                                                       : "was cut off inside its answer";
--- a/tests/soak_verdict_test.cpp
+++ b/tests/soak_verdict_test.cpp
@@ -158,6 +158,48 @@
     CHECK_FALSE(violations_of(cut_off, {}, {}, {{1, start - 4s, start + 4s}}).empty());
 }
 
+// Fails when a cut is reported although its server was at work in the last sixth of the grace on a
+// request that was sent up to three seconds after the stop signal, or any other one is not (soak
+// seed 81000).
+TEST(soak_verdict, work_in_the_last_sixth_of_the_grace_excuses_a_cut)
+{
+    struct late_row
+    {
+        const char* name;
+        std::chrono::milliseconds sent;
+        std::optional<std::chrono::milliseconds> cancelled; ///< when the server stopped work
+        std::size_t node;                                   ///< that was told to stop
+        bool is_violation;
+    };
+    const late_row late_rows[] = {
+        {"sent at the last moment", 3'000ms, 7'000ms, 1, false},
+        {"sent later", 3'001ms, 7'000ms, 1, true},
+        {"sent before the signal", -1ms, 7'000ms, 1, true},
+        {"cancelled at the begin of the last sixth", 2'400ms, 6'667ms, 1, false},
+        {"cancelled earlier", 2'400ms, 6'666ms, 1, true},
+        {"no server was at work", 2'400ms, std::nullopt, 1, true},
+        {"another node stops", 2'400ms, 7'000ms, 0, true},
+    };
+    for (const late_row& each : late_rows)
+    {
+        soak_record seen;
+        seen.is_planned = true;
+        seen.servers = {{"s1", "home", {{"a", 1}}}};
+        if (each.cancelled)
+            seen.servers[0].cancelled["a"] = start + *each.cancelled;
+        seen.stops = {{each.node, start, start + 8s}};
+        seen.calls = {{"a",
+                       call_kind::stream,
+                       start + each.sent,
+                       answer(200, two_events, answer_end::truncated),
+                       start + 7s,
+                       20s,
+                       1,
+                       {}}};
+        CHECK_EQUAL_TEXT(each.is_violation, !find_violations(seen).empty(), each.name);
+    }
+}
+
 // Fails when a request that crosses the close of an idle connection is reported (soak seeds 5010,
 // 5013, 5016, 5022, 5025, 5034), or when any other unread request is not.
 TEST(soak_verdict, only_a_request_that_crosses_the_close_at_the_idle_limit_is_excused)
