serving: unbroken contact counts as of the arrival of bytes, on every connection

A connection on which bytes arrive shows one process from its opening until then, proven or not. An answer without a word is asked again after 100 ms.

--- a/packages/policy/include/snipeplank/policy/process_proof.hpp
+++ b/packages/policy/include/snipeplank/policy/process_proof.hpp
@@ -43,8 +43,11 @@
     static constexpr core::milliseconds shortest_restart{500};
     /// Longest time that a process is given to say which one it is.
     static constexpr core::milliseconds verification_time{400};
-    /// A process that gave no usable answer is asked again after this time.
+    /// A process that gave no answer is asked again after this time.
     static constexpr core::milliseconds retry_interval{250};
+    /// One whose answer says nothing is asked again after this time, so that moderate traffic keeps
+    /// contact with it.
+    static constexpr core::milliseconds short_retry_interval{100};
 
     /// @brief Whether the process behind the connection was warm already: it was proven on this
     /// connection, it has been open for as long as a warm-up lasts, or the process that accepted it
@@ -53,8 +56,9 @@
     bool is_proven(const connection_record& connection, core::milliseconds warmup,
                    core::time_point doubted_at, core::time_point now) const;
 
-    /// @brief Records that the upstream accepted a connection.
-    void on_contact(core::time_point opened_at);
+    /// @brief Records that one process was behind a connection from its opening on.
+    /// @param sent_after a time at which the process still ran
+    void on_contact(core::time_point opened_at, core::time_point sent_after);
 
     /// @brief Records that bytes came on a connection that was proven at `proven_at`.
     /// @param sent_after a time at which the process still ran
@@ -73,7 +77,8 @@
     void end_verification() { m_verification_ends.reset(); }
 
     /// @brief Ends a verification without a usable answer.
-    void end_without_answer(core::time_point now);
+    /// @param was_answered there was an answer that says nothing
+    void end_in_vain(bool was_answered, core::time_point now);
 
     /// @brief Whether the process gave no usable answer a moment ago.
     bool is_unverified(core::time_point now) const { return now < m_ask_again_at; }
@@ -81,8 +86,8 @@
   private:
     /// When a proven process was last known to run.
     std::optional<core::time_point> m_seen_running_at;
-    /// The upstream accepted connections between these times without a gap in which its process
-    /// could have been replaced.
+    /// Between these times there was no gap in which the upstream's process could have been
+    /// replaced.
     std::optional<core::time_point> m_contact_since;
     core::time_point m_last_contact{};
     std::optional<core::time_point> m_verification_ends;
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -174,10 +174,9 @@
     admission admit(const upstream_id& target, policy::connection_record& over,
                     core::time_point now);
 
-    /// @brief Records that bytes have just been read on a proven connection.
-    /// @param proven_at when the connection was last proven
+    /// @brief Records that bytes have just been read on a connection.
     /// @param arrived_after a time after which they arrived
-    void on_received(const upstream_id& target, core::time_point proven_at,
+    void on_received(const upstream_id& target, const policy::connection_record& over,
                      core::time_point arrived_after, core::time_point now);
 
     /// @brief Records that the node runs; called every `policy::pause_watch::tick_interval`. What
@@ -197,7 +196,8 @@
                      core::time_point now);
 
     /// @brief Records that a process was asked in vain.
-    void on_unverified(const upstream_id& target, core::time_point now);
+    /// @param was_answered it gave an answer that says nothing
+    void on_unverified(const upstream_id& target, bool was_answered, core::time_point now);
 
     /// @brief Records that a process was not given its time to answer.
     void on_verification_cancelled(const upstream_id& target);
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -311,8 +311,9 @@
         local.target,
         [this] { return remaining(); },
         [this, id = local.target.id](policy::connection_record& over) { return admit(id, over); },
-        [this, id = local.target.id](core::time_point proven_at, core::time_point arrived_after)
-        { m_environment.places.on_received(id, proven_at, arrived_after, now()); },
+        [this, id = local.target.id](const policy::connection_record& over,
+                                     core::time_point arrived_after)
+        { m_environment.places.on_received(id, over, arrived_after, now()); },
         [this](core::duration spent) { m_environment.places.add_delay(*m_attempt_number, spent); },
         process_check({m_environment.loop, m_environment.places, m_environment.upstreams,
                        m_environment.statistics, local.target, health_path()}),
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -152,16 +152,18 @@
     }
 
     /// A byte is read, or a pause of the node is noticed, within `longest_gap` of its arrival.
-    void on_received(const upstream_id& target, core::time_point proven_at,
+    void on_received(const upstream_id& target, const policy::connection_record& over,
                      core::time_point arrived_after, core::time_point now)
     {
         const auto found = m_upstreams.find(target);
         if (found == m_upstreams.end())
             return;
         m_pauses.check(now);
-        found->second.proof.on_received(
-            proven_at, m_pauses.resumed_at(),
-            std::max(arrived_after, now - policy::pause_watch::longest_gap));
+        const core::time_point sent_after =
+            std::max<core::time_point>(arrived_after, now - policy::pause_watch::longest_gap);
+        found->second.proof.on_contact(over.opened_at, sent_after);
+        if (over.proven_at)
+            found->second.proof.on_received(*over.proven_at, m_pauses.resumed_at(), sent_after);
     }
 
     policy::verification_turn begin_verification(const upstream_id& target, core::time_point now)
@@ -193,11 +195,11 @@
                                 std::max(asked_at, now - policy::pause_watch::longest_gap));
     }
 
-    void on_unverified(const upstream_id& target, core::time_point now)
+    void on_unverified(const upstream_id& target, bool was_answered, core::time_point now)
     {
         const auto found = m_upstreams.find(target);
         if (found != m_upstreams.end())
-            found->second.proof.end_without_answer(now);
+            found->second.proof.end_in_vain(was_answered, now);
     }
 
     void on_verification_cancelled(const upstream_id& target)
@@ -418,7 +420,7 @@
             return true;
         m_pauses.check(now);
         known.warmup.on_reachable(offered->warmup, now);
-        known.proof.on_contact(over.opened_at);
+        known.proof.on_contact(over.opened_at, over.opened_at);
         if (!known.proof.is_proven(over, offered->warmup + policy::warmup_tracker::margin,
                                    m_pauses.resumed_at(), now))
             return false;
@@ -734,10 +736,10 @@
     return m_state->admit(target, over, now);
 }
 
-void placement::on_received(const upstream_id& target, core::time_point proven_at,
+void placement::on_received(const upstream_id& target, const policy::connection_record& over,
                             core::time_point arrived_after, core::time_point now)
 {
-    m_state->on_received(target, proven_at, arrived_after, now);
+    m_state->on_received(target, over, arrived_after, now);
 }
 
 void placement::on_tick(core::time_point now)
@@ -763,9 +765,9 @@
     m_state->on_verified(target, cold_for, asked_at, over, now);
 }
 
-void placement::on_unverified(const upstream_id& target, core::time_point now)
+void placement::on_unverified(const upstream_id& target, bool was_answered, core::time_point now)
 {
-    m_state->on_unverified(target, now);
+    m_state->on_unverified(target, was_answered, now);
 }
 
 void placement::on_verification_cancelled(const upstream_id& target)
--- a/packages/serving/src/process_check.cpp
+++ b/packages/serving/src/process_check.cpp
@@ -34,7 +34,7 @@
         co_return check_end::gave_up;
     if (m_parts.path.empty())
     {
-        m_parts.places.on_unverified(m_parts.target.id, now());
+        m_parts.places.on_unverified(m_parts.target.id, false, now());
         co_return check_end::gave_up;
     }
     switch (m_parts.places.begin_verification(m_parts.target.id, now()))
@@ -64,7 +64,7 @@
                                               core::milliseconds limit)
 {
     const core::time_point asked_at = now();
-    const process_answer answer = co_await exchange(over, limit);
+    const process_answer answer = co_await exchange(over, record, limit);
     m_idle_time = answer.idle_time;
     const bool is_usable = over.is_reusable() && !answer.is_mismatched;
     if (!is_usable)
@@ -78,7 +78,7 @@
     if (!answer.is_of_target)
     {
         m_parts.statistics.count_verification(verification_result::no_answer);
-        m_parts.places.on_unverified(m_parts.target.id, now());
+        m_parts.places.on_unverified(m_parts.target.id, is_usable, now());
         co_return check_end::gave_up;
     }
     m_parts.statistics.count_verification(answer.cold_for.count() > 0 ? verification_result::cold
@@ -89,6 +89,7 @@
 
 /// An answer counts only when it is whole.
 asio::awaitable<process_answer> process_check::exchange(http::client_connection& over,
+                                                        const policy::connection_record& record,
                                                         core::milliseconds limit)
 {
     ++m_questions;
@@ -98,6 +99,8 @@
     const auto head = co_await over.read_head();
     if (!head)
         co_return process_answer{};
+    if (const auto arrived_after = over.arrived_after())
+        m_parts.places.on_received(m_parts.target.id, record, *arrived_after, now());
     const auto dropped = co_await drop_body(over);
     over.stop_timer();
     if (!dropped)
--- a/packages/serving/src/process_check.hpp
+++ b/packages/serving/src/process_check.hpp
@@ -66,6 +66,7 @@
     boost::asio::awaitable<check_end>
     ask(http::client_connection& over, policy::connection_record& record, core::milliseconds limit);
     boost::asio::awaitable<process_answer> exchange(http::client_connection& over,
+                                                    const policy::connection_record& record,
                                                     core::milliseconds limit);
     boost::asio::awaitable<check_end> wait(http::client_connection& over);
 
--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -108,7 +108,7 @@
     m_parts.on_checked(now() - began);
     m_is_reused = m_is_reused || m_parts.check.has_asked();
     has_lost_connection = checked == check_end::lost_connection;
-    m_proven_at = record.proven_at;
+    m_record = record;
     if (record.proven_at)
         m_link->set_verified_at(*record.proven_at);
     if (admitted == admission::unverified && m_link->is_reusable())
@@ -193,9 +193,8 @@
 
 void upstream_attempt::record_received()
 {
-    const auto arrived_after = m_link->arrived_after();
-    if (m_proven_at && arrived_after)
-        m_parts.on_received(*m_proven_at, *arrived_after);
+    if (const auto arrived_after = m_link->arrived_after())
+        m_parts.on_received(m_record, *arrived_after);
 }
 
 void upstream_attempt::cancel()
--- a/packages/serving/src/upstream_attempt.hpp
+++ b/packages/serving/src/upstream_attempt.hpp
@@ -28,9 +28,8 @@
     std::function<core::milliseconds()> remaining; ///< time until the deadline
     /// Called right before the first byte is sent.
     std::function<admission(policy::connection_record&)> admit;
-    /// Called when bytes were read on a proven connection, with the time when it was proven and
-    /// one after which the bytes arrived.
-    std::function<void(core::time_point, core::time_point)> on_received;
+    /// Called when bytes were read on a connection, with a time after which they arrived.
+    std::function<void(const policy::connection_record&, core::time_point)> on_received;
     /// Called with the time that a check took.
     std::function<void(core::duration)> on_checked;
     process_check check;
@@ -60,7 +59,7 @@
 
     upstream_attempt_parts m_parts;
     http::connection_pool::owned m_link;
-    std::optional<core::time_point> m_proven_at; ///< of the connection
+    policy::connection_record m_record; ///< of the connection
     core::milliseconds m_idle_time{0};
     bool m_is_reused = false; ///< the connection carried another request before
     bool m_is_reusable = true;
