serving: an upstream that says nothing of itself is proven by the connections that are used on

An upstream that gives no usable answer to the question which process it is was proven only by new connections without a gap; a node that reuses its connections opened too few.

What is read from a connection that was opened or proven before a refusal, a crash or the report of another run proves nothing of others any more: it may have waited at the node since the process ended.

--- a/packages/serving/src/load_model.hpp
+++ b/packages/serving/src/load_model.hpp
@@ -15,7 +15,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 
 namespace snipeplank::serving
 {
@@ -100,8 +99,7 @@
     double running_before = 0;
     double prefill_tokens = 0;
     double kv_cache_tokens = 0;
-    /// When its connection was last proven to lead to a warm process.
-    std::optional<core::time_point> proven_at;
+    policy::connection_record over; ///< as of the sending
 };
 
 /// @brief Holds loads and learned speeds and predicts the costs that placement compares.
