--- a/packages/gateway/src/ticket_issuer.cpp
+++ b/packages/gateway/src/ticket_issuer.cpp
@@ -137,7 +137,8 @@
                           body.size() > max_framed_answer_bytes && to.entry != m_parts.self.node;
     if (!is_large)
         return false;
-    send_to_entry(to, wire::call_head{to.number, outcome.answer.status, outcome.answer.headers, {}});
+    send_to_entry(to,
+                  wire::call_head{to.number, outcome.answer.status, outcome.answer.headers, {}});
     for (std::size_t offset = 0; offset < body.size(); offset += chunk_bytes)
     {
         send_to_entry(
