--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -447,6 +447,14 @@
         m_streams.set_upstreams(m_published, std::chrono::steady_clock::now());
     }
 
+    /// @brief Takes an upstream off the list.
+    void withdraw(const std::string& id)
+    {
+        m_published.erase(upstream_id{id});
+        m_places.set_upstreams(m_published, std::chrono::steady_clock::now());
+        m_streams.set_upstreams(m_published, std::chrono::steady_clock::now());
+    }
+
     /// @brief What the node knows of streams, to connect it with that of another node.
     stream_directory& streams() { return m_streams; }
     memory_origin_network& origins() { return m_origins; }
--- a/packages/serving/tests/stream_version_test.cpp
+++ b/packages/serving/tests/stream_version_test.cpp
@@ -136,6 +136,28 @@
     }
 }
 
+// Fails when a stream whose software version is listed no more waits for an upstream that cannot
+// come, goes on at another version, or is not refused as not run when a client takes it up.
+TEST(stream_version, a_stream_whose_version_is_gone_ends_at_once)
+{
+    call_fixture node(many_retries);
+    scripted_upstream first(node.loop, {beginning(answer_end::reset)});
+    scripted_upstream other(node.loop, {rest()});
+    node.set_route(streaming_route(3));
+    node.publish("i-1", first.address());
+    const recorded_exchange& begun = node.start("a");
+    node.run_for(100ms);
+    node.publish("i-2", other.address(), false, "v2");
+    node.withdraw("i-1");
+    node.run_for(500ms);
+    CHECK_TRUE_TEXT(begun.is_over, "ended at once");
+    CHECK_FALSE_TEXT(begun.is_finished, begun.describe().c_str());
+    const recorded_exchange& taken_up = node.take_up("b", "a", "2");
+    node.run_for(300ms);
+    CHECK_TRUE_TEXT(taken_up.is(503, "stream_version_gone"), taken_up.describe().c_str());
+    UNSIGNED_LONGS_EQUAL(0, other.requests().size());
+}
+
 // Fails when a client's take-up at another node than the one that served the beginning of the
 // stream is refused, or goes on at another software version (ORDER and LOST, issue 49).
 TEST(stream_version, a_client_takes_a_stream_up_at_another_node)
