--- a/standins/server/cold_phase.hpp
+++ b/standins/server/cold_phase.hpp
@@ -4,6 +4,7 @@
 #ifndef SNIPEPLANK_STANDINS_SERVER_COLD_PHASE_HPP
 #define SNIPEPLANK_STANDINS_SERVER_COLD_PHASE_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <mutex>
 #include <vector>
@@ -40,6 +41,53 @@
     std::size_t m_most = 0;
 };
 
+inline void cold_phase::begin(std::chrono::milliseconds duration)
+{
+    const std::lock_guard lock(m_mutex);
+    m_until = clock::now() + duration;
+    m_arrivals.clear();
+    m_most = 0;
+}
+
+inline std::chrono::milliseconds cold_phase::remaining() const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::max(std::chrono::milliseconds{0},
+                    std::chrono::duration_cast<std::chrono::milliseconds>(m_until - clock::now()));
+}
+
+inline std::size_t cold_phase::on_arrival()
+{
+    const std::lock_guard lock(m_mutex);
+    const clock::time_point now = clock::now();
+    if (now >= m_until)
+        return 0;
+    m_arrivals.push_back(now);
+    const auto begin =
+        std::upper_bound(m_arrivals.begin(), m_arrivals.end(), now - std::chrono::seconds(1));
+    const auto count = static_cast<std::size_t>(m_arrivals.end() - begin);
+    m_most = std::max(m_most, count);
+    return count;
+}
+
+inline std::size_t cold_phase::most() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_most;
+}
+
+inline std::vector<long> cold_phase::arrivals_ms() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<long> times;
+    for (const clock::time_point each : m_arrivals)
+    {
+        times.push_back(
+            std::chrono::duration_cast<std::chrono::milliseconds>(each.time_since_epoch()).count());
+    }
+    return times;
+}
+
 } // namespace snipeplank::standins
 
 #endif
