stream versions: a node that did not run for a while watches the versions anew

Its list may be an old one when it wakes up, and versions may have come and gone unseen. A gap of over 2 s between two checks (250 ms apart) begins the watch anew, as a published state that does not answer does. The clock is the steady one: a suspension that it does not count is not seen.

--- a/packages/policy/include/snipeplank/policy/version_history.hpp
+++ b/packages/policy/include/snipeplank/policy/version_history.hpp
@@ -36,7 +36,11 @@
 
     /// @brief Records that versions may have come and gone unseen until now. The first list that
     /// follows may still be an old one.
-    void interrupt(core::time_point now) { m_began = now; }
+    void interrupt(core::time_point now)
+    {
+        if (m_began)
+            m_began = now;
+    }
 
     /// @brief The only version at which a stream of the service can have begun; nothing if there
     /// may be several, or if the node hasn't watched for long enough to know.
--- a/packages/policy/tests/stream_origins_test.cpp
+++ b/packages/policy/tests/stream_origins_test.cpp
@@ -135,7 +135,9 @@
 {
     const service_key name{1};
     version_history seen;
+    seen.interrupt(start - 60s);
     seen.observe({{name, {v1}}}, start);
+    CHECK_FALSE(seen.only_version(name, 8s, start + 1s).has_value());
     CHECK_TRUE(seen.only_version(name, 8s, start + 60s) == v1);
     seen.interrupt(start + 60s);
     seen.observe({{name, {v1}}}, start + 60s);
--- a/packages/serving/src/stream_directory.cpp
+++ b/packages/serving/src/stream_directory.cpp
@@ -13,6 +13,9 @@
 /// Clients may wait longer than the routes say.
 constexpr core::milliseconds min_lifetime{10'000};
 
+/// A node that did not check its list for longer did not run, and may still have an old one.
+constexpr core::milliseconds max_check_gap{2'000};
+
 policy::service_key key_of(const core::service_id& service)
 {
     return policy::service_key{fleet::service_key(service)};
@@ -115,7 +118,8 @@
 
 void stream_directory::check_versions(core::time_point now)
 {
-    if (!m_is_list_current())
+    const core::time_point last_check = std::exchange(m_checked_at, now);
+    if (!m_is_list_current() || now - last_check > max_check_gap)
         interrupt(now);
     std::set<policy::software_version_key> begins_to_differ;
     for (const auto& [service, version] : m_untold)
--- a/packages/serving/src/stream_directory.hpp
+++ b/packages/serving/src/stream_directory.hpp
@@ -210,6 +210,7 @@
     core::milliseconds m_longest_begun{0}; ///< longest time for which a stream could be taken up
     /// Services of which origins are not told, with the only version, when last checked.
     std::map<policy::service_key, policy::software_version_key> m_untold;
+    core::time_point m_checked_at{};
     std::map<core::address, queue> m_queues;
     std::multimap<policy::stream_key, std::weak_ptr<origin_question>> m_questions;
     directory_counters m_counters;
--- a/packages/serving/tests/stream_directory_test.cpp
+++ b/packages/serving/tests/stream_directory_test.cpp
@@ -184,6 +184,17 @@
     CHECK_TRUE(fleet.find(3, "x").version == lm_version("v1"));
 }
 
+// Fails when a node that did not run for a while relies on what it saw before: its list may be old.
+TEST(stream_directory, a_node_that_did_not_run_infers_nothing)
+{
+    directory_fleet fleet(three_regions);
+    fleet.publish(list_of({"v1"}));
+    fleet.run_for(long_watch);
+    STRCMP_EQUAL("only_version", name_of(fleet.find(3, "x")));
+    fleet.at(3).check_versions(fleet.now() + 3s);
+    STRCMP_EQUAL("told_only_version", name_of(fleet.find(3, "x")));
+}
+
 // Fails when the messages about streams grow beyond what their batches allow.
 TEST(stream_directory, origins_are_told_in_batches)
 {
