--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -27,6 +27,7 @@
 #include "peer_calls.hpp"
 #include "serving_end.hpp"
 #include "stream_directory.hpp"
+#include "suspension_watch.hpp"
 
 namespace snipeplank::serving
 {
@@ -537,8 +538,11 @@
 
     void run_ticks()
     {
-        if (m_environment.suspensions->take_suspension())
+        if (m_suspensions.take_suspension())
+        {
             m_placement.on_resumed(now());
+            m_streams.interrupt(now());
+        }
         m_placement.on_tick(now());
         m_ticks.expires_after(policy::pause_watch::tick_interval);
         m_ticks.async_wait(
@@ -689,6 +693,7 @@
     load_exchange m_loads;
     fleet_link m_fleet;
     stream_directory m_streams;
+    suspension_watch m_suspensions; ///< of the ticks; calls look by themselves
     peer_calls m_peers;
     call_environment m_environment;
     function_handler m_calls;
