--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -511,18 +511,29 @@
 TEST(placement, bytes_prove_a_process_only_as_of_their_arrival)
 {
     const upstream_id only{"i-0"};
-    for (const core::milliseconds arrived_after : {1'500ms, 1'900ms})
+    struct row
+    {
+        core::milliseconds arrived_after;
+        core::milliseconds next_opened_at;
+        admission next;
+    };
+    const row rows[] = {
+        {1'500ms, 2'200ms, admission::granted},
+        {1'500ms, 2'201ms, admission::unverified},
+        {1'900ms, 2'400ms, admission::granted},
+        {1'900ms, 2'401ms, admission::unverified},
+    };
+    for (const row& each : rows)
     {
         setup();
         subject->set_upstreams(make_upstreams(1, model), begin);
         share_among(20, 40, 3);
         policy::connection_record over{begin - 1min, std::nullopt};
         CHECK_TRUE(admission::granted == subject->admit(only, over, begin));
-        subject->on_received(only, over, begin + arrived_after, begin + 2s);
-        policy::connection_record early{begin + 2'200ms, std::nullopt};
-        CHECK_TRUE(admission::granted == subject->admit(only, early, begin + 2'200ms));
-        policy::connection_record late{begin + 2'401ms, std::nullopt};
-        CHECK_TRUE(admission::unverified == subject->admit(only, late, begin + 2'401ms));
+        subject->on_received(only, over, begin + each.arrived_after, begin + 2s);
+        const core::time_point opened_at = begin + each.next_opened_at;
+        policy::connection_record next{opened_at, std::nullopt};
+        CHECK_TRUE(each.next == subject->admit(only, next, opened_at));
     }
 }
 
