serving: a take-up of unknown origin may ask another node at once

Callers whose node was killed came back at nodes that cannot know their stream, waited a sixth of their time after each refusal, and were refused again until it had run out. Time changes nothing there; only another node may know. Retry-After is 200 ms now.

--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -41,6 +41,9 @@
 constexpr core::milliseconds max_resume_wait{2'000};
 constexpr core::milliseconds upstream_poll_interval{50};
 
+/// Retry-after of a refusal that only another node may avoid.
+constexpr core::milliseconds other_node_retry{200};
+
 /// Maps a request id to [0, 1), so that all attempts of one request use the same value.
 double uniform_value(const std::string& request_id)
 {
@@ -159,6 +162,7 @@
         co_return true;
     policy::refusal why = final_refusal();
     why.reason = policy::refusal_reason::stream_origin_unknown;
+    why.retry_after = other_node_retry;
     why.remedy = "begin the stream anew: no node knows which software version began it";
     co_await refuse(std::move(why));
     co_return false;
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -284,6 +284,7 @@
 
     http::response refuse(const caller_request&, const policy::refusal& why) const override
     {
+        last_refusal = why;
         constexpr int unavailable = 503;
         constexpr int bad_gateway = 502;
         http::response answer;
@@ -296,6 +297,8 @@
     {
         return {answer.status, {}};
     }
+
+    mutable policy::refusal last_refusal;
 };
 
 /// @brief Passes requests on unchanged; status 503 proves "not run", 500 is a failure.
@@ -442,6 +445,9 @@
                                    std::chrono::steady_clock::now());
     }
 
+    /// @brief The refusal that was sent last to a caller.
+    const policy::refusal& last_refusal() const { return m_callers.last_refusal; }
+
     /// @brief Sets the clock that tells for how long the host has been suspended.
     void set_suspended_time(std::function<core::duration()> suspended_time)
     {
--- a/packages/serving/tests/stream_version_test.cpp
+++ b/packages/serving/tests/stream_version_test.cpp
@@ -133,6 +133,8 @@
         CHECK_TRUE(taken_up.is_over);
         LONGS_EQUAL_TEXT(503, taken_up.status, taken_up.describe().c_str());
         UNSIGNED_LONGS_EQUAL(0, first.requests().size() + second.requests().size());
+        // Another node may know the origin; a longer wait changes nothing.
+        LONGS_EQUAL(200, node.last_refusal().retry_after.count());
     }
 }
 
