--- a/tests/mixed_versions_test.cpp
+++ b/tests/mixed_versions_test.cpp
@@ -105,7 +105,7 @@
 /// @return its answer, whose events are added to the stream
 http_answer take_up(taken_stream& stream, std::size_t node, const std::string& id) const
 {
-    const http_answer answer =
+    http_answer answer =
         http_call(fleet->node(node).callers, taken_up(request(id), id, stream.id, stream.events));
     if (answer.status == 200)
         stream.events += whole_events(answer.body);
@@ -229,14 +229,13 @@
             fleet->remove("servers/i-2");
         }
         fleet->start_nodes();
-        std::string wrong;
+        std::string wrong = stay ? "both versions serve: " : "the old version is gone: ";
         for (std::size_t i = 0; i < streams.size(); ++i)
         {
             break_off(streams[i]);
             const http_answer answer = take_up(streams[i], i % 2, streams[i].id + "-again");
             wrong += find_fault(streams[i], answer);
         }
-        wrong = (stay ? "both versions serve: " : "the old version is gone: ") + wrong;
         CHECK_TRUE_TEXT(wrong.ends_with(": "), (wrong + logs()).c_str());
         wait_until_used("v2");
     }
