--- a/tools/wire_bench/main.cpp
+++ b/tools/wire_bench/main.cpp
@@ -100,7 +100,7 @@
             config_request,
             config_reply,
             wire::call{number, request()},
-            wire::call_head{number, 200, request().headers},
+            wire::call_head{number, 200, request().headers, {}},
             wire::call_chunk{number, 0, std::string(chunk_bytes, 'x')},
             wire::call_end{number, chunk_bytes, 1},
             wire::call_refused{number, why},
