--- a/packages/node/src/machine_node.cpp
+++ b/packages/node/src/machine_node.cpp
@@ -110,7 +110,8 @@
     const platform::server_protocol upstreams;
     const platform::entry_protocol control;
     const auto source =
-        platform::make_store_source(loop, settings.value().store, settings.value().node.zones);
+        platform::make_store_source(loop, settings.value().store, settings.value().node.zones,
+                                    settings.value().node.accounts.revocation);
     serving::node node(loop, settings.value().node, {*source, callers, upstreams, control});
     const process_events events(loop, node, settings_path);
     if (const auto started = node.start(); !started)
--- a/packages/policy/include/snipeplank/policy/refusal.hpp
+++ b/packages/policy/include/snipeplank/policy/refusal.hpp
@@ -42,13 +42,14 @@
     answer_not_kept,
     outcome_unknown,
     internal,
-    quarantined,           ///< upstreams crashed under the request or a part of its prompt
-    upstream_throttled,    ///< the upstreams take no request now, by their own word
-    stream_origin_unknown, ///< no node knows which software version began the stream
-    stream_version_gone,   ///< no upstream of the software version that began the stream serves
+    quarantined,               ///< upstreams crashed under the request or a part of its prompt
+    upstream_throttled,        ///< the upstreams take no request now, by their own word
+    stream_origin_unknown,     ///< no node knows which software version began the stream
+    stream_version_gone,       ///< no upstream of the software version that began the stream serves
+    configuration_unconfirmed, ///< a key may have been taken away since the last confirmation
 };
 
-constexpr refusal_reason last_refusal_reason = refusal_reason::stream_version_gone;
+constexpr refusal_reason last_refusal_reason = refusal_reason::configuration_unconfirmed;
 constexpr std::size_t refusal_reason_count = static_cast<std::size_t>(last_refusal_reason) + 1;
 
 /// @brief Whether an upstream executed the refused request.
--- a/packages/policy/src/refusal.cpp
+++ b/packages/policy/src/refusal.cpp
@@ -47,6 +47,7 @@
     {"upstream_throttled", 503},
     {"stream_origin_unknown", 503},
     {"stream_version_gone", 503},
+    {"configuration_unconfirmed", 503},
 }};
 
 } // namespace
--- a/packages/serving/include/snipeplank/serving/node.hpp
+++ b/packages/serving/include/snipeplank/serving/node.hpp
@@ -7,6 +7,7 @@
 #include <snipeplank/core/error.hpp>
 #include <snipeplank/core/ids.hpp>
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/serving/account_terms.hpp>
 #include <snipeplank/serving/placement.hpp>
 #include <snipeplank/serving/protocols.hpp>
 #include <snipeplank/serving/state_source.hpp>
@@ -38,6 +39,7 @@
     std::vector<core::address> seeds; ///< peer addresses of possible nodes; some may be stale
     std::vector<std::string> fleet_keys;
     placement_bounds bounds;
+    account_terms accounts;
     core::milliseconds entry_point_lifetime{2'000};
     core::milliseconds stop_time{8'000}; ///< from the stop signal until the process is killed
 };
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -48,6 +48,7 @@
 {
     policy::node_share fleet;  ///< of bounds of the whole fleet
     policy::node_share region; ///< of bounds of the nodes of this region
+    policy::node_share quotas; ///< of the quotas of client accounts
     /// Nodes of this region that are known, for fair shares of connection limits. An upstream
     /// refuses a connection too many, so a number that is too low for a moment is tolerated.
     std::size_t known_in_region = 1;
@@ -61,6 +62,7 @@
 struct placement_request
 {
     const route* chosen = nullptr;
+    const client_account* account = nullptr; ///< null: none
     core::service_id service;
     const caller_request* caller = nullptr;
     core::milliseconds remaining{0};
@@ -71,6 +73,13 @@
     bool is_retry = false;        ///< an earlier attempt reached an upstream
     /// The only one at which the stream may go on; 0: any.
     policy::software_version_key software_version;
+
+    /// @brief Whether route and account allow a region.
+    bool may_be_served_in(const core::region_id& region) const
+    {
+        return chosen->may_be_served_in(region) &&
+               (account == nullptr || account->may_be_served_in(region));
+    }
 };
 
 /// @brief Load of one service in one region, as reported by the region's nodes.
--- a/packages/serving/include/snipeplank/serving/protocols.hpp
+++ b/packages/serving/include/snipeplank/serving/protocols.hpp
@@ -36,6 +36,8 @@
     std::optional<core::milliseconds> timeout; ///< how long the caller waits for the answer
     double prompt_tokens = 0;
     double max_output_tokens = 0;
+    bool names_tokens = false;       ///< whether the request says how many tokens it has
+    std::string key;                 ///< of its client account; empty: none
     std::vector<prompt_part> prompt; ///< in sequence; the last part is never shared
     std::string last_event_id;       ///< of a stream that the caller resumes
     /// Id of the caller's attempt that brought the first event of that stream; empty: not named.
@@ -100,6 +102,9 @@
     core::milliseconds remaining{0};
     unsigned priority = 5;
     std::string last_event_id; ///< the stream resumes after this event; empty: from the start
+    /// Where the configuration lists accounts: that of the request, or an empty name. The key of
+    /// the request is not sent then.
+    std::optional<core::account_id> account = std::nullopt;
 };
 
 /// @brief Writes requests to upstreams and reads their answers.
@@ -116,6 +121,9 @@
     virtual http::request_head resume(const http::request_head& request,
                                       const std::string& last_event_id) const = 0;
 
+    /// @brief Returns the request without the key of its client account.
+    virtual http::request_head without_key(const http::request_head& request) const = 0;
+
     /// @param request_id id of the request that was sent, to detect answers to other requests
     virtual upstream_answer_head read(const http::response_head& answer,
                                       std::string_view request_id) const = 0;
--- a/packages/serving/include/snipeplank/serving/routing_table.hpp
+++ b/packages/serving/include/snipeplank/serving/routing_table.hpp
@@ -7,6 +7,7 @@
 #include <snipeplank/core/ids.hpp>
 #include <snipeplank/core/units.hpp>
 #include <snipeplank/http/server.hpp>
+#include <snipeplank/serving/client_accounts.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -46,6 +47,7 @@
     unsigned priority = 5;               ///< 0 is the most urgent
     unsigned max_attempts = 1;           ///< upstreams to which one request may be sent
     bool is_resumable = false;
+    bool is_public = false; ///< served without a key, also where the configuration lists accounts
     std::vector<weighted_service> services;
     std::vector<core::region_id> allowed_regions; ///< empty: every region
 
@@ -84,6 +86,7 @@
     std::vector<route> routes;
     std::map<core::service_id, service> services;
     http::server_limits limits;
+    account_table accounts; ///< empty: requests need no key
 
     /// @brief The route of the host with the longest prefix that matches the path, or null.
     const route* find(std::string_view host, std::string_view path) const;
--- a/packages/serving/include/snipeplank/serving/state_feed.hpp
+++ b/packages/serving/include/snipeplank/serving/state_feed.hpp
@@ -34,6 +34,8 @@
     core::milliseconds age{0};  ///< since the source last answered
     std::map<std::string, replica_changes> prefixes; ///< by key prefix; without unknown ones
     bool is_source_reachable = true;                 ///< the last read of the source succeeded
+    /// Since the answering node's configuration was confirmed; nothing: it vouches for nothing.
+    std::optional<core::milliseconds> confirmed_age = std::nullopt;
 };
 
 /// @brief What a follower has received from a node so far.
--- a/packages/serving/include/snipeplank/serving/state_source.hpp
+++ b/packages/serving/include/snipeplank/serving/state_source.hpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,10 @@
     /// @param query the peer's position, see `encode_position`; empty for everything
     virtual std::string feed(std::string_view query) const = 0;
 
+    /// @brief Time since the configuration was confirmed to be the newest one; nothing if it never
+    /// was. See `configuration_confirmation`.
+    virtual std::optional<core::milliseconds> confirmed_age() const = 0;
+
     /// @brief Whether the source was read successfully in the recent past.
     virtual bool is_reachable(core::time_point now) const = 0;
 };
--- a/packages/serving/include/snipeplank/serving/state_timing.hpp
+++ b/packages/serving/include/snipeplank/serving/state_timing.hpp
@@ -5,9 +5,13 @@
 #define SNIPEPLANK_SERVING_STATE_TIMING_HPP
 
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/serving/configuration_lease.hpp>
 #include <snipeplank/serving/replica.hpp>
 #include <snipeplank/serving/state_feed.hpp>
 
+#include <algorithm>
+#include <optional>
+
 namespace snipeplank::serving::state_timing
 {
 
@@ -17,6 +21,18 @@
 /// after this time, and a configuration must be in force 4 s after its confirmation to the
 /// operator.
 constexpr core::milliseconds watch_wait{1'500};
+/// Part of the time in which a revocation binds for which a watch of the configuration is held
+/// open. The lease of a node counts from the question: with two watches, two copies from other
+/// nodes on the way and one of them late it holds still.
+constexpr int watches_per_revocation = 7;
+
+/// @brief How long the store may hold a watch of the configuration open.
+constexpr core::milliseconds operator_watch_wait(const revocation_terms& terms)
+{
+    return terms.is_strict ? std::min(watch_wait, terms.limit / watches_per_revocation)
+                           : watch_wait;
+}
+
 /// Further time for the answer to a watch to arrive before the watch fails.
 constexpr core::milliseconds watch_response_margin{1'200};
 /// Minimum time between the starts of two watches, per node of the fleet. Servers renew their
@@ -31,6 +47,16 @@
 constexpr core::milliseconds peer_copy_interval{1'000};
 /// The same for a node that has no state yet and refuses every request.
 constexpr core::milliseconds initial_copy_interval{250};
+/// @brief Interval at which the state is copied from a peer while the store fails. Shorter in the
+/// second half of a lease: a copy from a node that has no newer confirmation does not extend it.
+/// @param age of the confirmation of the configuration
+constexpr core::milliseconds copy_interval(const revocation_terms& terms,
+                                           std::optional<core::milliseconds> age)
+{
+    const bool is_ending = terms.is_strict && age && *age > terms.limit / 2 && *age <= terms.limit;
+    return is_ending ? initial_copy_interval : peer_copy_interval;
+}
+
 /// How long reads of the store must have failed before the state is copied from a peer.
 constexpr core::milliseconds peer_copy_delay{500};
 /// Interval at which a follower asks its node for changes.
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -63,7 +63,7 @@
     : m_environment(environment), m_end(environment.end), m_exchange(request),
       m_forwarded(std::move(forwarded)), m_table(environment.table), m_timer(environment.loop),
       m_silence_timer(environment.loop), m_stream(environment.streams),
-      m_self(std::make_shared<call*>(this))
+      m_account(environment.accounts), m_self(std::make_shared<call*>(this))
 {
     m_end->add(*this);
 }
@@ -79,6 +79,7 @@
     if (!prepare(why))
     {
         co_await refuse(why);
+        report();
         co_return;
     }
     start_deadline();
@@ -127,8 +128,14 @@
                "no route matches host and path", core::milliseconds{0}};
         return false;
     }
-    m_service = choose_service(*m_route, uniform_value(first_attempt_of(m_caller)));
     m_line.route = m_route->name;
+    m_deadline = m_exchange.received_at() + time_limit();
+    if (std::optional<policy::refusal> refused = find_account())
+    {
+        why = std::move(*refused);
+        return false;
+    }
+    m_service = choose_service(*m_route, uniform_value(first_attempt_of(m_caller)));
     m_line.service = m_service.get();
     m_resume_from = m_caller.last_event_id;
     m_stream.set_request(m_caller, *m_route, m_service);
@@ -136,12 +143,22 @@
         m_stream.bind(m_forwarded->software_version);
     if (!m_forwarded)
         m_environment.places.on_request(m_service, now());
-    m_deadline = m_exchange.received_at() + time_limit();
     if (const auto end = m_end->at())
         end_with_node(*end);
     return true;
 }
 
+/// The key is needed no longer once it has named the account.
+std::optional<policy::refusal> call::find_account()
+{
+    auto refused = m_forwarded ? m_account.set_forwarded(*m_table, *m_route, m_forwarded->account)
+                               : m_account.identify(*m_table, *m_route, m_caller);
+    m_caller.key.clear();
+    if (m_account.account() != nullptr)
+        m_line.account = m_account.account()->name.get();
+    return refused;
+}
+
 /// Time from the receipt of the request to its deadline. The node that took a forwarded request
 /// has applied the route's timeout, perhaps of another version of the configuration.
 core::milliseconds call::time_limit() const
@@ -186,8 +203,6 @@
         m_forwarded->refuse(why);
     else
         co_await m_exchange.send(answer);
-    if (m_route == nullptr)
-        report();
 }
 
 asio::awaitable<void> call::attempt_until_answered()
@@ -228,11 +243,39 @@
             co_await refuse(std::move(why));
             co_return;
         }
+        if (!m_account.is_charged())
+        {
+            const auto charged = co_await charge();
+            if (charged == account_binding::charge_result::refused)
+                co_return;
+            if (charged == account_binding::charge_result::waited)
+                continue;
+        }
         if (co_await attempt_once(where) == next_step::done)
             co_return;
     }
 }
 
+/// Charges the next run to the account; a request that it refuses has its answer.
+asio::awaitable<account_binding::charge_result> call::charge()
+{
+    const auto result = co_await m_account.charge(m_environment.loop, max_charge_wait());
+    if (result != account_binding::charge_result::refused)
+        co_return result;
+    if (m_client_is_gone || m_is_expired)
+        co_return account_binding::charge_result::waited;
+    m_line.attempts += "over_quota ";
+    policy::refusal why = m_may_have_run ? final_refusal() : m_account.refusal();
+    co_await refuse(std::move(why));
+    co_return result;
+}
+
+/// Longest wait for units: the answer is to come within its objective.
+core::milliseconds call::max_charge_wait() const
+{
+    return std::max(core::milliseconds{0}, std::min(m_route->objective / 2, remaining() / 3));
+}
+
 /// Whether a stream that has broken off should wait for an upstream to go on with it: it can't be
 /// refused any more, and the only upstreams may be ones that said they take none for a moment, or
 /// that were just found closed.
@@ -260,6 +303,7 @@
 {
     placement_request request;
     request.chosen = m_route;
+    request.account = m_account.account();
     request.service = m_service;
     request.caller = &m_caller;
     request.remaining = remaining();
@@ -281,6 +325,8 @@
 /// The upstream may have come back with another software version since it was chosen.
 admission call::admit(const upstream_id& target, policy::connection_record& over)
 {
+    if (!m_account.is_charged())
+        return admission::out_of_service;
     if (m_environment.suspensions->take_suspension())
         m_environment.places.on_resumed(now());
     if (!m_stream.set_attempt(m_environment.places.version_of(target)))
@@ -296,10 +342,12 @@
         m_tried_regions.push_back(region->region);
         m_line.predicted_ms = region->predicted_ms;
         m_line.attempts += region->region.get();
-        const http::request_head head =
-            m_environment.upstreams.resume(m_exchange.head(), m_resume_from);
-        return m_environment.regions.call(region->region, head, m_exchange.body(), remaining(),
-                                          m_stream.required());
+        http::request_head head = m_environment.upstreams.resume(m_exchange.head(), m_resume_from);
+        if (m_account.name())
+            head = m_environment.upstreams.without_key(head);
+        const forwarding_options options{remaining(), m_stream.required(),
+                                         m_account.name().value_or(core::account_id{})};
+        return m_environment.regions.call(region->region, head, m_exchange.body(), options);
     }
     const auto& local = std::get<to_upstream>(where);
     m_current_upstream = local.target;
@@ -322,8 +370,9 @@
         process_check({m_environment.loop, m_environment.places, m_environment.upstreams,
                        m_environment.statistics, local.target, health_path()}),
         m_route->may_retry() && is_within_attempt_limits(m_runs + 1),
-        m_route->priority,
-        m_resume_from};
+        m_account.priority(*m_route),
+        m_resume_from,
+        m_account.name()};
     return std::make_unique<upstream_attempt>(std::move(parts));
 }
 
@@ -380,6 +429,7 @@
     m_sends += result.was_sent ? 1 : 0;
     if (!result.is_proven_not_run())
     {
+        m_account.on_may_have_run();
         m_may_have_run = true;
         ++m_runs;
     }
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -21,6 +21,7 @@
 #include <string>
 #include <string_view>
 
+#include "account_admission.hpp"
 #include "attempt.hpp"
 #include "call_log.hpp"
 #include "call_statistics.hpp"
@@ -32,6 +33,14 @@
 namespace snipeplank::serving
 {
 
+/// @brief What a node of another region is told of a call.
+struct forwarding_options
+{
+    core::milliseconds remaining{0};
+    policy::software_version_key software_version; ///< the only one at which it may run; 0: any
+    core::account_id account;                      ///< as the entry node has found it; empty: none
+};
+
 /// @brief Creates attempts at nodes of other regions.
 class region_caller
 {
@@ -39,11 +48,10 @@
     virtual ~region_caller() = default;
 
     /// @brief Creates an attempt at a node of `region`; null when no node there answers.
-    /// @param version the only software version at which it may run; 0: any
     virtual std::unique_ptr<attempt> call(const core::region_id& region,
                                           const http::request_head& request,
-                                          const std::string& body, core::milliseconds remaining,
-                                          policy::software_version_key version) = 0;
+                                          const std::string& body,
+                                          const forwarding_options& options) = 0;
 };
 
 /// @brief Objects shared by all calls of a node. They outlive the calls.
@@ -57,6 +65,7 @@
     region_caller& regions;
     crash_guard& crashes;
     stream_directory& streams;
+    account_admission& accounts;
     call_log& log;
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
@@ -71,6 +80,7 @@
     std::function<void(const policy::refusal&)> refuse; ///< sends the refusal to the other node
     /// The only software version at which the request may run; 0: any.
     policy::software_version_key software_version{};
+    core::account_id account = {}; ///< as the entry node has found it; empty: none
     /// Tells the other node which software version answers, before the answer begins.
     std::function<void(policy::software_version_key)> tell_version = nullptr;
 };
@@ -98,9 +108,12 @@
     };
 
     bool prepare(policy::refusal& why);
+    std::optional<policy::refusal> find_account();
     core::milliseconds time_limit() const;
     boost::asio::awaitable<void> refuse(policy::refusal why);
     boost::asio::awaitable<void> attempt_until_answered();
+    boost::asio::awaitable<account_binding::charge_result> charge();
+    core::milliseconds max_charge_wait() const;
     boost::asio::awaitable<next_step> attempt_once(const placement_decision& where);
     void record_statement(const policy::upstream_statement& said);
     boost::asio::awaitable<next_step> on_start(const attempt_start& result);
@@ -167,6 +180,7 @@
     std::vector<upstream_id> m_turned_away_by;
     std::vector<core::region_id> m_tried_regions;
     stream_binding m_stream;
+    account_binding m_account;
     http::event_splitter m_events;
     std::string m_media_type; ///< of the stream that was begun
     std::string m_resume_from;
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -71,24 +71,27 @@
     if (!take(is_success ? line_kind::success : line_kind::failure,
               std::chrono::steady_clock::now()))
         return;
-    emit("call", {{"request_id", line.request_id},
-                  {"outcome", line.outcome},
-                  {"status", line.status},
-                  {"executed", line.executed},
-                  {"cut_by", to_string(line.cut_by)},
-                  {"route", line.route},
-                  {"service", line.service},
-                  {"config_version", line.config_version},
-                  {"attempts", line.attempts},
-                  {"upstreams", line.upstreams},
-                  {"stream_origin", line.stream_origin},
-                  {"predicted_ms", line.predicted_ms},
-                  {"remaining_ms", line.remaining_ms},
-                  {"retry_after_ms", line.retry_after_ms},
-                  {"first_byte_ms", line.first_byte_ms},
-                  {"longest_pause_ms", line.longest_pause_ms},
-                  {"prompt_tokens", line.prompt_tokens},
-                  {"total_ms", line.total_ms}});
+    nlohmann::json fields{{"request_id", line.request_id},
+                          {"outcome", line.outcome},
+                          {"status", line.status},
+                          {"executed", line.executed},
+                          {"cut_by", to_string(line.cut_by)},
+                          {"route", line.route},
+                          {"service", line.service},
+                          {"config_version", line.config_version},
+                          {"attempts", line.attempts},
+                          {"upstreams", line.upstreams},
+                          {"stream_origin", line.stream_origin},
+                          {"predicted_ms", line.predicted_ms},
+                          {"remaining_ms", line.remaining_ms},
+                          {"retry_after_ms", line.retry_after_ms},
+                          {"first_byte_ms", line.first_byte_ms},
+                          {"longest_pause_ms", line.longest_pause_ms},
+                          {"prompt_tokens", line.prompt_tokens},
+                          {"total_ms", line.total_ms}};
+    if (!line.account.empty())
+        fields["account"] = line.account;
+    emit("call", fields);
 }
 
 } // namespace snipeplank::serving
--- a/packages/serving/src/call_outcome.hpp
+++ b/packages/serving/src/call_outcome.hpp
@@ -37,6 +37,7 @@
     std::string request_id;
     std::string route;
     std::string service;
+    std::string account; ///< name of the client account; empty: none
     std::uint64_t config_version = 0;
     std::string attempts;  ///< targets and their results in order
     std::string upstreams; ///< states of the candidates, when it was refused
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -57,6 +57,7 @@
     if (!started)
         return boost::outcome_v2::failure(started.error());
     m_last_tick = now();
+    m_node_count.set_zones(m_options.zone, m_options.zones.size());
     m_node_count.start(m_last_tick);
     m_members.start(m_last_tick);
     m_members.on_host_list(m_seeds, m_last_tick);
@@ -411,7 +412,7 @@
     m_next_record = time + record_interval;
     for (const fleet::member_update& each : m_members.members())
     {
-        m_node_count.on_seen(each.id.address, region_of(each.zone), time);
+        m_node_count.on_seen(each.id.address, region_of(each.zone), time, each.zone);
         if (each.state == fleet::member_state::leaving)
             m_stopping_since.try_emplace(each.id, time);
     }
@@ -437,6 +438,7 @@
     record_members(time);
     m_published_fleet_share = m_node_count.share_of_fleet(time);
     m_published_region_share = m_node_count.share_of_region(time);
+    m_published_quota_share = share_of_quotas(time);
     m_published_in_region = m_node_count.known_in_region();
     m_listener.on_members_changed();
 }
@@ -446,10 +448,18 @@
 bool fleet_link::has_changed_share(core::time_point time) const
 {
     return m_node_count.share_of_fleet(time) != m_published_fleet_share ||
+           share_of_quotas(time) != m_published_quota_share ||
            m_node_count.share_of_region(time) != m_published_region_share ||
            m_node_count.known_in_region() != m_published_in_region;
 }
 
+policy::node_share fleet_link::share_of_quotas(core::time_point time) const
+{
+    const bool is_alone = std::all_of(m_seeds.begin(), m_seeds.end(),
+                                      [this](const auto& each) { return each == m_self.address; });
+    return m_node_count.share_of_quotas(is_alone, time);
+}
+
 /// Nodes that are ranked for named limits; a rank among a part of them would be too high.
 std::vector<core::address> fleet_link::senders() const
 {
@@ -466,6 +476,7 @@
     sharing_nodes nodes;
     nodes.fleet = m_node_count.share_of_fleet(time);
     nodes.region = m_node_count.share_of_region(time);
+    nodes.quotas = share_of_quotas(time);
     nodes.known_in_region = m_node_count.known_in_region();
     nodes.senders = senders();
     nodes.self = m_self.address;
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -156,6 +156,7 @@
     void publish_members(core::time_point now);
     bool has_changed_share(core::time_point now) const;
     std::vector<core::address> senders() const;
+    policy::node_share share_of_quotas(core::time_point now) const;
     core::region_id region_of(const core::zone_id& zone) const;
 
     boost::asio::io_context& m_loop;
@@ -175,6 +176,7 @@
     bool m_has_unpublished = false;
     policy::node_share m_published_fleet_share;
     policy::node_share m_published_region_share;
+    policy::node_share m_published_quota_share;
     std::size_t m_published_in_region = 0;
     std::map<core::node_id, core::time_point> m_stopping_since;
     core::time_point m_next_exchange{};
--- a/packages/serving/src/suspension_watch.cpp
+++ b/packages/serving/src/host_time.cpp
@@ -1,4 +1,4 @@
-#include "suspension_watch.hpp"
+#include <snipeplank/serving/host_time.hpp>
 
 #include <chrono>
 #include <ctime>
@@ -25,4 +25,9 @@
     return read_clock(CLOCK_BOOTTIME) - running;
 }
 
+core::time_point host_time()
+{
+    return std::chrono::steady_clock::now() + host_suspended_time();
+}
+
 } // namespace snipeplank::serving
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -1,6 +1,7 @@
 #include <snipeplank/core/printable.hpp>
 #include <snipeplank/core/random.hpp>
 #include <snipeplank/policy/pause_watch.hpp>
+#include <snipeplank/serving/host_time.hpp>
 #include <snipeplank/serving/node.hpp>
 #include <snipeplank/serving/state_feed.hpp>
 #include <snipeplank/serving/stop_schedule.hpp>
@@ -17,6 +18,7 @@
 #include <string_view>
 #include <utility>
 
+#include "account_admission.hpp"
 #include "call.hpp"
 #include "call_log.hpp"
 #include "clock.hpp"
@@ -104,7 +106,10 @@
 
 } // namespace
 
-class node::state final : public state_listener, public fleet_listener, public origin_network
+class node::state final : public state_listener,
+                          public fleet_listener,
+                          public origin_network,
+                          public policy::quota_network
 {
   public:
     state(asio::io_context& loop, node_options options, node_adapters adapters)
@@ -116,27 +121,24 @@
           m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
           m_streams(m_options.region, *this,
                     [this] { return m_adapters.source.is_reachable(now()); }),
+          m_accounts(
+              m_options.accounts, [this] { return m_adapters.source.confirmed_age(); },
+              m_random.next(), *this),
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
               m_random),
-          m_environment{loop,
-                        m_pool,
-                        m_placement,
-                        adapters.callers,
-                        adapters.upstreams,
-                        m_peers,
-                        m_crash_guard,
-                        m_streams,
-                        m_log,
-                        m_statistics,
-                        nullptr},
+          m_environment{
+              loop,         m_pool,        m_placement, adapters.callers, adapters.upstreams,
+              m_peers,      m_crash_guard, m_streams,   m_accounts,       m_log,
+              m_statistics, nullptr},
           m_calls([this](http::exchange& request) { return serve_call(request); }),
           m_control([this](http::exchange& request) { return serve_control(request); }),
           m_admin([this](http::exchange& request) { return serve_admin(request); }),
           m_call_server(loop, m_calls), m_ready_server(loop, m_control),
           m_directory_server(loop, m_control), m_admin_server(loop, m_admin), m_housekeeping(loop),
-          m_ticks(loop), m_stop_timer(loop), m_origin_timer(loop), m_stopping(m_options.stop_time)
+          m_ticks(loop), m_stop_timer(loop), m_origin_timer(loop), m_quota_timer(loop),
+          m_stopping(m_options.stop_time)
     {
         m_crash_guard.on_crash(
             [this](const upstream_id& crashed)
@@ -212,7 +214,12 @@
             on_members_changed();
         }
         m_log.event(line_kind::state_change, "configuration",
-                    {{"version", table->version.get()}, {"routes", table->routes.size()}});
+                    {{"version", table->version.get()},
+                     {"routes", table->routes.size()},
+                     {"accounts", table->accounts.size()}});
+        m_accounts.set_table(*table);
+        if (m_accounts.quotas().has_limits() && !std::exchange(m_has_quota_ticks, true))
+            run_quota_ticks();
         core::milliseconds longest{0};
         for (const route& each : table->routes)
         {
@@ -267,18 +274,24 @@
         m_nodes = m_fleet.live_nodes();
         std::vector<region_node> others;
         std::vector<live_node> all_others;
+        std::vector<policy::quota_node> quota_nodes;
         for (const live_node& each : m_nodes)
         {
             if (each.region != m_options.region)
                 others.push_back({each.peer, each.region});
-            if (each.peer != m_options.peer_address)
-                all_others.push_back(each);
+            if (each.peer == m_options.peer_address)
+                continue;
+            all_others.push_back(each);
+            quota_nodes.push_back({each.peer, each.region});
         }
+        m_accounts.quotas().set_nodes(m_options.peer_address, m_options.region,
+                                      std::move(quota_nodes));
         m_peers.set_nodes(std::move(others));
         m_streams.set_nodes(all_others, now());
         sharing_nodes sharing = m_fleet.sharing();
         m_node_share = sharing.fleet;
         m_region_share = sharing.region;
+        m_accounts.quotas().set_share(sharing.quotas, host_time());
         m_placement.set_sharing_nodes(std::move(sharing), now());
         report_node_count();
         refresh_regions();
@@ -286,7 +299,10 @@
 
     void on_call_message(const wire::peer_identity& from, const wire::message& what) override
     {
-        m_peers.on_message(from, what);
+        if (const auto* quotas = std::get_if<policy::quota_message>(&what))
+            m_accounts.quotas().on_message(from.node.address, *quotas, host_time());
+        else
+            m_peers.on_message(from, what);
     }
 
     void on_peer_lost(const core::address& peer) override
@@ -334,6 +350,11 @@
         m_fleet.send_origins(to, std::move(origins), std::move(wanted));
     }
 
+    void send(const core::address& to, policy::quota_message what) override
+    {
+        m_fleet.network().send(to, std::move(what));
+    }
+
     void wake_in(core::milliseconds span) override
     {
         const core::time_point at = now() + span;
@@ -553,6 +574,19 @@
             });
     }
 
+    /// Runs from the first configuration with a limit on.
+    void run_quota_ticks()
+    {
+        m_accounts.quotas().on_tick(host_time());
+        m_quota_timer.expires_after(policy::quota_exchange::tick_interval);
+        m_quota_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (!error)
+                    run_quota_ticks();
+            });
+    }
+
     void check_stop()
     {
         const core::duration elapsed = now() - m_stop_began;
@@ -639,7 +673,36 @@
         text +=
             "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
             std::to_string(m_crash_guard.crashes()) + "\n";
-        return text + stream_metrics() + retry_metrics();
+        return text + stream_metrics() + retry_metrics() + account_metrics();
+    }
+
+    /// Nothing where the configuration lists no accounts.
+    std::string account_metrics() const
+    {
+        if (!m_environment.table || m_environment.table->accounts.is_empty())
+            return {};
+        const auto age = m_adapters.source.confirmed_age();
+        const policy::quota_counters& counted = m_accounts.quotas().counters();
+        std::string text = "# TYPE snipeplank_accounts gauge\nsnipeplank_accounts " +
+                           std::to_string(m_environment.table->accounts.size()) + "\n";
+        if (age)
+            text += "# TYPE snipeplank_configuration_confirmed_age_ms gauge\n"
+                    "snipeplank_configuration_confirmed_age_ms " +
+                    std::to_string(age->count()) + "\n";
+        text += "# TYPE snipeplank_quota_requests_total counter\n";
+        const auto add = [&](const std::string& name, std::uint64_t value)
+        { text += "snipeplank_quota_" + name + " " + std::to_string(value) + "\n"; };
+        add("requests_total{outcome=\"granted\"}", counted.granted);
+        add("requests_total{outcome=\"granted_after_wait\"}", counted.waited);
+        add("requests_total{outcome=\"refused\"}", counted.refused);
+        text += "# TYPE snipeplank_quota_messages_total counter\n";
+        add("messages_total", counted.messages);
+        text += "# TYPE snipeplank_quota_units_total counter\n";
+        add("units_total{direction=\"received\"}",
+            static_cast<std::uint64_t>(counted.units_received));
+        add("units_total{direction=\"given_away\"}",
+            static_cast<std::uint64_t>(counted.units_given_away));
+        return text;
     }
 
     std::string stream_metrics() const
@@ -693,6 +756,7 @@
     load_exchange m_loads;
     fleet_link m_fleet;
     stream_directory m_streams;
+    account_admission m_accounts;
     suspension_watch m_suspensions; ///< of the ticks; calls look by themselves
     peer_calls m_peers;
     call_environment m_environment;
@@ -707,6 +771,7 @@
     asio::steady_timer m_ticks;
     asio::steady_timer m_stop_timer;
     asio::steady_timer m_origin_timer;
+    asio::steady_timer m_quota_timer;
     std::optional<core::time_point> m_origins_due;
     std::vector<live_node> m_nodes;
     upstream_map m_upstreams;
@@ -717,6 +782,7 @@
     policy::node_share m_region_share;
     std::size_t m_reported_node_count = 0;
     bool m_is_stopping = false;
+    bool m_has_quota_ticks = false;
 };
 
 node::node(asio::io_context& loop, node_options options, node_adapters adapters)
--- a/packages/serving/src/node_count_estimate.cpp
+++ b/packages/serving/src/node_count_estimate.cpp
@@ -1,6 +1,7 @@
 #include "node_count_estimate.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipeplank::serving
 {
@@ -19,12 +20,21 @@
 {
 }
 
+void node_count_estimate::set_zones(core::zone_id own, std::size_t count)
+{
+    m_zone = std::move(own);
+    m_zone_count = count;
+}
+
 void node_count_estimate::on_seen(const core::address& peer, const core::region_id& region,
-                                  core::time_point now)
+                                  core::time_point now, const core::zone_id& zone)
 {
-    const auto [known, is_new] = m_seen.try_emplace(peer, seen_node{region, now});
+    const auto [known, is_new] = m_seen.try_emplace(peer, seen_node{zone, region, now});
     known->second.at = now;
-    if (is_new && region == m_region)
+    if (!is_new)
+        return;
+    m_grown_at = now;
+    if (region == m_region)
         ++m_seen_in_region;
 }
 
@@ -88,6 +98,29 @@
     return policy::node_share{unknown_nodes + known_in_region()};
 }
 
+policy::node_share node_count_estimate::share_of_quotas(bool is_alone, core::time_point now) const
+{
+    if (m_seen.empty())
+        return is_alone ? policy::node_share{1} : policy::node_share{};
+    const bool is_settling =
+        now < m_started + min_quota_discovery || now < m_grown_at + quota_settling_time;
+    if (is_discovering(now) && is_settling)
+        return {};
+    std::map<core::zone_id, std::size_t> by_zone{{m_zone, 1}};
+    for (const auto& [peer, seen] : m_seen)
+    {
+        ++by_zone[seen.zone];
+    }
+    std::size_t largest = 1;
+    for (const auto& [zone, count] : by_zone)
+    {
+        largest = std::max(largest, count);
+    }
+    const std::size_t unseen = m_zone_count - std::min(m_zone_count, by_zone.size());
+    return policy::node_share{
+        std::max(counted().in_fleet + unseen * largest, m_told_in_fleet.nodes)};
+}
+
 std::size_t node_count_estimate::known_in_region() const
 {
     return std::max(counted().in_region, m_told_in_region.nodes);
--- a/packages/serving/src/node_count_estimate.hpp
+++ b/packages/serving/src/node_count_estimate.hpp
@@ -38,6 +38,9 @@
     static constexpr std::size_t unknown_nodes = 1;
     /// The member list is complete this long after a start, if any node answered.
     static constexpr core::seconds min_discovery_time{15};
+    /// A node takes a share of quotas this long after its start, if the list has not grown lately.
+    static constexpr core::milliseconds min_quota_discovery{3'000};
+    static constexpr core::milliseconds quota_settling_time{1'500};
     /// What another node told counts for this long.
     static constexpr core::seconds told_lifetime{60};
 
@@ -49,8 +52,12 @@
     /// @brief Records the start of this node.
     void start(core::time_point now) { m_started = now; }
 
+    /// @brief Sets the zones in which nodes may run, and that of this node.
+    void set_zones(core::zone_id own, std::size_t count);
+
     /// @brief Records that another node is a member of the fleet, in any state.
-    void on_seen(const core::address& peer, const core::region_id& region, core::time_point now);
+    void on_seen(const core::address& peer, const core::region_id& region, core::time_point now,
+                 const core::zone_id& zone = {});
 
     /// @brief Records what a node counts.
     void on_told(const core::region_id& sender_region, const node_count& told,
@@ -69,6 +76,14 @@
     /// complete or not. O(1).
     std::size_t known_in_region() const;
 
+    /// @brief This node's share of the quotas of client accounts. O(nodes).
+    ///
+    /// Known earlier than the others, and without an allowance for nodes that were added: a node
+    /// takes no share before others can have heard of it, and the operator accepts some excess. A
+    /// zone of which no node was seen counts as if it had as many nodes as the largest one.
+    /// @param is_alone whether the settings name no other node
+    policy::node_share share_of_quotas(bool is_alone, core::time_point now) const;
+
     /// @brief What to tell other nodes. O(1).
     node_count to_tell(core::time_point now) const;
 
@@ -81,6 +96,7 @@
   private:
     struct seen_node
     {
+        core::zone_id zone;
         core::region_id region;
         core::time_point at{};
     };
@@ -99,7 +115,10 @@
 
     core::region_id m_region;
     core::duration m_discovery_time;
+    core::zone_id m_zone;
+    std::size_t m_zone_count = 1;
     core::time_point m_started{};
+    core::time_point m_grown_at{}; ///< when a node was last seen for the first time
     std::map<core::address, seen_node> m_seen;
     std::size_t m_seen_in_region = 0;
     told_number m_told_in_fleet;
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -334,8 +334,8 @@
 
 std::unique_ptr<attempt> peer_calls::call(const core::region_id& region,
                                           const http::request_head& request,
-                                          const std::string& body, core::milliseconds remaining,
-                                          policy::software_version_key version)
+                                          const std::string& body,
+                                          const forwarding_options& options)
 {
     std::vector<const region_node*> nodes;
     for (const region_node& each : m_nodes)
@@ -348,15 +348,16 @@
     wire::call what;
     what.number = core::call_number{++m_last_number};
     what.request.request_id = std::to_string(m_last_number);
-    what.request.remaining = remaining;
+    what.request.remaining = options.remaining;
+    what.request.account = options.account;
     what.request.path = {m_self};
     what.request.method = request.method;
     what.request.target = request.target;
     what.request.headers = request.headers;
     what.request.body = body;
-    what.request.software_version = version;
+    what.request.software_version = options.software_version;
     const core::address peer = nodes[m_random.below(nodes.size())]->peer;
-    return std::make_unique<peer_attempt>(*this, m_loop, peer, std::move(what), remaining);
+    return std::make_unique<peer_attempt>(*this, m_loop, peer, std::move(what), options.remaining);
 }
 
 void peer_calls::serve(const wire::peer_identity& from, const wire::call& received)
@@ -377,7 +378,7 @@
     served_exchange* raw = request.get();
     m_server(std::move(request),
              {received.request.remaining, [raw](const policy::refusal& why) { raw->refuse(why); },
-              received.request.software_version,
+              received.request.software_version, received.request.account,
               [raw](policy::software_version_key version) { raw->set_version(version); }});
 }
 
--- a/packages/serving/src/peer_calls.hpp
+++ b/packages/serving/src/peer_calls.hpp
@@ -47,8 +47,8 @@
     void set_nodes(std::vector<region_node> nodes) { m_nodes = std::move(nodes); }
 
     std::unique_ptr<attempt> call(const core::region_id& region, const http::request_head& request,
-                                  const std::string& body, core::milliseconds remaining,
-                                  policy::software_version_key version) override;
+                                  const std::string& body,
+                                  const forwarding_options& options) override;
 
     /// @brief Handles a message of another node; messages that belong to no call are ignored.
     void on_message(const wire::peer_identity& from, const wire::message& received);
--- a/packages/serving/src/state_feed.cpp
+++ b/packages/serving/src/state_feed.cpp
@@ -127,10 +127,12 @@
     {
         prefixes[prefix] = to_json(changes);
     }
-    const json document = {{"instance", feed.instance},
-                           {"age_ms", feed.age.count()},
-                           {"reachable", feed.is_source_reachable},
-                           {"prefixes", std::move(prefixes)}};
+    json document = {{"instance", feed.instance},
+                     {"age_ms", feed.age.count()},
+                     {"reachable", feed.is_source_reachable},
+                     {"prefixes", std::move(prefixes)}};
+    if (feed.confirmed_age)
+        document["confirmed_age_ms"] = feed.confirmed_age->count();
     return core::json_text(document);
 }
 
@@ -144,6 +146,9 @@
     feed.instance = number_of(document, "instance");
     feed.age = duration_of(document, "age_ms");
     feed.is_source_reachable = bool_of(document, "reachable");
+    if (const auto age = document.find("confirmed_age_ms");
+        age != document.end() && age->is_number_unsigned())
+        feed.confirmed_age = duration_of(document, "confirmed_age_ms");
     for (const auto& [prefix, object] : prefixes->items())
     {
         auto changes = to_changes(object);
--- a/packages/serving/src/suspension_watch.hpp
+++ b/packages/serving/src/suspension_watch.hpp
@@ -5,6 +5,7 @@
 #define SNIPEPLANK_SERVING_SRC_SUSPENSION_WATCH_HPP
 
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/serving/host_time.hpp>
 
 #include <functional>
 #include <utility>
@@ -12,9 +13,6 @@
 namespace snipeplank::serving
 {
 
-/// @brief Time for which this host has been suspended since it was booted.
-core::duration host_suspended_time();
-
 /// @brief Compares that time between two moments. Not thread-safe.
 class suspension_watch
 {
--- a/packages/serving/src/upstream_attempt.cpp
+++ b/packages/serving/src/upstream_attempt.cpp
@@ -118,7 +118,8 @@
 
 core::result<void> upstream_attempt::send(core::milliseconds remaining)
 {
-    const send_options options{&m_parts.target, remaining, m_parts.priority, m_parts.last_event_id};
+    const send_options options{&m_parts.target, remaining, m_parts.priority, m_parts.last_event_id,
+                               m_parts.account};
     return m_link->send(m_parts.protocol.compose(m_parts.request, m_parts.body.size(), options),
                         m_parts.body);
 }
--- a/packages/serving/src/upstream_attempt.hpp
+++ b/packages/serving/src/upstream_attempt.hpp
@@ -36,6 +36,7 @@
     bool may_retry = false; ///< the request may be sent again if its connection is lost
     unsigned priority = 5;
     std::string last_event_id;
+    std::optional<core::account_id> account; ///< see `send_options`
 };
 
 /// @brief Sends one request to one upstream.
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -273,6 +273,7 @@
         request.last_event_id =
             std::string(http::find_header(head.headers, "Last-Event-Id").value_or(""));
         request.resumes = std::string(http::find_header(head.headers, "Resumes").value_or(""));
+        request.key = std::string(http::find_header(head.headers, "Key").value_or(""));
         std::istringstream prompt{
             std::string(http::find_header(head.headers, "Prompt").value_or(""))};
         for (std::string part; prompt >> part;)
@@ -308,7 +309,13 @@
     http::request_head compose(const http::request_head& request, std::size_t,
                                const send_options& options) const override
     {
-        return resume(request, options.last_event_id);
+        http::request_head sent = resume(request, options.last_event_id);
+        if (!options.account)
+            return sent;
+        sent = without_key(sent);
+        sent.headers.emplace_back("Account", options.account->get());
+        sent.headers.emplace_back("Priority", std::to_string(options.priority));
+        return sent;
     }
 
     http::request_head resume(const http::request_head& request,
@@ -323,6 +330,13 @@
         return resumed;
     }
 
+    http::request_head without_key(const http::request_head& request) const override
+    {
+        http::request_head stripped = request;
+        std::erase_if(stripped.headers, [](const auto& field) { return field.first == "Key"; });
+        return stripped;
+    }
+
     upstream_answer_head read(const http::response_head& answer,
                               std::string_view request_id) const override
     {
@@ -366,13 +380,17 @@
 {
   public:
     std::unique_ptr<attempt> call(const core::region_id& region, const http::request_head& request,
-                                  const std::string& body, core::milliseconds remaining,
-                                  policy::software_version_key version) override
+                                  const std::string& body,
+                                  const forwarding_options& options) override
     {
-        return target != nullptr ? target->call(region, request, body, remaining, version)
-                                 : nullptr;
+        last_options = options;
+        last_head = request;
+        return target != nullptr ? target->call(region, request, body, options) : nullptr;
     }
 
+    forwarding_options last_options; ///< of the last call
+    http::request_head last_head;
+
     region_caller* target = nullptr;
 };
 
@@ -424,6 +442,13 @@
     std::map<core::address, stream_directory*> m_others;
 };
 
+/// @brief Drops messages about quotas: the node has no others.
+class no_quota_network final : public policy::quota_network
+{
+  public:
+    void send(const core::address&, policy::quota_message) override {}
+};
+
 const core::region_id own_region{"salzkammer"};
 const core::zone_id own_zone{"salzkammer-a"};
 const core::service_id own_service{"shop"};
@@ -436,13 +461,22 @@
     explicit call_fixture(policy::retry_bound retries)
         : m_places(own_region, bounds_with(retries), m_random), m_log("test"),
           m_crash_guard(loop, m_pool, m_log), m_streams(own_region, m_origins, [] { return true; }),
-          m_environment{loop,      m_pool,        m_places,  m_callers, m_upstream_protocol,
-                        m_regions, m_crash_guard, m_streams, m_log,     m_statistics,
-                        nullptr}
+          m_accounts(
+              account_terms{{true, core::seconds{5}}, {}}, [this] { return confirmed_age; }, 1,
+              m_quota_network),
+          m_environment{loop,         m_pool,        m_places,  m_callers,  m_upstream_protocol,
+                        m_regions,    m_crash_guard, m_streams, m_accounts, m_log,
+                        m_statistics, nullptr}
     {
         const core::address self{"127.0.0.1:7"};
-        m_places.set_sharing_nodes({policy::node_share{1}, policy::node_share{1}, 1, {self}, self},
-                                   std::chrono::steady_clock::now());
+        sharing_nodes alone;
+        alone.fleet = policy::node_share{1};
+        alone.region = policy::node_share{1};
+        alone.senders = {self};
+        alone.self = self;
+        m_places.set_sharing_nodes(std::move(alone), std::chrono::steady_clock::now());
+        m_accounts.quotas().set_nodes(self, own_region, {});
+        m_accounts.quotas().set_share(policy::node_share{1}, host_time());
     }
 
     /// @brief The refusal that was sent last to a caller.
@@ -455,7 +489,9 @@
     }
 
     /// @brief Puts a configuration with one route in force.
-    void set_route(route only, service offered = {})
+    /// @param accounts with their keys; none: requests need no key
+    void set_route(route only, service offered = {},
+                   const std::map<std::string, client_account>& accounts = {})
     {
         only.host = "shop.example";
         only.path_prefix = "/";
@@ -465,6 +501,11 @@
         table->routes.push_back(std::move(only));
         offered.name = own_service;
         table->services[own_service] = offered;
+        for (const auto& [account_key, account] : accounts)
+        {
+            static_cast<void>(table->accounts.add(account, {account_key}));
+        }
+        m_accounts.set_table(*table);
         m_environment.table = table;
         m_places.set_table(table);
     }
@@ -592,6 +633,11 @@
 
     asio::io_context loop;
 
+    /// Time since the configuration was confirmed.
+    std::optional<core::milliseconds> confirmed_age{0};
+
+    const region_link& regions() const { return m_regions; }
+
   private:
     static placement_bounds bounds_with(policy::retry_bound retries)
     {
@@ -617,6 +663,8 @@
     crash_guard m_crash_guard;
     memory_origin_network m_origins{loop};
     stream_directory m_streams;
+    no_quota_network m_quota_network;
+    account_admission m_accounts;
     call_statistics m_statistics;
     call_environment m_environment;
     upstream_map m_published;
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -165,7 +165,7 @@
 TEST(peer_calls, a_call_whose_connection_was_lost_is_not_proven_not_run)
 {
     calls.set_nodes({{far_id.address, far_region}});
-    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", {5s, {}, {}});
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
     CHECK_FALSE(is_over);
@@ -192,7 +192,7 @@
     for (const row& each : rows)
     {
         is_over = false;
-        const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
+        const auto started = calls.call(far_region, {"POST", "/book", {}}, "", {5s, {}, {}});
         boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
         run_for(20ms);
         ++number;
@@ -260,7 +260,7 @@
 TEST(peer_calls, a_call_that_could_not_be_sent_is_proven_not_run)
 {
     calls.set_nodes({{far_id.address, far_region}});
-    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", {5s, {}, {}});
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
     calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
@@ -274,8 +274,8 @@
 TEST(peer_calls, a_call_behind_a_dropped_one_is_not_proven_not_run)
 {
     calls.set_nodes({{far_id.address, far_region}});
-    const auto first = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
-    const auto waiting = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
+    const auto first = calls.call(far_region, {"POST", "/book", {}}, "", {5s, {}, {}});
+    const auto waiting = calls.call(far_region, {"POST", "/book", {}}, "", {5s, {}, {}});
     boost::asio::co_spawn(loop, run_attempt(*waiting), boost::asio::detached);
     run_for(50ms);
     calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::no_connection);
@@ -290,7 +290,7 @@
 TEST(peer_calls, a_call_that_found_the_write_queue_full_is_told_at_once)
 {
     calls.set_nodes({{far_id.address, far_region}});
-    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", 5s, {});
+    const auto started = calls.call(far_region, {"POST", "/book", {}}, "", {5s, {}, {}});
     boost::asio::co_spawn(loop, run_attempt(*started), boost::asio::detached);
     run_for(50ms);
     calls.on_call_dropped(far_id.address, core::call_number{1}, wire::drop_cause::queue_full);
@@ -367,7 +367,7 @@
                                       boost::asio::detached);
             });
         const auto sent = near_calls.call(
-            far_region, {"GET", "/a", {{"Host", "shop.example"}, {"Id", "a"}}}, "", 5s, {});
+            far_region, {"GET", "/a", {{"Host", "shop.example"}, {"Id", "a"}}}, "", {5s, {}, {}});
         read_answer received;
         boost::asio::co_spawn(fixture.loop, read_whole(*sent, received), boost::asio::detached);
         for (int i = 0; i < 500 && !received.is_over; ++i)
@@ -491,8 +491,8 @@
         const auto key = policy::software_version_of(own_service, version);
         const auto sent = near_calls.call(
             far_region,
-            {"GET", "/b", {{"Host", "shop.example"}, {"Id", "b"}, {"Last-Event-Id", "2"}}}, "", 5s,
-            key);
+            {"GET", "/b", {{"Host", "shop.example"}, {"Id", "b"}, {"Last-Event-Id", "2"}}}, "",
+            {5s, key, {}});
         attempt_start result;
         bool is_over = false;
         boost::asio::co_spawn(
--- a/packages/wire/include/snipeplank/wire/messages.hpp
+++ b/packages/wire/include/snipeplank/wire/messages.hpp
@@ -8,6 +8,7 @@
 #include <snipeplank/core/units.hpp>
 #include <snipeplank/fleet/messages.hpp>
 #include <snipeplank/policy/call_outcome.hpp>
+#include <snipeplank/policy/quota_exchange.hpp>
 #include <snipeplank/policy/refusal.hpp>
 #include <snipeplank/policy/software_version_key.hpp>
 #include <snipeplank/policy/ticket_table.hpp>
@@ -207,7 +208,7 @@
 using message =
     std::variant<hello, heartbeat, fleet::gossip, fleet::config_request, fleet::config_reply, call,
                  call_head, call_chunk, call_end, call_refused, cancel, reserve, reserved, commit,
-                 outcome_request, outcome, handover, handover_ack>;
+                 outcome_request, outcome, handover, handover_ack, policy::quota_message>;
 
 } // namespace snipeplank::wire
 
--- a/packages/wire/src/decoder.cpp
+++ b/packages/wire/src/decoder.cpp
@@ -196,6 +196,26 @@
     return {node(from.former()), from.part()};
 }
 
+policy::quota_message decoder::decode(const fb::QuotaMessage& from)
+{
+    policy::quota_message to;
+    to.asker = from.asker();
+    for_each_item(from.asks(), sizeof(fb::QuotaAsk),
+                  [&](const fb::QuotaAsk* item)
+                  {
+                      to.asks.push_back({policy::quota_key{item->account()},
+                                         enumerator(item->kind(), policy::last_quota_ask_kind),
+                                         item->asked_at_ms(), item->needed(), item->wait_ms()});
+                  });
+    for_each_item(from.grants(), sizeof(fb::QuotaGrant),
+                  [&](const fb::QuotaGrant* item)
+                  {
+                      to.grants.push_back({policy::quota_key{item->account()}, item->asked_at_ms(),
+                                           item->age_ms(), item->units(), item->has_prospect()});
+                  });
+    return to;
+}
+
 message decoder::decode_body(const fb::Frame& frame)
 {
     const void* body = frame.body();
@@ -235,6 +255,8 @@
         return decode_as<fb::Handover>(body);
     case fb::Body::HandoverAck:
         return decode_as<fb::HandoverAck>(body);
+    case fb::Body::QuotaMessage:
+        return decode_as<fb::QuotaMessage>(body);
     case fb::Body::Heartbeat:
     case fb::Body::NONE:
         break;
--- a/packages/wire/src/decoder.hpp
+++ b/packages/wire/src/decoder.hpp
@@ -49,6 +49,7 @@
     outcome decode(const fb::Outcome& from);
     handover decode(const fb::Handover& from);
     handover_ack decode(const fb::HandoverAck& from);
+    policy::quota_message decode(const fb::QuotaMessage& from);
 
     core::node_id node(const fb::Node* from);
     policy::refusal refusal(const fb::Refusal* from);
--- a/packages/wire/src/encoder.cpp
+++ b/packages/wire/src/encoder.cpp
@@ -185,6 +185,28 @@
     return {fb::Body::HandoverAck, table.Union()};
 }
 
+encoder::body encoder::operator()(const policy::quota_message& value)
+{
+    std::vector<fb::QuotaAsk> asks;
+    asks.reserve(value.asks.size());
+    for (const policy::quota_ask& item : value.asks)
+    {
+        asks.emplace_back(item.account.get(), item.needed, item.asked_at_ms, item.wait_ms,
+                          static_cast<std::uint8_t>(item.kind));
+    }
+    std::vector<fb::QuotaGrant> grants;
+    grants.reserve(value.grants.size());
+    for (const policy::quota_grant& item : value.grants)
+    {
+        grants.emplace_back(item.account.get(), item.units, item.asked_at_ms, item.age_ms,
+                            item.has_prospect);
+    }
+    const auto ask_structs = asks.empty() ? 0 : m_builder.CreateVectorOfStructs(asks);
+    const auto grant_structs = grants.empty() ? 0 : m_builder.CreateVectorOfStructs(grants);
+    const auto table = fb::CreateQuotaMessage(m_builder, value.asker, ask_structs, grant_structs);
+    return {fb::Body::QuotaMessage, table.Union()};
+}
+
 core::result<std::string> encode(const message& msg)
 {
     flatbuffers::FlatBufferBuilder builder;
@@ -214,10 +236,10 @@
 std::string_view kind_name(const message& msg)
 {
     static constexpr std::array<std::string_view, std::variant_size_v<message>> names = {
-        "hello",   "heartbeat", "gossip",      "config_request", "config_reply",
-        "call",    "call_head", "call_chunk",  "call_end",       "call_refused",
-        "cancel",  "reserve",   "reserved",    "commit",         "outcome_request",
-        "outcome", "handover",  "handover_ack"};
+        "hello",   "heartbeat", "gossip",       "config_request", "config_reply",
+        "call",    "call_head", "call_chunk",   "call_end",       "call_refused",
+        "cancel",  "reserve",   "reserved",     "commit",         "outcome_request",
+        "outcome", "handover",  "handover_ack", "quota_message"};
     return names[msg.index()];
 }
 
--- a/packages/wire/src/encoder.hpp
+++ b/packages/wire/src/encoder.hpp
@@ -42,6 +42,7 @@
     body operator()(const outcome& value);
     body operator()(const handover& value);
     body operator()(const handover_ack& value);
+    body operator()(const policy::quota_message& value);
 
   private:
     template <typename Table>
--- a/packages/wire/tests/arbitrary_message.hpp
+++ b/packages/wire/tests/arbitrary_message.hpp
@@ -212,6 +212,26 @@
                 })};
 }
 
+inline policy::quota_message any_quota_message()
+{
+    policy::quota_message to;
+    to.asker = any<std::uint64_t>();
+    to.asks = any_list(
+        []
+        {
+            return policy::quota_ask{any_strong<policy::quota_key>(),
+                                     any_enumerator(policy::last_quota_ask_kind),
+                                     any<std::uint32_t>(), any<float>(), any<std::uint16_t>()};
+        });
+    to.grants = any_list(
+        []
+        {
+            return policy::quota_grant{any_strong<policy::quota_key>(), any<std::uint32_t>(),
+                                       any<std::uint32_t>(), any<double>(), any<bool>()};
+        });
+    return to;
+}
+
 /// @brief An arbitrary message of the kind with this index in `message`.
 inline message any_message(std::size_t kind)
 {
@@ -258,8 +278,10 @@
         return outcome{number, any_outcome()};
     case 16:
         return any_handover();
-    default:
+    case 17:
         return handover_ack{any_node(), any<std::uint32_t>()};
+    default:
+        return any_quota_message();
     }
 }
 
--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -164,6 +164,8 @@
                     {"endless_bytes", m_endless_bytes},
                     {"arrivals_ms", m_arrivals_ms},
                     {"rejected", m_rejected},
+                    {"tenants", m_tenants},
+                    {"keys", m_keys_seen},
                     {"ended_by", m_ended_by}}
             .dump();
     }
@@ -246,6 +248,8 @@
             if (!is_rejected)
             {
                 ++m_runs[id];
+                m_tenants[id] = in.get_header_value("Tenant");
+                m_keys_seen += in.has_header("Credential") ? 1 : 0;
                 if (in.has_header("Last-Event-Id") || in.has_header("Resumes"))
                     m_resumed[id] = {{"Last-Event-Id", in.get_header_value("Last-Event-Id")},
                                      {"Resumes", in.get_header_value("Resumes")}};
@@ -430,6 +434,8 @@
     std::map<std::string, int> m_runs;
     json m_resumed = json::object(); ///< what the requests that it ran say of a stream before
     std::map<std::string, long> m_deadlines;
+    std::map<std::string, std::string> m_tenants; ///< that each request it ran names
+    int m_keys_seen = 0;                          ///< requests that it ran with a client's key
     std::set<std::string> m_cancelled;
     std::map<std::string, long> m_cancelled_ms; ///< when it stopped work, on the steady clock
     std::string m_said_name; ///< header that it adds to all answers; empty for none
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -128,26 +128,27 @@
         seeds.push_back(each.peer);
     }
     const int admin_port = std::stoi(node.admin.substr(node.admin.rfind(':') + 1));
-    const json settings{{"Node", node.name},
-                        {"Ip", node.callers.substr(0, node.callers.rfind(':'))},
-                        {"Zone", zone_of(node.region)},
-                        {"Region", node.region},
-                        {"Zones", zones},
-                        {"Listen",
-                         {{"Front", node.callers},
-                          {"Readiness", node.readiness},
-                          {"Control", node.peer},
-                          {"Directory", node.directory}}},
-                        {"PortRange", {admin_port, admin_port}},
-                        {"Seeds", seeds},
-                        {"Bounds",
-                         {{"GraceS", m_grace.count()},
-                          {"RetryRatio", m_allows_retries ? m_retries.ratio : 0},
-                          {"RetrySlack", m_allows_retries ? m_retries.slack : 0},
-                          {"RetryWindowS", 10},
-                          {"WarmupOvershoot", warmup_overshoot},
-                          {"WarmupSlack", warmup_slack}}},
-                        {"Provider", {{"Address", store_address()}}}};
+    json settings{{"Node", node.name},
+                  {"Ip", node.callers.substr(0, node.callers.rfind(':'))},
+                  {"Zone", zone_of(node.region)},
+                  {"Region", node.region},
+                  {"Zones", zones},
+                  {"Listen",
+                   {{"Front", node.callers},
+                    {"Readiness", node.readiness},
+                    {"Control", node.peer},
+                    {"Directory", node.directory}}},
+                  {"PortRange", {admin_port, admin_port}},
+                  {"Seeds", seeds},
+                  {"Bounds",
+                   {{"GraceS", m_grace.count()},
+                    {"RetryRatio", m_allows_retries ? m_retries.ratio : 0},
+                    {"RetrySlack", m_allows_retries ? m_retries.slack : 0},
+                    {"RetryWindowS", 10},
+                    {"WarmupOvershoot", warmup_overshoot},
+                    {"WarmupSlack", warmup_slack}}},
+                  {"Provider", {{"Address", store_address()}}}};
+    settings["Bounds"].update(json::parse(m_bounds));
     std::ofstream(node.settings_path) << settings.dump();
 }
 
@@ -157,6 +158,12 @@
     write_all_settings();
 }
 
+void machine_fleet::set_bounds(const std::string& bounds)
+{
+    m_bounds = bounds;
+    write_all_settings();
+}
+
 void machine_fleet::set_grace(std::chrono::seconds grace)
 {
     m_grace = grace;
@@ -243,6 +250,8 @@
     document["Services"][0]["Engine"] = {{"Slots", 64}, {"KvCapacity", 444'000}};
     if (config.idle_timeout.count() > 0)
         document["Limits"] = {{"IdleTimeoutMs", config.idle_timeout.count()}};
+    if (!config.tenants.empty())
+        document["Tenants"] = json::parse(config.tenants);
     put("op/config", document.dump());
 }
 
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -52,6 +52,7 @@
     std::string health_path;             ///< of all services; empty for none
     std::chrono::milliseconds warmup{0}; ///< after the start of a server of any service
     double warmup_rate = 0;              ///< requests/s that a cold server tolerates; 0: any number
+    std::string tenants;                 ///< JSON list of client accounts; empty for none
 };
 
 /// @brief Requests in one second that the rules allow a cold server.
@@ -138,6 +139,10 @@
     /// @brief Starts nodes without any retry budget from now on.
     void forbid_retries();
 
+    /// @brief Starts nodes with further bounds from now on.
+    /// @param bounds JSON object
+    void set_bounds(const std::string& bounds);
+
     /// @brief Starts nodes with this time from SIGTERM to SIGKILL from now on.
     void set_grace(std::chrono::seconds grace);
 
@@ -180,7 +185,8 @@
     std::string m_directory;
     bool m_allows_retries = true;
     std::chrono::seconds m_grace{8};
-    std::string m_other_store; ///< address of a store besides the stand-in
+    std::string m_bounds = "{}"; ///< further ones, as JSON
+    std::string m_other_store;   ///< address of a store besides the stand-in
     std::unique_ptr<standin> m_store;
     std::unique_ptr<standin> m_store_relay;
     std::vector<std::unique_ptr<standin>> m_servers;
