Quotas are known 1 s after a start; a request without prospect of units is refused at once

Cause: after the loss of all machines no quota was known for 5 s, and requests waited for units that nobody filled. Change: 1 s after the start and 0.7 s after the last new node a share is taken; the collector refuses while nothing is filled; a request waits for a quarter of its objective at most.

--- a/packages/policy/src/quota_exchange.cpp
+++ b/packages/policy/src/quota_exchange.cpp
@@ -43,6 +43,8 @@
 constexpr core::milliseconds grant_span{300};
 constexpr core::milliseconds min_retry_after{200};
 constexpr core::milliseconds max_retry_after{10'000};
+/// Retry-after while nothing is filled: nodes that have started learn how many they are.
+constexpr core::milliseconds unknown_rate_retry{1'000};
 
 double seconds_of(core::duration span)
 {
@@ -309,8 +311,11 @@
     const double rate = std::max(known.inflow.per_second(now), known.fill.rate());
     const double missing = std::max(0.0, charged.m_amount - known.units.available(now));
     const double max_ms = static_cast<double>(max_retry_after.count());
-    const double ms = rate > 0 ? std::min(max_ms, missing / rate * 1'000) : max_ms;
-    charged.m_retry_after = std::max(min_retry_after, core::milliseconds{static_cast<long>(ms)});
+    charged.m_retry_after = unknown_rate_retry;
+    if (rate > 0)
+        charged.m_retry_after = std::max(
+            min_retry_after,
+            core::milliseconds{static_cast<long>(std::min(max_ms, missing / rate * 1'000))});
     ++m_counters.refused;
     charged.settle(quota_charge::state::refused);
 }
@@ -452,8 +457,8 @@
     const double before =
         std::accumulate(known.debts.begin(), known.debts.end(), 0.0,
                         [](double sum, const debt& each) { return sum + each.ask.needed; });
-    const bool has_prospect =
-        before <= known.units.available(now) + units_in_a_wait(account, known, now);
+    const double expected = known.units.available(now) + units_in_a_wait(account, known, now);
+    const bool has_prospect = expected > 0 && before <= expected;
     if (!has_prospect)
         known.short_until = now + short_time;
     else
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -273,7 +273,7 @@
 /// Longest wait for units: the answer is to come within its objective.
 core::milliseconds call::max_charge_wait() const
 {
-    return std::max(core::milliseconds{0}, std::min(m_route->objective / 2, remaining() / 3));
+    return std::max(core::milliseconds{0}, std::min(m_route->objective / 4, remaining() / 4));
 }
 
 /// Whether a stream that has broken off should wait for an upstream to go on with it: it can't be
--- a/packages/serving/src/node_count_estimate.hpp
+++ b/packages/serving/src/node_count_estimate.hpp
@@ -39,8 +39,8 @@
     /// The member list is complete this long after a start, if any node answered.
     static constexpr core::seconds min_discovery_time{15};
     /// A node takes a share of quotas this long after its start, if the list has not grown lately.
-    static constexpr core::milliseconds min_quota_discovery{3'000};
-    static constexpr core::milliseconds quota_settling_time{1'500};
+    static constexpr core::milliseconds min_quota_discovery{1'000};
+    static constexpr core::milliseconds quota_settling_time{700};
     /// What another node told counts for this long.
     static constexpr core::seconds told_lifetime{60};
 
