Room that accounts share is not filled up to the deadlines; long answers are passed on; odd statuses are no answers

Cause: (1) an engine was filled until the deadline of the most patient kind, so every kind was late and streams were cut. (2) An answer with a length was held whole and twice: 40 callers that read slowly took 677 MB, 40 long bodies 170 MB, on machines of 120 MB. (3) Statuses 000, 099, 100 with a body and 600 were taken for interim heads or answers; an early answer without a length whose connection ended during the upload counted as whole. Change: (1) where a configuration lists accounts, a request is admitted at an engine while it is likely to begin within the shortest objective of the service, half of it for kinds that have more time, less for accounts that take more than their part. (2) Answers of a known length beyond 64 KiB are passed on as they arrive; bodies beyond a quarter of the machine's memory are refused with 503. (3) Final heads are 200 to 599, interim ones 100 to 199 but 101, without a body.

--- a/packages/gateway/src/upstream_client.cpp
+++ b/packages/gateway/src/upstream_client.cpp
@@ -183,7 +183,8 @@
     {
         // cpp-httplib takes an interim answer other than 100 for the final one.
         constexpr int first_final_status = 200;
-        if (response.status < first_final_status)
+        constexpr int last_status = 599;
+        if (response.status < first_final_status || response.status > last_status)
             return false;
         answer_head head = make_head(response);
         if (state.has_head)
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -32,7 +32,10 @@
 using boost::system::error_code;
 
 constexpr std::size_t read_buffer_size = 4'096;
+constexpr int first_interim_status = 100;
+constexpr int switching_protocols = 101;
 constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 /// Largest part of an answer that is parsed as a unit: the head, a chunk header or the trailers.
 constexpr std::size_t max_buffered_bytes = 131'072;
 /// Interim answers (1xx) before the final one.
@@ -43,6 +46,19 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
+/// Whether the head may come before that of the answer: it has a status of its own and no body.
+bool is_interim(const response_head& head)
+{
+    return head.status >= first_interim_status && head.status < first_final_status &&
+           head.status != switching_protocols && !find_header(head.headers, "Content-Length") &&
+           !find_header(head.headers, "Transfer-Encoding");
+}
+
+bool is_final(const response_head& head)
+{
+    return head.status >= first_final_status && head.status <= last_status;
+}
+
 } // namespace
 
 class client_connection::state : public std::enable_shared_from_this<client_connection::state>
@@ -116,8 +132,10 @@
             if (error)
                 co_return boost::outcome_v2::failure(failure(error, "no answer from "));
             response_head head = take_head();
-            if (head.status >= first_final_status)
+            if (is_final(head))
                 co_return head;
+            if (!is_interim(head))
+                co_return status_error(head.status);
         }
         co_return core::fail(core::error_code::connection_closed,
                              "no final answer from " + m_server.get() + ", only interim ones",
@@ -141,6 +159,10 @@
                 error = {};
             if (error == beast::http::error::end_of_stream && m_parser->need_eof())
                 error = {};
+            // A server that ends the connection while the request is being written may have been
+            // cut: nothing else tells where an answer without a length ends.
+            if (!error && m_parser->is_done() && m_parser->need_eof() && !m_is_write_complete)
+                error = beast::http::error::partial_message;
             if (error)
                 co_return boost::outcome_v2::failure(failure(error, "answer broken off by "));
             chunk.data.assign(space.data(), space.size() - target.size);
@@ -199,6 +221,14 @@
                           "publish upstreams as IP:PORT");
     }
 
+    core::result<response_head> status_error(int status) const
+    {
+        return core::fail(core::error_code::connection_closed,
+                          "an answer of " + m_server.get() + " has the status " +
+                              std::to_string(status) + ", which is none",
+                          "check that the server runs");
+    }
+
     core::error failure(const error_code& error, const std::string& what) const
     {
         const std::string cause = m_is_expired ? "timed out" : error.message();
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -76,12 +76,28 @@
 
 } // namespace
 
-connection::connection(asio::ip::tcp::socket socket, request_handler& handler)
-    : m_socket(std::move(socket)), m_watchdog(m_socket.get_executor()), m_handler(handler)
+connection::connection(asio::ip::tcp::socket socket, request_handler& handler,
+                       std::shared_ptr<std::size_t> all_body_bytes)
+    : m_socket(std::move(socket)), m_watchdog(m_socket.get_executor()), m_handler(handler),
+      m_all_body_bytes(std::move(all_body_bytes))
 {
     set_connection_options(m_socket);
 }
 
+connection::~connection()
+{
+    *m_all_body_bytes -= m_held_body_bytes;
+}
+
+/// Counts the body of the current request.
+/// @return false if the server holds more than its limit; the first body always fits
+bool connection::hold_body(std::size_t bytes, const server_limits& limits)
+{
+    *m_all_body_bytes += bytes;
+    *m_all_body_bytes -= std::exchange(m_held_body_bytes, bytes);
+    return *m_all_body_bytes <= limits.all_body_bytes || *m_all_body_bytes == m_held_body_bytes;
+}
+
 asio::awaitable<void> connection::run()
 {
     const auto self = shared_from_this();
@@ -236,6 +252,8 @@
         co_await beast::http::async_read_some(m_socket, m_buffer, parser, into(error));
         if (error && m_has_read_timeout)
             error = beast::http::error::partial_message;
+        if (!error && !hold_body(parser.get().body().size(), limits))
+            error = make_error_code(boost::system::errc::not_enough_memory);
     }
     co_return error;
 }
@@ -262,6 +280,7 @@
     m_head = {};
     // An assignment would keep the allocation.
     std::string().swap(m_body);
+    hold_body(0, {});
     if (m_buffer.capacity() > max_idle_buffer_bytes)
         m_buffer.shrink_to_fit();
 }
@@ -269,6 +288,11 @@
 asio::awaitable<void> connection::reject(const error_code& error)
 {
     namespace http = beast::http;
+    if (error == boost::system::errc::not_enough_memory)
+    {
+        co_await refuse_request(service_unavailable, "too many bytes of bodies are held");
+        co_return;
+    }
     if (error == http::error::end_of_stream || error == asio::error::eof ||
         error.category() == asio::error::get_system_category() || m_is_disconnected)
         co_return;
@@ -426,6 +450,10 @@
 {
     m_is_finished = true;
     m_keep_alive = false;
+    // Without chunks, a clean close would look like the end of the answer.
+    error_code ignored;
+    if (m_has_begun && !m_chunked)
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     close_socket();
 }
 
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -25,7 +25,12 @@
 class connection final : public exchange, public std::enable_shared_from_this<connection>
 {
   public:
-    connection(boost::asio::ip::tcp::socket socket, request_handler& handler);
+    /// @param all_body_bytes sum of the bodies that all connections of the server hold
+    connection(boost::asio::ip::tcp::socket socket, request_handler& handler,
+               std::shared_ptr<std::size_t> all_body_bytes);
+    ~connection() override;
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
 
     /// @brief Serves requests until the connection is closed.
     boost::asio::awaitable<void> run();
@@ -76,6 +81,7 @@
     boost::asio::awaitable<void> refuse_request(int status, std::string why);
     boost::asio::awaitable<void> drop_rest();
     boost::asio::awaitable<bool> write_text(std::string text);
+    bool hold_body(std::size_t bytes, const server_limits& limits);
     void take_head(const parser_type& parser);
     void release_request();
     void watch_client();
@@ -96,6 +102,8 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_watchdog;
     request_handler& m_handler;
+    std::shared_ptr<std::size_t> m_all_body_bytes;
+    std::size_t m_held_body_bytes = 0; ///< counted in `m_all_body_bytes`
     boost::beast::flat_buffer m_buffer;
     request_head m_head;
     std::string m_body;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -189,7 +189,7 @@
 
     void begin_serving(tcp::socket socket)
     {
-        const auto open = std::make_shared<connection>(std::move(socket), m_handler);
+        const auto open = std::make_shared<connection>(std::move(socket), m_handler, m_body_bytes);
         if (!may_serve_another())
         {
             open->refuse_requests([this] { return admit_late(); });
@@ -230,6 +230,8 @@
     asio::steady_timer m_grace_timer;
     asio::steady_timer m_handshake_timer;
     std::set<connection*> m_connections;
+    /// Held by all connections, which may outlive the server.
+    std::shared_ptr<std::size_t> m_body_bytes = std::make_shared<std::size_t>(0);
     std::size_t m_refusing = 0; ///< connections beyond the limit
     bool m_is_ending_handshakes = false;
     bool m_is_idle_closed = false; ///< connections are closed as soon as they are idle
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -1,8 +1,10 @@
 /// Tests which answers the client reports as complete, and which connections it reuses.
 
 #include <CppUTest/TestHarness.h>
+#include <boost/asio/write.hpp>
 
 #include <optional>
+#include <thread>
 
 #include "loopback.hpp"
 
@@ -22,9 +24,10 @@
     bool is_reusable = false;
 };
 
-boost::asio::awaitable<void> exchange_once(client_connection& connection, outcome& result,
-                                           core::milliseconds connect_timeout = core::milliseconds{
-                                               2'000})
+boost::asio::awaitable<void>
+exchange_once(client_connection& connection, outcome& result,
+              core::milliseconds connect_timeout = core::milliseconds{2'000},
+              std::size_t upload = 0)
 {
     const auto connected = co_await connection.connect(connect_timeout);
     if (!connected)
@@ -33,7 +36,12 @@
     head.method = "GET";
     head.target = "/";
     connection.expire_after(core::milliseconds{5'000});
-    if (!connection.send(head, std::string()))
+    if (upload > 0)
+    {
+        head.method = "POST";
+        head.headers.emplace_back("Content-Length", std::to_string(upload));
+    }
+    if (!connection.send(head, std::string(upload, 'u')))
         co_return;
     const auto answer = co_await connection.read_head();
     if (!answer)
@@ -87,6 +95,21 @@
     {"interim answer first",
      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false, true,
      true},
+    {"status 000", "HTTP/1.1 000 Odd\r\nContent-Length: 3\r\n\r\nabc", false, false, false},
+    {"status 099", "HTTP/1.1 099 Odd\r\nContent-Length: 3\r\n\r\nabc", false, false, false},
+    {"status 100 with a body", "HTTP/1.1 100 Odd\r\nContent-Length: 3\r\n\r\nabc", false, false,
+     false},
+    {"status 101", "HTTP/1.1 101 Odd\r\n\r\n", false, false, false},
+    {"status 199 with a body", "HTTP/1.1 199 Odd\r\nContent-Length: 3\r\n\r\nabc", false, false,
+     false},
+    {"status 599", "HTTP/1.1 599 Odd\r\nContent-Length: 3\r\n\r\nabc", false, true, true},
+    {"status 600", "HTTP/1.1 600 Odd\r\nContent-Length: 3\r\n\r\nabc", false, false, false},
+    {"status 999", "HTTP/1.1 999 Odd\r\nContent-Length: 3\r\n\r\nabc", false, false, false},
+    {"status 1000", "HTTP/1.1 1000 Odd\r\nContent-Length: 3\r\n\r\nabc", false, false, false},
+    {"status with a sign", "HTTP/1.1 +20 Odd\r\nContent-Length: 3\r\n\r\nabc", false, false, false},
+    {"status of letters", "HTTP/1.1 abc Odd\r\nContent-Length: 3\r\n\r\nabc", false, false, false},
+    {"status of blanks", "HTTP/1.1     Odd\r\nContent-Length: 3\r\n\r\nabc", false, false, false},
+    {"no status", "HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", false, false, false},
     {"no answer", "garbage\r\n\r\n", false, false, false},
     {"nothing", "", false, false, false},
 };
@@ -110,6 +133,48 @@
     }
 }
 
+// Fails when an answer without a length counts as complete although its server ended the connection
+// while the request was being written.
+TEST(http_client, an_early_answer_that_is_cut_is_not_complete)
+{
+    for (const bool resets : {false, true})
+    {
+        boost::asio::io_context loop;
+        boost::asio::ip::tcp::acceptor acceptor(loop,
+                                                {boost::asio::ip::make_address("127.0.0.1"), 0});
+        const core::address address{"127.0.0.1:" +
+                                    std::to_string(acceptor.local_endpoint().port())};
+        std::thread server(
+            [&]
+            {
+                boost::asio::ip::tcp::socket socket(loop);
+                acceptor.accept(socket);
+                boost::system::error_code ignored;
+                // The client's upload does not fit into the buffers.
+                socket.set_option(boost::asio::socket_base::receive_buffer_size(4'096), ignored);
+                const std::string answer = "HTTP/1.1 200 OK\r\n\r\nabc";
+                boost::asio::write(socket, boost::asio::buffer(answer), ignored);
+                std::this_thread::sleep_for(core::milliseconds{200});
+                if (resets)
+                    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+                else
+                    socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+                std::this_thread::sleep_for(core::milliseconds{200});
+                socket.close(ignored);
+            });
+        client_connection connection(loop, address);
+        outcome result;
+        constexpr std::size_t long_upload = 16'777'216;
+        boost::asio::co_spawn(
+            loop, exchange_once(connection, result, core::milliseconds{2'000}, long_upload),
+            [&](const std::exception_ptr&) { loop.stop(); });
+        loop.run();
+        server.join();
+        LONGS_EQUAL(200, result.status);
+        CHECK_FALSE_TEXT(result.is_complete, resets ? "reset" : "ended");
+    }
+}
+
 // Fails when an answer that its server cut at any byte, in its head or its body, is reported as
 // complete.
 TEST(http_client, answers_cut_at_any_byte_are_not_complete)
--- a/packages/policy/include/snipeplank/policy/quota_exchange.hpp
+++ b/packages/policy/include/snipeplank/policy/quota_exchange.hpp
@@ -167,7 +167,7 @@
     quota_exchange(std::uint64_t instance, quota_network& network);
 
     /// @brief Sets the limits in force: units a second that all nodes together fill. O(accounts).
-    void set_limits(std::map<quota_key, double> fill_rates, core::time_point now);
+    void set_limits(const std::map<quota_key, double>& fill_rates, core::time_point now);
 
     /// @brief Sets the nodes that serve, without this one.
     void set_nodes(core::address self, core::region_id region, std::vector<quota_node> others);
@@ -269,8 +269,8 @@
 
     void on_ask(const core::address& from, std::uint64_t asker, const quota_ask& ask,
                 core::time_point now);
-    void on_need(debt asked, account_state& known, core::time_point now);
-    void on_collect(debt asked, account_state& known, core::time_point now);
+    void on_need(const debt& asked, account_state& known, core::time_point now);
+    void on_collect(const debt& asked, account_state& known, core::time_point now);
     double own_reserve(const account_state& known, core::time_point now) const;
     void on_lend(debt asked, account_state& known, core::time_point now);
     void on_grant(const quota_grant& granted, core::time_point now);
--- a/packages/policy/src/quota_exchange.cpp
+++ b/packages/policy/src/quota_exchange.cpp
@@ -87,7 +87,7 @@
 {
 }
 
-void quota_exchange::set_limits(std::map<quota_key, double> fill_rates, core::time_point now)
+void quota_exchange::set_limits(const std::map<quota_key, double>& fill_rates, core::time_point now)
 {
     for (auto& [account, known] : m_accounts)
     {
@@ -437,10 +437,10 @@
     switch (ask.kind)
     {
     case quota_ask_kind::need:
-        on_need(std::move(asked), known, now);
+        on_need(asked, known, now);
         break;
     case quota_ask_kind::collect:
-        on_collect(std::move(asked), known, now);
+        on_collect(asked, known, now);
         break;
     case quota_ask_kind::lend:
         on_lend(std::move(asked), known, now);
@@ -449,7 +449,7 @@
 }
 
 /// Who stands in the queue does not depend on how much it needs, but on those before it.
-void quota_exchange::on_need(debt asked, account_state& known, core::time_point now)
+void quota_exchange::on_need(const debt& asked, account_state& known, core::time_point now)
 {
     const quota_key account = asked.ask.account;
     known.active_until = now + active_time;
@@ -489,7 +489,7 @@
 }
 
 /// A node that lacks units itself gives what it has: its request waits at the collector.
-void quota_exchange::on_collect(debt asked, account_state& known, core::time_point now)
+void quota_exchange::on_collect(const debt& asked, account_state& known, core::time_point now)
 {
     if (!known.debts.empty())
         return;
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -110,6 +110,7 @@
 {
     upstream target;
     double predicted_ms = 0;
+    double wait_ms = 0;     ///< predicted, for the requests before it
     double cost_ms = 0;     ///< predicted time plus the delay caused to concurrent streams
     bool was_tried = false; ///< by an earlier attempt of the request
 };
@@ -119,6 +120,7 @@
 {
     core::region_id region;
     double predicted_ms = 0;
+    double wait_ms = 0; ///< predicted, for the requests before it
     double cost_ms = 0; ///< predicted time plus the delay caused to concurrent streams
 };
 
--- a/packages/serving/include/snipeplank/serving/routing_table.hpp
+++ b/packages/serving/include/snipeplank/serving/routing_table.hpp
@@ -79,6 +79,12 @@
     std::optional<engine_size> engine; ///< set for model servers
 };
 
+/// @brief How long requests of a service may wait for those before them.
+struct queue_bound
+{
+    core::milliseconds shortest_objective{0}; ///< of the routes of the service
+};
+
 /// @brief One published configuration. Immutable once it is in force.
 struct routing_table
 {
@@ -87,11 +93,20 @@
     std::map<core::service_id, service> services;
     http::server_limits limits;
     account_table accounts; ///< empty: requests need no key
+    std::map<core::service_id, queue_bound> queue_bounds;
 
     /// @brief The route of the host with the longest prefix that matches the path, or null.
     const route* find(std::string_view host, std::string_view path) const;
 
     const service* find_service(const core::service_id& name) const;
+
+    /// @brief How long requests may queue at the service; nothing where their deadlines alone bound
+    /// the wait.
+    std::optional<queue_bound> queue_bound_of(const core::service_id& name) const;
+
+    /// @brief Bounds the queues of model servers whose room accounts share. Called once, when
+    /// routes, services and accounts are known. O(routes).
+    void bound_queues();
 };
 
 /// @brief Chooses one of the route's services by weight.
--- a/packages/serving/src/account_admission.cpp
+++ b/packages/serving/src/account_admission.cpp
@@ -53,7 +53,7 @@
         if (account.quota.is_limited())
             rates[policy::quota_key_of(name)] = policy::fill_rate(account.quota, m_terms.quotas);
     }
-    m_quotas.set_limits(std::move(rates), host_time());
+    m_quotas.set_limits(rates, host_time());
 }
 
 std::optional<policy::refusal> account_admission::identify(const routing_table& table,
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -28,8 +28,11 @@
 constexpr core::milliseconds not_ready_retry{500};
 /// Limits the attempts for one request whose upstreams are unreachable.
 constexpr std::size_t max_attempts_per_request = 6;
-/// Maximum size of an answer that is buffered until it is complete.
-constexpr std::size_t max_buffered_bytes = 8'388'608;
+/// Maximum size of an answer.
+constexpr std::size_t max_answer_bytes = 8'388'608;
+/// A longer answer of a known length is passed on as it arrives: its reader, who may be slow, paces
+/// the reading from the upstream, and the node holds little of it.
+constexpr std::size_t max_held_bytes = 65'536;
 constexpr int first_server_error = 500;
 constexpr core::milliseconds silence_check_interval{300};
 /// Consecutive checks that find the upstream silent before the attempt may be given up. A sound
@@ -642,25 +645,61 @@
     co_return next_step::done;
 }
 
+/// Whether the answer is longer than what a node holds of one, and how long it is.
+bool call::is_passed_on(const attempt_start& result) const
+{
+    const auto length = http::find_header(result.head.headers, "Content-Length");
+    const auto bytes = http::parse_number(length.value_or(""));
+    return bytes && *bytes > max_held_bytes && *bytes <= max_answer_bytes;
+}
+
+/// Writes what is held of an answer, with its head before the first part.
+/// @return false if the caller is gone
+asio::awaitable<bool> call::write_held(http::response& answer)
+{
+    if (!m_exchange.has_begun() && !co_await m_exchange.begin(answer.head))
+        co_return false;
+    const std::string part = std::exchange(answer.body, {});
+    co_return co_await m_exchange.write(part);
+}
+
+asio::awaitable<call::next_step> call::on_broken_answer(const attempt_start& result)
+{
+    if (!m_exchange.has_begun())
+    {
+        attempt_start broken = result;
+        broken.kind = answer_kind::broken;
+        broken.cause = "broken";
+        co_return co_await on_failed_start(broken);
+    }
+    m_attempt->cancel();
+    end_attempt(attempt_end::failed);
+    m_line.attempts += "=broken ";
+    co_await refuse(final_refusal());
+    co_return next_step::done;
+}
+
 asio::awaitable<call::next_step> call::forward_buffered(const attempt_start& result)
 {
     http::response answer;
     answer.head = m_environment.callers.forward(result.head);
     bool is_last = false;
     const bool is_success = result.kind == answer_kind::success;
+    const bool passes_on = is_passed_on(result);
     while (!is_last)
     {
         auto chunk = co_await m_attempt->next();
-        if (!chunk || answer.body.size() > max_buffered_bytes)
+        if (!chunk || answer.body.size() > max_answer_bytes)
         {
             record_failure(chunk);
-            attempt_start broken = result;
-            broken.kind = answer_kind::broken;
-            broken.cause = "broken";
-            co_return co_await on_failed_start(broken);
+            co_return co_await on_broken_answer(result);
         }
         answer.body += chunk.value().data;
         is_last = chunk.value().is_last;
+        const bool is_written = !passes_on || is_last || answer.body.size() < max_held_bytes ||
+                                co_await write_held(answer);
+        if (!is_written)
+            co_return co_await on_broken_answer(result);
         if (is_last && is_success)
             report_whole_answer(chunk.value());
     }
@@ -673,7 +712,10 @@
     m_line.outcome = is_success ? "answered" : "upstream_answer";
     m_line.executed = "yes";
     m_line.status = result.head.status;
-    co_await m_exchange.send(std::move(answer));
+    if (!m_exchange.has_begun())
+        co_await m_exchange.send(std::move(answer));
+    else if (co_await write_held(answer))
+        co_await m_exchange.finish();
     co_return next_step::done;
 }
 
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -120,6 +120,9 @@
     boost::asio::awaitable<next_step> on_failed_start(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_stream(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_buffered(const attempt_start& result);
+    bool is_passed_on(const attempt_start& result) const;
+    boost::asio::awaitable<bool> write_held(http::response& answer);
+    boost::asio::awaitable<next_step> on_broken_answer(const attempt_start& result);
     boost::asio::awaitable<bool> write_stream(const attempt_start& result, std::string_view events);
     boost::asio::awaitable<bool> find_origin();
     boost::asio::awaitable<next_step> on_broken_stream();
--- a/packages/serving/src/load_model.cpp
+++ b/packages/serving/src/load_model.cpp
@@ -135,6 +135,20 @@
     return ms;
 }
 
+double load_model::own_ms(const upstream_state& known, const placement_request& request)
+{
+    if (engine_of(request.service) == nullptr)
+        return 0;
+    return prefill_tokens(known, *request.caller) * service_of(request.service).ms_per_token;
+}
+
+double load_model::own_ms(const placement_request& request)
+{
+    if (engine_of(request.service) == nullptr)
+        return 0;
+    return request.caller->prompt_tokens * service_of(request.service).ms_per_token;
+}
+
 double load_model::interference(const upstream_state& known, const placement_request& request,
                                 const upstream_id& long_prompt_upstream)
 {
--- a/packages/serving/src/load_model.hpp
+++ b/packages/serving/src/load_model.hpp
@@ -129,6 +129,11 @@
     /// Predicted time in ms to the first event, or to the answer of a plain service.
     double predict(const upstream_state& known, const placement_request& request);
 
+    /// Part of the predicted time in ms that the request itself takes to be prefilled.
+    double own_ms(const upstream_state& known, const placement_request& request);
+    /// The same in another region, where nothing is known of its prompt.
+    double own_ms(const placement_request& request);
+
     /// Delay in ms that the request causes to concurrent streams. Long prompts are concentrated at
     /// one upstream, which short prompts avoid while others have free capacity.
     double interference(const upstream_state& known, const placement_request& request,
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -207,7 +207,7 @@
     {
         const bool is_first = m_environment.table == nullptr;
         m_environment.table = table;
-        m_calls.set_limits(table->limits);
+        m_calls.set_limits(limits_of(*table));
         if (is_first)
         {
             m_fleet.announce_ready();
@@ -391,6 +391,17 @@
     }
 
   private:
+    /// The published limits, and what follows from the machine.
+    http::server_limits limits_of(const routing_table& table) const
+    {
+        constexpr std::uint64_t body_part = 4;
+        http::server_limits limits = table.limits;
+        if (m_options.memory.count > 0)
+            limits.all_body_bytes =
+                std::max<std::size_t>(m_options.memory.count / body_part, limits.body_bytes);
+        return limits;
+    }
+
     bool serves_new() const
     {
         return !m_is_stopping || m_stopping.serves_new(now() - m_stop_began);
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -1,5 +1,6 @@
 #include <snipeplank/core/hash.hpp>
 #include <snipeplank/core/rendezvous.hpp>
+#include <snipeplank/policy/fair_admission.hpp>
 #include <snipeplank/serving/placement.hpp>
 
 #include <algorithm>
@@ -277,12 +278,22 @@
         const bool remote_is_better =
             remote && !local_is_good &&
             (!local || local->was_tried || remote->cost_ms + spill_margin_ms < local->cost_ms);
-        if (remote_is_better && remote->predicted_ms < remaining)
+        const double max_wait = longest_wait(request, now);
+        const bool remote_fits =
+            remote && remote->predicted_ms < remaining && remote->wait_ms <= max_wait;
+        const bool local_fits =
+            local && local->predicted_ms < remaining && local->wait_ms <= max_wait;
+        if (remote_is_better && remote_fits)
             return *remote;
-        if (local && local->predicted_ms < remaining)
+        if (local_fits)
             return *local;
         if (!local && !remote)
             return refuse_without_upstream(request, now);
+        if (remote_fits && is_room_shared(request))
+            return *remote;
+        if (max_wait < remaining)
+            return refuse(policy::refusal_reason::overloaded,
+                          (local ? local->wait_ms : remote->wait_ms) - max_wait, request);
         const double excess = (local ? local->predicted_ms : remote->predicted_ms) - remaining;
         return refuse(policy::refusal_reason::overloaded, excess, request);
     }
@@ -353,6 +364,14 @@
         return taken;
     }
 
+    void record_admitted(const placement_request& request, core::time_point now)
+    {
+        if (is_room_shared(request) && request.account != nullptr)
+            m_room[request.service].on_admitted(
+                request.account->name,
+                request.caller->prompt_tokens + request.caller->max_output_tokens, now);
+    }
+
   private:
     /// Marks of upstreams end with their run, so that a late list does not bring one back.
     void forget_feedback(const upstream_map& upstreams, core::time_point now)
@@ -534,6 +553,38 @@
         good = std::move(kept);
     }
 
+    /// Whether the request may be refused for the sake of others: it has not begun, and the
+    /// configuration bounds the queue of its service.
+    bool is_room_shared(const placement_request& request) const
+    {
+        return m_table && m_table->queue_bound_of(request.service) && !request.is_retry &&
+               request.caller->last_event_id.empty();
+    }
+
+    /// Longest wait in ms for the requests before it after which a request may begin.
+    double longest_wait(const placement_request& request, core::time_point now)
+    {
+        const double remaining = static_cast<double>(request.remaining.count());
+        if (!is_room_shared(request))
+            return remaining;
+        const core::account_id name =
+            request.account == nullptr ? core::account_id{} : request.account->name;
+        const double limit = m_room[request.service].wait_limit(name, now);
+        return std::min(remaining, queue_time(request) * limit);
+    }
+
+    /// Time in ms for which the requests of a service may queue: the shortest objective of its
+    /// routes, and half of it for those that have more time. A queue that is filled by these would
+    /// make the others late.
+    double queue_time(const placement_request& request) const
+    {
+        constexpr double patient_part = 0.5;
+        const core::milliseconds shortest =
+            m_table->queue_bound_of(request.service)->shortest_objective;
+        const bool is_patient = shortest < request.chosen->objective;
+        return static_cast<double>(shortest.count()) * (is_patient ? patient_part : 1);
+    }
+
     /// Whether the upstream's connection limit, and its rate limit while cold, allow another
     /// request.
     bool has_free_capacity(upstream_state& known, const service* offered, core::time_point now)
@@ -573,7 +624,8 @@
                 best_cost = cost;
             }
         }
-        return to_upstream{best->info, predict(*best, request), best_cost,
+        const double predicted = predict(*best, request);
+        return to_upstream{best->info, predicted, predicted - own_ms(*best, request), best_cost,
                            contains(request.tried, best->info.id)};
     }
 
@@ -603,7 +655,7 @@
             const double ms = predict(known, load, request);
             const double cost = ms + region_interference(load, request);
             if (!best || cost < best->cost_ms)
-                best = to_region{region, ms, cost};
+                best = to_region{region, ms, ms - own_ms(request), cost};
         }
         return best;
     }
@@ -679,6 +731,7 @@
     policy::node_share m_region_share;
     policy::node_share m_fleet_share;
     std::size_t m_known_in_region = 1;
+    std::map<core::service_id, policy::fair_admission> m_room;
 
     friend class placement;
 };
@@ -846,6 +899,7 @@
 std::uint64_t placement::on_sent(const placement_request& request, const upstream_id& target,
                                  core::time_point now)
 {
+    m_state->record_admitted(request, now);
     return m_state->on_sent(request, target, now);
 }
 
--- a/packages/serving/src/routing_table.cpp
+++ b/packages/serving/src/routing_table.cpp
@@ -30,6 +30,34 @@
     return found == services.end() ? nullptr : &found->second;
 }
 
+std::optional<queue_bound> routing_table::queue_bound_of(const core::service_id& name) const
+{
+    const auto found = queue_bounds.find(name);
+    if (found == queue_bounds.end())
+        return std::nullopt;
+    return found->second;
+}
+
+void routing_table::bound_queues()
+{
+    queue_bounds.clear();
+    if (accounts.is_empty())
+        return;
+    for (const route& each : routes)
+    {
+        for (const weighted_service& offered : each.services)
+        {
+            const service* known = find_service(offered.service);
+            if (known == nullptr || !known->engine || each.kind != request_kind::streaming)
+                continue;
+            const auto [bound, is_new] =
+                queue_bounds.try_emplace(offered.service, queue_bound{each.objective});
+            bound->second.shortest_objective =
+                std::min(bound->second.shortest_objective, each.objective);
+        }
+    }
+}
+
 const core::service_id& choose_service(const route& chosen, double draw)
 {
     double total = 0;
--- a/packages/serving/tests/client_accounts_test.cpp
+++ b/packages/serving/tests/client_accounts_test.cpp
@@ -228,7 +228,7 @@
     CHECK_TRUE(node.last_refusal().reason == policy::refusal_reason::account_limit);
     CHECK_TRUE(node.last_refusal().executed == policy::execution::no);
     CHECK_TRUE(node.last_refusal().retry_after > 0ms);
-    CHECK_TRUE(sound.requests().size() >= 1 && sound.requests().size() <= 9);
+    CHECK_TRUE(!sound.requests().empty() && sound.requests().size() <= 9);
 }
 
 TEST_GROUP(configuration_lease){};
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -722,3 +722,60 @@
     }
     LONGS_EQUAL(40, sent);
 }
+
+// Fails when the room that accounts share is filled up to the deadlines, when a route with more
+// time fills the queue that another needs, when a request that has begun is refused for others, or
+// when anything changes without accounts.
+TEST(placement, room_that_accounts_share_is_not_filled_up_to_the_deadlines)
+{
+    struct row
+    {
+        const char* name;
+        bool has_accounts;
+        core::milliseconds objective;
+        bool is_retry;
+        bool is_sent;
+    };
+    // Every upstream has requests before it that take 600 ms.
+    const row rows[] = {
+        {"no accounts", false, 2'500ms, false, true},
+        {"a route with the shortest objective", true, 1'000ms, false, true},
+        {"a route with more time", true, 2'500ms, false, false},
+        {"a request that has begun", true, 2'500ms, true, true},
+    };
+    for (const row& each : rows)
+    {
+        auto table = std::make_shared<routing_table>(*make_table());
+        for (const core::milliseconds objective : {1'000ms, 2'500ms})
+        {
+            route streamed;
+            streamed.kind = request_kind::streaming;
+            streamed.objective = objective;
+            streamed.services = {{model, 1}};
+            table->routes.push_back(streamed);
+        }
+        client_account gold;
+        gold.name = core::account_id{"gold"};
+        if (each.has_accounts)
+            CHECK_TRUE(table->accounts.add(gold, {"key"}).has_value());
+        table->bound_queues();
+        subject->set_table(table);
+        std::map<std::uint64_t, peer_load> loads;
+        const double slots = table->services.at(model).engine->slots;
+        for (const auto& [id, info] : make_upstreams(4, model))
+        {
+            loads[core::hash64(info.address.get())] = {3 * slots, 0};
+        }
+        subject->set_peer_loads(1, loads, begin);
+        chosen.objective = each.objective;
+        placement_request request = ask();
+        request.account = &gold;
+        request.is_retry = each.is_retry;
+        const placement_decision decided = subject->decide(request, begin);
+        const auto* refused = std::get_if<policy::refusal>(&decided);
+        CHECK_EQUAL_TEXT(each.is_sent, refused == nullptr, each.name);
+        if (refused != nullptr)
+            CHECK_TRUE(refused->reason == policy::refusal_reason::overloaded &&
+                       refused->executed == policy::execution::no && refused->retry_after > 0ms);
+    }
+}
--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -45,6 +45,8 @@
 constexpr int wrong_server = 421;
 constexpr int unavailable = 503;
 constexpr int server_error = 500;
+/// Of an answer with the fault `long`.
+constexpr std::size_t long_answer_bytes = 8'000'000;
 
 class server
 {
@@ -298,6 +300,8 @@
             stream(in, out, id, fault);
         else if (is_fatal(in))
             crash(in.path);
+        else if (fault == "long")
+            send_whole(out, std::string(long_answer_bytes, 'x'));
         else
             send_whole(out, "answer of " + FLAGS_id + " to " + in.method + " " + in.path + " " +
                                 in.body);
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -147,6 +147,7 @@
                     {"RetryWindowS", 10},
                     {"WarmupOvershoot", warmup_overshoot},
                     {"WarmupSlack", warmup_slack}}},
+                  {"Limits", {{"MemoryMb", machine_memory_mb}}},
                   {"Provider", {{"Address", store_address()}}}};
     settings["Bounds"].update(json::parse(m_bounds));
     std::ofstream(node.settings_path) << settings.dump();
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -72,6 +72,9 @@
     int sequence = 1;
 };
 
+/// Memory of the machine of each node: the smallest one of the users' deployments.
+constexpr int machine_memory_mb = 120;
+
 /// @brief Bound on the retries of all nodes. A node that has just started has no part of the slack,
 /// so tests that need retries let its requests earn them.
 struct retry_settings
