--- a/tests/uncontrolled_callers_test.cpp
+++ b/tests/uncontrolled_callers_test.cpp
@@ -23,7 +23,7 @@
 {
 
 constexpr std::size_t crowd = 40;
-constexpr std::size_t max_memory_kb = machine_memory_mb * 1'000;
+constexpr std::size_t max_memory_kb = std::size_t{machine_memory_mb} * 1'000;
 /// Of a node that serves nobody, with room for the crowd and what the node opens itself.
 constexpr std::size_t max_descriptors = 200 + 2 * crowd;
 
@@ -55,7 +55,8 @@
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
     constexpr int small_buffer = 4'096;
     ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &small_buffer, sizeof small_buffer);
-    ::connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof to);
+    const int connected = ::connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof to);
+    CHECK_EQUAL(0, connected);
     return socket;
 }
 
