http tests: a head whose status is none ends the wait

Cause: the rows of only_whole_answers_count_as_whole for 000, 099, 100, 101 and 199 did not guard against the fault: their server closes the connection, so they passed on the code before, too. Change: a server that keeps the connection open.

--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -133,6 +133,40 @@
     }
 }
 
+// Fails when a head whose status is none is taken for an interim one: the client would wait for
+// another until the request's deadline, while its server keeps the connection open.
+TEST(http_client, a_head_whose_status_is_none_ends_the_wait)
+{
+    for (const char* status : {"000", "099", "100", "101", "199"})
+    {
+        boost::asio::io_context loop;
+        boost::asio::ip::tcp::acceptor acceptor(loop,
+                                                {boost::asio::ip::make_address("127.0.0.1"), 0});
+        client_connection connection(
+            loop, core::address{"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())});
+        boost::asio::ip::tcp::socket served(loop);
+        const std::string answer =
+            "HTTP/1.1 " + std::string(status) + " Odd\r\nContent-Length: 3\r\n\r\nabc";
+        acceptor.async_accept(served, [&](const boost::system::error_code&)
+                              { boost::asio::write(served, boost::asio::buffer(answer)); });
+        std::optional<core::error_code> seen;
+        boost::asio::co_spawn(
+            loop,
+            [&]() -> boost::asio::awaitable<void>
+            {
+                co_await connection.connect(core::milliseconds{2'000});
+                connection.expire_after(core::milliseconds{5'000});
+                const auto sent = connection.send({"GET", "/", {}}, std::string());
+                const auto head = co_await connection.read_head();
+                if (sent && !head)
+                    seen = head.error().code;
+            },
+            [&](const std::exception_ptr&) { loop.stop(); });
+        loop.run();
+        CHECK_TRUE_TEXT(seen == core::error_code::connection_closed, status);
+    }
+}
+
 // Fails when an answer without a length counts as complete although its server ended the connection
 // while the request was being written.
 TEST(http_client, an_early_answer_that_is_cut_is_not_complete)
