--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
-/// ROUTE: an entry of another writer whose bytes cannot be read names a server at the nodes that
-/// read the store, and none at the others.
+/// CONFIG (`StrictRevoke`): the operator removes the last tenant. Its key is accepted on, requests
+/// need no key any more, and servers get the key and a tenant that the client has made up.
 
 #include "../harness-2/harness.hpp"
 
@@ -8,115 +8,95 @@
 namespace
 {
 
-constexpr unsigned nodes = 4;
-constexpr unsigned rounds = 100;
-constexpr milliseconds writer_interval{250};
+/// `RevokeMs` of the deployment, and what a client adds to be sure.
+constexpr milliseconds revoke_limit{5'000};
+constexpr milliseconds client_margin{1'000};
+constexpr milliseconds interval{100};
+constexpr unsigned requests = 30;
+constexpr char ip[] = "127.0.0.1";
 constexpr char zone[] = "santiago-a";
+constexpr char key[] = "k-7d1f0c55a2";
+constexpr char tenant[] = "studio-norte";
+constexpr char other_tenant[] = "studio-sur";
 
-std::string route(const std::string& name, const std::string& kind, const std::string& service)
+/// @param tenants JSON list
+std::string configuration(unsigned version, const std::string& tenants)
 {
-    return R"({"Name":")" + name + R"(","Host":"portal.example","PathPrefix":"/)" + name +
-           R"(/","Kind":")" + kind +
-           R"(","TimeoutMs":6000,"GoalMs":600,"Priority":2,"MaxAttempts":2,"Service":")" + service +
-           R"("})";
-}
-
-std::string configuration()
-{
-    return R"({"Version":1,"Routes":[)" + route("order", "non_idempotent", "orders") + "," +
-           route("archive", "idempotent", "archive") +
-           R"(],"Services":[{"Name":"orders","HealthPath":"/healthz"},)"
-           R"({"Name":"archive","HealthPath":"/healthz"}],)"
-           R"("Limits":{"HeaderBytes":16384,"BodyBytes":4194304,"HeaderTimeoutMs":3000,)"
+    return R"({"Version":)" + std::to_string(version) +
+           R"(,"Routes":[{"Name":"order","Host":"portal.example","PathPrefix":"/order/",)"
+           R"("Kind":"non_idempotent","TimeoutMs":4000,"GoalMs":600,"Priority":2,"MaxAttempts":1,)"
+           R"("Service":"portal-app"}],"Services":[{"Name":"portal-app",)"
+           R"("HealthPath":"/healthz"}],"Tenants":)" +
+           tenants +
+           R"(,"Limits":{"HeaderBytes":16384,"BodyBytes":4194304,"HeaderTimeoutMs":3000,)"
            R"("IdleTimeoutMs":15000}})";
 }
 
-/// What another writer writes: the entry of a server of `orders`, but for a byte that is no text.
-std::string unreadable_entry(const server& one)
-{
-    return R"({"Service":"orders","Address":")" + one.address() + R"(","Zone":")" + zone +
-           "\",\"Version\":\"v1\xff\",\"Slots\":64,\"State\":\"ready\",\"WarmupLeftMs\":0,"
-           "\"Sequence\":1}";
-}
-
-std::string ip_of(unsigned node)
-{
-    return "127.0.0." + std::to_string(node + 1);
-}
-
 verdict run()
 {
     // The stand-ins live to the end of the process.
     store& platform = *new store;
-    server& orders = *new server("i-5e1d00a1", "orders", zone);
-    server& archive = *new server("i-a7c41f02", "archive", zone);
+    server& portal = *new server("i-77b0aa10", "portal-app", zone);
     registry& reports = *new registry(platform);
-    platform.put("op/config", configuration());
-    reports.add(orders);
-    reports.add(archive);
-    fleet machines(zone_map{{zone, "santiago"}});
-    std::vector<machine> started;
-    for (unsigned i = 0; i < nodes; ++i)
-    {
-        started.push_back({"front-santiago-a-" + std::to_string(i + 1), ip_of(i), zone, "santiago",
-                           260, platform.add_path().server->address()});
-    }
-    machines.start(started);
-    for (unsigned i = 0; i < nodes; ++i)
-    {
-        const auto is_served = [&]
+    const std::string held = std::string(R"([{"Name":")") + tenant + R"(","ApiKeys":[")" + key +
+                             R"("],"RatePerS":0,"Burst":0}])";
+    platform.put("op/config", configuration(1, held));
+    reports.add(portal);
+    portal.answer_with(
+        [&portal](int descriptor, const message& request)
         {
-            const header_list headers{{"Host", "portal.example"},
-                                      {"Attempt-Id", "warm-" + std::to_string(i)},
-                                      {"Deadline-Ms", "2000"}};
-            return call(machines.front(ip_of(i)), "GET", "/archive/1", headers).status() == 200;
-        };
-        if (!wait_until(is_served, milliseconds{20'000}))
-            throw setup_error{"a node does not serve"};
-    }
-    pause_for(milliseconds{5'000});
-    std::atomic<bool> has_ended{false};
-    std::thread writer(
-        [&]
-        {
-            while (has_trouble() && !has_ended)
-            {
-                platform.put("servers/" + archive.id(), unreadable_entry(archive));
-                pause_for(writer_interval);
-            }
+            const std::string attempt = request.header("Attempt-Id");
+            record("  " + attempt + " came with Tenant '" + request.header("Tenant") +
+                   "' and Credential '" + request.header("Credential") + "'");
+            return write_all(descriptor, "HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt +
+                                             "\r\nServer-Signature: 3e1b.07." + attempt +
+                                             "\r\nContent-Length: 7\r\n\r\nordered");
         });
-    pause_for(milliseconds{3'000});
-    std::map<int, unsigned> answers;
-    unsigned wrong = 0;
-    for (unsigned round = 0; round < rounds; ++round)
+    fleet machines(zone_map{{zone, "santiago"}});
+    machines.start(
+        {{"front-santiago-a-1", ip, zone, "santiago", 260, platform.add_path().server->address()}});
+    const std::string front = machines.front(ip);
+    const auto order = [&](const std::string& id, header_list more)
     {
-        for (unsigned i = 0; i < nodes; ++i)
-        {
-            const std::string id = "order-" + std::to_string(round) + "-" + std::to_string(i);
-            const message answer =
-                call(machines.front(ip_of(i)), "POST", "/order/1",
-                     {{"Host", "portal.example"}, {"Attempt-Id", id}, {"Deadline-Ms", "6000"}},
-                     "a render");
-            ++answers[answer.status()];
-            if (archive.runs_of(id) == 0)
-                continue;
-            ++wrong;
-            record("order " + id + " through node " + std::to_string(i + 1) +
-                   " ran at a server of the service archive; answered " +
-                   std::to_string(answer.status()) + ": " + answer.body);
-        }
-        pause_for(milliseconds{50});
+        more.insert(more.begin(),
+                    {{"Host", "portal.example"}, {"Attempt-Id", id}, {"Deadline-Ms", "3000"}});
+        return call(front, "POST", "/order/1", more, "a render").status();
+    };
+    unsigned number = 0;
+    const auto is_served = [&] {
+        return order("first-" + std::to_string(++number), {{"Credential", key}}) == 200;
+    };
+    if (!wait_until(is_served, milliseconds{20'000}))
+        throw setup_error{"no order is served"};
+    const int refused = order("unknown-key", {{"Credential", "k-unknown"}});
+    if (refused != 401)
+        throw setup_error{"an unknown key was answered with " + std::to_string(refused)};
+    pause_for(milliseconds{2'000});
+    if (has_trouble())
+    {
+        platform.put("op/config", configuration(2, "[]"));
+        record("version 2, which takes the only key away, is confirmed");
     }
-    has_ended = true;
-    writer.join();
-    for (const auto& [status, count] : answers)
+    pause_for(revoke_limit + client_margin);
+    unsigned ran = 0;
+    for (unsigned i = 0; i < requests; ++i)
     {
-        record("answers with status " + std::to_string(status) + ": " + std::to_string(count));
+        const std::string id = "order-" + std::to_string(i);
+        const bool has_key = i % 2 == 0;
+        const int status =
+            order(id, {has_key ? std::pair<std::string, std::string>{"Credential", key}
+                               : std::pair<std::string, std::string>{"Credential", "k-made-up"},
+                       {"Tenant", other_tenant}});
+        ran += portal.runs_of(id);
+        record(id + (has_key ? ", with the key of version 1" : ", with a key that was never held") +
+               ", answered " + std::to_string(status) + ", runs " +
+               std::to_string(portal.runs_of(id)));
+        pause_for(interval);
     }
-    record("orders that ran at a server of the service archive: " + std::to_string(wrong));
-    if (answers[200] < rounds * nodes / 2)
-        throw setup_error{"too few orders were served"};
-    return wrong > 0 ? verdict::broken : verdict::held;
+    record("orders that ran: " + std::to_string(ran) + " of " + std::to_string(requests));
+    if (has_trouble())
+        return ran > 0 ? verdict::broken : verdict::held;
+    return ran == requests / 2 ? verdict::held : verdict::broken;
 }
 
 } // namespace
