--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-using std::chrono::steady_clock;
-
 /// `garble` of the site: share = 0.35, x = 0.02, for_s = 5.5.
 constexpr unsigned servers = 3; ///< one of them is faulty
 constexpr unsigned spoiled_one_of = 50;
@@ -112,18 +110,24 @@
             {{"Host", "portal.example"}, {"Attempt-Id", id}, {"Deadline-Ms", "3000"}}, "a render");
         message asked;
         asked.first_line = "POST " + path + " HTTP/1.1";
+        std::string line = id;
+        line.append(" ").append(path);
         if (answer.status() != 200 || !answer.is_whole)
         {
             ++seen.others;
-            record(id + " " + path + ": status " + std::to_string(answer.status()) +
-                   (answer.is_whole ? "" : ", cut off"));
+            record(line.append(": status ")
+                       .append(std::to_string(answer.status()))
+                       .append(answer.is_whole ? "" : ", cut off"));
             continue;
         }
         const bool is_wrong = answer.body != body_of(asked);
         ++(is_wrong ? seen.wrong : seen.whole);
-        if (is_wrong)
-            record(id + " " + path + ": a complete 200 with " + std::to_string(answer.body.size()) +
-                   " of " + std::to_string(body_of(asked).size()) + " bytes");
+        if (!is_wrong)
+            continue;
+        line.append(": a complete 200 with ");
+        line.append(std::to_string(answer.body.size())).append(" of ");
+        line.append(std::to_string(body_of(asked).size())).append(" bytes");
+        record(line);
     }
 }
 
