--- a/review/harness-2/harness.cpp
+++ b/review/harness-2/harness.cpp
@@ -118,17 +118,18 @@
     return to;
 }
 
-/// A port that was free on all addresses a moment ago.
+/// A port that was free a moment ago.
 std::string free_port()
 {
     const socket_handle probe(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in any{};
-    any.sin_family = AF_INET;
-    socklen_t size = sizeof any;
-    if (::bind(probe.get(), reinterpret_cast<sockaddr*>(&any), size) != 0 ||
-        ::getsockname(probe.get(), reinterpret_cast<sockaddr*>(&any), &size) != 0)
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof local;
+    if (::bind(probe.get(), reinterpret_cast<sockaddr*>(&local), size) != 0 ||
+        ::getsockname(probe.get(), reinterpret_cast<sockaddr*>(&local), &size) != 0)
         throw setup_error{"no free port"};
-    return std::to_string(ntohs(any.sin_port));
+    return std::to_string(ntohs(local.sin_port));
 }
 
 /// Reads until `buffer` has `size` bytes.
