--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -43,7 +43,7 @@
     platform.put("op/config", configuration(1, held));
     reports.add(portal);
     portal.answer_with(
-        [&portal](int descriptor, const message& request)
+        [](int descriptor, const message& request)
         {
             const std::string attempt = request.header("Attempt-Id");
             record("  " + attempt + " came with Tenant '" + request.header("Tenant") +
