--- a/packages/serving/include/snipeplank/serving/client_accounts.hpp
+++ b/packages/serving/include/snipeplank/serving/client_accounts.hpp
@@ -44,7 +44,6 @@
     /// belongs to another account
     core::result<void> add(client_account added, const std::vector<std::string>& keys);
 
-    bool is_empty() const { return m_accounts.empty(); }
     std::size_t size() const { return m_accounts.size(); }
 
     /// @brief The account that holds the key, or null. O(key length).
--- a/packages/serving/include/snipeplank/serving/routing_table.hpp
+++ b/packages/serving/include/snipeplank/serving/routing_table.hpp
@@ -92,7 +92,8 @@
     std::vector<route> routes;
     std::map<core::service_id, service> services;
     http::server_limits limits;
-    account_table accounts; ///< empty: requests need no key
+    /// Nothing: requests need no key. An empty table is not the same: no account is left.
+    std::optional<account_table> accounts;
     std::map<core::service_id, queue_bound> queue_bounds;
 
     /// @brief The route of the host with the longest prefix that matches the path, or null.
--- a/packages/serving/src/account_admission.cpp
+++ b/packages/serving/src/account_admission.cpp
@@ -36,6 +36,20 @@
                                 : limit.uncounted;
 }
 
+/// Units a second by which the quotas of the accounts with a limit fill.
+std::map<policy::quota_key, double> fill_rates(const account_table& accounts,
+                                               const policy::quota_bound& bound)
+{
+    std::map<policy::quota_key, double> rates;
+    for (const auto& [name, account] : accounts.accounts())
+    {
+        if (!account.quota.is_limited())
+            continue;
+        rates[policy::quota_key_of(name)] = policy::fill_rate(account.quota, bound);
+    }
+    return rates;
+}
+
 } // namespace
 
 account_admission::account_admission(
@@ -48,11 +62,8 @@
 void account_admission::set_table(const routing_table& table)
 {
     std::map<policy::quota_key, double> rates;
-    for (const auto& [name, account] : table.accounts.accounts())
-    {
-        if (account.quota.is_limited())
-            rates[policy::quota_key_of(name)] = policy::fill_rate(account.quota, m_terms.quotas);
-    }
+    if (table.accounts)
+        rates = fill_rates(*table.accounts, m_terms.quotas);
     m_quotas.set_limits(rates, host_time());
 }
 
@@ -62,9 +73,9 @@
                                                            const client_account*& found) const
 {
     found = nullptr;
-    if (table.accounts.is_empty())
+    if (!table.accounts)
         return std::nullopt;
-    found = request.key.empty() ? nullptr : table.accounts.find_by_key(request.key);
+    found = request.key.empty() ? nullptr : table.accounts->find_by_key(request.key);
     if (chosen.is_public)
         return std::nullopt;
     // An unknown key may have been added since.
@@ -86,7 +97,7 @@
                                                          const route& chosen,
                                                          const caller_request& request)
 {
-    if (table.accounts.is_empty())
+    if (!table.accounts)
         return std::nullopt;
     if (auto refused = m_admission.identify(table, chosen, request, m_account))
         return refused;
@@ -100,12 +111,12 @@
                                                               const route& chosen,
                                                               core::account_id name)
 {
-    if (name.get().empty() && table.accounts.is_empty())
+    if (name.get().empty() && !table.accounts)
         return std::nullopt;
     // The entry node has a configuration without accounts still.
     if (name.get().empty() && !chosen.is_public)
         return unconfirmed();
-    m_account = table.accounts.find(name);
+    m_account = table.accounts ? table.accounts->find(name) : nullptr;
     m_name = std::move(name);
     return std::nullopt;
 }
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -216,7 +216,8 @@
         m_log.event(line_kind::state_change, "configuration",
                     {{"version", table->version.get()},
                      {"routes", table->routes.size()},
-                     {"accounts", table->accounts.size()}});
+                     {"asks_for_keys", table->accounts.has_value()},
+                     {"accounts", table->accounts ? table->accounts->size() : 0}});
         m_accounts.set_table(*table);
         if (m_accounts.quotas().has_limits() && !std::exchange(m_has_quota_ticks, true))
             run_quota_ticks();
@@ -690,12 +691,12 @@
     /// Nothing where the configuration lists no accounts.
     std::string account_metrics() const
     {
-        if (!m_environment.table || m_environment.table->accounts.is_empty())
+        if (!m_environment.table || !m_environment.table->accounts)
             return {};
         const auto age = m_adapters.source.confirmed_age();
         const policy::quota_counters& counted = m_accounts.quotas().counters();
         std::string text = "# TYPE snipeplank_accounts gauge\nsnipeplank_accounts " +
-                           std::to_string(m_environment.table->accounts.size()) + "\n";
+                           std::to_string(m_environment.table->accounts->size()) + "\n";
         if (age)
             text += "# TYPE snipeplank_configuration_confirmed_age_ms gauge\n"
                     "snipeplank_configuration_confirmed_age_ms " +
--- a/packages/serving/src/routing_table.cpp
+++ b/packages/serving/src/routing_table.cpp
@@ -41,7 +41,7 @@
 void routing_table::bound_queues()
 {
     queue_bounds.clear();
-    if (accounts.is_empty())
+    if (!accounts)
         return;
     for (const route& each : routes)
     {
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -488,10 +488,27 @@
         m_environment.suspensions = std::make_shared<suspension_watch>(std::move(suspended_time));
     }
 
+    using accounts_by_key = std::map<std::string, client_account>;
+
+    /// @brief Puts a configuration with one route in force. Requests need no key.
+    void set_route(route only, service offered = {})
+    {
+        set_table(std::move(only), std::move(offered), std::nullopt);
+    }
+
+    /// @brief Puts a configuration with one route in force. Requests need the key of an account.
+    void set_route(route only, service offered, const accounts_by_key& accounts)
+    {
+        account_table table;
+        for (const auto& [account_key, account] : accounts)
+        {
+            static_cast<void>(table.add(account, {account_key}));
+        }
+        set_table(std::move(only), std::move(offered), std::move(table));
+    }
+
     /// @brief Puts a configuration with one route in force.
-    /// @param accounts with their keys; none: requests need no key
-    void set_route(route only, service offered = {},
-                   const std::map<std::string, client_account>& accounts = {})
+    void set_table(route only, service offered, std::optional<account_table> accounts)
     {
         only.host = "shop.example";
         only.path_prefix = "/";
@@ -501,10 +518,7 @@
         table->routes.push_back(std::move(only));
         offered.name = own_service;
         table->services[own_service] = offered;
-        for (const auto& [account_key, account] : accounts)
-        {
-            static_cast<void>(table->accounts.add(account, {account_key}));
-        }
+        table->accounts = std::move(accounts);
         m_accounts.set_table(*table);
         m_environment.table = table;
         m_places.set_table(table);
--- a/packages/serving/tests/client_accounts_test.cpp
+++ b/packages/serving/tests/client_accounts_test.cpp
@@ -147,6 +147,45 @@
     }
 }
 
+// Fails when requests need no key any more once the last account was removed, or when upstreams get
+// the key and the name that the client made up (review/7, CONFIG, ROUTE, UNASKED).
+TEST(client_accounts, without_any_account_left_no_key_is_accepted)
+{
+    struct row
+    {
+        const char* name;
+        std::string key;
+        bool is_public;
+        bool is_served;
+    };
+    const row rows[] = {
+        {"the removed key", gold_key, false, false},
+        {"a key that was never held", "other", false, false},
+        {"no key", "", false, false},
+        {"the removed key on a public route", gold_key, true, true},
+        {"a public route", "", true, true},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture node({});
+        scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+        route shop = shop_route();
+        shop.is_public = each.is_public;
+        node.set_route(shop, {}, {});
+        node.publish("i-1", upstream.address());
+        node.finish(node.start(request(each.key), std::nullopt));
+        LONGS_EQUAL_TEXT(each.is_served, upstream.requests().size(), each.name);
+        if (!each.is_served)
+        {
+            CHECK_TRUE(node.last_refusal().reason == policy::refusal_reason::unauthorized);
+            continue;
+        }
+        const std::string& head = upstream.requests().front();
+        CHECK_TRUE_TEXT(head.find(gold_key) == std::string::npos, each.name);
+        CHECK_TRUE_TEXT(has_line(head, "Account: "), head.c_str());
+    }
+}
+
 // Fails when a refusal for a key does not say why.
 TEST(client_accounts, refusals_name_their_reason)
 {
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -757,7 +757,7 @@
         client_account gold;
         gold.name = core::account_id{"gold"};
         if (each.has_accounts)
-            CHECK_TRUE(table->accounts.add(gold, {"key"}).has_value());
+            CHECK_TRUE(table->accounts.emplace().add(gold, {"key"}).has_value());
         table->bound_queues();
         subject->set_table(table);
         std::map<std::uint64_t, peer_load> loads;
--- a/tests/machine_account_test.cpp
+++ b/tests/machine_account_test.cpp
@@ -85,6 +85,35 @@
                [&] { return keyed("/read/x", "revoked", "key-of-gold").status == 401; });
 }
 
+// Fails when keys are accepted, or needed no more, once the last account was removed: at a node
+// that reads the store, and at one that copies the state of another (review/7, CONFIG).
+TEST(machine_account, without_any_account_left_no_key_is_accepted)
+{
+    const standin& server = start({home, home});
+    publish(4, "[]");
+    for (const std::size_t node : {0, 1})
+    {
+        wait_until("the key is refused",
+                   [&] { return keyed("/read/x", "taken", "key-of-gold", node).status == 401; });
+        LONGS_EQUAL(401, keyed("/read/x", "never-held", "key-of-nobody", node).status);
+        LONGS_EQUAL(401, keyed("/read/x", "no-key", "", node).status);
+    }
+    fleet->tell_store("/standin/down", "yes");
+    fleet->node(1).program->kill();
+    fleet->start_node(1);
+    wait_until("the node has a copy",
+               [&] { return http_get(fleet->node(1).readiness, "/api/readyz").is(200); });
+    for (const char* key : {"key-of-gold", "key-of-nobody", ""})
+    {
+        const int status = keyed("/read/x", "copied", key, 1).status;
+        CHECK_TRUE_TEXT(status == 401 || status == 503, std::to_string(status).c_str());
+    }
+    const auto seen = machine_fleet::seen(server);
+    CHECK_FALSE(seen["tenants"].contains("never-held") || seen["tenants"].contains("no-key") ||
+                seen["tenants"].contains("copied"));
+    LONGS_EQUAL(0, seen["keys"].get<long>());
+}
+
 // Fails when nodes together admit more than the bound of an account, or refuse without saying when
 // to come back.
 TEST(machine_account, nodes_keep_the_quota_of_an_account_together)
