--- a/packages/serving/src/account_admission.cpp
+++ b/packages/serving/src/account_admission.cpp
@@ -76,12 +76,12 @@
     if (!table.accounts)
         return std::nullopt;
     found = request.key.empty() ? nullptr : table.accounts->find_by_key(request.key);
-    if (chosen.is_public)
+    if (chosen.is_public && (found != nullptr || request.key.empty()))
         return std::nullopt;
-    // An unknown key may have been added since.
+    // An unknown key may have been added since, on a public route with regions of its account.
     if (!m_terms.revocation.allow(m_confirmed_age()))
         return unconfirmed();
-    if (found != nullptr)
+    if (found != nullptr || chosen.is_public)
         return std::nullopt;
     return policy::refusal{policy::refusal_reason::unauthorized, policy::execution::no,
                            "send one key of a client account", core::milliseconds{0}};
@@ -109,14 +109,19 @@
 
 std::optional<policy::refusal> account_binding::set_forwarded(const routing_table& table,
                                                               const route& chosen,
+                                                              const caller_request& request,
                                                               core::account_id name)
 {
-    if (name.get().empty() && !table.accounts)
+    const bool names_account = !name.get().empty();
+    if (!names_account && !table.accounts)
         return std::nullopt;
-    // The entry node has a configuration without accounts still.
-    if (name.get().empty() && !chosen.is_public)
+    // A node without accounts yet passes keys on, and asks for none.
+    if (!names_account && (!chosen.is_public || !request.key.empty()))
         return unconfirmed();
     m_account = table.accounts ? table.accounts->find(name) : nullptr;
+    // What the account allows is not known here.
+    if (names_account && m_account == nullptr)
+        return unconfirmed();
     m_name = std::move(name);
     return std::nullopt;
 }
--- a/packages/serving/src/account_admission.hpp
+++ b/packages/serving/src/account_admission.hpp
@@ -78,8 +78,11 @@
                                             const caller_request& request);
 
     /// @brief Sets the account that the entry node of a forwarded call has found.
-    /// @return why the call is refused, or nothing
+    /// @param name empty: the entry node has found none
+    /// @return why the call is refused, or nothing; a name that the configuration of this node does
+    /// not hold is refused as unconfirmed
     std::optional<policy::refusal> set_forwarded(const routing_table& table, const route& chosen,
+                                                 const caller_request& request,
                                                  core::account_id name);
 
     /// @brief The account, or null.
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -154,8 +154,9 @@
 /// The key is needed no longer once it has named the account.
 std::optional<policy::refusal> call::find_account()
 {
-    auto refused = m_forwarded ? m_account.set_forwarded(*m_table, *m_route, m_forwarded->account)
-                               : m_account.identify(*m_table, *m_route, m_caller);
+    auto refused = m_forwarded
+                       ? m_account.set_forwarded(*m_table, *m_route, m_caller, m_forwarded->account)
+                       : m_account.identify(*m_table, *m_route, m_caller);
     m_caller.key.clear();
     if (m_account.account() != nullptr)
         m_line.account = m_account.account()->name.get();
--- a/packages/serving/tests/client_accounts_test.cpp
+++ b/packages/serving/tests/client_accounts_test.cpp
@@ -121,6 +121,11 @@
         {"the lease has ended", gold_key, false, 4'901ms, 503, nullptr},
         {"the lease never began", gold_key, false, std::nullopt, 503, nullptr},
         {"a public route needs no lease", "", true, std::nullopt, 200, ""},
+        {"a public route with an unknown key", "other", true, 0ms, 200, ""},
+        // The key may have been added since, by an account with regions.
+        {"a public route with an unknown key, without a lease", "other", true, 4'901ms, 503,
+         nullptr},
+        {"a public route with a known key, without a lease", gold_key, true, 4'901ms, 200, "gold"},
     };
     for (const row& each : rows)
     {
@@ -237,6 +242,64 @@
     CHECK_TRUE(has_line(upstream.requests().front(), "Account: gold"));
 }
 
+// Fails when a forwarded call goes on without the regions, the priority and the quota of its
+// account because this node's configuration does not hold it, or knows of no accounts (review/7).
+TEST(client_accounts, a_forwarded_call_of_an_account_that_is_not_known_here_is_refused)
+{
+    enum class known_accounts
+    {
+        not_configured,
+        none_left,
+        others,
+    };
+    struct row
+    {
+        const char* name;
+        known_accounts known;
+        const char* account; ///< that the entry node has found; empty: none
+        std::string key;     ///< that the entry node passes on
+        bool is_public;
+        bool is_served;
+    };
+    const row rows[] = {
+        {"nobody asks for keys", known_accounts::not_configured, "", "", false, true},
+        {"no accounts here yet", known_accounts::not_configured, "gold", "", false, false},
+        {"no accounts here yet, public", known_accounts::not_configured, "gold", "", true, false},
+        {"removed here", known_accounts::none_left, "gold", "", false, false},
+        {"not added here yet", known_accounts::others, "gold", "", false, false},
+        {"not added here yet, public", known_accounts::others, "gold", "", true, false},
+        {"no accounts there yet", known_accounts::others, "", "", false, false},
+        {"no accounts there yet, with a key", known_accounts::others, "", gold_key, true, false},
+        {"none left, and no accounts there yet", known_accounts::none_left, "", "", false, false},
+        {"public without a key", known_accounts::others, "", "", true, true},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture node({});
+        scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+        route shop = shop_route();
+        shop.is_public = each.is_public;
+        call_fixture::accounts_by_key accounts;
+        if (each.known == known_accounts::others)
+            accounts["key-of-silver"] = account("silver");
+        if (each.known == known_accounts::not_configured)
+            node.set_route(shop);
+        else
+            node.set_route(shop, {}, accounts);
+        node.publish("i-1", upstream.address());
+        std::optional<policy::refusal> refused;
+        forwarded_from from{3s, [&](const policy::refusal& why) { refused = why; }};
+        from.account = core::account_id{each.account};
+        node.finish(node.start(request(each.key), from));
+        LONGS_EQUAL_TEXT(each.is_served, upstream.requests().size(), each.name);
+        if (each.is_served)
+            continue;
+        CHECK_TRUE_TEXT(refused.has_value(), each.name);
+        CHECK_TRUE(refused->reason == policy::refusal_reason::configuration_unconfirmed);
+        CHECK_TRUE(refused->executed == policy::execution::no && !refused->has_reached_upstream);
+    }
+}
+
 // Fails when a request over the quota is sent, is not told when to come back, or when a request
 // that did not run uses up the quota.
 TEST(client_accounts, a_request_over_the_quota_is_refused_and_one_that_has_not_run_is_not_counted)
