--- a/packages/gateway/src/caller_calls.cpp
+++ b/packages/gateway/src/caller_calls.cpp
@@ -114,7 +114,7 @@
 std::optional<refusal> caller_handlers::admit_account(const call& request,
                                                       const httplib::Request& http)
 {
-    if (request.config->accounts.empty())
+    if (!request.config->asks_for_keys)
         return std::nullopt;
     constexpr std::size_t scheme_length = 7; // "Bearer "
     const std::string header = http.get_header_value("Authorization");
--- a/packages/gateway/src/request_parser.cpp
+++ b/packages/gateway/src/request_parser.cpp
@@ -133,7 +133,7 @@
 
 std::optional<refusal> read_account(const control_headers& control, call& parsed)
 {
-    if (parsed.config->accounts.empty())
+    if (!parsed.config->asks_for_keys)
         return std::nullopt;
     constexpr std::string_view scheme = "Bearer ";
     if (!control.authorization || !control.authorization->starts_with(scheme))
--- a/packages/gateway/tests/request_parser_test.cpp
+++ b/packages/gateway/tests/request_parser_test.cpp
@@ -17,7 +17,14 @@
 
 const core::region_id here{"salzkammer"};
 
-config_ptr make_config(bool with_accounts)
+enum class accounts
+{
+    not_configured,
+    none_left,
+    one,
+};
+
+config_ptr make_config(accounts listed)
 {
     auto config = std::make_shared<settings::published_config>();
     config->version = core::config_version{1};
@@ -31,7 +38,8 @@
     booking.name = core::service_id{"booking"};
     booking.non_idempotent_methods = {"POST"};
     config->services[booking.name] = booking;
-    if (with_accounts)
+    config->asks_for_keys = listed != accounts::not_configured;
+    if (listed == accounts::one)
     {
         settings::account_config account;
         account.id = core::account_id{"buyer"};
@@ -57,7 +65,9 @@
 {
     const request_head head{request.method, request.path, request.path, request.headers};
     const core::time_point now{core::seconds{100}};
-    if (auto refused = parse_head(head, make_config(request.with_accounts), here, now, parsed))
+    if (auto refused = parse_head(
+            head, make_config(request.with_accounts ? accounts::one : accounts::not_configured),
+            here, now, parsed))
         return refused;
     return parse_body(request.body, here, parsed);
 }
@@ -243,7 +253,22 @@
     const request_head anonymous{"POST", "/v1/tickets", "/v1/tickets", {}};
     const request_head client{
         "POST", "/v1/tickets", "/v1/tickets", {{"Authorization", "Bearer secret"}}};
-    CHECK_TRUE(check_account(anonymous, make_config(true)).has_value());
-    CHECK_FALSE(check_account(client, make_config(true)).has_value());
-    CHECK_FALSE(check_account(anonymous, make_config(false)).has_value());
+    CHECK_TRUE(check_account(anonymous, make_config(accounts::one)).has_value());
+    CHECK_FALSE(check_account(client, make_config(accounts::one)).has_value());
+    CHECK_FALSE(check_account(anonymous, make_config(accounts::not_configured)).has_value());
+}
+
+// Fails when a request needs no key any more once the last account was removed (review/7).
+TEST(request_parser, without_any_account_left_no_key_is_accepted)
+{
+    const std::vector<header_field> rows[] = {{}, {{"Authorization", "Bearer secret"}}};
+    for (const std::vector<header_field>& headers : rows)
+    {
+        const request_head head{"POST", chat_path, chat_path, headers};
+        call parsed;
+        CHECK_TRUE(parse_head(head, make_config(accounts::none_left), here,
+                              core::time_point{core::seconds{100}}, parsed)
+                       .has_value());
+        CHECK_TRUE(check_account(head, make_config(accounts::none_left)).has_value());
+    }
 }
--- a/packages/settings/include/snipeplank/settings/answers.hpp
+++ b/packages/settings/include/snipeplank/settings/answers.hpp
@@ -96,9 +96,13 @@
     std::vector<std::string> fleet_keys;
     std::map<core::service_id, service_answer> services;
     tolerance_answers tolerance;
+    bool lists_accounts = false; ///< the answers have the group, perhaps without any account left
     std::map<core::account_id, account_config> accounts;
     std::optional<core::bytes> max_body;
     std::optional<log_format> format;
+
+    /// @brief Whether callers need the key of an account.
+    bool asks_for_keys() const { return lists_accounts || !accounts.empty(); }
 };
 
 /// @brief Parses an answers file and refuses invalid values. Contradictions between answers are
--- a/packages/settings/include/snipeplank/settings/published_config.hpp
+++ b/packages/settings/include/snipeplank/settings/published_config.hpp
@@ -102,6 +102,9 @@
     routing_kind routing = routing_kind::adaptive;
     core::bytes_per_second weight_store_rate{};
     core::region_id weight_store_region;
+    /// Whether callers need the key of an account: a section of accounts is listed, perhaps without
+    /// any account left in it.
+    bool asks_for_keys = false;
     std::unordered_map<std::string, account_config> accounts; ///< by key_sha256
 
     /// @brief The service of that name, or nothing.
--- a/packages/settings/src/answers.cpp
+++ b/packages/settings/src/answers.cpp
@@ -114,6 +114,7 @@
 
 void read_accounts(const yaml_field& group, answers& given)
 {
+    given.lists_accounts = true;
     for (const auto& [name, account] : group.members())
     {
         account.expect_keys({"key_sha256", "home", "calls_per_second"}, {"burst"});
--- a/packages/settings/src/answers_text.cpp
+++ b/packages/settings/src/answers_text.cpp
@@ -117,8 +117,13 @@
 
 void write_accounts(yaml_writer& yaml, const answers& given)
 {
+    if (!given.asks_for_keys())
+    {
+        return;
+    }
     if (given.accounts.empty())
     {
+        yaml.value("accounts", "{}");
         return;
     }
     yaml.open("accounts");
--- a/packages/settings/src/config_builder.cpp
+++ b/packages/settings/src/config_builder.cpp
@@ -156,6 +156,7 @@
             {
                 continue;
             }
+            config.asks_for_keys = true;
             failure = read_accounts(section, sections.at(section.sha256), previous, config.regions);
             if (!failure)
             {
--- a/packages/settings/src/generator.cpp
+++ b/packages/settings/src/generator.cpp
@@ -129,9 +129,21 @@
     yaml.close();
 }
 
-/// Texts of the non-empty account sections, by name.
+/// A section of accounts that says: keys are asked for, and no account is left.
+std::string empty_account_section()
+{
+    yaml_writer yaml;
+    yaml.comment(generated_notice);
+    yaml.value("accounts", "[]", "from accounts");
+    return yaml.text();
+}
+
+/// Texts of the account sections, by name: those with accounts, or an empty one if callers need a
+/// key that nobody holds.
 std::map<std::string, std::string> account_sections(const answers& given)
 {
+    if (given.asks_for_keys() && given.accounts.empty())
+        return {{"accounts-000", empty_account_section()}};
     std::map<std::string, yaml_writer> writers;
     for (const auto& [id, account] : given.accounts)
     {
--- a/packages/settings/tests/describe.hpp
+++ b/packages/settings/tests/describe.hpp
@@ -69,7 +69,7 @@
     }
     out << config.weights.latency << ' ' << config.weights.cost << ' ' << config.weights.away << ' '
         << static_cast<int>(config.routing) << ' ' << config.weight_store_rate.rate << ' '
-        << config.weight_store_region.get() << '\n';
+        << config.weight_store_region.get() << ' ' << config.asks_for_keys << '\n';
     const std::map<std::string, account_config> ordered(config.accounts.begin(),
                                                         config.accounts.end());
     for (const auto& [key, account] : ordered)
--- a/packages/settings/tests/generator_test.cpp
+++ b/packages/settings/tests/generator_test.cpp
@@ -68,6 +68,7 @@
     {
         config.accounts[account.key_sha256] = account;
     }
+    config.asks_for_keys = given.asks_for_keys();
     return config;
 }
 
@@ -198,6 +199,27 @@
     LONGS_EQUAL(2, changed);
 }
 
+// Fails when callers need no key any more once the operator has removed the last account
+// (review/7).
+TEST(generator, without_any_account_left_callers_still_need_a_key)
+{
+    snipeplank::tests::check_property(
+        "answers without accounts",
+        []
+        {
+            answers given = *valid_answers();
+            given.accounts.clear();
+            given.lists_accounts = *rc::gen::arbitrary<bool>();
+            const auto read = parse_answers(render_answers(given), "answers.yaml");
+            RC_ASSERT(read.has_value());
+            const auto files = generate_files(read.value());
+            RC_ASSERT(files.has_value());
+            const auto config = read_published(files.value());
+            RC_ASSERT(config.has_value());
+            RC_ASSERT(config.value().asks_for_keys == given.lists_accounts);
+        });
+}
+
 TEST(generator, names_that_yaml_reads_as_null_are_quoted)
 {
     // Unquoted, a region called null would be missing after the generated file is parsed.
--- a/packages/settings/tests/random_answers.hpp
+++ b/packages/settings/tests/random_answers.hpp
@@ -199,6 +199,8 @@
             account.burst = random_tenths(1, 500);
             m_given.accounts[account.id] = account;
         }
+        // Half of the answers without an account have the group.
+        m_given.lists_accounts = accounts > 0 || m_given.services.size() % 2 == 0;
     }
 
     answers m_given;
