--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -407,6 +407,16 @@
     return nodes;
 }
 
+bool fleet_link::may_not_know(const core::region_id& region) const
+{
+    if (region == m_options.region || !m_node_count.is_discovering(now()))
+        return false;
+    const std::vector<fleet::member_update> members = m_members.members();
+    return std::none_of(members.begin(), members.end(),
+                        [&](const fleet::member_update& each)
+                        { return region_of(each.zone) == region; });
+}
+
 void fleet_link::record_members(core::time_point time)
 {
     m_next_record = time + record_interval;
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -112,6 +112,10 @@
     /// @brief Nodes that answer, have a configuration and are not stopping; this one included.
     std::vector<live_node> live_nodes() const;
 
+    /// @brief Whether this node has just started and knows no other node of the region, in any
+    /// state.
+    bool may_not_know(const core::region_id& region) const;
+
     /// @brief Caller addresses of a region's nodes that began to stop at most `age` ago.
     std::vector<core::address> stopping_nodes(const core::region_id& region,
                                               core::milliseconds age) const;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -41,6 +41,8 @@
 
 /// The directory returns a stopping node for this long if its region has no live node.
 constexpr core::milliseconds advertise_after_stop{2'000};
+/// A node that stops as planned is back by then: the grace, and a restart.
+constexpr core::milliseconds return_after_stop{10'000};
 constexpr core::milliseconds housekeeping_interval{250};
 constexpr core::milliseconds stop_check_interval{50};
 constexpr core::milliseconds end_check_interval{5};
@@ -500,7 +502,7 @@
 
     bool is_ready() const { return !m_is_stopping && m_environment.table != nullptr; }
 
-    std::vector<core::address> entry_points(const control_request& asked) const
+    std::vector<core::address> entry_points(const control_request& asked)
     {
         entry_view view;
         view.live = m_nodes;
@@ -508,8 +510,26 @@
         for (const auto& [zone, region] : m_options.zones)
         {
             view.stopping[region] = m_fleet.stopping_nodes(region, advertise_after_stop);
+            view.expected_back[region] = m_fleet.stopping_nodes(region, return_after_stop);
+            if (m_fleet.may_not_know(region))
+                view.unknown_regions.insert(region);
         }
-        return choose_entry_points(asked, view);
+        entry_choice chosen = choose_entry_points(asked, view);
+        ++m_entry_answers.at(static_cast<std::size_t>(chosen.group));
+        return std::move(chosen.addresses);
+    }
+
+    /// Answers of the directory by the group that they name.
+    std::string entry_metrics() const
+    {
+        const std::string name = "snipeplank_directory_answers_total";
+        std::string text = "# TYPE " + name + " counter\n";
+        for (std::size_t i = 0; i < entry_group_count; ++i)
+        {
+            text += name + "{group=\"" + std::string(to_string(static_cast<entry_group>(i))) +
+                    "\"} " + std::to_string(m_entry_answers.at(i)) + "\n";
+        }
+        return text;
     }
 
     /// Admin addresses of the other live nodes, of one region or of all.
@@ -692,7 +712,7 @@
         text +=
             "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
             std::to_string(m_crash_guard.crashes()) + "\n";
-        return text + stream_metrics() + retry_metrics() + account_metrics();
+        return text + stream_metrics() + retry_metrics() + entry_metrics() + account_metrics();
     }
 
     /// Nothing where the configuration lists no accounts.
@@ -800,6 +820,7 @@
     policy::node_share m_node_share;
     policy::node_share m_region_share;
     std::size_t m_reported_node_count = 0;
+    std::array<std::uint64_t, entry_group_count> m_entry_answers{};
     bool m_is_stopping = false;
     bool m_has_quota_ticks = false;
 };
--- a/tests/machine_node_test.cpp
+++ b/tests/machine_node_test.cpp
@@ -522,3 +522,43 @@
     LONGS_EQUAL(0, fleet->node(0).program->wait());
     wait_until("the stopped node is not listed", [&] { return !lists_first(); });
 }
+
+// Fails when clients of a region whose nodes are all stopping as planned, or are being started
+// again, are led with bound data to a region that is no home (HOME on tamarack-lunar mix
+// 332907775777).
+TEST(machine_node, a_planned_stop_of_a_region_leads_bound_data_nowhere_else)
+{
+    set_up({home, remote});
+    fleet->publish_configuration(4, home);
+    fleet->add_server("i-s", "shop", home);
+    fleet->add_server("i-far", "shop", remote);
+    const standin& model = fleet->start_server("i-m", 0, {"--events", "60", "--event_ms", "100"});
+    fleet->publish_server("i-m", "model", home, model.address(), "ready");
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    const std::string question = "/api/resolve?Name=shop.example&Region=" + home + "&Zone=" + home;
+    const auto leads_to = [&](std::size_t node)
+    {
+        return http_get(fleet->node(1).directory, question).body.find(fleet->node(node).callers) !=
+               std::string::npos;
+    };
+    wait_until("the node is listed", [&] { return leads_to(0); });
+    http_exchange stream(fleet->node(0).callers,
+                         machine_fleet::request("POST", "/stream/x", "long", 8'000));
+    CHECK_TRUE(stream.read_body(10));
+    fleet->node(0).program->send_signal(SIGTERM);
+    constexpr std::chrono::seconds observed{7};
+    const auto stopped = std::chrono::steady_clock::now();
+    bool is_led_away = false;
+    while (std::chrono::steady_clock::now() - stopped < observed && !is_led_away)
+    {
+        is_led_away = leads_to(1);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    CHECK_FALSE(is_led_away);
+    LONGS_EQUAL(0, fleet->node(0).program->wait());
+    fleet->start_node(0);
+    fleet->wait_until_served(0, "/read/x");
+    wait_until("the node is listed again", [&] { return leads_to(0); });
+    CHECK_FALSE(leads_to(1));
+}
