--- a/packages/serving/include/snipeplank/serving/state_feed.hpp
+++ b/packages/serving/include/snipeplank/serving/state_feed.hpp
@@ -47,7 +47,8 @@
     std::map<std::string, std::uint64_t> prefixes; ///< position by key prefix
 };
 
-/// @brief Encodes a feed as JSON; bytes that are not UTF-8 are replaced.
+/// @brief Encodes a feed as JSON. Keys and values keep their bytes: those that are not UTF-8 go as
+/// base64.
 std::string encode_feed(const state_feed& feed);
 
 /// @brief Decodes a feed.
--- a/packages/serving/src/state_feed.cpp
+++ b/packages/serving/src/state_feed.cpp
@@ -1,4 +1,6 @@
+#include <snipeplank/core/base64.hpp>
 #include <snipeplank/core/json_text.hpp>
+#include <snipeplank/core/printable.hpp>
 #include <snipeplank/core/rendezvous.hpp>
 #include <snipeplank/http/message.hpp>
 #include <snipeplank/serving/state_feed.hpp>
@@ -18,6 +20,7 @@
 
 constexpr char watcher_key[] = "state watchers";
 constexpr char instance_name[] = "instance";
+constexpr char base64_suffix[] = "_base64";
 
 auto invalid(const std::string& what)
 {
@@ -50,22 +53,54 @@
                        });
 }
 
+/// Puts a text that may hold any bytes. Strings of JSON are UTF-8: other bytes go as base64, since
+/// a text in which some were replaced is another one, which may be valid.
+void put_bytes(json& object, const std::string& name, const std::string& bytes)
+{
+    if (core::is_utf8(bytes))
+        object[name] = bytes;
+    else
+        object[name + base64_suffix] = core::encode_base64(bytes);
+}
+
+/// Reads a text that `put_bytes` has put.
+/// @param[out] bytes the text; unchanged where the object has none
+/// @return whether the text can be read, or is absent
+bool take_bytes(const json& object, const std::string& name, std::optional<std::string>& bytes)
+{
+    const auto plain = object.find(name);
+    const auto encoded = object.find(name + base64_suffix);
+    if (plain != object.end())
+    {
+        if (!plain->is_string() || encoded != object.end())
+            return false;
+        bytes = plain->get<std::string>();
+        return true;
+    }
+    if (encoded == object.end())
+        return true;
+    if (encoded->is_string())
+        bytes = core::decode_base64(encoded->get<std::string>());
+    return bytes.has_value();
+}
+
 json to_json(const replica_changes& changes)
 {
     json events = json::array();
     for (const replica_event& event : changes.events)
     {
-        json each = {{"key", event.key}, {"revision", event.revision}};
+        json each = {{"revision", event.revision}};
+        put_bytes(each, "key", event.key);
         if (event.value)
-            each["value"] = *event.value;
+            put_bytes(each, "value", *event.value);
         events.push_back(std::move(each));
     }
     json pending = json::array();
-    for (const pending_removal& each : changes.pending)
+    for (const pending_removal& removal : changes.pending)
     {
-        pending.push_back({{"key", each.key},
-                           {"revision", each.revision},
-                           {"remaining_ms", each.remaining.count()}});
+        json each = {{"revision", removal.revision}, {"remaining_ms", removal.remaining.count()}};
+        put_bytes(each, "key", removal.key);
+        pending.push_back(std::move(each));
     }
     return {{"complete", changes.is_complete},
             {"as_of", changes.as_of},
@@ -92,13 +127,13 @@
         return invalid("the pending removals are no list");
     for (const json& each : *found)
     {
-        const auto key = each.find("key");
-        if (!each.is_object() || key == each.end() || !key->is_string())
+        std::optional<std::string> key;
+        if (!each.is_object() || !take_bytes(each, "key", key) || !key)
             return invalid("a pending removal lacks its key");
         if (has_unreadable(each, {"revision", "remaining_ms"}, &json::is_number_unsigned))
             return invalid("a pending removal has an unreadable number");
-        pending.push_back({key->get<std::string>(), number_of(each, "revision"),
-                           duration_of(each, "remaining_ms")});
+        pending.push_back(
+            {std::move(*key), number_of(each, "revision"), duration_of(each, "remaining_ms")});
     }
     return pending;
 }
@@ -118,18 +153,14 @@
     changes.era = number_of(object, "era");
     for (const json& each : *events)
     {
-        const auto key = each.find("key");
-        if (!each.is_object() || key == each.end() || !key->is_string())
+        std::optional<std::string> key;
+        if (!each.is_object() || !take_bytes(each, "key", key) || !key)
             return invalid("an event lacks its key");
         if (has_unreadable(each, {"revision"}, &json::is_number_unsigned))
             return invalid("an event has an unreadable revision");
-        replica_event event{key->get<std::string>(), std::nullopt, number_of(each, "revision")};
-        if (const auto value = each.find("value"); value != each.end())
-        {
-            if (!value->is_string())
-                return invalid("the value of '" + event.key + "' is not text");
-            event.value = value->get<std::string>();
-        }
+        replica_event event{std::move(*key), std::nullopt, number_of(each, "revision")};
+        if (!take_bytes(each, "value", event.value))
+            return invalid("the value of '" + event.key + "' is not text");
         changes.events.push_back(std::move(event));
     }
     auto pending = to_pending(object);
--- a/packages/serving/tests/state_feed_test.cpp
+++ b/packages/serving/tests/state_feed_test.cpp
@@ -276,6 +276,46 @@
     }
 }
 
+// Fails when a copy of the state changes a byte of a key or a value: an entry that can't be read
+// would name an upstream at the nodes that copy it (review/8, ROUTE).
+TEST(state_feed, keys_and_values_keep_their_bytes)
+{
+    const std::string rows[] = {
+        "",
+        "plain",
+        "caf\xc3\xa9",
+        "caf\xe9",
+        std::string("\x00\xff\xfe\n", 4),
+        R"({"Service":"orders","Version":"v1)"
+        "\xff"
+        R"("})",
+        "\xed\xa0\x80",
+        "\xc0\xaf",
+        "\xef\xbf\xbd",
+    };
+    for (const std::string& bytes : rows)
+    {
+        replica_changes changes;
+        changes.is_complete = true;
+        changes.events = {{"servers/" + bytes, bytes, 3}, {bytes, std::nullopt, 4}};
+        changes.pending = {{bytes, 5, 100ms}};
+        const replica_changes received = sent(changes);
+        LONGS_EQUAL(2, received.events.size());
+        CHECK_TRUE(received.events[0].key == "servers/" + bytes);
+        CHECK_TRUE(received.events[0].value == bytes);
+        CHECK_TRUE(received.events[1].key == bytes && !received.events[1].value);
+        CHECK_TRUE(received.pending.at(0).key == bytes);
+    }
+    for (const char* odd :
+         {R"({"key_base64":"!"})", R"({"key_base64":7})", R"({"key":"a","key_base64":"YQ=="})",
+          R"({"key":"a","value_base64":"!"})", R"({"key":"a","value":"b","value_base64":"Yg=="})"})
+    {
+        const std::string feed =
+            R"({"age_ms":1,"prefixes":{"op/":{"events":[)" + std::string(odd) + "]}}}";
+        CHECK_FALSE_TEXT(decode_feed(feed).has_value(), odd);
+    }
+}
+
 // Fails when a copy of the state counts as new, as whole or as confirmed because the field that
 // says otherwise can't be read (review/7: unreadable taken for unrestricted).
 TEST(state_feed, unreadable_fields_of_a_feed_are_errors)
