--- a/packages/policy/include/snipeplank/policy/quota_exchange.hpp
+++ b/packages/policy/include/snipeplank/policy/quota_exchange.hpp
@@ -218,7 +218,7 @@
     };
 
     /// What another node asked for and has not received yet.
-    struct debt
+    struct pending_ask
     {
         core::address to;
         std::uint64_t asker = 0;
@@ -240,10 +240,10 @@
         /// that small ones do not use up what large ones need.
         core::time_point short_until{};
         core::time_point collected_at{};
-        core::time_point borrowed_at{};
-        core::time_point active_until{}; ///< as collector
-        std::deque<debt> debts;          ///< to nodes of the region
-        std::deque<debt> loans;          ///< to collectors of other regions
+        core::time_point asked_remote_at{};
+        core::time_point active_until{};     ///< as collector
+        std::deque<pending_ask> local_asks;  ///< of nodes of the region
+        std::deque<pending_ask> remote_asks; ///< of collectors of other regions
     };
 
     account_state& state_of(quota_key account, core::time_point now);
@@ -269,16 +269,16 @@
 
     void on_ask(const core::address& from, std::uint64_t asker, const quota_ask& ask,
                 core::time_point now);
-    void on_need(const debt& asked, account_state& known, core::time_point now);
-    void on_collect(const debt& asked, account_state& known, core::time_point now);
+    void on_need(const pending_ask& asked, account_state& known, core::time_point now);
+    void on_collect(const pending_ask& asked, account_state& known, core::time_point now);
     double own_reserve(const account_state& known, core::time_point now) const;
-    void on_lend(debt asked, account_state& known, core::time_point now);
+    void on_remote_ask(pending_ask asked, account_state& known, core::time_point now);
     void on_grant(const quota_grant& granted, core::time_point now);
-    void serve_debts(account_state& known, core::time_point now);
-    void serve_loans(account_state& known, core::time_point now);
-    void give(const debt& to, account_state& known, double amount, core::time_point now);
+    void serve_local_asks(account_state& known, core::time_point now);
+    void serve_remote_asks(account_state& known, core::time_point now);
+    void give(const pending_ask& to, account_state& known, double amount, core::time_point now);
     void collect(quota_key account, account_state& known, core::time_point now);
-    void borrow(quota_key account, account_state& known, core::time_point now);
+    void ask_other_regions(quota_key account, account_state& known, core::time_point now);
     bool lacks_units(account_state& known, core::time_point now);
     void prune(core::time_point now);
     void flush();
--- a/packages/policy/src/quota_exchange.cpp
+++ b/packages/policy/src/quota_exchange.cpp
@@ -26,11 +26,11 @@
 /// How long an account counts as short of units after a request was refused.
 constexpr core::milliseconds short_time{1'000};
 constexpr core::milliseconds collect_interval{300};
-constexpr core::milliseconds borrow_interval{300};
+constexpr core::milliseconds remote_ask_interval{300};
 /// A collector goes on collecting for this long after the last ask.
 constexpr core::milliseconds active_time{3'000};
-/// How long a loan stands: a round trip within the region that lends.
-constexpr core::milliseconds loan_time{400};
+/// How long an ask to another region stands: a round trip within that region.
+constexpr core::milliseconds remote_ask_time{400};
 /// A collector that has not answered for this long is passed over.
 constexpr core::milliseconds answer_timeout{200};
 constexpr core::milliseconds silence_time{3'000};
@@ -148,7 +148,7 @@
     refill(known, now);
     auto charged = std::make_shared<quota_charge>(account, amount);
     const bool is_short = known.short_until > now;
-    if (!is_short && known.waiting.empty() && known.debts.empty() &&
+    if (!is_short && known.waiting.empty() && known.local_asks.empty() &&
         known.units.available(now) >= amount)
     {
         grant(*charged, known, now);
@@ -174,7 +174,7 @@
 {
     account_state& known = state_of(charged->m_account, now);
     known.units.add(std::exchange(charged->m_units, {}));
-    serve_debts(known, now);
+    serve_local_asks(known, now);
     grant_waiting(known, now);
     flush();
 }
@@ -213,13 +213,13 @@
             continue;
         refill(known, now);
         refuse_overdue(known, now);
-        serve_debts(known, now);
+        serve_local_asks(known, now);
         grant_waiting(known, now);
         if (known.active_until <= now)
             continue;
         collect(account, known, now);
-        borrow(account, known, now);
-        serve_loans(known, now);
+        ask_other_regions(account, known, now);
+        serve_remote_asks(known, now);
     }
     flush();
     prune(now);
@@ -322,7 +322,7 @@
 
 void quota_exchange::grant_waiting(account_state& known, core::time_point now)
 {
-    while (!known.waiting.empty() && known.debts.empty() && known.short_until <= now &&
+    while (!known.waiting.empty() && known.local_asks.empty() && known.short_until <= now &&
            known.units.available(now) >= known.waiting.front()->m_amount)
     {
         grant_asked(known.waiting.front()->m_asked_at_ms, known, now);
@@ -433,7 +433,7 @@
     account_state& known = state_of(ask.account, now);
     known.used_at = now;
     refill(known, now);
-    debt asked{from, asker, ask, now + core::milliseconds{ask.wait_ms}};
+    pending_ask asked{from, asker, ask, now + core::milliseconds{ask.wait_ms}};
     switch (ask.kind)
     {
     case quota_ask_kind::need:
@@ -443,32 +443,32 @@
         on_collect(asked, known, now);
         break;
     case quota_ask_kind::lend:
-        on_lend(std::move(asked), known, now);
+        on_remote_ask(std::move(asked), known, now);
         break;
     }
 }
 
 /// Who stands in the queue does not depend on how much it needs, but on those before it.
-void quota_exchange::on_need(const debt& asked, account_state& known, core::time_point now)
+void quota_exchange::on_need(const pending_ask& asked, account_state& known, core::time_point now)
 {
     const quota_key account = asked.ask.account;
     known.active_until = now + active_time;
     known.region_demand.add(asked.ask.needed, now);
     const double before =
-        std::accumulate(known.debts.begin(), known.debts.end(), 0.0,
-                        [](double sum, const debt& each) { return sum + each.ask.needed; });
+        std::accumulate(known.local_asks.begin(), known.local_asks.end(), 0.0,
+                        [](double sum, const pending_ask& each) { return sum + each.ask.needed; });
     const double expected = known.units.available(now) + units_in_a_wait(account, known, now);
     const bool has_prospect = expected > 0 && before <= expected;
     if (!has_prospect)
         known.short_until = now + short_time;
     else
     {
-        known.debts.push_back(asked);
-        serve_debts(known, now);
+        known.local_asks.push_back(asked);
+        serve_local_asks(known, now);
     }
     collect(account, known, now);
-    borrow(account, known, now);
-    const bool is_served = has_prospect && known.debts.empty();
+    ask_other_regions(account, known, now);
+    const bool is_served = has_prospect && known.local_asks.empty();
     if (is_served)
         return;
     const quota_grant none{account, asked.ask.asked_at_ms, 0, 0, has_prospect};
@@ -489,9 +489,10 @@
 }
 
 /// A node that lacks units itself gives what it has: its request waits at the collector.
-void quota_exchange::on_collect(const debt& asked, account_state& known, core::time_point now)
+void quota_exchange::on_collect(const pending_ask& asked, account_state& known,
+                                core::time_point now)
 {
-    if (!known.debts.empty())
+    if (!known.local_asks.empty())
         return;
     known.short_until = std::max(known.short_until, asked.expires);
     const bool is_short = !known.waiting.empty() || known.short_until > now;
@@ -500,13 +501,13 @@
         give(asked, known, std::min<double>(surplus, asked.ask.needed), now);
 }
 
-void quota_exchange::on_lend(debt asked, account_state& known, core::time_point now)
+void quota_exchange::on_remote_ask(pending_ask asked, account_state& known, core::time_point now)
 {
     known.active_until = now + active_time;
-    std::erase_if(known.loans, [&](const debt& each) { return each.to == asked.to; });
-    known.loans.push_back(std::move(asked));
-    collect(known.loans.back().ask.account, known, now);
-    serve_loans(known, now);
+    std::erase_if(known.remote_asks, [&](const pending_ask& each) { return each.to == asked.to; });
+    known.remote_asks.push_back(std::move(asked));
+    collect(known.remote_asks.back().ask.account, known, now);
+    serve_remote_asks(known, now);
 }
 
 void quota_exchange::on_grant(const quota_grant& granted, core::time_point now)
@@ -533,25 +534,25 @@
             refuse(*charged, known, now);
         }
     }
-    serve_debts(known, now);
+    serve_local_asks(known, now);
     grant_waiting(known, now);
-    serve_loans(known, now);
+    serve_remote_asks(known, now);
 }
 
 /// Serves asks whole and in their order, so that large ones do not lose to small ones.
-void quota_exchange::serve_debts(account_state& known, core::time_point now)
+void quota_exchange::serve_local_asks(account_state& known, core::time_point now)
 {
-    while (!known.debts.empty())
+    while (!known.local_asks.empty())
     {
-        const debt first = known.debts.front();
+        const pending_ask first = known.local_asks.front();
         if (first.expires <= now)
         {
-            known.debts.pop_front();
+            known.local_asks.pop_front();
             continue;
         }
         if (known.units.available(now) < first.ask.needed)
             return;
-        known.debts.pop_front();
+        known.local_asks.pop_front();
         if (first.to == m_self)
             grant_asked(first.ask.asked_at_ms, known, now);
         else
@@ -559,11 +560,11 @@
     }
 }
 
-/// Lends what the region itself is not likely to need soon.
-void quota_exchange::serve_loans(account_state& known, core::time_point now)
+/// Gives other regions what the region itself is not likely to need soon.
+void quota_exchange::serve_remote_asks(account_state& known, core::time_point now)
 {
-    std::erase_if(known.loans, [&](const debt& each) { return each.expires <= now; });
-    while (!known.loans.empty() && known.debts.empty() && known.short_until <= now)
+    std::erase_if(known.remote_asks, [&](const pending_ask& each) { return each.expires <= now; });
+    while (!known.remote_asks.empty() && known.local_asks.empty() && known.short_until <= now)
     {
         const double reserve =
             (known.region_demand.per_second(now) + known.demand.per_second(now)) *
@@ -571,17 +572,18 @@
         const double surplus = known.units.available(now) - reserve;
         if (surplus < 1)
             return;
-        debt& first = known.loans.front();
+        pending_ask& first = known.remote_asks.front();
         const double part = std::min<double>(surplus, first.ask.needed);
         give(first, known, part, now);
         first.ask.needed -= static_cast<float>(part);
         if (first.ask.needed >= 1)
             return;
-        known.loans.pop_front();
+        known.remote_asks.pop_front();
     }
 }
 
-void quota_exchange::give(const debt& to, account_state& known, double amount, core::time_point now)
+void quota_exchange::give(const pending_ask& to, account_state& known, double amount,
+                          core::time_point now)
 {
     std::vector<quota_grant>& grants = m_grants[{to.to, to.asker}].grants;
     core::time_point group{};
@@ -603,7 +605,7 @@
 void quota_exchange::collect(quota_key account, account_state& known, core::time_point now)
 {
     if (now - known.collected_at < collect_interval ||
-        (known.loans.empty() && !lacks_units(known, now)))
+        (known.remote_asks.empty() && !lacks_units(known, now)))
         return;
     known.collected_at = now;
     const core::milliseconds short_for =
@@ -620,25 +622,26 @@
     }
 }
 
-void quota_exchange::borrow(quota_key account, account_state& known, core::time_point now)
+void quota_exchange::ask_other_regions(quota_key account, account_state& known,
+                                       core::time_point now)
 {
-    if (now - known.borrowed_at < borrow_interval || !lacks_units(known, now))
+    if (now - known.asked_remote_at < remote_ask_interval || !lacks_units(known, now))
         return;
-    known.borrowed_at = now;
+    known.asked_remote_at = now;
     double needed = known.region_demand.per_second(now) * seconds_of(reserve_time);
-    for (const debt& each : known.debts)
+    for (const pending_ask& each : known.local_asks)
     {
         needed += each.ask.needed;
     }
     const quota_ask ask{account, quota_ask_kind::lend, stamp(now), static_cast<float>(needed),
-                        static_cast<std::uint16_t>(loan_time.count())};
+                        static_cast<std::uint16_t>(remote_ask_time.count())};
     for (const auto& [region, nodes] : m_regions)
     {
-        const core::address lender =
+        const core::address collector =
             region == m_region ? core::address{} : collector_of(account, region, now);
-        if (lender.get().empty())
+        if (collector.get().empty())
             continue;
-        m_asks[lender].asks.push_back(ask);
+        m_asks[collector].asks.push_back(ask);
         ++m_counters.asked;
     }
 }
@@ -646,9 +649,9 @@
 /// Whether this collector has less than its region is likely to ask for soon.
 bool quota_exchange::lacks_units(account_state& known, core::time_point now)
 {
-    return !known.debts.empty() ||
-           known.units.available(now) <
-               known.region_demand.per_second(now) * seconds_of(collect_interval + borrow_interval);
+    return !known.local_asks.empty() ||
+           known.units.available(now) < known.region_demand.per_second(now) *
+                                            seconds_of(collect_interval + remote_ask_interval);
 }
 
 void quota_exchange::prune(core::time_point now)
@@ -660,7 +663,7 @@
                   [&](const auto& each)
                   {
                       const account_state& known = each.second;
-                      return known.waiting.empty() && known.debts.empty() &&
+                      return known.waiting.empty() && known.local_asks.empty() &&
                              known.active_until <= now && now - known.used_at > idle_time;
                   });
     std::erase_if(m_silent_until, [&](const auto& each) { return each.second <= now; });
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -507,16 +507,29 @@
         entry_view view;
         view.live = m_nodes;
         view.table = m_environment.table.get();
+        // The rest matters only to clients of a region without a live node.
+        const bool is_served =
+            std::any_of(m_nodes.begin(), m_nodes.end(),
+                        [&](const live_node& each)
+                        { return each.region == asked.region || each.zone == asked.zone; });
+        if (!is_served)
+            add_stopping_nodes(view);
+        entry_choice chosen = choose_entry_points(asked, view);
+        ++m_entry_answers.at(static_cast<std::size_t>(chosen.group));
+        return std::move(chosen.addresses);
+    }
+
+    void add_stopping_nodes(entry_view& view) const
+    {
         for (const auto& [zone, region] : m_options.zones)
         {
+            if (view.stopping.contains(region))
+                continue;
             view.stopping[region] = m_fleet.stopping_nodes(region, advertise_after_stop);
             view.expected_back[region] = m_fleet.stopping_nodes(region, return_after_stop);
             if (m_fleet.may_not_know(region))
                 view.unknown_regions.insert(region);
         }
-        entry_choice chosen = choose_entry_points(asked, view);
-        ++m_entry_answers.at(static_cast<std::size_t>(chosen.group));
-        return std::move(chosen.addresses);
     }
 
     /// Answers of the directory by the group that they name.
