--- a/packages/serving/tests/state_feed_test.cpp
+++ b/packages/serving/tests/state_feed_test.cpp
@@ -286,9 +286,7 @@
         "caf\xc3\xa9",
         "caf\xe9",
         std::string("\x00\xff\xfe\n", 4),
-        R"({"Service":"orders","Version":"v1)"
-        "\xff"
-        R"("})",
+        std::string(R"({"Service":"orders","Version":"v1)") + '\xff' + R"("})",
         "\xed\xa0\x80",
         "\xc0\xaf",
         "\xef\xbf\xbd",
@@ -320,7 +318,7 @@
 // says otherwise can't be read (review/7: unreadable taken for unrestricted).
 TEST(state_feed, unreadable_fields_of_a_feed_are_errors)
 {
-    const char* rows[] = {
+    const std::string rows[] = {
         R"({"prefixes":{}})",
         R"({"age_ms":-1,"prefixes":{}})",
         R"({"age_ms":"9000","prefixes":{}})",
@@ -333,12 +331,12 @@
         R"({"age_ms":1,"prefixes":{"op/":{"events":[],"position":-1}}})",
         R"({"age_ms":1,"prefixes":{"op/":{"events":[],"complete":1}}})",
         R"({"age_ms":1,"prefixes":{"op/":{"events":[{"key":"a","revision":"3"}]}}})",
-        R"({"age_ms":1,"prefixes":{"op/":{"events":[],)"
-        R"("pending_removals":[{"key":"a","revision":1,"remaining_ms":"9000"}]}}})",
+        std::string(R"({"age_ms":1,"prefixes":{"op/":{"events":[],"pending_removals":)") +
+            R"([{"key":"a","revision":1,"remaining_ms":"9000"}]}}})",
     };
-    for (const char* row : rows)
+    for (const std::string& row : rows)
     {
-        CHECK_FALSE_TEXT(decode_feed(row).has_value(), row);
+        CHECK_FALSE_TEXT(decode_feed(row).has_value(), row.c_str());
     }
 }
 
