--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -451,12 +451,20 @@
 void connection::on_client_disconnected(std::function<void()> action)
 {
     m_on_client_disconnected = std::move(action);
-    if (m_is_disconnected)
+    if (m_is_disconnected || (m_on_client_disconnected && has_client_left()))
         notify_client_disconnected();
     else if (m_buffer.size() == 0 && !m_is_watching_client)
         watch_client();
 }
 
+/// Whether the end of the connection has arrived behind the bytes that were read. A server that is
+/// behind with its work reads a request when its client may have left: asked here, the handler
+/// learns of it before it passes the request on.
+bool connection::has_client_left()
+{
+    return m_buffer.size() == 0 && !is_quiet(m_socket) && !has_arrived_bytes(m_socket);
+}
+
 /// Waits until the socket becomes readable and checks whether the client has disconnected.
 void connection::watch_client()
 {
@@ -467,9 +475,7 @@
                             self->m_is_watching_client = false;
                             if (!self->m_is_active || error == asio::error::operation_aborted)
                                 return;
-                            const bool is_open = !error && (is_quiet(self->m_socket) ||
-                                                            has_arrived_bytes(self->m_socket));
-                            if (!is_open)
+                            if (error || self->has_client_left())
                                 self->notify_client_disconnected();
                         });
 }
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -84,6 +84,7 @@
     bool hold_body(std::size_t bytes, const server_limits& limits);
     void take_head(const parser_type& parser);
     void release_request();
+    bool has_client_left();
     void watch_client();
     void notify_client_disconnected();
     void start_watchdog(core::milliseconds limit, watchdog_action action = watchdog_action::close);
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -722,6 +722,22 @@
 namespace
 {
 
+/// Reports whether the client counts as disconnected when the request has just been read.
+class at_once_handler final : public request_handler
+{
+  public:
+    boost::asio::awaitable<void> handle(exchange& request) override
+    {
+        bool is_gone = false;
+        request.on_client_disconnected([&] { is_gone = true; });
+        std::exchange(has_left, {}).set_value(is_gone);
+        request.on_client_disconnected(nullptr);
+        co_return;
+    }
+
+    std::promise<bool> has_left;
+};
+
 /// Answers each request late, and records the clients that it believes to have disconnected.
 class late_handler final : public request_handler
 {
@@ -744,6 +760,45 @@
 
 } // namespace
 
+// Fails when a request is passed on whose client left before the request was read: a server that is
+// behind with its work would load the upstreams with work for nobody (hunt wk-kiosk-grown, GONE).
+TEST(http_server, a_client_that_left_before_its_request_is_read_counts_as_disconnected_at_once)
+{
+    struct
+    {
+        const char* request;
+        bool leaves;
+    } rows[] = {
+        {"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n", true},
+        {"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", true},
+        {"POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+         true},
+        {"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n", false},
+        {"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", false},
+    };
+    std::vector<bool> found;
+    at_once_handler at_once;
+    server other(thread->loop, at_once);
+    const core::address where = other.listen(core::address{"127.0.0.1:0"}).value();
+    for (const auto& row : rows)
+    {
+        std::future<bool> has_left = at_once.has_left.get_future();
+        std::promise<void> may_go_on;
+        boost::asio::post(thread->loop, [&] { may_go_on.get_future().wait(); });
+        raw_connection client(where);
+        client.send(row.request);
+        if (row.leaves)
+            client.close();
+        may_go_on.set_value();
+        found.push_back(has_left.get());
+    }
+    thread->stop();
+    for (std::size_t i = 0; i < found.size(); ++i)
+    {
+        CHECK_EQUAL_TEXT(rows[i].leaves, found[i], rows[i].request);
+    }
+}
+
 // Fails when a client counts as disconnected while it waits, on a connection that carries several
 // requests, one after the other or sent early.
 TEST(http_server, a_client_that_waits_does_not_count_as_disconnected)
