wire: messages that were read together are handed over together; a paused test process has stopped

They go over as one now (peer_handler::on_messages). fleet_link.messages_that_were_read_together_are_handled_together checks it; with one post each it would see one message.

--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -318,18 +318,32 @@
 }
 
 void fleet_link::on_message(const wire::peer_identity& from, wire::message received)
+{
+    asio::post(m_loop,
+               [this, from, received = std::move(received)] { handle_message(from, received); });
+}
+
+void fleet_link::on_messages(const wire::peer_identity& from, std::vector<wire::message> received)
 {
     asio::post(m_loop,
                [this, from, received = std::move(received)]
                {
-                   record_received(from.node.address);
-                   if (const auto* gossip = std::get_if<fleet::gossip>(&received))
-                       handle_gossip(*gossip);
-                   else
-                       m_listener.on_call_message(from, received);
+                   for (const wire::message& each : received)
+                   {
+                       handle_message(from, each);
+                   }
                });
 }
 
+void fleet_link::handle_message(const wire::peer_identity& from, const wire::message& received)
+{
+    record_received(from.node.address);
+    if (const auto* gossip = std::get_if<fleet::gossip>(&received))
+        handle_gossip(*gossip);
+    else
+        m_listener.on_call_message(from, received);
+}
+
 void fleet_link::on_connection_lost(const wire::peer_identity& peer)
 {
     asio::post(m_loop, [this, lost = peer.connection] { m_listener.on_connection_lost(lost); });
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -127,6 +127,7 @@
     core::incarnation incarnation() const { return m_self.incarnation; }
 
     void on_message(const wire::peer_identity& from, wire::message received) override;
+    void on_messages(const wire::peer_identity& from, std::vector<wire::message> received) override;
     void on_connection_lost(const wire::peer_identity& peer) override;
     void on_peer_lost(const wire::peer_identity& peer) override;
     void on_call_sent(const wire::peer_identity& to, core::call_number number) override;
@@ -145,6 +146,7 @@
     void tick();
     void schedule_tick();
     void handle_gossip(const fleet::gossip& received);
+    void handle_message(const wire::peer_identity& from, const wire::message& received);
     void record_readiness(const fleet::gossip& received);
     void probe_unreachable(core::time_point now);
     void record_received(const core::address& peer);
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -57,7 +57,10 @@
 {
   public:
     void on_members_changed() override { nodes = link->live_nodes(); }
-    void on_call_message(const wire::peer_identity&, const wire::message&) override {}
+    void on_call_message(const wire::peer_identity&, const wire::message&) override
+    {
+        ++call_messages;
+    }
     void on_peer_lost(const core::address&) override {}
     void on_connection_lost(wire::connection_number) override {}
     void on_call_sent(core::call_number, wire::connection_number) override {}
@@ -87,6 +90,7 @@
     std::vector<live_node> nodes;
     std::vector<fleet::prompt_crash> known_crashes;
     std::size_t crashes_received = 0;
+    int call_messages = 0;
 };
 
 } // namespace
@@ -190,6 +194,18 @@
     CHECK_TRUE(listener.uses(peer));
 }
 
+// Fails when the thread of the connections hands over a call before the cancellation that it has
+// read with it: the call would be sent on for a client that has left.
+TEST(fleet_link, messages_that_were_read_together_are_handled_together)
+{
+    wire::call begun;
+    begun.number = core::call_number{1};
+    link->on_messages(identity, {begun, wire::cancel{core::call_number{1}, {}}});
+    loop.restart();
+    loop.run_one();
+    LONGS_EQUAL(2, listener.call_messages);
+}
+
 // Fails when a lost node is probed only in its turn, which takes seconds in a large fleet.
 TEST(fleet_link, a_lost_node_is_probed_at_once)
 {
--- a/packages/wire/include/snipeplank/wire/peer_network.hpp
+++ b/packages/wire/include/snipeplank/wire/peer_network.hpp
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipeplank::wire
@@ -75,6 +76,16 @@
     /// @brief A message from an authenticated peer; never `hello` or `heartbeat`.
     virtual void on_message(const peer_identity& from, message received) = 0;
 
+    /// @brief Messages that were read together, in their order. A handler with a thread of its own
+    /// takes them over as one: a call is not begun before the cancellation behind it was seen.
+    virtual void on_messages(const peer_identity& from, std::vector<message> received)
+    {
+        for (message& each : received)
+        {
+            on_message(from, std::move(each));
+        }
+    }
+
     /// @brief A connection to the peer was lost (closed, timed out, or its write queue was full).
     /// Frames in both directions may be lost; ask for the outcomes of calls in flight on a new
     /// connection. Calls on another connection to the peer are not affected.
--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -476,9 +476,9 @@
         on_opened(id);
     }
     m_counters.add(&peer_counters::frames_received, output.received.size());
-    for (message& received : output.received)
+    if (!output.received.empty())
     {
-        m_handler.on_message(peer, std::move(received));
+        m_handler.on_messages(peer, std::move(output.received));
     }
     // Sending pending frames may have filled the write queue and closed the connection already.
     if (output.failure && m_connections.contains(id))
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -151,6 +152,16 @@
 void child_process::pause()
 {
     send_signal(SIGSTOP);
+    if (m_status)
+    {
+        return;
+    }
+    // Until one of its threads has taken the signal, the others go on.
+    siginfo_t stopped{};
+    while (::waitid(P_PID, static_cast<id_t>(m_id), &stopped, WSTOPPED | WEXITED | WNOWAIT) < 0 &&
+           errno == EINTR)
+    {
+    }
 }
 
 void child_process::resume()
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -48,7 +48,8 @@
     /// @brief Sends a signal; does nothing once the process has ended.
     void send_signal(int signal);
 
-    /// @brief Pauses the process with SIGSTOP until `resume()`.
+    /// @brief Pauses the process with SIGSTOP until `resume()`. Returns once it has stopped or
+    /// ended.
     void pause();
 
     /// @brief Resumes a paused process with SIGCONT.
