--- a/tests/machine_state_test.cpp
+++ b/tests/machine_state_test.cpp
@@ -135,6 +135,13 @@
                        return call("GET", "/read/x", "a", 5'000, i).body.find("i-added") !=
                               std::string::npos;
                    });
+        // What a node has not read before the store comes back is nothing that it could take back.
+        wait_until("the removals are known",
+                   [&]
+                   {
+                       return fleet->node(i).program->output().find(
+                                  R"("event":"upstream_gone","id":"i-s")") != std::string::npos;
+                   });
     }
     store("/standin/restore");
     const auto restored = std::chrono::steady_clock::now();
