--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -457,9 +457,9 @@
         watch_client();
 }
 
-/// Whether the end of the connection has arrived behind the bytes that were read. A server that is
-/// behind with its work reads a request when its client may have left: asked here, the handler
-/// learns of it before it passes the request on.
+/// Whether the end of the connection has arrived behind the bytes that were read. An overloaded
+/// server reads a request when its client may have left; the handler learns of it before it passes
+/// the request on.
 bool connection::has_client_left()
 {
     return m_buffer.size() == 0 && !is_quiet(m_socket) && !has_arrived_bytes(m_socket);
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -760,8 +760,9 @@
 
 } // namespace
 
-// Fails when a request is passed on whose client left before the request was read: a server that is
-// behind with its work would load the upstreams with work for nobody (hunt wk-kiosk-grown, GONE).
+// Fails when a request is passed on whose client left before the request was read: an overloaded
+// server would load the upstreams with requests that no client waits for (hunt wk-kiosk-grown,
+// GONE).
 TEST(http_server, a_client_that_left_before_its_request_is_read_counts_as_disconnected_at_once)
 {
     struct
