--- a/tests/machine_account_test.cpp
+++ b/tests/machine_account_test.cpp
@@ -51,13 +51,15 @@
     }
 };
 
-// Fails when a request without a known key runs, a key reaches a server or a metric, or the server
-// is not told the account.
+// Fails when a request without a known key runs, a key reaches a server, a metric, a line of the
+// log or an answer, or the server is not told the account.
 TEST(machine_account, a_key_names_the_account_and_stays_at_the_node)
 {
     const standin& server = start({home});
     LONGS_EQUAL(401, keyed("/read/x", "none", "").status);
-    LONGS_EQUAL(401, keyed("/read/x", "other", "key-of-nobody").status);
+    const http_answer refused = keyed("/read/x", "other", "key-of-nobody");
+    LONGS_EQUAL(401, refused.status);
+    CHECK_TRUE(refused.body.find("key-of") == std::string::npos);
     CHECK_TRUE(keyed("/read/x", "good", "key-of-gold").is(200));
     const auto seen = machine_fleet::seen(server);
     STRCMP_EQUAL("gold", seen["tenants"]["good"].get<std::string>().c_str());
@@ -66,6 +68,10 @@
     const std::string metrics = http_get(fleet->node(0).admin, "/metrics").body;
     CHECK_TRUE(metrics.find("snipeplank_accounts 2\n") != std::string::npos);
     CHECK_TRUE(metrics.find("key-of") == std::string::npos);
+    const auto log = [&] { return fleet->node(0).program->output(); };
+    wait_until("the line of the call",
+               [&] { return log().find(R"("request_id":"good")") != std::string::npos; });
+    CHECK_TRUE(log().find("key-of") == std::string::npos);
 }
 
 // Fails when a node goes on accepting keys although it can't know whether they were taken away, or
