--- a/packages/gateway/src/framed_stream.cpp
+++ b/packages/gateway/src/framed_stream.cpp
@@ -1,5 +1,7 @@
 #include "framed_stream.hpp"
 
+#include <snipeplank/core/interrupted_call.hpp>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -7,7 +9,6 @@
 #include <poll.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <utility>
 
 namespace snipeplank::gateway
@@ -63,7 +64,9 @@
 
 ssize_t framed_stream::write(const char* data, std::size_t size)
 {
-    return is_writable() ? ::send(m_socket, data, size, MSG_NOSIGNAL) : -1;
+    if (!is_writable())
+        return -1;
+    return core::retry_interrupted([&] { return ::send(m_socket, data, size, MSG_NOSIGNAL); });
 }
 
 void framed_stream::get_remote_ip_and_port(std::string& ip, int& port) const
@@ -86,11 +89,8 @@
 {
     if (!is_readable())
         return -1;
-    ssize_t count = 0;
-    do
-    {
-        count = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
-    } while (count < 0 && errno == EINTR);
+    const ssize_t count = core::retry_interrupted(
+        [&] { return ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0); });
     if (count <= 0)
         return count;
     m_unread = {m_buffer.data(), static_cast<std::size_t>(count)};
@@ -103,12 +103,8 @@
 bool framed_stream::waits_for(short event, milliseconds limit) const
 {
     pollfd entry{m_socket, event, 0};
-    int ready = 0;
-    do
-    {
-        ready = ::poll(&entry, 1, static_cast<int>(limit.count()));
-    } while (ready < 0 && errno == EINTR);
-    return ready > 0;
+    return core::retry_interrupted(
+               [&] { return ::poll(&entry, 1, static_cast<int>(limit.count())); }) > 0;
 }
 
 milliseconds to_limit(time_t seconds, time_t microseconds)
--- a/packages/gateway/src/http_server.cpp
+++ b/packages/gateway/src/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_server.hpp"
 
+#include <snipeplank/core/interrupted_call.hpp>
 #include <snipeplank/gateway/address.hpp>
 #include <snipeplank/http/listener.hpp>
 
@@ -131,7 +132,9 @@
     if (http::stop_handshakes(m_listener))
         std::this_thread::sleep_for(http::handshake_time);
     pollfd waiting{m_listener, POLLIN, 0};
-    for (milliseconds waited{0}; waited<limit&& ::poll(&waiting, 1, 0)> 0; waited += step)
+    const auto has_waiting = [&]
+    { return core::retry_interrupted([&] { return ::poll(&waiting, 1, 0); }) > 0; };
+    for (milliseconds waited{0}; waited < limit && has_waiting(); waited += step)
     {
         std::this_thread::sleep_for(step);
     }
--- a/packages/http/src/endpoint.cpp
+++ b/packages/http/src/endpoint.cpp
@@ -1,5 +1,6 @@
 #include "endpoint.hpp"
 
+#include <snipeplank/core/interrupted_call.hpp>
 #include <snipeplank/http/message.hpp>
 
 #include <boost/asio/ip/address.hpp>
@@ -39,7 +40,8 @@
     if (!socket.is_open())
         return POLLNVAL;
     pollfd entry{socket.native_handle(), POLLIN, 0};
-    return ::poll(&entry, 1, 0) < 0 ? static_cast<short>(POLLERR) : entry.revents;
+    const int ready = core::retry_interrupted([&] { return ::poll(&entry, 1, 0); });
+    return ready < 0 ? static_cast<short>(POLLERR) : entry.revents;
 }
 
 } // namespace
@@ -91,7 +93,9 @@
     if ((events & POLLIN) == 0 || (events & POLLERR) != 0)
         return false;
     char byte = 0;
-    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return core::retry_interrupted(
+               [&]
+               { return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT); }) > 0;
 }
 
 } // namespace snipeplank::http
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -149,17 +149,21 @@
 
   private:
     /// Accepts the connections that the kernel has opened already, then stops listening. Clients
-    /// that go on connecting do not hold up the stop: no more can have waited than the backlog.
+    /// that go on connecting do not hold up the stop: no more can have waited than the backlog. A
+    /// failure other than an empty queue concerns one connection, or a signal interrupted the call.
     void drain_listener()
     {
         error_code error;
         m_acceptor.non_blocking(true, error);
-        for (int i = 0; i <= max_waiting && m_acceptor.is_open() && !error; ++i)
+        for (int i = 0; i <= max_waiting && m_acceptor.is_open(); ++i)
         {
             tcp::socket socket(m_loop);
             m_acceptor.accept(socket, error);
-            if (!error)
-                begin_serving(std::move(socket));
+            if (error == asio::error::would_block)
+                break;
+            if (error)
+                continue;
+            begin_serving(std::move(socket));
         }
         close_listener();
         if (m_is_idle_closed)
