calls between regions: the log tells why an answer broke off; a deadline is no fault of a region

The attempt at the other region ended up to 1 ms before its call, whose remaining time it was given in whole milliseconds: the deadline was answered as 502 instead of 504, counted as a fault of another region, and could use a retry. Now the attempt's own limit is 300 ms later, as at upstreams, and the message says what broke off: the reason of a refusal or of a lost connection, a missing part, a wrong end.

forwarded_call.the_deadline_is_no_fault_of_another_region failed with the former limit (it stops at its first row). peer_calls.an_answer_that_breaks_off_says_why needs the new text.

--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -24,6 +24,11 @@
 /// Largest body that fits into one frame together with the headers.
 constexpr std::size_t max_forwarded_body = 1'000'000;
 
+/// The call ends at its own deadline. The other node is told what is left of it in whole
+/// milliseconds, so an attempt that ended with these would pass for one that the other node broke
+/// off.
+constexpr core::milliseconds answer_slack{300};
+
 } // namespace
 
 /// @brief A call that this node sent to a node of another region.
@@ -33,7 +38,7 @@
     peer_attempt(peer_calls& owner, asio::io_context& loop, core::address peer, wire::call request,
                  core::milliseconds timeout)
         : m_owner(owner), m_peer(std::move(peer)), m_request(std::move(request)), m_wake(loop),
-          m_deadline(now() + timeout)
+          m_deadline(now() + timeout + answer_slack)
     {
         m_owner.m_pending[m_request.number] = this;
     }
@@ -96,6 +101,7 @@
                     co_return data_chunk;
                 if (result.step == policy::assembly_step::drop)
                     continue;
+                co_return truncation_error("a part is missing");
             }
             if (const auto* end = std::get_if<wire::call_end>(&received))
             {
@@ -107,8 +113,11 @@
                     last.is_last = true;
                     co_return last;
                 }
+                co_return truncation_error("its length or checksum is wrong");
             }
-            co_return truncation_error();
+            if (const auto* refused = std::get_if<wire::call_refused>(&received))
+                co_return truncation_error(policy::to_string(refused->why.reason));
+            co_return truncation_error("unexpected message");
         }
     }
 
@@ -149,10 +158,10 @@
     }
 
   private:
-    core::result<http::body_chunk> truncation_error() const
+    core::result<http::body_chunk> truncation_error(std::string_view cause) const
     {
         return core::fail(core::error_code::answer_truncated,
-                          "the answer from " + m_peer.get() + " broke off",
+                          "the answer from " + m_peer.get() + " broke off: " + std::string(cause),
                           "see the log of that node");
     }
 
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -483,6 +483,9 @@
     /// @brief The refusal that was sent last to a caller.
     const policy::refusal& last_refusal() const { return m_callers.last_refusal; }
 
+    /// @brief What the node counts of its calls, as text for operators.
+    std::string metrics() const { return m_statistics.render(); }
+
     /// @brief Sets the clock that tells for how long the host has been suspended.
     void set_suspended_time(std::function<core::duration()> suspended_time)
     {
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -112,6 +112,49 @@
     std::vector<wire::message> taken;
 };
 
+/// Answers each call at once with the same messages, as a node of the other region.
+class scripted_network final : public unconnected_network
+{
+  public:
+    scripted_network(boost::asio::io_context& loop, std::vector<wire::message> answers)
+        : m_loop(loop), m_answers(std::move(answers))
+    {
+    }
+
+    void connect(peer_calls& caller) { m_caller = &caller; }
+
+    unsigned calls = 0;
+
+    bool send(const core::address&, const wire::message& msg) override
+    {
+        if (!std::holds_alternative<wire::call>(msg))
+            return true;
+        ++calls;
+        boost::asio::post(m_loop,
+                          [this]
+                          {
+                              for (const wire::message& each : m_answers)
+                              {
+                                  m_caller->on_message({far_id, far_region, {}}, each);
+                              }
+                          });
+        return true;
+    }
+
+  private:
+    boost::asio::io_context& m_loop;
+    std::vector<wire::message> m_answers;
+    peer_calls* m_caller = nullptr;
+};
+
+const core::call_number first_call{1};
+const wire::message plain_head = wire::call_head{first_call, 200, {}, {}};
+
+wire::message part_of_answer(std::uint64_t offset, std::string data)
+{
+    return wire::call_chunk{first_call, offset, std::move(data)};
+}
+
 /// An answer, as the node that sent a call receives it.
 struct read_answer
 {
@@ -300,6 +343,53 @@
     STRCMP_EQUAL("overloaded", result.cause.c_str());
 }
 
+// Fails when the log can't tell why an answer of another region broke off (LOST, issue 67).
+TEST(peer_calls, an_answer_that_breaks_off_says_why)
+{
+    const struct
+    {
+        std::vector<wire::message> answers;
+        bool loses_connection;
+        const char* cause;
+    } rows[] = {
+        {{plain_head}, true, "broke off: peer_unreachable"},
+        {{plain_head, part_of_answer(3, "abc")}, false, "broke off: a part is missing"},
+        {{plain_head, wire::call_end{first_call, 3, 0}},
+         false,
+         "broke off: its length or checksum is wrong"},
+        {{plain_head,
+          wire::call_refused{
+              first_call, {policy::refusal_reason::draining, policy::execution::unknown, {}, {}}}},
+         false,
+         "broke off: draining"},
+        {{plain_head, plain_head}, false, "broke off: unexpected message"},
+    };
+    for (const auto& each : rows)
+    {
+        scripted_network scripted(loop, each.answers);
+        peer_calls caller(loop, scripted, {near_region, own_zone, near_id}, random);
+        scripted.connect(caller);
+        caller.set_nodes({{far_id.address, far_region}});
+        const auto sent = caller.call(far_region, {"GET", "/a", {}}, "", {5s, {}, {}});
+        std::string seen;
+        boost::asio::co_spawn(
+            loop,
+            [&]() -> boost::asio::awaitable<void>
+            {
+                co_await sent->start();
+                const auto part = co_await sent->next();
+                seen = part ? "no error" : part.error().message;
+            },
+            boost::asio::detached);
+        run_for(20ms);
+        caller.on_call_sent(first_call, first_connection);
+        if (each.loses_connection)
+            caller.on_connection_lost(first_connection);
+        run_for(20ms);
+        STRCMP_CONTAINS(each.cause, seen.c_str());
+    }
+}
+
 TEST_GROUP(forwarded_call){};
 
 // Fails when an answer without length that passes through a node of another region is cut, or when
@@ -528,3 +618,47 @@
     UNSIGNED_LONGS_EQUAL(3, first.requests().size());
     UNSIGNED_LONGS_EQUAL(1, second.requests().size() + third.requests().size());
 }
+
+// Fails when the deadline of a forwarded request, with or without a part of its answer, counts as a
+// fault of the other region, or when the request is sent again behind it (LOST, issue 67).
+TEST(forwarded_call, the_deadline_is_no_fault_of_another_region)
+{
+    const struct
+    {
+        const char* name;
+        request_kind kind;
+        std::vector<wire::message> answers;
+        const char* metric;
+    } rows[] = {
+        {"no head", request_kind::idempotent, {}, nullptr},
+        {"head only", request_kind::idempotent, {plain_head}, nullptr},
+        {"begun stream",
+         request_kind::streaming,
+         {plain_head, part_of_answer(0, events(1, 2))},
+         "snipeplank_cut_answers_total{by=\"deadline\"} 1"},
+    };
+    for (const auto& each : rows)
+    {
+        call_fixture node({1, 100, 10s});
+        core::seeded_random random{1};
+        scripted_network network(node.loop, each.answers);
+        peer_calls calls(node.loop, network, {near_region, own_zone, near_id}, random);
+        network.connect(calls);
+        calls.set_nodes({{far_id.address, far_region}});
+        route only;
+        only.kind = each.kind;
+        only.timeout = 300ms;
+        only.max_attempts = 3;
+        only.is_resumable = each.kind == request_kind::streaming;
+        node.set_route(only);
+        node.add_region(far_region, calls);
+        const recorded_exchange& request = node.start("a");
+        node.finish(request);
+        CHECK_TRUE_TEXT(request.is_over, each.name);
+        STRCMP_EQUAL_TEXT("outcome_unknown", policy::to_string(node.last_refusal().reason).data(),
+                          each.name);
+        UNSIGNED_LONGS_EQUAL_TEXT(1, network.calls, each.name);
+        if (each.metric != nullptr)
+            STRCMP_CONTAINS_TEXT(each.metric, node.metrics().c_str(), each.name);
+    }
+}
