--- a/packages/http/include/snipeplank/http/client.hpp
+++ b/packages/http/include/snipeplank/http/client.hpp
@@ -65,8 +65,10 @@
 
     /// @brief Starts to send a request and returns at once. The body is sent while `read_head`
     /// waits, because a server may answer before it has read the whole request.
+    /// @param body must stay as it is until the answer is read or the connection is closed
     /// @return `message_invalid` if the head cannot be written; nothing is sent then
     core::result<void> send(const request_head& head, const std::string& body);
+    core::result<void> send(const request_head& head, std::string&& body) = delete;
 
     /// @brief Reads the next final response head; interim responses (1xx) are skipped.
     boost::asio::awaitable<core::result<response_head>> read_head();
--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -65,6 +65,7 @@
 
     /// @brief Starts an answer of unknown length, sent in the chunked transfer coding.
     virtual boost::asio::awaitable<bool> begin(response_head head) = 0;
+    /// @param data must stay as it is until the write has ended
     virtual boost::asio::awaitable<bool> write(std::string_view data) = 0;
     virtual boost::asio::awaitable<bool> finish() = 0;
 
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -102,11 +102,12 @@
             return boost::outcome_v2::failure(text.error());
         m_is_head_request = head.method == "HEAD";
         m_request_text = std::move(text.value());
-        m_request_text += body;
         m_has_started_write = true;
         m_is_write_complete = false;
         m_is_answer_complete = false;
-        asio::async_write(m_socket, asio::buffer(m_request_text),
+        const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_request_text),
+                                                        asio::buffer(body)};
+        asio::async_write(m_socket, buffers,
                           [self = shared_from_this()](const error_code& error, std::size_t)
                           {
                               // The connection may stay open without another request for long.
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -366,16 +366,28 @@
 }
 
 asio::awaitable<bool> connection::write_text(std::string text)
+{
+    co_return co_await write_framed(text, {}, {});
+}
+
+/// Writes data and what frames it, without a copy: a slow reader makes it wait here.
+asio::awaitable<bool> connection::write_framed(std::string_view before, std::string_view data,
+                                               std::string_view after)
 {
     if (m_is_disconnected)
         co_return false;
     error_code error;
-    for (std::string_view rest = text; !error && !rest.empty();)
+    bool is_last = false;
+    while (!error && !is_last)
     {
-        const std::string_view part = rest.substr(0, max_written_bytes);
-        rest.remove_prefix(part.size());
+        const std::string_view part = data.substr(0, max_written_bytes);
+        data.remove_prefix(part.size());
+        is_last = data.empty();
+        const std::array<asio::const_buffer, 3> buffers{
+            asio::buffer(std::exchange(before, {})), asio::buffer(part),
+            asio::buffer(is_last ? after : std::string_view())};
         start_watchdog(m_handler.limits().write_timeout);
-        co_await asio::async_write(m_socket, asio::buffer(part), into(error));
+        co_await asio::async_write(m_socket, buffers, into(error));
     }
     stop_watchdog();
     if (error)
@@ -398,10 +410,8 @@
         abort();
         co_return false;
     }
-    std::string text = std::move(head.value());
-    if (!m_has_head_only)
-        text += answer.body;
-    co_return co_await write_text(std::move(text));
+    const std::string_view body = m_has_head_only ? std::string_view() : answer.body;
+    co_return co_await write_framed(head.value(), body, {});
 }
 
 asio::awaitable<bool> connection::begin(response_head head)
@@ -421,12 +431,11 @@
     if (data.empty() || m_has_head_only)
         co_return !m_is_disconnected;
     if (!m_chunked)
-        co_return co_await write_text(std::string(data));
+        co_return co_await write_framed({}, data, {});
     std::array<char, 2 * sizeof(std::size_t) + 3> size_line{};
     const int digits = std::snprintf(size_line.data(), size_line.size(), "%zx\r\n", data.size());
-    std::string text(size_line.data(), static_cast<std::size_t>(digits));
-    text.append(data).append("\r\n");
-    co_return co_await write_text(std::move(text));
+    const std::string_view before(size_line.data(), static_cast<std::size_t>(digits));
+    co_return co_await write_framed(before, data, "\r\n");
 }
 
 asio::awaitable<bool> connection::finish()
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace snipeplank::http
@@ -81,6 +82,8 @@
     boost::asio::awaitable<void> refuse_request(int status, std::string why);
     boost::asio::awaitable<void> drop_rest();
     boost::asio::awaitable<bool> write_text(std::string text);
+    boost::asio::awaitable<bool> write_framed(std::string_view before, std::string_view data,
+                                              std::string_view after);
     bool hold_body(std::size_t bytes, const server_limits& limits);
     void take_head(const parser_type& parser);
     void release_request();
--- a/packages/http/tests/client_test.cpp
+++ b/packages/http/tests/client_test.cpp
@@ -41,7 +41,8 @@
         head.method = "POST";
         head.headers.emplace_back("Content-Length", std::to_string(upload));
     }
-    if (!connection.send(head, std::string(upload, 'u')))
+    const std::string body(upload, 'u');
+    if (!connection.send(head, body))
         co_return;
     const auto answer = co_await connection.read_head();
     if (!answer)
@@ -156,7 +157,8 @@
             {
                 const auto connected = co_await connection.connect(core::milliseconds{2'000});
                 connection.expire_after(core::milliseconds{5'000});
-                const auto sent = connection.send({"GET", "/", {}}, std::string());
+                const std::string no_body;
+                const auto sent = connection.send({"GET", "/", {}}, no_body);
                 const auto head = co_await connection.read_head();
                 if (connected && sent && !head)
                     seen = head.error().code;
@@ -234,7 +236,8 @@
             [&]() -> boost::asio::awaitable<void>
             {
                 const auto connected = co_await connection.connect(core::milliseconds{2'000});
-                const auto sent = connection.send({"GET", "/", {}}, std::string());
+                const std::string no_body;
+                const auto sent = connection.send({"GET", "/", {}}, no_body);
                 const auto head = co_await connection.read_head();
                 const auto part = co_await connection.read_chunk();
                 if (!connected || !sent || !head || !part || part.value().is_last)
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -31,8 +31,8 @@
 constexpr std::size_t max_attempts_per_request = 6;
 /// Maximum size of an answer.
 constexpr std::size_t max_answer_bytes = 8'388'608;
-/// A longer answer of a known length is passed on as it arrives: its reader, who may be slow, paces
-/// the reading from the upstream, and the node holds little of it.
+/// A longer answer is passed on as it arrives: its reader, who may be slow, paces the reading from
+/// the upstream, and the node holds little of it.
 constexpr std::size_t max_held_bytes = 65'536;
 constexpr int first_server_error = 500;
 constexpr core::milliseconds silence_check_interval{300};
@@ -671,12 +671,17 @@
     co_return next_step::done;
 }
 
-/// Whether the answer is longer than what a node holds of one, and how long it is.
-bool call::is_passed_on(const attempt_start& result) const
+/// Whether the head of the answer says that it is longer than any may be.
+bool call::is_too_long(const attempt_start& result)
 {
     const auto length = http::find_header(result.head.headers, "Content-Length");
-    const auto bytes = http::parse_number(length.value_or(""));
-    return bytes && *bytes > max_held_bytes && *bytes <= max_answer_bytes;
+    return http::parse_number(length.value_or("")).value_or(0) > max_answer_bytes;
+}
+
+/// Whether this many bytes of an answer may wait for the rest of it.
+bool call::may_hold(std::size_t bytes) const
+{
+    return bytes < max_held_bytes && !m_environment.answers->is_full();
 }
 
 /// Writes what is held of an answer, with its head before the first part.
@@ -709,21 +714,26 @@
 {
     http::response answer;
     answer.head = m_environment.callers.forward(result.head);
+    held_answers::share held(*m_environment.answers);
+    std::size_t length = 0;
     bool is_last = false;
     const bool is_success = result.kind == answer_kind::success;
-    const bool passes_on = is_passed_on(result);
+    if (is_too_long(result))
+        co_return co_await on_broken_answer(result);
     while (!is_last)
     {
         auto chunk = co_await m_attempt->next();
-        if (!chunk || answer.body.size() > max_answer_bytes)
+        length += chunk ? chunk.value().data.size() : 0;
+        if (!chunk || length > max_answer_bytes)
         {
             record_failure(chunk);
             co_return co_await on_broken_answer(result);
         }
         answer.body += chunk.value().data;
+        held.set(answer.body.size());
         is_last = chunk.value().is_last;
-        const bool is_written = !passes_on || is_last || answer.body.size() < max_held_bytes ||
-                                co_await write_held(answer);
+        const bool is_written =
+            is_last || may_hold(answer.body.size()) || co_await write_held(answer);
         if (!is_written)
             co_return co_await on_broken_answer(result);
         if (is_last && is_success)
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -27,6 +27,7 @@
 #include "call_log.hpp"
 #include "call_statistics.hpp"
 #include "crash_guard.hpp"
+#include "held_answers.hpp"
 #include "serving_end.hpp"
 #include "stream_binding.hpp"
 #include "stream_durations.hpp"
@@ -75,6 +76,7 @@
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
     std::shared_ptr<serving_end> end = std::make_shared<serving_end>();
     std::shared_ptr<suspension_watch> suspensions = std::make_shared<suspension_watch>();
+    std::shared_ptr<held_answers> answers = std::make_shared<held_answers>();
     std::shared_ptr<stream_durations> durations = std::make_shared<stream_durations>();
 };
 
@@ -126,7 +128,8 @@
     boost::asio::awaitable<next_step> on_failed_start(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_stream(const attempt_start& result);
     boost::asio::awaitable<next_step> forward_buffered(const attempt_start& result);
-    bool is_passed_on(const attempt_start& result) const;
+    static bool is_too_long(const attempt_start& result);
+    bool may_hold(std::size_t bytes) const;
     boost::asio::awaitable<bool> write_held(http::response& answer);
     boost::asio::awaitable<next_step> on_broken_answer(const attempt_start& result);
     boost::asio::awaitable<bool> write_stream(const attempt_start& result, std::string_view events);
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -46,6 +46,8 @@
 constexpr core::milliseconds housekeeping_interval{250};
 constexpr core::milliseconds stop_check_interval{50};
 constexpr core::milliseconds end_check_interval{5};
+/// Part of the machine's memory for answers that wait for their callers: an eighth.
+constexpr std::uint64_t held_part = 8;
 constexpr int ok = 200;
 constexpr int not_found = 404;
 constexpr int unavailable = 503;
@@ -116,8 +118,8 @@
   public:
     state(asio::io_context& loop, node_options options, node_adapters adapters)
         : m_loop(loop), m_options(std::move(options)), m_adapters(adapters),
-          m_random(core::system_seed()), m_log(m_options.name), m_pool(loop),
-          m_crash_guard(loop, m_pool, m_log),
+          m_random(core::system_seed()), m_log(m_options.name),
+          m_answers(make_held_answers(m_options)), m_pool(loop), m_crash_guard(loop, m_pool, m_log),
           m_placement(m_options.region, m_options.bounds, m_random),
           m_loads(m_options.region, m_placement),
           m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
@@ -128,7 +130,7 @@
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
-              m_random),
+              m_random, call_limits(m_answers)),
           m_environment{
               loop,         m_pool,        m_placement, adapters.callers, adapters.upstreams,
               m_peers,      m_crash_guard, m_streams,   m_accounts,       m_log,
@@ -149,6 +151,7 @@
             });
         m_peers.set_server([this](std::unique_ptr<http::exchange> request, forwarded_from from)
                            { serve_peer(std::move(request), std::move(from)); });
+        m_environment.answers = m_answers;
         m_calls.on_rejected([this](int status, std::string_view why)
                             { record_rejected(status, why); });
     }
@@ -409,6 +412,21 @@
         return limits;
     }
 
+    /// What calls may hold of the memory of the machine.
+    static peer_call_limits call_limits(const std::shared_ptr<held_answers>& answers)
+    {
+        peer_call_limits limits;
+        limits.answers = answers;
+        return limits;
+    }
+
+    static std::shared_ptr<held_answers> make_held_answers(const node_options& options)
+    {
+        if (options.memory.count == 0)
+            return std::make_shared<held_answers>();
+        return std::make_shared<held_answers>(core::bytes{options.memory.count / held_part});
+    }
+
     bool serves_new() const
     {
         return !m_is_stopping || m_stopping.serves_new(now() - m_stop_began);
@@ -715,6 +733,7 @@
         gauge("snipeplank_forwarded_calls_active", m_peers.served());
         gauge("snipeplank_client_connections", m_call_server.connections());
         gauge("snipeplank_idle_upstream_connections", m_pool.size());
+        gauge("snipeplank_held_answer_bytes", m_answers->bytes());
         gauge("snipeplank_live_nodes", m_nodes.size());
         gauge("snipeplank_sharing_nodes", m_node_share.nodes());
         gauge("snipeplank_sharing_nodes_in_region", m_region_share.nodes());
@@ -807,6 +826,7 @@
     core::seeded_random m_random;
     call_log m_log;
     call_statistics m_statistics;
+    std::shared_ptr<held_answers> m_answers;
     http::connection_pool m_pool;
     crash_guard m_crash_guard;
     placement m_placement;
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -23,6 +23,11 @@
 
 /// Largest body that fits into one frame together with the headers.
 constexpr std::size_t max_forwarded_body = 1'000'000;
+/// What a node holds of one answer of another region even at its limit for all answers.
+constexpr std::size_t max_part_at_limit = 65'536;
+/// Bytes that may wait on a connection to another node before more of an answer is read.
+constexpr std::size_t max_unsent_bytes = 1'048'576;
+constexpr core::milliseconds unsent_poll_interval{10};
 
 /// The call ends at its own deadline. The other node is told what is left of it in whole
 /// milliseconds, so an attempt that ended with these would pass for one that the other node broke
@@ -38,7 +43,7 @@
     peer_attempt(peer_calls& owner, asio::io_context& loop, core::address peer, wire::call request,
                  core::milliseconds timeout)
         : m_owner(owner), m_peer(std::move(peer)), m_request(std::move(request)), m_wake(loop),
-          m_deadline(now() + timeout + answer_slack)
+          m_deadline(now() + timeout + answer_slack), m_held(*owner.m_limits.answers)
     {
         m_owner.m_pending[m_request.number] = this;
     }
@@ -136,7 +141,12 @@
     void deliver(wire::message received)
     {
         m_has_received = true;
-        m_received.push_back(std::move(received));
+        if (const auto* chunk = std::get_if<wire::call_chunk>(&received))
+            m_held.set(m_held.bytes() + chunk->data.size());
+        if (m_owner.m_limits.answers->is_full() && m_held.bytes() > max_part_at_limit)
+            give_up();
+        else
+            m_received.push_back(std::move(received));
         m_wake.cancel();
     }
 
@@ -160,6 +170,17 @@
     }
 
   private:
+    /// Drops an answer that arrives faster than its caller takes it, when the node holds too much.
+    void give_up()
+    {
+        if (!m_is_finished)
+            m_owner.m_network.send(m_peer, wire::cancel{m_request.number, {}});
+        m_is_finished = true;
+        m_received.clear();
+        m_received.push_back(broken(policy::refusal_reason::overloaded));
+        m_held.set(0);
+    }
+
     core::result<http::body_chunk> truncation_error(std::string_view cause) const
     {
         return core::fail(core::error_code::answer_truncated,
@@ -185,6 +206,8 @@
         }
         wire::message first = std::move(m_received.front());
         m_received.pop_front();
+        if (const auto* chunk = std::get_if<wire::call_chunk>(&first))
+            m_held.set(m_held.bytes() - chunk->data.size());
         co_return first;
     }
 
@@ -195,6 +218,7 @@
     asio::steady_timer m_wake;
     core::time_point m_deadline;
     std::deque<wire::message> m_received;
+    held_answers::share m_held; ///< parts of the answer in `m_received`
     policy::answer_assembly m_assembly;
     bool m_is_finished = false;
     bool m_has_received = false;
@@ -250,6 +274,7 @@
         {
             send_chunk(data.substr(0, max_chunk_bytes));
             data.remove_prefix(std::min(data.size(), max_chunk_bytes));
+            co_await wait_until_sent();
         }
         co_return !m_is_disconnected;
     }
@@ -283,6 +308,18 @@
     }
 
   private:
+    /// Waits while the connection to the other node has much to write: its queue has a limit, at
+    /// which the connection and all calls on it are lost.
+    asio::awaitable<void> wait_until_sent()
+    {
+        while (!m_is_disconnected && m_owner.m_network.unsent(m_from.connection) > max_unsent_bytes)
+        {
+            asio::steady_timer timer(m_owner.m_loop, unsent_poll_interval);
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+    }
+
     bool send_head(http::response_head head)
     {
         m_has_begun = true;
@@ -336,8 +373,9 @@
 };
 
 peer_calls::peer_calls(asio::io_context& loop, wire::peer_network& network, wire::hop self,
-                       core::random_source& random)
-    : m_loop(loop), m_network(network), m_self(std::move(self)), m_random(random)
+                       core::random_source& random, peer_call_limits limits)
+    : m_loop(loop), m_network(network), m_self(std::move(self)), m_random(random),
+      m_limits(std::move(limits))
 {
 }
 
--- a/packages/serving/src/peer_calls.hpp
+++ b/packages/serving/src/peer_calls.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "call.hpp"
+#include "held_answers.hpp"
 
 namespace snipeplank::serving
 {
@@ -28,6 +29,12 @@
 
 class peer_attempt;
 
+/// @brief What calls between regions may hold of the memory of a node.
+struct peer_call_limits
+{
+    std::shared_ptr<held_answers> answers = std::make_shared<held_answers>();
+};
+
 /// @brief Sends calls to nodes of other regions and serves theirs. Used on the event loop only.
 class peer_calls final : public region_caller
 {
@@ -35,7 +42,7 @@
     /// @param network outlives the object
     /// @param self this node
     peer_calls(boost::asio::io_context& loop, wire::peer_network& network, wire::hop self,
-               core::random_source& random);
+               core::random_source& random, peer_call_limits limits = {});
     ~peer_calls() override;
 
     /// @brief Serves a request of another node; owns the exchange.
@@ -79,6 +86,7 @@
     wire::peer_network& m_network;
     wire::hop m_self;
     core::random_source& m_random;
+    peer_call_limits m_limits;
     std::vector<region_node> m_nodes;
     std::map<core::call_number, peer_attempt*> m_pending;
     std::map<policy::call_key, served_exchange*> m_served;
--- a/packages/serving/src/process_check.cpp
+++ b/packages/serving/src/process_check.cpp
@@ -94,7 +94,8 @@
 {
     ++m_questions;
     over.expire_after(limit);
-    if (!over.send(m_parts.protocol.ask_process(m_parts.target, m_parts.path, limit), ""))
+    const std::string no_body;
+    if (!over.send(m_parts.protocol.ask_process(m_parts.target, m_parts.path, limit), no_body))
         co_return process_answer{};
     const auto head = co_await over.read_head();
     if (!head)
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -486,6 +486,13 @@
     /// @brief What the node counts of its calls, as text for operators.
     std::string metrics() const { return m_statistics.render(); }
 
+    /// @brief Bounds what calls may hold of their answers together.
+    void limit_answers(core::bytes limit)
+    {
+        m_environment.answers = std::make_shared<held_answers>(limit);
+    }
+    const held_answers& answers() const { return *m_environment.answers; }
+
     /// @brief Sets the clock that tells for how long the host has been suspended.
     void set_suspended_time(std::function<core::duration()> suspended_time)
     {
--- a/packages/serving/tests/call_test.cpp
+++ b/packages/serving/tests/call_test.cpp
@@ -934,6 +934,71 @@
     UNSIGNED_LONGS_EQUAL(0, upstream.requests().size());
 }
 
+// Fails when a node holds an answer that its reader could have: a long one, also without a length,
+// or, when it holds as much as it may, a short one (slow readers, issue 67).
+TEST(call, an_answer_is_passed_on_instead_of_held)
+{
+    constexpr std::size_t long_part = 100'000;
+    constexpr std::size_t short_part = 100;
+    constexpr core::milliseconds pause = 1s;
+    const core::bytes ample = held_answers::default_limit;
+    const std::string end = "end";
+    const auto length_of = [&](std::size_t part) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(part + end.size()) +
+               "\r\n\r\n";
+    };
+    const std::string no_length = "HTTP/1.1 200 OK\r\n\r\n";
+    const struct
+    {
+        const char* name;
+        std::string head;
+        std::size_t part;
+        core::bytes limit;
+        bool is_chunked;
+        bool is_held;
+    } rows[] = {
+        {"length", length_of(long_part), long_part, ample, false, false},
+        {"chunked", chunked_head, long_part, ample, true, false},
+        {"until the connection ends", no_length, long_part, ample, false, false},
+        {"short", length_of(short_part), short_part, ample, false, true},
+        {"short and chunked", chunked_head, short_part, ample, true, true},
+        {"short, at the limit", length_of(short_part), short_part, {}, false, false},
+        {"short and chunked, at the limit", chunked_head, short_part, {}, true, false},
+    };
+    for (const auto& each : rows)
+    {
+        call_fixture node(many_retries);
+        node.limit_answers(each.limit);
+        const std::string first(each.part, 'x');
+        const std::string sent = each.is_chunked ? chunk(first) : first;
+        const std::string rest = each.is_chunked ? chunk(end) + last_chunk : end;
+        scripted_upstream upstream(node.loop,
+                                   {{{{0ms, each.head + sent}, {pause, rest}}, answer_end::close}});
+        node.set_route(make_route(request_kind::idempotent, 2));
+        node.publish("i-1", upstream.address());
+        const recorded_exchange& request = node.start("a");
+        node.run_for(pause / 2);
+        CHECK_EQUAL_TEXT(each.is_held, request.written.empty(), each.name);
+        node.finish(request);
+        CHECK_TRUE_TEXT(request.is(200, first + end), each.name);
+        UNSIGNED_LONGS_EQUAL_TEXT(0, node.answers().bytes(), each.name);
+    }
+}
+
+// Fails when a node reads an answer that says at once that it is longer than any may be.
+TEST(call, an_answer_that_is_too_long_is_not_read)
+{
+    call_fixture node(no_retries);
+    scripted_upstream upstream(node.loop,
+                               {{{{0ms, "HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n"},
+                                  {5s, std::string(9'000'000, 'x')}}}});
+    node.set_route(make_route(request_kind::non_idempotent, 1));
+    node.publish("i-1", upstream.address());
+    const recorded_exchange& request = node.start("a");
+    node.run_for(1s);
+    CHECK_TRUE_TEXT(request.is(502, "upstream_failed"), request.describe().c_str());
+}
+
 // Fails when a stopping node takes a stream that it will have to cut, because streams of its route
 // usually take longer than the node has left, or refuses one that usually ends in time (LOST under
 // planned work, issue 67).
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -224,6 +224,22 @@
     return wire::call_refused{first_call, why};
 }
 
+/// Takes everything, but has much to write for as long as it is told.
+class lagging_network final : public unconnected_network
+{
+  public:
+    bool send(const core::address&, const wire::message& msg) override
+    {
+        taken.push_back(msg);
+        return true;
+    }
+
+    std::size_t unsent(wire::connection_number) const override { return unsent_bytes; }
+
+    std::vector<wire::message> taken;
+    std::size_t unsent_bytes = 0;
+};
+
 /// An answer, as the node that sent a call receives it.
 struct read_answer
 {
@@ -459,6 +475,85 @@
     }
 }
 
+// Fails when an answer of another region that its caller does not take fills the memory of the
+// node, or when an answer that is taken is given up beside it (slow readers, issue 67).
+TEST(peer_calls, an_answer_that_is_not_taken_is_given_up_at_the_limit)
+{
+    constexpr std::size_t part = 50'000;
+    constexpr core::bytes limit{200'000};
+    lagging_network other;
+    peer_call_limits limits;
+    limits.answers = std::make_shared<held_answers>(limit);
+    peer_calls caller(loop, other, {near_region, own_zone, near_id}, random, limits);
+    caller.set_nodes({{far_id.address, far_region}});
+    const auto unread = caller.call(far_region, {"GET", "/a", {}}, "", {5s, {}, {}});
+    const auto read = caller.call(far_region, {"GET", "/b", {}}, "", {5s, {}, {}});
+    read_answer received;
+    boost::asio::co_spawn(loop, read_whole(*read, received), boost::asio::detached);
+    boost::asio::co_spawn(loop, run_attempt(*unread), boost::asio::detached);
+    run_for(20ms);
+    core::checksum64 sum;
+    std::uint64_t length = 0;
+    const wire::peer_identity from{far_id, far_region, {}};
+    for (const std::uint64_t number : {1, 2})
+    {
+        caller.on_message(from, wire::call_head{core::call_number{number}, 200, {}, {}});
+    }
+    run_for(20ms);
+    CHECK_TRUE(is_over);
+    for (int i = 0; i < 40; ++i)
+    {
+        const std::string data(part, 'x');
+        sum.update(data);
+        for (const std::uint64_t number : {1, 2})
+        {
+            caller.on_message(from, wire::call_chunk{core::call_number{number}, length, data});
+        }
+        length += part;
+        run_for(1ms);
+        CHECK_TRUE(limits.answers->bytes() <= limit.count + 2 * part);
+    }
+    caller.on_message(from, wire::call_end{core::call_number{2}, length, sum.digest()});
+    run_for(20ms);
+    CHECK_TRUE(received.is_whole && received.body.size() == length);
+    const auto cancelled =
+        std::count_if(other.taken.begin(), other.taken.end(),
+                      [](const wire::message& each)
+                      {
+                          const auto* cancel = std::get_if<wire::cancel>(&each);
+                          return cancel != nullptr && cancel->number == core::call_number{1};
+                      });
+    LONGS_EQUAL(1, cancelled);
+    UNSIGNED_LONGS_EQUAL(0, limits.answers->bytes());
+}
+
+// Fails when a node reads on an answer for another node whose connection does not take it: the
+// queue fills, and the connection is lost with all calls on it.
+TEST(peer_calls, an_answer_waits_for_the_connection_that_carries_it)
+{
+    lagging_network other;
+    peer_calls serving(loop, other, {near_region, own_zone, near_id}, random);
+    std::unique_ptr<http::exchange> served;
+    serving.set_server([&](std::unique_ptr<http::exchange> request, const forwarded_from&)
+                       { served = std::move(request); });
+    wire::call received;
+    received.number = core::call_number{1};
+    received.request.path = {{far_region, {}, far_id}};
+    serving.on_message({far_id, far_region, {}, first_connection}, received);
+    other.unsent_bytes = 2'000'000;
+    const std::string data = "part";
+    bool is_written = false;
+    boost::asio::co_spawn(
+        loop, [&]() -> boost::asio::awaitable<void> { is_written = co_await served->write(data); },
+        boost::asio::detached);
+    run_for(100ms);
+    CHECK_FALSE(is_written);
+    other.unsent_bytes = 0;
+    run_for(100ms);
+    CHECK_TRUE(is_written);
+    served.reset();
+}
+
 TEST_GROUP(forwarded_call){};
 
 // Fails when an answer without length that passes through a node of another region is cut, or when
--- a/packages/wire/include/snipeplank/wire/peer_network.hpp
+++ b/packages/wire/include/snipeplank/wire/peer_network.hpp
@@ -180,6 +180,10 @@
     /// @param to as received
     virtual bool answer(const peer_identity& to, const message& msg) = 0;
 
+    /// @brief Bytes that wait to be written on a connection, as of the last write; 0 if they are
+    /// few. A sender of long answers waits for them: at `max_write_queue` the connection is closed.
+    virtual std::size_t unsent(connection_number /*connection*/) const { return 0; }
+
     /// @brief Replaces the fleet keys, as `peer_settings::fleet_keys`. Open connections stay open.
     /// An empty list is ignored.
     virtual void set_fleet_keys(std::vector<std::string> keys) = 0;
--- a/packages/wire/src/mailbox.cpp
+++ b/packages/wire/src/mailbox.cpp
@@ -72,6 +72,26 @@
     return taken;
 }
 
+void mailbox::set_unsent(connection_number connection, std::size_t bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    if (bytes > 0)
+    {
+        m_unsent[connection] = bytes;
+    }
+    else
+    {
+        m_unsent.erase(connection);
+    }
+}
+
+std::size_t mailbox::unsent(connection_number connection) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_unsent.find(connection);
+    return found == m_unsent.end() ? 0 : found->second;
+}
+
 void mailbox::wake() const
 {
     const std::uint64_t one = 1;
--- a/packages/wire/src/mailbox.hpp
+++ b/packages/wire/src/mailbox.hpp
@@ -8,6 +8,7 @@
 #include <snipeplank/wire/peer_network.hpp>
 
 #include <cstddef>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -66,6 +67,10 @@
     /// @brief Event descriptor that is readable when the mailbox has new contents.
     int wake_fd() const { return m_wake.get(); }
 
+    /// @brief Records the bytes that wait to be written on a connection.
+    void set_unsent(connection_number connection, std::size_t bytes);
+    std::size_t unsent(connection_number connection) const;
+
     void set_connected(std::vector<peer_identity> peers);
     std::vector<peer_identity> connected() const;
 
@@ -76,6 +81,7 @@
     mailbox_contents m_contents;
     std::size_t m_bytes = 0;
     std::vector<peer_identity> m_connected;
+    std::map<connection_number, std::size_t> m_unsent; ///< of the connections with much to write
     unique_fd m_wake;
 };
 
--- a/packages/wire/src/peer_loop.cpp
+++ b/packages/wire/src/peer_loop.cpp
@@ -567,6 +567,7 @@
             close(id, &*ended.failure);
             continue;
         }
+        publish_unsent(id, found->second.queued());
         if (!update_interest(id))
         {
             m_handler.on_connection_error(found->second.remote(),
@@ -584,6 +585,7 @@
     const auto node = m_connections.extract(id);
     cancel_timer(id);
     m_interests.erase(id);
+    publish_unsent(id, 0);
     const peer_connection& closed = node.mapped();
     m_counters.add(&peer_counters::connections_closed);
     if (failure != nullptr)
@@ -632,6 +634,22 @@
     }
 }
 
+/// Publishes the bytes that wait on a connection, if they are or were more than a few.
+void peer_loop::publish_unsent(connection_id id, std::size_t bytes)
+{
+    constexpr std::size_t least_published = 262'144;
+    const bool is_much = bytes >= least_published;
+    if (!is_much && m_has_unsent.erase(id) == 0)
+    {
+        return;
+    }
+    if (is_much)
+    {
+        m_has_unsent.insert(id);
+    }
+    m_mailbox.set_unsent(connection_number{id}, is_much ? bytes : 0);
+}
+
 void peer_loop::publish_connected()
 {
     std::map<core::node_id, peer_identity> open;
--- a/packages/wire/src/peer_loop.hpp
+++ b/packages/wire/src/peer_loop.hpp
@@ -94,6 +94,7 @@
     void close(connection_id id, const session_failure* failure);
     void on_connection_lost(connection_id id, const peer_identity& lost);
     void publish_connected();
+    void publish_unsent(connection_id id, std::size_t bytes);
     void finish_writing();
     connection_id add_connection(unique_fd fd, session_role role, core::address remote);
 
@@ -111,9 +112,10 @@
     /// since sent and received bytes only postpone it.
     std::set<std::pair<core::time_point, connection_id>> m_timers;
     std::unordered_map<connection_id, core::time_point> m_timer_of;
-    std::set<connection_id> m_to_write; ///< may have queued bytes
-    std::set<core::address> m_to_dial;  ///< have pending frames and no connection
-    core::time_point m_next_removal{};  ///< of idle peers
+    std::set<connection_id> m_to_write;   ///< may have queued bytes
+    std::set<connection_id> m_has_unsent; ///< published as having much to write
+    std::set<core::address> m_to_dial;    ///< have pending frames and no connection
+    core::time_point m_next_removal{};    ///< of idle peers
     std::unordered_map<core::address, peer_state> m_peers;
     connection_id m_last_id = listener_event;
     bool m_is_ready = false;
--- a/packages/wire/src/tcp_peer_network.cpp
+++ b/packages/wire/src/tcp_peer_network.cpp
@@ -85,6 +85,11 @@
         return put(std::move(item), msg);
     }
 
+    std::size_t unsent(connection_number connection) const override
+    {
+        return m_mailbox.unsent(connection);
+    }
+
     void set_fleet_keys(std::vector<std::string> keys) override
     {
         if (!keys.empty())
--- a/packages/wire/tests/peer_network_test.cpp
+++ b/packages/wire/tests/peer_network_test.cpp
@@ -386,6 +386,31 @@
     check_delivery(a, b);
 }
 
+// Fails when a sender can't see that a connection does not take what it sends, and fills its queue.
+TEST(peer_network, the_bytes_that_wait_on_a_connection_are_told)
+{
+    silent_relay relay;
+    test_node a(time);
+    test_node b(time, {"key"}, 2);
+    a.settings.listen = relay.target();
+    a.settings.self.address = relay.address();
+    a.start();
+    b.start();
+    CHECK_TRUE(b.network->send(a.address(), large_call(1)));
+    CHECK_TRUE(eventually([&] { return !a.handler.messages().empty(); }));
+    const peer_identity to = a.handler.messages().front().first;
+    UNSIGNED_LONGS_EQUAL(0, a.network->unsent(to.connection));
+    relay.silence();
+    const call_chunk chunk{core::call_number{1}, 0, std::string(large_part, 'x')};
+    CHECK_TRUE(eventually(
+        [&]
+        {
+            a.network->answer(to, chunk);
+            return a.network->unsent(to.connection) > 0;
+        }));
+    LONGS_EQUAL(0, a.network->counters().write_queue_full);
+}
+
 // Fails when a call that finds the write queue full is dropped without a word, or costs the
 // connection and with it the other calls.
 TEST(peer_network, a_call_that_finds_the_write_queue_full_is_reported)
--- a/standins/server/main.cpp
+++ b/standins/server/main.cpp
@@ -302,6 +302,8 @@
             crash(in.path);
         else if (fault == "long")
             send_whole(out, std::string(long_answer_bytes, 'x'));
+        else if (fault == "long_chunked")
+            send_in_chunks(out);
         else
             send_whole(out, "answer of " + FLAGS_id + " to " + in.method + " " + in.path + " " +
                                 in.body);
@@ -336,6 +338,23 @@
                                  });
     }
 
+    /// Sends a long answer whose length is not known before its end.
+    void send_in_chunks(response& out)
+    {
+        out.set_chunked_content_provider(
+            "text/plain",
+            [this, left = long_answer_bytes](std::size_t, httplib::DataSink& sink) mutable
+            {
+                constexpr std::size_t block_size = 65'536;
+                const std::string block(std::min(block_size, left), 'x');
+                left -= block.size();
+                if (block.empty())
+                    sink.done();
+                return !m_server.is_stopping() &&
+                       (block.empty() || sink.write(block.data(), block.size()));
+            });
+    }
+
     void stream(const request& in, response& out, const std::string& id, const std::string& fault)
     {
         const std::string last = in.get_header_value("Last-Event-Id");
--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -150,6 +150,7 @@
                   {"Limits", {{"MemoryMb", machine_memory_mb}}},
                   {"Provider", {{"Address", store_address()}}}};
     settings["Bounds"].update(json::parse(m_bounds));
+    settings["Limits"].update(json::parse(m_limits));
     std::ofstream(node.settings_path) << settings.dump();
 }
 
@@ -165,6 +166,12 @@
     write_all_settings();
 }
 
+void machine_fleet::set_limits(const std::string& limits)
+{
+    m_limits = limits;
+    write_all_settings();
+}
+
 void machine_fleet::set_grace(std::chrono::seconds grace)
 {
     m_grace = grace;
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -146,6 +146,10 @@
     /// @param bounds JSON object
     void set_bounds(const std::string& bounds);
 
+    /// @brief Starts nodes on machines with further limits from now on.
+    /// @param limits JSON object
+    void set_limits(const std::string& limits);
+
     /// @brief Starts nodes with this time from SIGTERM to SIGKILL from now on.
     void set_grace(std::chrono::seconds grace);
 
@@ -189,6 +193,7 @@
     bool m_allows_retries = true;
     std::chrono::seconds m_grace{8};
     std::string m_bounds = "{}"; ///< further ones, as JSON
+    std::string m_limits = "{}"; ///< of the machines besides their memory, as JSON
     std::string m_other_store;   ///< address of a store besides the stand-in
     std::unique_ptr<standin> m_store;
     std::unique_ptr<standin> m_store_relay;
--- a/tests/uncontrolled_callers_test.cpp
+++ b/tests/uncontrolled_callers_test.cpp
@@ -80,14 +80,68 @@
     }
 }
 
+/// Long answers of one kind, and who asks for them.
+struct slow_reading
+{
+    const char* name;
+    const char* method;
+    const char* path;
+    const char* fault;   ///< of the server
+    bool is_close_ended; ///< the answers end with their connection
+};
+
 } // namespace
 
 TEST_GROUP_BASE(uncontrolled_callers, machine_test){
-    void check_sound(const char* what){const pid_t node = fleet->node(0).program->id();
+    /// Checks that each node lives within the memory and the descriptors of its machine.
+    void check_sound(const char* what, std::size_t max_open = max_descriptors){
+        for (std::size_t i = 0; i < fleet->node_count();
+             ++i){const pid_t node = fleet->node(i).program->id();
 const std::size_t memory = peak_memory_kb(node);
-const std::string seen = std::string(what) + ": " + std::to_string(memory) + " KiB";
+const std::size_t open = descriptors(node);
+const std::string seen = std::string(what) + ", node " + std::to_string(i) + ": " +
+                         std::to_string(memory) + " KiB, " + std::to_string(open) + " descriptors";
+CHECK_TRUE_TEXT(fleet->node(i).program->is_running(), seen.c_str());
 CHECK_TRUE_TEXT(memory > 0 && memory < max_memory_kb, seen.c_str());
-CHECK_TRUE_TEXT(descriptors(node) <= max_descriptors, what);
+CHECK_TRUE_TEXT(open <= max_open, seen.c_str());
+}
+}
+
+/// A crowd asks the first node for long answers and reads 1 KB/s of each.
+/// @param server of the last region
+void check_slow_readers(const slow_reading& row, const std::vector<std::string>& regions)
+{
+    set_up(regions);
+    const standin& server = fleet->add_server("i-s", "shop", regions.back());
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    machine_fleet::set_fault(server, row.fault);
+    const std::string ends_with_connection = row.is_close_ended ? "1" : "0";
+    CHECK_TRUE(http_post(server.address(), "/standin/close_ended", ends_with_connection).is(200));
+    std::vector<int> readers;
+    for (std::size_t i = 0; i < crowd; ++i)
+    {
+        readers.push_back(connect_to(fleet->node(0).callers));
+        send_all(readers.back(), head_of(row.method, row.path, i, 0));
+    }
+    constexpr int rounds = 60;
+    std::string part(100, ' ');
+    for (int round = 0; round < rounds; ++round)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds{100});
+        for (const int each : readers)
+        {
+            static_cast<void>(::recv(each, part.data(), part.size(), MSG_DONTWAIT));
+        }
+    }
+    check_sound(row.name);
+    machine_fleet::set_fault(server, "");
+    fleet->wait_until_served(0, "/read/x");
+    for (const int each : readers)
+    {
+        ::close(each);
+    }
+    fleet.reset();
 }
 }
 ;
@@ -154,3 +208,32 @@
         ::close(each);
     }
 }
+
+// Fails when a node holds the long answers without a length that many callers read slowly.
+TEST(uncontrolled_callers, slow_readers_of_answers_without_a_length_do_not_fill_the_memory)
+{
+    const slow_reading rows[] = {
+        {"chunked", "GET", "/read/long", "long_chunked", false},
+        {"chunked, runs once", "POST", "/book/long", "long_chunked", false},
+        {"until the connection ends", "GET", "/read/long", "long", true},
+    };
+    for (const slow_reading& row : rows)
+    {
+        check_slow_readers(row, {home});
+    }
+}
+
+// Fails when one of two nodes holds the long answers of another region that many callers read
+// slowly.
+TEST(uncontrolled_callers, slow_readers_of_answers_of_another_region_do_not_fill_the_memory)
+{
+    const slow_reading rows[] = {
+        {"known length", "GET", "/read/long", "long", false},
+        {"chunked", "GET", "/read/long", "long_chunked", false},
+        {"chunked, runs once", "POST", "/book/long", "long_chunked", false},
+    };
+    for (const slow_reading& row : rows)
+    {
+        check_slow_readers(row, {home, remote});
+    }
+}
