--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -46,7 +46,8 @@
 constexpr core::milliseconds housekeeping_interval{250};
 constexpr core::milliseconds stop_check_interval{50};
 constexpr core::milliseconds end_check_interval{5};
-/// Part of the machine's memory for answers that wait for their callers: an eighth.
+/// Part of the machine's memory for answers that wait for their callers, and for the bodies of
+/// calls of other nodes: an eighth for each.
 constexpr std::uint64_t held_part = 8;
 constexpr int ok = 200;
 constexpr int not_found = 404;
@@ -130,7 +131,7 @@
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
-              m_random, call_limits(m_answers)),
+              m_random, call_limits(m_options, m_answers)),
           m_environment{
               loop,         m_pool,        m_placement, adapters.callers, adapters.upstreams,
               m_peers,      m_crash_guard, m_streams,   m_accounts,       m_log,
@@ -413,10 +414,13 @@
     }
 
     /// What calls may hold of the memory of the machine.
-    static peer_call_limits call_limits(const std::shared_ptr<held_answers>& answers)
+    static peer_call_limits call_limits(const node_options& options,
+                                        const std::shared_ptr<held_answers>& answers)
     {
         peer_call_limits limits;
         limits.answers = answers;
+        if (options.memory.count > 0)
+            limits.served_bodies = {options.memory.count / held_part};
         return limits;
     }
 
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -235,10 +235,12 @@
         const wire::call_request& request = received.request;
         m_head = {request.method, request.target, request.headers};
         m_owner.m_served[m_key] = this;
+        m_owner.m_served_body_bytes += m_body.size();
     }
 
     ~served_exchange() override
     {
+        m_owner.m_served_body_bytes -= m_body.size();
         if (!m_is_finished)
             abort();
         m_owner.forget_served(m_key);
@@ -427,6 +429,16 @@
                                                    false}});
         return;
     }
+    if (!has_room_for(received.request.body.size()))
+    {
+        m_network.answer(from, wire::call_refused{received.number,
+                                                  {policy::refusal_reason::overloaded,
+                                                   policy::execution::no,
+                                                   "send the call to another node",
+                                                   {},
+                                                   false}});
+        return;
+    }
     auto request = std::make_unique<served_exchange>(*this, from, received);
     served_exchange* raw = request.get();
     m_server(std::move(request),
@@ -435,6 +447,12 @@
               [raw](policy::software_version_key version) { raw->set_version(version); }});
 }
 
+/// The first body always fits.
+bool peer_calls::has_room_for(std::size_t body) const
+{
+    return m_served_body_bytes == 0 || m_served_body_bytes + body <= m_limits.served_bodies.count;
+}
+
 void peer_calls::on_message(const wire::peer_identity& from, const wire::message& received)
 {
     if (const auto* what = std::get_if<wire::call>(&received))
--- a/packages/serving/src/peer_calls.hpp
+++ b/packages/serving/src/peer_calls.hpp
@@ -33,6 +33,7 @@
 struct peer_call_limits
 {
     std::shared_ptr<held_answers> answers = std::make_shared<held_answers>();
+    core::bytes served_bodies{67'108'864}; ///< of all calls of other nodes that are served
 };
 
 /// @brief Sends calls to nodes of other regions and serves theirs. Used on the event loop only.
@@ -81,12 +82,14 @@
 
     void serve(const wire::peer_identity& from, const wire::call& received);
     void forget_served(const policy::call_key& key) { m_served.erase(key); }
+    bool has_room_for(std::size_t body) const;
 
     boost::asio::io_context& m_loop;
     wire::peer_network& m_network;
     wire::hop m_self;
     core::random_source& m_random;
     peer_call_limits m_limits;
+    std::size_t m_served_body_bytes = 0;
     std::vector<region_node> m_nodes;
     std::map<core::call_number, peer_attempt*> m_pending;
     std::map<policy::call_key, served_exchange*> m_served;
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -527,6 +527,44 @@
     UNSIGNED_LONGS_EQUAL(0, limits.answers->bytes());
 }
 
+// Fails when calls of other nodes fill the memory of a node with their bodies, or when one that
+// found no room counts as one that may have run.
+TEST(peer_calls, a_call_whose_body_has_no_room_is_refused_as_not_run)
+{
+    const struct
+    {
+        std::vector<std::size_t> bodies;
+        std::size_t served;
+    } rows[] = {{{2'000}, 1}, {{400, 400}, 2}, {{400, 400, 400}, 2}, {{2'000, 1}, 1}};
+    for (const auto& each : rows)
+    {
+        lagging_network other;
+        peer_call_limits limits;
+        limits.served_bodies = {1'000};
+        peer_calls serving(loop, other, {near_region, own_zone, near_id}, random, limits);
+        std::vector<std::unique_ptr<http::exchange>> served;
+        serving.set_server([&](std::unique_ptr<http::exchange> request, const forwarded_from&)
+                           { served.push_back(std::move(request)); });
+        std::uint64_t number = 0;
+        for (const std::size_t body : each.bodies)
+        {
+            wire::call received;
+            received.number = core::call_number{++number};
+            received.request.path = {{far_region, {}, far_id}};
+            received.request.body = std::string(body, 'x');
+            serving.on_message({far_id, far_region, {}, first_connection}, received);
+        }
+        UNSIGNED_LONGS_EQUAL(each.served, served.size());
+        UNSIGNED_LONGS_EQUAL(each.bodies.size() - each.served, other.taken.size());
+        for (const wire::message& answer : other.taken)
+        {
+            const auto* refused = std::get_if<wire::call_refused>(&answer);
+            CHECK_TRUE(refused != nullptr && refused->why.executed == policy::execution::no);
+        }
+        served.clear();
+    }
+}
+
 // Fails when a node reads on an answer for another node whose connection does not take it: the
 // queue fills, and the connection is lost with all calls on it.
 TEST(peer_calls, an_answer_waits_for_the_connection_that_carries_it)
