--- a/packages/http/include/snipeplank/http/server.hpp
+++ b/packages/http/include/snipeplank/http/server.hpp
@@ -35,7 +35,8 @@
     core::milliseconds body_timeout{60'000};  ///< from the end of the header to the end of the body
     core::milliseconds write_timeout{10'000}; ///< of 64 KB or the rest of a write to the client
     std::size_t connections = 3'000;          ///< requests on further ones are refused with 503
-    /// Bodies of all requests that are being read or answered; one beyond is refused with 503.
+    /// Heads and bodies of all requests that are being read or answered; one beyond is refused with
+    /// 503.
     std::size_t all_body_bytes = 67'108'864;
 };
 
--- a/packages/http/src/connection.cpp
+++ b/packages/http/src/connection.cpp
@@ -87,10 +87,11 @@
     *m_all_body_bytes -= m_held_body_bytes;
 }
 
-/// Counts the body of the current request.
-/// @return false if the server holds more than its limit; the first body always fits
-bool connection::hold_body(std::size_t bytes, const server_limits& limits)
+/// Counts the head and the body of the current request.
+/// @return false if the server holds more than its limit; the first request always fits
+bool connection::hold_request(std::size_t body, const server_limits& limits)
 {
+    const std::size_t bytes = m_head_bytes + body;
     *m_all_body_bytes += bytes;
     *m_all_body_bytes -= std::exchange(m_held_body_bytes, bytes);
     return *m_all_body_bytes <= limits.all_body_bytes || *m_all_body_bytes == m_held_body_bytes;
@@ -210,6 +211,8 @@
         co_await refuse_request(not_implemented, "only the transfer coding chunked is understood");
         co_return false;
     }
+    if (!error && !hold_request(0, limits))
+        error = make_error_code(boost::system::errc::not_enough_memory);
     if (!error && !parser.is_done())
     {
         if (find_header(m_head.headers, "Expect"))
@@ -219,6 +222,9 @@
     stop_watchdog();
     if (error)
     {
+        // The refusal may take a while, and others need the room.
+        std::string().swap(parser.get().body());
+        release_request();
         co_await reject(error);
         co_return false;
     }
@@ -243,7 +249,7 @@
         co_await beast::http::async_read_some(m_socket, m_buffer, parser, into(error));
         if (error && m_has_read_timeout)
             error = beast::http::error::partial_message;
-        if (!error && !hold_body(parser.get().body().size(), limits))
+        if (!error && !hold_request(parser.get().body().size(), limits))
             error = make_error_code(boost::system::errc::not_enough_memory);
     }
     co_return error;
@@ -255,8 +261,10 @@
     m_head.method = std::string(message.method_string());
     m_head.target = std::string(message.target());
     m_head.headers.clear();
+    m_head_bytes = m_head.method.size() + m_head.target.size();
     for (const auto& field : message)
     {
+        m_head_bytes += field.name_string().size() + field.value().size();
         m_head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
     constexpr unsigned version_1_1 = 11;
@@ -271,7 +279,8 @@
     m_head = {};
     // An assignment would keep the allocation.
     std::string().swap(m_body);
-    hold_body(0, {});
+    m_head_bytes = 0;
+    hold_request(0, {});
     if (m_buffer.capacity() > max_idle_buffer_bytes)
         m_buffer.shrink_to_fit();
 }
@@ -281,7 +290,7 @@
     namespace http = beast::http;
     if (error == boost::system::errc::not_enough_memory)
     {
-        co_await refuse_request(service_unavailable, "too many bytes of bodies are held");
+        co_await refuse_request(service_unavailable, "too many bytes of requests are held");
         co_return;
     }
     if (error == http::error::end_of_stream || error == asio::error::eof ||
--- a/packages/http/src/connection.hpp
+++ b/packages/http/src/connection.hpp
@@ -26,7 +26,7 @@
 class connection final : public exchange, public std::enable_shared_from_this<connection>
 {
   public:
-    /// @param all_body_bytes sum of the bodies that all connections of the server hold
+    /// @param all_body_bytes sum of the requests that all connections of the server hold
     connection(boost::asio::ip::tcp::socket socket, request_handler& handler,
                std::shared_ptr<std::size_t> all_body_bytes);
     ~connection() override;
@@ -84,7 +84,7 @@
     boost::asio::awaitable<bool> write_text(std::string text);
     boost::asio::awaitable<bool> write_framed(std::string_view before, std::string_view data,
                                               std::string_view after);
-    bool hold_body(std::size_t bytes, const server_limits& limits);
+    bool hold_request(std::size_t body, const server_limits& limits);
     void take_head(const parser_type& parser);
     void release_request();
     bool has_client_left();
@@ -106,7 +106,8 @@
     boost::asio::steady_timer m_watchdog;
     request_handler& m_handler;
     std::shared_ptr<std::size_t> m_all_body_bytes;
-    std::size_t m_held_body_bytes = 0; ///< counted in `m_all_body_bytes`
+    std::size_t m_head_bytes = 0;      ///< of the current request
+    std::size_t m_held_body_bytes = 0; ///< of its head and body, counted in `m_all_body_bytes`
     boost::beast::flat_buffer m_buffer;
     request_head m_head;
     std::string m_body;
--- a/packages/http/tests/server_test.cpp
+++ b/packages/http/tests/server_test.cpp
@@ -821,6 +821,38 @@
     thread->stop();
 }
 
+// Fails when many requests whose bodies are slow fill the memory with their heads, or when one
+// beyond the limit is refused in another way than as not run (callers that are not controlled).
+TEST(http_server, the_heads_of_all_requests_have_a_bound)
+{
+    constexpr std::size_t field = 10'000;
+    const std::string request = "POST /1 HTTP/1.1\r\n" + host + "X: " + std::string(field, 'x') +
+                                "\r\nContent-Length: 4\r\n\r\n";
+    server_limits limits;
+    limits.all_body_bytes = 2 * field + field / 2;
+    handler.set_limits(limits);
+    std::vector<std::unique_ptr<raw_connection>> waiting;
+    for (int i = 0; i < 2; ++i)
+    {
+        waiting.push_back(std::make_unique<raw_connection>(address));
+        waiting.back()->send(request);
+        std::this_thread::sleep_for(core::milliseconds{50});
+    }
+    raw_connection beyond(address);
+    beyond.send(request + "body");
+    STRCMP_CONTAINS("HTTP/1.1 503", beyond.read_all().c_str());
+    for (const auto& each : waiting)
+    {
+        each->send("body");
+        CHECK_TRUE(each->read_until("body").ends_with("body"));
+        each->close();
+    }
+    std::this_thread::sleep_for(core::milliseconds{50});
+    raw_connection later(address);
+    later.send(request + "body");
+    CHECK_TRUE(later.read_until("POST /1 body").ends_with("POST /1 body"));
+}
+
 // Fails when a request that has arrived is dropped because its connection has been idle for as long
 // as the limit (soak seeds 5004 and 5007, a changed idle limit).
 TEST(http_server, a_request_that_arrives_at_the_idle_limit_is_answered)
