--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -153,6 +153,7 @@
         m_peers.set_server([this](std::unique_ptr<http::exchange> request, forwarded_from from)
                            { serve_peer(std::move(request), std::move(from)); });
         m_environment.answers = m_answers;
+        m_calls.set_limits(limits_of(routing_table{}));
         m_calls.on_rejected([this](int status, std::string_view why)
                             { record_rejected(status, why); });
     }
@@ -410,9 +411,22 @@
         if (m_options.memory.count > 0)
             limits.all_body_bytes =
                 std::max<std::size_t>(m_options.memory.count / body_part, limits.body_bytes);
+        if (m_options.descriptors > 0)
+            limits.connections = std::min(limits.connections, max_client_connections());
         return limits;
     }
 
+    /// Each client's connection may need another one to an upstream. The rest of the descriptors is
+    /// for files and for the other nodes.
+    std::size_t max_client_connections() const
+    {
+        constexpr std::size_t reserved = 200;
+        constexpr std::size_t least = 16;
+        const std::size_t others = reserved + m_nodes.size();
+        const std::size_t free = m_options.descriptors - std::min(m_options.descriptors, others);
+        return std::max(least, free / 2);
+    }
+
     /// What calls may hold of the memory of the machine.
     static peer_call_limits call_limits(const node_options& options,
                                         const std::shared_ptr<held_answers>& answers)
--- a/tests/uncontrolled_callers_test.cpp
+++ b/tests/uncontrolled_callers_test.cpp
@@ -237,3 +237,27 @@
         check_slow_readers(row, {home, remote});
     }
 }
+
+// Fails when callers that open connections and send nothing use up the descriptors of the machine.
+TEST(uncontrolled_callers, idle_connections_do_not_use_up_the_descriptors)
+{
+    constexpr std::size_t machine_descriptors = 400;
+    constexpr std::size_t many = 500;
+    set_up({home});
+    fleet->set_limits(R"({"MaxFds":)" + std::to_string(machine_descriptors) + "}");
+    fleet->add_server("i-s", "shop", home);
+    fleet->start_nodes();
+    fleet->wait_until_served(0, "/read/x");
+    std::vector<int> idle;
+    for (std::size_t i = 0; i < many; ++i)
+    {
+        idle.push_back(connect_to(fleet->node(0).callers));
+    }
+    std::this_thread::sleep_for(std::chrono::seconds{1});
+    check_sound("idle", machine_descriptors);
+    for (const int each : idle)
+    {
+        ::close(each);
+    }
+    fleet->wait_until_served(0, "/read/x");
+}
