--- a/packages/gateway/include/snipeplank/gateway/answer_stream.hpp
+++ b/packages/gateway/include/snipeplank/gateway/answer_stream.hpp
@@ -8,6 +8,7 @@
 #include <snipeplank/core/units.hpp>
 #include <snipeplank/policy/refusal.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -71,6 +72,23 @@
     std::condition_variable changed;
 };
 
+/// @brief Bytes that wait in all streams whose producer can't be made to wait. Thread-safe.
+class offered_bytes
+{
+  public:
+    static constexpr std::size_t limit = 67'108'864;
+
+    void add(std::size_t count) { m_count += count; }
+    void remove(std::size_t count) { m_count -= count; }
+    std::size_t count() const { return m_count; }
+
+    /// @brief Whether a stream that holds more than a part of its own may take no more.
+    bool is_full() const { return m_count >= limit; }
+
+  private:
+    std::atomic<std::size_t> m_count{0};
+};
+
 /// @brief Bounded queue of one answer: head, chunks, then end or failure.
 ///
 /// The producer blocks while the consumer is slow; `cancel` releases it. Thread-safe for one
@@ -87,14 +105,20 @@
     };
 
     explicit answer_stream(std::shared_ptr<stream_signal> signal);
+    ~answer_stream() override;
+    answer_stream(const answer_stream&) = delete;
+    answer_stream& operator=(const answer_stream&) = delete;
 
     /// @name Producer
     /// @{
     void put_head(answer_head head) override;
     bool put_chunk(std::string chunk) override;
     /// @brief As `put_chunk`, but never blocks; for a producer that serves many streams.
-    /// @return false when cancelled or when the queue is full
+    /// @return false when cancelled, when the queue is full, or when all such streams hold too much
+    /// and this one more than its part
     bool try_put_chunk(std::string chunk);
+    /// @brief Counts what `try_put_chunk` queues together with other streams.
+    void count_with(std::shared_ptr<offered_bytes> all);
     void finish() override;
     void fail(attempt_failure failure) override;
     void on_cancel(std::function<void()> action) override;
@@ -132,6 +156,7 @@
     static constexpr std::size_t max_offered_bytes = 8'388'608;
 
     std::shared_ptr<stream_signal> m_signal;
+    std::shared_ptr<offered_bytes> m_offered; ///< of all streams that count with this one; or null
     std::optional<answer_head> m_head;
     std::deque<std::string> m_chunks;
     std::size_t m_queued_bytes = 0;
--- a/packages/gateway/include/snipeplank/gateway/peer_client.hpp
+++ b/packages/gateway/include/snipeplank/gateway/peer_client.hpp
@@ -71,6 +71,7 @@
     call_number_generator& m_numbers;
     std::mutex m_mutex;
     call_map m_calls;
+    std::shared_ptr<offered_bytes> m_offered = std::make_shared<offered_bytes>();
     core::seeded_random m_random;
 };
 
--- a/packages/gateway/src/answer_stream.cpp
+++ b/packages/gateway/src/answer_stream.cpp
@@ -7,6 +7,12 @@
 
 answer_stream::answer_stream(std::shared_ptr<stream_signal> signal) : m_signal(std::move(signal)) {}
 
+answer_stream::~answer_stream()
+{
+    if (m_offered)
+        m_offered->remove(m_queued_bytes);
+}
+
 void answer_stream::put_head(answer_head head)
 {
     const std::lock_guard lock(m_signal->mutex);
@@ -30,14 +36,24 @@
 bool answer_stream::try_put_chunk(std::string chunk)
 {
     const std::lock_guard lock(m_signal->mutex);
-    if (m_is_cancelled || m_queued_bytes + chunk.size() > max_offered_bytes)
+    const std::size_t queued = m_queued_bytes + chunk.size();
+    const bool is_over_part = m_offered && m_offered->is_full() && queued > max_queued_bytes;
+    if (m_is_cancelled || queued > max_offered_bytes || is_over_part)
         return false;
-    m_queued_bytes += chunk.size();
+    m_queued_bytes = queued;
+    if (m_offered)
+        m_offered->add(chunk.size());
     m_chunks.push_back(std::move(chunk));
     m_signal->changed.notify_all();
     return true;
 }
 
+void answer_stream::count_with(std::shared_ptr<offered_bytes> all)
+{
+    const std::lock_guard lock(m_signal->mutex);
+    m_offered = std::move(all);
+}
+
 void answer_stream::finish()
 {
     const std::lock_guard lock(m_signal->mutex);
@@ -99,6 +115,8 @@
     std::string chunk = std::move(m_chunks.front());
     m_chunks.pop_front();
     m_queued_bytes -= chunk.size();
+    if (m_offered)
+        m_offered->remove(chunk.size());
     m_signal->changed.notify_all();
     return chunk;
 }
--- a/packages/gateway/src/peer_client.cpp
+++ b/packages/gateway/src/peer_client.cpp
@@ -57,6 +57,7 @@
         entry->answer = answer;
         m_calls.emplace(number, std::move(entry));
     }
+    answer->count_with(m_offered);
     answer->on_cancel([this, number, peer] { cancel(number, peer); });
     wire::call message{number, to_wire(request, m_self, steady_clock::now())};
     if (m_network.send(peer, message))
