--- a/packages/serving/src/account_admission.hpp
+++ b/packages/serving/src/account_admission.hpp
@@ -42,6 +42,9 @@
                                             const caller_request& request,
                                             const client_account*& found) const;
 
+    /// @brief Time since the configuration in force was confirmed; nothing: it never was.
+    std::optional<core::milliseconds> confirmed_age() const { return m_confirmed_age(); }
+
     policy::quota_exchange& quotas() { return m_quotas; }
     const policy::quota_exchange& quotas() const { return m_quotas; }
 
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -170,9 +170,12 @@
     auto refused = m_forwarded
                        ? m_account.set_forwarded(*m_table, *m_route, m_caller, m_forwarded->account)
                        : m_account.identify(*m_table, *m_route, m_caller);
+    m_line.has_unknown_key = !m_caller.key.empty() && m_account.account() == nullptr;
     m_caller.key.clear();
     if (m_account.account() != nullptr)
         m_line.account = m_account.account()->name.get();
+    m_line.homes = home_regions(*m_route, m_account.account());
+    m_line.confirmed_age = m_environment.accounts.confirmed_age();
     return refused;
 }
 
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -31,6 +31,23 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
 }
 
+/// By what a request with homes was judged; nothing for one that any region may serve.
+void add_homes(nlohmann::json& fields, const call_outcome_line& line)
+{
+    if (line.has_unknown_key)
+        fields["unknown_key"] = true;
+    if (!line.homes.is_restricted())
+        return;
+    nlohmann::json names = nlohmann::json::array();
+    for (const core::region_id& region : *line.homes.regions())
+    {
+        names.push_back(region.get());
+    }
+    fields["homes"] = std::move(names);
+    if (line.confirmed_age)
+        fields["confirmed_age_ms"] = line.confirmed_age->count();
+}
+
 } // namespace
 
 call_log::call_log(std::string node, log::line_writer& output)
@@ -91,6 +108,7 @@
                           {"total_ms", line.total_ms}};
     if (!line.account.empty())
         fields["account"] = line.account;
+    add_homes(fields, line);
     emit("call", fields);
 }
 
--- a/packages/serving/src/call_outcome.hpp
+++ b/packages/serving/src/call_outcome.hpp
@@ -4,8 +4,12 @@
 #ifndef SNIPEPLANK_SERVING_SRC_CALL_OUTCOME_HPP
 #define SNIPEPLANK_SERVING_SRC_CALL_OUTCOME_HPP
 
+#include <snipeplank/core/units.hpp>
+#include <snipeplank/serving/home_regions.hpp>
+
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -38,6 +42,10 @@
     std::string route;
     std::string service;
     std::string account; ///< name of the client account; empty: none
+    home_regions homes;  ///< where the request might be served
+    /// Time since the configuration was confirmed, when the request was judged; nothing: unknown.
+    std::optional<core::milliseconds> confirmed_age;
+    bool has_unknown_key = false; ///< names a key that no account holds
     std::uint64_t config_version = 0;
     std::string attempts;  ///< targets and their results in order
     std::string upstreams; ///< states of the candidates, when it was refused
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -767,7 +767,19 @@
         text +=
             "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
             std::to_string(m_crash_guard.crashes()) + "\n";
-        return text + stream_metrics() + retry_metrics() + entry_metrics() + account_metrics();
+        return text + stream_metrics() + retry_metrics() + entry_metrics() +
+               configuration_metrics() + account_metrics();
+    }
+
+    /// Nothing before the first confirmation of a configuration.
+    std::string configuration_metrics() const
+    {
+        const auto age = m_adapters.source.confirmed_age();
+        if (!age)
+            return {};
+        return "# TYPE snipeplank_configuration_confirmed_age_ms gauge\n"
+               "snipeplank_configuration_confirmed_age_ms " +
+               std::to_string(age->count()) + "\n";
     }
 
     /// Nothing where the configuration lists no accounts.
@@ -775,14 +787,9 @@
     {
         if (!m_environment.table || !m_environment.table->accounts)
             return {};
-        const auto age = m_adapters.source.confirmed_age();
         const policy::quota_counters& counted = m_accounts.quotas().counters();
         std::string text = "# TYPE snipeplank_accounts gauge\nsnipeplank_accounts " +
                            std::to_string(m_environment.table->accounts->size()) + "\n";
-        if (age)
-            text += "# TYPE snipeplank_configuration_confirmed_age_ms gauge\n"
-                    "snipeplank_configuration_confirmed_age_ms " +
-                    std::to_string(age->count()) + "\n";
         text += "# TYPE snipeplank_quota_requests_total counter\n";
         const auto add = [&](const std::string& name, std::uint64_t value)
         { text += "snipeplank_quota_" + name + " " + std::to_string(value) + "\n"; };
--- a/packages/serving/tests/call_log_test.cpp
+++ b/packages/serving/tests/call_log_test.cpp
@@ -10,8 +10,10 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include "../src/call_log.hpp"
 
@@ -139,3 +141,47 @@
     CHECK_TRUE(subject.dropped() > 0);
     UNSIGNED_LONGS_EQUAL(0, output.dropped());
 }
+
+// Fails when the log does not say by which homes, and by how old a configuration, a request was
+// judged (issue 70, HOME).
+TEST(call_log, a_request_with_homes_is_logged_with_what_it_was_judged_by)
+{
+    struct row
+    {
+        const char* name;
+        std::vector<core::region_id> homes;
+        std::optional<core::milliseconds> age;
+        bool has_unknown_key;
+        const char* logged; ///< the fields that name these
+    };
+    const row rows[] = {
+        {"every region", {}, core::seconds{3}, false, "{}"},
+        {"one home",
+         {core::region_id{"duluth"}},
+         core::seconds{3},
+         false,
+         R"({"confirmed_age_ms":3000,"homes":["duluth"]})"},
+        {"never confirmed",
+         {core::region_id{"duluth"}},
+         std::nullopt,
+         false,
+         R"({"homes":["duluth"]})"},
+        {"a key of nobody", {}, core::seconds{3}, true, R"({"unknown_key":true})"},
+    };
+    for (const row& each : rows)
+    {
+        call_outcome_line line;
+        line.homes.restrict_to(each.homes);
+        line.confirmed_age = each.age;
+        line.has_unknown_key = each.has_unknown_key;
+        subject.call_ended(line);
+        const auto logged = nlohmann::json::parse(pipe.read_all(output));
+        nlohmann::json named = nlohmann::json::object();
+        for (const char* field : {"homes", "confirmed_age_ms", "unknown_key"})
+        {
+            if (logged.contains(field))
+                named[field] = logged[field];
+        }
+        STRCMP_EQUAL_TEXT(each.logged, named.dump().c_str(), each.name);
+    }
+}
