--- a/packages/policy/include/snipeplank/policy/refusal.hpp
+++ b/packages/policy/include/snipeplank/policy/refusal.hpp
@@ -46,7 +46,7 @@
     upstream_throttled,        ///< the upstreams take no request now, by their own word
     stream_origin_unknown,     ///< no node knows which software version began the stream
     stream_version_gone,       ///< no upstream of the software version that began the stream serves
-    configuration_unconfirmed, ///< a key may have been taken away since the last confirmation
+    configuration_unconfirmed, ///< keys or homes may have changed since the last confirmation
 };
 
 constexpr refusal_reason last_refusal_reason = refusal_reason::configuration_unconfirmed;
--- a/packages/serving/include/snipeplank/serving/account_terms.hpp
+++ b/packages/serving/include/snipeplank/serving/account_terms.hpp
@@ -13,7 +13,7 @@
 /// @brief How fast a key that was taken away is refused, and how far limits may be exceeded.
 struct account_terms
 {
-    revocation_terms revocation;
+    lease_terms revocation; ///< under which requests with keys are served
     policy::quota_bound quotas;
 };
 
--- a/packages/serving/include/snipeplank/serving/configuration_lease.hpp
+++ b/packages/serving/include/snipeplank/serving/configuration_lease.hpp
@@ -51,17 +51,16 @@
     std::optional<core::time_point> m_at;
 };
 
-/// @brief Terms under which a key that was taken away is refused.
-struct revocation_terms
+/// @brief How long after its confirmation a configuration counts as the newest one.
+struct lease_terms
 {
     /// Nodes differ in the rate of their clocks, and a request takes time from its client.
     static constexpr core::milliseconds margin{100};
 
-    bool is_strict = false;      ///< whether requests with keys need a confirmed configuration
+    bool is_strict = false;      ///< whether a confirmed configuration is needed at all
     core::milliseconds limit{0}; ///< from the confirmation of a change until it binds everywhere
 
-    /// @brief Whether requests with keys may be served under a configuration that was confirmed
-    /// this long ago.
+    /// @brief Whether a configuration that was confirmed this long ago counts.
     bool allow(std::optional<core::milliseconds> age) const
     {
         return !is_strict || (age && *age + margin <= limit);
--- a/packages/serving/include/snipeplank/serving/state_timing.hpp
+++ b/packages/serving/include/snipeplank/serving/state_timing.hpp
@@ -27,7 +27,7 @@
 constexpr int watches_per_revocation = 7;
 
 /// @brief How long the store may hold a watch of the configuration open.
-constexpr core::milliseconds operator_watch_wait(const revocation_terms& terms)
+constexpr core::milliseconds operator_watch_wait(const lease_terms& terms)
 {
     return terms.is_strict ? std::min(watch_wait, terms.limit / watches_per_revocation)
                            : watch_wait;
@@ -50,7 +50,7 @@
 /// @brief Interval at which the state is copied from a peer while the store fails. Shorter in the
 /// second half of a lease: a copy from a node that has no newer confirmation does not extend it.
 /// @param age of the confirmation of the configuration
-constexpr core::milliseconds copy_interval(const revocation_terms& terms,
+constexpr core::milliseconds copy_interval(const lease_terms& terms,
                                            std::optional<core::milliseconds> age)
 {
     const bool is_ending = terms.is_strict && age && *age > terms.limit / 2 && *age <= terms.limit;
--- a/packages/serving/src/account_admission.cpp
+++ b/packages/serving/src/account_admission.cpp
@@ -18,15 +18,6 @@
 namespace
 {
 
-/// Retry-after while the configuration is not confirmed: the store may answer at any time.
-constexpr core::milliseconds unconfirmed_retry{500};
-
-policy::refusal unconfirmed()
-{
-    return {policy::refusal_reason::configuration_unconfirmed, policy::execution::no,
-            "come back after the time given, or ask another node", unconfirmed_retry};
-}
-
 /// Units that a request costs.
 double units_of(const caller_request& request, const policy::quota_limit& limit)
 {
@@ -52,10 +43,9 @@
 
 } // namespace
 
-account_admission::account_admission(
-    account_terms terms, std::function<std::optional<core::milliseconds>()> confirmed_age,
-    std::uint64_t instance, policy::quota_network& network)
-    : m_terms(terms), m_confirmed_age(std::move(confirmed_age)), m_quotas(instance, network)
+account_admission::account_admission(account_terms terms, const configuration_evidence& evidence,
+                                     std::uint64_t instance, policy::quota_network& network)
+    : m_terms(terms), m_evidence(evidence), m_quotas(instance, network)
 {
 }
 
@@ -79,8 +69,8 @@
     if (chosen.is_public && (found != nullptr || request.key.empty()))
         return std::nullopt;
     // An unknown key may have been added since, on a public route with regions of its account.
-    if (!m_terms.revocation.allow(m_confirmed_age()))
-        return unconfirmed();
+    if (!m_terms.revocation.allow(m_evidence.confirmed_age()))
+        return unconfirmed_refusal();
     if (found != nullptr || chosen.is_public)
         return std::nullopt;
     return policy::refusal{policy::refusal_reason::unauthorized, policy::execution::no,
@@ -117,11 +107,11 @@
         return std::nullopt;
     // A node without accounts yet passes keys on, and asks for none.
     if (!names_account && (!chosen.is_public || !request.key.empty()))
-        return unconfirmed();
+        return unconfirmed_refusal();
     m_account = table.accounts ? table.accounts->find(name) : nullptr;
     // What the account allows is not known here.
     if (names_account && m_account == nullptr)
-        return unconfirmed();
+        return unconfirmed_refusal();
     m_name = std::move(name);
     return std::nullopt;
 }
--- a/packages/serving/src/account_admission.hpp
+++ b/packages/serving/src/account_admission.hpp
@@ -13,10 +13,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <functional>
 #include <memory>
 #include <optional>
 
+#include "home_admission.hpp"
+
 namespace snipeplank::serving
 {
 
@@ -25,11 +26,10 @@
 class account_admission
 {
   public:
-    /// @param confirmed_age time since the configuration in force was confirmed
+    /// @param evidence outlives the object
     /// @param instance random number of this process
     /// @param network outlives the object
-    account_admission(account_terms terms,
-                      std::function<std::optional<core::milliseconds>()> confirmed_age,
+    account_admission(account_terms terms, const configuration_evidence& evidence,
                       std::uint64_t instance, policy::quota_network& network);
 
     /// @brief Sets the limits of the accounts. O(accounts).
@@ -42,15 +42,12 @@
                                             const caller_request& request,
                                             const client_account*& found) const;
 
-    /// @brief Time since the configuration in force was confirmed; nothing: it never was.
-    std::optional<core::milliseconds> confirmed_age() const { return m_confirmed_age(); }
-
     policy::quota_exchange& quotas() { return m_quotas; }
     const policy::quota_exchange& quotas() const { return m_quotas; }
 
   private:
     account_terms m_terms;
-    std::function<std::optional<core::milliseconds>()> m_confirmed_age;
+    const configuration_evidence& m_evidence;
     policy::quota_exchange m_quotas;
 };
 
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -174,8 +174,9 @@
     m_caller.key.clear();
     if (m_account.account() != nullptr)
         m_line.account = m_account.account()->name.get();
-    m_line.homes = home_regions(*m_route, m_account.account());
-    m_line.confirmed_age = m_environment.accounts.confirmed_age();
+    m_homes = home_regions(*m_route, m_account.account());
+    m_line.homes = m_homes;
+    m_line.confirmed_age = m_environment.homes.confirmed_age();
     return refused;
 }
 
@@ -240,9 +241,12 @@
             co_await refuse(final_refusal());
             co_return;
         }
-        if (std::optional<policy::refusal> quarantined = quarantine_refusal())
+        std::optional<policy::refusal> refused_before = home_refusal();
+        if (!refused_before)
+            refused_before = quarantine_refusal();
+        if (refused_before)
         {
-            co_await refuse(std::move(*quarantined));
+            co_await refuse(std::move(*refused_before));
             co_return;
         }
         const placement_decision where = m_environment.places.decide(next_request(), now());
@@ -348,7 +352,7 @@
 /// The upstream may have come back with another software version since it was chosen.
 admission call::admit(const upstream_id& target, policy::connection_record& over)
 {
-    if (!m_account.is_charged())
+    if (!m_account.is_charged() || home_refusal())
         return admission::out_of_service;
     if (m_environment.suspensions->take_suspension())
         m_environment.places.on_resumed(now());
@@ -765,6 +769,13 @@
     return m_forwarded || m_broken_beginnings > 0 ? 1 : 0;
 }
 
+/// The refusal of a request whose homes may have moved; nothing when it may be sent.
+std::optional<policy::refusal> call::home_refusal() const
+{
+    auto refused = m_environment.homes.find_refusal(m_homes);
+    return refused && m_may_have_run ? final_refusal() : std::move(refused);
+}
+
 /// The refusal of a request under which upstreams crash; nothing when it may be sent.
 std::optional<policy::refusal> call::quarantine_refusal() const
 {
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -28,6 +28,7 @@
 #include "call_statistics.hpp"
 #include "crash_guard.hpp"
 #include "held_answers.hpp"
+#include "home_admission.hpp"
 #include "serving_end.hpp"
 #include "stream_binding.hpp"
 #include "stream_durations.hpp"
@@ -71,6 +72,7 @@
     crash_guard& crashes;
     stream_directory& streams;
     account_admission& accounts;
+    const home_admission& homes;
     call_log& log;
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
@@ -148,6 +150,7 @@
     bool is_within_attempt_limits(unsigned runs) const;
     next_step retry(policy::retry_reason reason);
     std::size_t forgiven_crashes() const;
+    std::optional<policy::refusal> home_refusal() const;
     std::optional<policy::refusal> quarantine_refusal() const;
     static bool is_quarantined_elsewhere(const attempt_start& result);
     static bool is_fault_of_node(const attempt_start& result);
@@ -196,6 +199,7 @@
     std::vector<core::address> m_tried_nodes;     ///< of other regions
     stream_binding m_stream;
     account_binding m_account;
+    home_regions m_homes;
     http::event_splitter m_events;
     std::string m_media_type; ///< of the stream that was begun
     std::string m_resume_from;
--- a/packages/serving/src/entry_points.cpp
+++ b/packages/serving/src/entry_points.cpp
@@ -108,6 +108,8 @@
     const std::vector<const route*> bound = bound_routes(asked.host, view.table);
     if (bound.empty())
         return {entry_group::other_region, all_live(view)};
+    if (!view.has_current_homes)
+        return {};
     if (address_list homes = nodes_at_home(bound, bound.size(), view); !homes.empty())
         return {entry_group::home, std::move(homes)};
     if (address_list back = nodes_of(asked.region, view.expected_back); !back.empty())
--- a/packages/serving/src/entry_points.hpp
+++ b/packages/serving/src/entry_points.hpp
@@ -36,6 +36,7 @@
     /// Regions of which this node knows none, as it has just started.
     std::set<core::region_id> unknown_regions;
     const routing_table* table = nullptr; ///< null before the first configuration
+    bool has_current_homes = true;        ///< whether the table's homes may be relied on
 };
 
 /// @brief Group from which entry points were chosen.
@@ -65,8 +66,8 @@
 ///
 /// A host with bound routes is not led to a region that is neither the client's own nor a home of
 /// all of them while the client's region is about to be back, nor by a node that may not know that
-/// region yet or has no configuration; the client asks another node then. It is led there when its
-/// region was lost without notice. O(nodes x routes).
+/// region yet, has no configuration, or one whose homes may have moved; the client asks another
+/// node then. It is led there when its region was lost without notice. O(nodes x routes).
 entry_choice choose_entry_points(const control_request& asked, const entry_view& view);
 
 } // namespace snipeplank::serving
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -274,6 +274,7 @@
 
 void fleet_link::record_readiness(const fleet::gossip& received)
 {
+    m_newest_told = std::max(m_newest_told, received.digest.version);
     const core::address& sender = received.sender.id.address;
     const bool was_unready = m_unready.contains(sender);
     const bool is_unready = received.digest.version.get() == 0;
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -120,6 +120,9 @@
     std::vector<core::address> stopping_nodes(const core::region_id& region,
                                               core::milliseconds age) const;
 
+    /// @brief The newest version of the configuration that another node has named.
+    core::config_version newest_told() const { return m_newest_told; }
+
     /// @brief Nodes that share bounds with this one. O(nodes).
     sharing_nodes sharing() const;
 
@@ -175,6 +178,7 @@
     std::vector<core::address> m_seeds;
     peer_reachability m_reachability;
     std::set<core::address> m_unready; ///< reported that they have no configuration
+    core::config_version m_newest_told;
     std::set<core::node_id> m_announced_to;
     node_count_estimate m_node_count;
     core::time_point m_next_record{};
--- /dev/null
+++ b/packages/serving/src/home_admission.cpp
@@ -0,0 +1,32 @@
+#include "home_admission.hpp"
+
+namespace snipeplank::serving
+{
+
+namespace
+{
+
+/// Retry-after while the configuration is not confirmed: the store may answer at any time.
+constexpr core::milliseconds unconfirmed_retry{500};
+
+} // namespace
+
+policy::refusal unconfirmed_refusal()
+{
+    return {policy::refusal_reason::configuration_unconfirmed, policy::execution::no,
+            "come back after the time given, or ask another node", unconfirmed_retry};
+}
+
+bool home_admission::are_current() const
+{
+    return m_terms.allow(m_evidence.confirmed_age()) || m_evidence.is_newest_in_fleet();
+}
+
+std::optional<policy::refusal> home_admission::find_refusal(const home_regions& homes) const
+{
+    if (!homes.is_restricted() || are_current())
+        return std::nullopt;
+    return unconfirmed_refusal();
+}
+
+} // namespace snipeplank::serving
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -114,6 +114,7 @@
 class node::state final : public state_listener,
                           public fleet_listener,
                           public origin_network,
+                          public configuration_evidence,
                           public policy::quota_network
 {
   public:
@@ -125,17 +126,15 @@
           m_loads(m_options.region, m_placement),
           m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
           m_streams(m_options.region, *this, [this] { return list_age(); }),
-          m_accounts(
-              m_options.accounts, [this] { return m_adapters.source.confirmed_age(); },
-              m_random.next(), *this),
+          m_accounts(m_options.accounts, *this, m_random.next(), *this),
+          m_homes(m_options.homes, *this),
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
               m_random, call_limits(m_options, m_answers)),
-          m_environment{
-              loop,         m_pool,        m_placement, adapters.callers, adapters.upstreams,
-              m_peers,      m_crash_guard, m_streams,   m_accounts,       m_log,
-              m_statistics, nullptr},
+          m_environment{loop,    m_pool,        m_placement, adapters.callers, adapters.upstreams,
+                        m_peers, m_crash_guard, m_streams,   m_accounts,       m_homes,
+                        m_log,   m_statistics,  nullptr},
           m_calls([this](http::exchange& request) { return serve_call(request); }),
           m_control([this](http::exchange& request) { return serve_control(request); }),
           m_admin([this](http::exchange& request) { return serve_admin(request); }),
@@ -367,6 +366,20 @@
         m_fleet.network().send(to, std::move(what));
     }
 
+    std::optional<core::milliseconds> confirmed_age() const override
+    {
+        return m_adapters.source.confirmed_age();
+    }
+
+    bool is_newest_in_fleet() const override
+    {
+        // The number of nodes has an allowance of one.
+        const bool reaches_most =
+            m_node_share.is_known() && 2 * m_nodes.size() >= m_node_share.nodes();
+        return reaches_most && m_environment.table &&
+               m_fleet.newest_told() <= m_environment.table->version;
+    }
+
     void wake_in(core::milliseconds span) override
     {
         const core::time_point at = now() + span;
@@ -548,6 +561,7 @@
         entry_view view;
         view.live = m_nodes;
         view.table = m_environment.table.get();
+        view.has_current_homes = m_homes.are_current();
         // The rest matters only to clients of a region without a live node.
         const bool is_served =
             std::any_of(m_nodes.begin(), m_nodes.end(),
@@ -859,6 +873,7 @@
     fleet_link m_fleet;
     stream_directory m_streams;
     account_admission m_accounts;
+    home_admission m_homes;
     suspension_watch m_suspensions; ///< of the ticks; calls look by themselves
     peer_calls m_peers;
     call_environment m_environment;
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -449,6 +449,17 @@
     void send(const core::address&, policy::quota_message) override {}
 };
 
+/// @brief What a node knows of the age of its configuration, as a test says.
+class scripted_evidence final : public configuration_evidence
+{
+  public:
+    std::optional<core::milliseconds> confirmed_age() const override { return age; }
+    bool is_newest_in_fleet() const override { return is_newest; }
+
+    std::optional<core::milliseconds> age{0};
+    bool is_newest = false;
+};
+
 const core::region_id own_region{"salzkammer"};
 const core::zone_id own_zone{"salzkammer-a"};
 const core::service_id own_service{"shop"};
@@ -462,12 +473,11 @@
         : m_places(own_region, bounds_with(retries), m_random), m_log("test"),
           m_crash_guard(loop, m_pool, m_log),
           m_streams(own_region, m_origins, [] { return core::milliseconds{0}; }),
-          m_accounts(
-              account_terms{{true, core::seconds{5}}, {}}, [this] { return confirmed_age; }, 1,
-              m_quota_network),
+          m_accounts(account_terms{{true, core::seconds{5}}, {}}, evidence, 1, m_quota_network),
+          m_homes({true, core::seconds{5}}, evidence),
           m_environment{loop,         m_pool,        m_places,  m_callers,  m_upstream_protocol,
-                        m_regions,    m_crash_guard, m_streams, m_accounts, m_log,
-                        m_statistics, nullptr}
+                        m_regions,    m_crash_guard, m_streams, m_accounts, m_homes,
+                        m_log,        m_statistics,  nullptr}
     {
         const core::address self{"127.0.0.1:7"};
         sharing_nodes alone;
@@ -658,8 +668,8 @@
 
     asio::io_context loop;
 
-    /// Time since the configuration was confirmed.
-    std::optional<core::milliseconds> confirmed_age{0};
+    /// How old the configuration is.
+    scripted_evidence evidence;
 
     const region_link& regions() const { return m_regions; }
 
@@ -690,6 +700,7 @@
     stream_directory m_streams;
     no_quota_network m_quota_network;
     account_admission m_accounts;
+    home_admission m_homes;
     call_statistics m_statistics;
     call_environment m_environment;
     upstream_map m_published;
--- a/packages/serving/tests/client_accounts_test.cpp
+++ b/packages/serving/tests/client_accounts_test.cpp
@@ -137,7 +137,7 @@
         shop.is_public = each.is_public;
         node.set_route(shop, {}, {{gold_key, gold}});
         node.publish("i-1", upstream.address());
-        node.confirmed_age = each.confirmed_age;
+        node.evidence.age = each.confirmed_age;
         const recorded_exchange& answered = node.start(request(each.key), std::nullopt);
         node.finish(answered);
         LONGS_EQUAL_TEXT(each.status, answered.status, each.name);
@@ -198,7 +198,7 @@
     node.set_route(shop_route(), {}, {{gold_key, account("gold")}});
     node.finish(node.start(request("other"), std::nullopt));
     CHECK_TRUE(node.last_refusal().reason == policy::refusal_reason::unauthorized);
-    node.confirmed_age = 6s;
+    node.evidence.age = 6s;
     node.finish(node.start(request(gold_key), std::nullopt));
     CHECK_TRUE(node.last_refusal().reason == policy::refusal_reason::configuration_unconfirmed);
     CHECK_TRUE(node.last_refusal().retry_after > 0ms);
@@ -234,7 +234,7 @@
     scripted_upstream upstream(node.loop, {plain_answer(0ms)});
     node.set_route(shop_route(), {}, {{gold_key, account("gold")}});
     node.publish("i-1", upstream.address());
-    node.confirmed_age = std::nullopt;
+    node.evidence.age = std::nullopt;
     forwarded_from from{3s, [](const policy::refusal&) {}};
     from.account = core::account_id{"gold"};
     node.finish(node.start(request(""), from));
--- a/packages/serving/tests/entry_points_test.cpp
+++ b/packages/serving/tests/entry_points_test.cpp
@@ -106,8 +106,8 @@
 }
 
 // Fails when clients of a region whose nodes have all stopped as planned, or which this node does
-// not know yet, are led with bound data to a third region (HOME on tamarack-lunar mix
-// 332907775777).
+// not know yet, or whose homes may have moved, are led with bound data to a third region (HOME on
+// tamarack-lunar mix 332907775777).
 TEST(entry_points, bound_data_is_led_to_no_third_region)
 {
     const core::region_id duluth{"duluth"};
@@ -119,31 +119,38 @@
         bool is_expected_back;
         bool is_unknown;
         bool has_table;
+        bool has_current_homes;
         const char* led_to;
         entry_group group;
     };
     const row rows[] = {
-        {"stopped a moment ago", "shop.example", "kingston", true, false, true, "d1 ",
+        {"stopped a moment ago", "shop.example", "kingston", true, false, true, true, "d1 ",
          entry_group::expected_back},
-        {"another home is live", "shop.example", "cleveland", true, false, true, "x1 ",
+        {"another home is live", "shop.example", "cleveland", true, false, true, true, "x1 ",
          entry_group::home},
-        {"home of another host only", "other.example", "cleveland", true, false, true, "d1 ",
+        {"home of another host only", "other.example", "cleveland", true, false, true, true, "d1 ",
          entry_group::expected_back},
-        {"no bound route", "free.example", "kingston", true, true, true, "x1 ",
+        {"no bound route", "free.example", "kingston", true, true, true, true, "x1 ",
          entry_group::other_region},
-        {"not known yet", "shop.example", "kingston", false, true, true, "", entry_group::none},
+        {"not known yet", "shop.example", "kingston", false, true, true, true, "",
+         entry_group::none},
         {"not known yet, another home is live", "shop.example", "cleveland", false, true, true,
-         "x1 ", entry_group::home},
-        {"no configuration", "free.example", "kingston", false, false, false, "",
+         true, "x1 ", entry_group::home},
+        {"no configuration", "free.example", "kingston", false, false, false, true, "",
          entry_group::none},
-        {"lost without notice", "shop.example", "kingston", false, false, true, "x1 ",
+        {"lost without notice", "shop.example", "kingston", false, false, true, true, "x1 ",
          entry_group::other_region},
+        {"homes may have moved", "shop.example", "cleveland", false, false, true, false, "",
+         entry_group::none},
+        {"homes may have moved, no bound route", "free.example", "kingston", false, false, true,
+         false, "x1 ", entry_group::other_region},
     };
     for (const row& each : rows)
     {
         entry_view seen;
         seen.live = {node_in(each.live_region, "x1")};
         seen.table = each.has_table ? &table : nullptr;
+        seen.has_current_homes = each.has_current_homes;
         if (each.is_expected_back)
             seen.expected_back[duluth] = {core::address{"d1"}};
         if (each.is_unknown)
--- /dev/null
+++ b/packages/serving/tests/homes_test.cpp
@@ -0,0 +1,185 @@
+/// Tests where requests run whose route or account has homes: by how old a configuration, and by
+/// which version of it.
+
+#include <snipeplank/serving/home_regions.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+#include "call_fixture.hpp"
+
+using namespace snipeplank;
+using namespace snipeplank::serving;
+using namespace snipeplank::serving::tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr char gold_key[] = "key-of-gold-1";
+const core::region_id other_region{"ennstal"};
+
+route shop_route(const std::vector<core::region_id>& homes = {})
+{
+    route made;
+    made.name = "shop";
+    made.kind = request_kind::idempotent;
+    made.max_attempts = 2;
+    made.timeout = 3s;
+    made.allowed_regions = homes;
+    return made;
+}
+
+call_fixture::accounts_by_key gold_with(const std::vector<core::region_id>& homes)
+{
+    client_account gold;
+    gold.name = core::account_id{"gold"};
+    gold.allowed_regions = homes;
+    return {{gold_key, gold}};
+}
+
+http::request_head request(const std::string& key = "")
+{
+    http::request_head head{"GET", "/a", {{"Host", "shop.example"}, {"Id", "a"}}};
+    if (!key.empty())
+        head.headers.emplace_back("Key", key);
+    return head;
+}
+
+} // namespace
+
+TEST_GROUP(homes){};
+
+// Fails when the homes of a route or of an account are left out of those of a request.
+TEST(homes, a_request_may_be_served_where_route_and_account_allow_it)
+{
+    const core::region_id a{"a"};
+    const core::region_id b{"b"};
+    struct row
+    {
+        const char* name;
+        std::vector<core::region_id> of_route;
+        std::vector<core::region_id> of_account;
+        bool is_restricted;
+        bool has_a;
+        bool has_b;
+    };
+    const row rows[] = {
+        {"none", {}, {}, false, true, true},
+        {"of the route", {a}, {}, true, true, false},
+        {"of the account", {}, {b}, true, false, true},
+        {"both bind", {a, b}, {b}, true, false, true},
+        {"nothing is left", {a}, {b}, true, false, false},
+    };
+    for (const row& each : rows)
+    {
+        client_account account;
+        account.allowed_regions = each.of_account;
+        const home_regions homes(shop_route(each.of_route), &account);
+        CHECK_EQUAL_TEXT(each.is_restricted, homes.is_restricted(), each.name);
+        CHECK_EQUAL_TEXT(each.has_a, homes.contains(a), each.name);
+        CHECK_EQUAL_TEXT(each.has_b, homes.contains(b), each.name);
+    }
+}
+
+// Fails when a node serves, or sends to another region, a request by homes that may have moved:
+// those of a configuration that was confirmed too long ago, at a node that may be cut off (issue
+// 70, HOME).
+TEST(homes, a_node_that_may_be_cut_off_places_nothing_by_homes)
+{
+    enum class entry
+    {
+        client,
+        other_node,
+    };
+    struct row
+    {
+        const char* name;
+        std::vector<core::region_id> homes;
+        bool has_accounts;
+        entry from;
+        std::optional<core::milliseconds> age;
+        bool is_newest; ///< this node reaches most others, and none has a newer configuration
+        bool is_served;
+    };
+    const row rows[] = {
+        {"confirmed", {own_region}, false, entry::client, 4s, false, true},
+        {"too old", {own_region}, false, entry::client, 5s, false, false},
+        {"never confirmed", {own_region}, false, entry::client, std::nullopt, false, false},
+        {"too old, store away for all", {own_region}, false, entry::client, 60s, true, true},
+        {"too old, no homes", {}, false, entry::client, 60s, false, true},
+        {"too old, public beside accounts", {own_region}, true, entry::client, 5s, false, false},
+        {"too old, home elsewhere", {other_region}, false, entry::client, 5s, false, false},
+        {"forwarded, confirmed", {own_region}, false, entry::other_node, 4s, false, true},
+        {"forwarded, too old", {own_region}, false, entry::other_node, 5s, false, false},
+        {"forwarded, too old, no homes", {}, false, entry::other_node, 60s, false, true},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture node({});
+        scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+        route shop = shop_route(each.homes);
+        shop.is_public = each.has_accounts;
+        if (each.has_accounts)
+            node.set_route(shop, {}, gold_with({}));
+        else
+            node.set_route(shop);
+        node.publish("i-1", upstream.address());
+        region_link nobody;
+        node.add_region(other_region, nobody);
+        node.evidence.age = each.age;
+        node.evidence.is_newest = each.is_newest;
+        std::optional<policy::refusal> refused;
+        std::optional<forwarded_from> from;
+        if (each.from == entry::other_node)
+            from = forwarded_from{3s, [&](const policy::refusal& why) { refused = why; }};
+        node.finish(node.start(request(), from));
+        LONGS_EQUAL_TEXT(each.is_served, upstream.requests().size(), each.name);
+        CHECK_TRUE_TEXT(node.regions().last_head.method.empty(), each.name);
+        if (each.is_served)
+            continue;
+        const policy::refusal why = refused.value_or(node.last_refusal());
+        CHECK_TRUE_TEXT(why.reason == policy::refusal_reason::configuration_unconfirmed, each.name);
+        CHECK_TRUE_TEXT(why.executed == policy::execution::no && why.retry_after > 0ms, each.name);
+    }
+}
+
+// Fails when the homes of an account bind for longer than its configuration counts, although keys
+// are accepted from it (issue 70, HOME).
+TEST(homes, homes_of_an_account_need_a_confirmed_configuration_also_on_public_routes)
+{
+    for (const bool is_public : {false, true})
+    {
+        call_fixture node({});
+        scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+        route shop = shop_route();
+        shop.is_public = is_public;
+        node.set_route(shop, {}, gold_with({own_region}));
+        node.publish("i-1", upstream.address());
+        node.finish(node.start(request(gold_key), std::nullopt));
+        UNSIGNED_LONGS_EQUAL(1, upstream.requests().size());
+        node.evidence.age = 6s;
+        node.finish(node.start(request(gold_key), std::nullopt));
+        UNSIGNED_LONGS_EQUAL(1, upstream.requests().size());
+    }
+}
+
+// Fails when a request is sent once more by homes that have become too old meanwhile (issue
+// 70, HOME).
+TEST(homes, a_request_that_is_repeated_needs_a_confirmed_configuration_again)
+{
+    call_fixture node({10, 100, 10s});
+    scripted_upstream upstream(
+        node.loop, {{{{300ms, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"}}, answer_end::keep},
+                    plain_answer(0ms)});
+    node.set_route(shop_route({own_region}));
+    node.publish("i-1", upstream.address());
+    recorded_exchange& started = node.start(request(), std::nullopt);
+    node.run_for(100ms);
+    node.evidence.age = 6s;
+    node.finish(started);
+    UNSIGNED_LONGS_EQUAL(1, upstream.requests().size());
+    CHECK_TRUE_TEXT(started.status != 200, started.describe().c_str());
+}
--- a/packages/serving/tests/revocation_test.cpp
+++ b/packages/serving/tests/revocation_test.cpp
@@ -113,7 +113,7 @@
 
     bool accepts(const model_node& node) const
     {
-        const revocation_terms terms{true, revoke_bound};
+        const lease_terms terms{true, revoke_bound};
         return node.paused_until <= m_now && node.version() > 0 &&
                terms.allow(node.confirmation.age(m_now));
     }
@@ -204,7 +204,7 @@
         }
         if (m_now < node.next_follow)
             return;
-        const revocation_terms terms{true, revoke_bound};
+        const lease_terms terms{true, revoke_bound};
         const core::milliseconds copied =
             state_timing::copy_interval(terms, node.confirmation.age(m_now));
         node.next_follow = m_now + std::min(copied, state_timing::follow_interval);
