--- a/packages/serving/include/snipeplank/serving/client_accounts.hpp
+++ b/packages/serving/include/snipeplank/serving/client_accounts.hpp
@@ -26,8 +26,6 @@
     std::optional<unsigned> priority;             ///< replaces the route's; 0 is the most urgent
     std::vector<core::region_id> allowed_regions; ///< empty: every region
     policy::quota_limit quota;
-
-    bool may_be_served_in(const core::region_id& region) const;
 };
 
 /// @brief The accounts of a configuration.
--- a/packages/serving/include/snipeplank/serving/placement.hpp
+++ b/packages/serving/include/snipeplank/serving/placement.hpp
@@ -20,6 +20,7 @@
 #include <snipeplank/policy/retry_window.hpp>
 #include <snipeplank/policy/software_version_key.hpp>
 #include <snipeplank/policy/upstream_feedback.hpp>
+#include <snipeplank/serving/home_regions.hpp>
 #include <snipeplank/serving/protocols.hpp>
 #include <snipeplank/serving/routing_table.hpp>
 #include <snipeplank/serving/upstream.hpp>
@@ -77,13 +78,7 @@
     /// Whether the stream may begin at a version while upstreams of another one can take it; not
     /// set: at any.
     std::function<bool(policy::software_version_key)> may_begin_at;
-
-    /// @brief Whether route and account allow a region.
-    bool may_be_served_in(const core::region_id& region) const
-    {
-        return chosen->may_be_served_in(region) &&
-               (account == nullptr || account->may_be_served_in(region));
-    }
+    home_regions homes; ///< where it may be served
 };
 
 /// @brief Load of one service in one region, as reported by the region's nodes.
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -174,8 +174,7 @@
     m_caller.key.clear();
     if (m_account.account() != nullptr)
         m_line.account = m_account.account()->name.get();
-    m_homes = home_regions(*m_route, m_account.account());
-    m_line.homes = m_homes;
+    update_homes();
     m_line.confirmed_age = m_environment.homes.confirmed_age();
     return refused;
 }
@@ -241,6 +240,7 @@
             co_await refuse(final_refusal());
             co_return;
         }
+        update_homes();
         std::optional<policy::refusal> refused_before = home_refusal();
         if (!refused_before)
             refused_before = quarantine_refusal();
@@ -335,6 +335,7 @@
     request.turned_away_by = m_turned_away_by;
     request.tried_regions = m_tried_regions;
     request.may_leave_region = !m_forwarded;
+    request.homes = m_homes;
     request.is_retry = m_sends > 0;
     request.software_version = m_stream.required();
     if (m_route->kind == request_kind::streaming && m_route->is_resumable && !m_stream.is_bound())
@@ -352,7 +353,8 @@
 /// The upstream may have come back with another software version since it was chosen.
 admission call::admit(const upstream_id& target, policy::connection_record& over)
 {
-    if (!m_account.is_charged() || home_refusal())
+    update_homes();
+    if (!m_account.is_charged() || home_refusal() || !m_homes.contains(m_current_upstream->region))
         return admission::out_of_service;
     if (m_environment.suspensions->take_suspension())
         m_environment.places.on_resumed(now());
@@ -769,6 +771,23 @@
     return m_forwarded || m_broken_beginnings > 0 ? 1 : 0;
 }
 
+/// A call keeps the version with which it began, but its homes may have moved since.
+void call::update_homes()
+{
+    if (m_homes_table == m_environment.table)
+        return;
+    m_homes_table = m_environment.table;
+    m_homes = home_regions(*m_route, m_account.account());
+    const client_account* account = m_account.account();
+    if (account != nullptr && m_homes_table->accounts)
+        account = m_homes_table->accounts->find(account->name);
+    const route* chosen =
+        m_homes_table->find(m_caller.host, http::path_of(m_exchange.head().target));
+    if (chosen != nullptr)
+        m_homes.restrict_to(home_regions(*chosen, account));
+    m_line.homes = m_homes;
+}
+
 /// The refusal of a request whose homes may have moved; nothing when it may be sent.
 std::optional<policy::refusal> call::home_refusal() const
 {
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -150,6 +150,7 @@
     bool is_within_attempt_limits(unsigned runs) const;
     next_step retry(policy::retry_reason reason);
     std::size_t forgiven_crashes() const;
+    void update_homes();
     std::optional<policy::refusal> home_refusal() const;
     std::optional<policy::refusal> quarantine_refusal() const;
     static bool is_quarantined_elsewhere(const attempt_start& result);
@@ -199,7 +200,8 @@
     std::vector<core::address> m_tried_nodes;     ///< of other regions
     stream_binding m_stream;
     account_binding m_account;
-    home_regions m_homes;
+    home_regions m_homes; ///< by the version of `m_table` and that of `m_homes_table`: both bind
+    std::shared_ptr<const routing_table> m_homes_table;
     http::event_splitter m_events;
     std::string m_media_type; ///< of the stream that was begun
     std::string m_resume_from;
--- a/packages/serving/src/client_accounts.cpp
+++ b/packages/serving/src/client_accounts.cpp
@@ -21,12 +21,6 @@
 
 } // namespace
 
-bool client_account::may_be_served_in(const core::region_id& region) const
-{
-    return allowed_regions.empty() || std::find(allowed_regions.begin(), allowed_regions.end(),
-                                                region) != allowed_regions.end();
-}
-
 account_table::account_table() : m_salt(core::random_bytes(salt_bytes)) {}
 
 core::result<void> account_table::add(client_account added, const std::vector<std::string>& keys)
--- a/packages/serving/src/placement.cpp
+++ b/packages/serving/src/placement.cpp
@@ -225,16 +225,15 @@
 
     bool is_version_listed(const placement_request& request) const
     {
-        const bool is_here = request.may_be_served_in(m_region) &&
+        const bool is_here = request.homes.contains(m_region) &&
                              std::any_of(m_upstreams.begin(), m_upstreams.end(),
                                          [&](const auto& each) {
                                              return each.second.version == request.software_version;
                                          });
         return is_here || (request.may_leave_region &&
                            std::any_of(m_remote_versions.begin(), m_remote_versions.end(),
-                                       [&](const auto& each)
-                                       {
-                                           return request.may_be_served_in(each.first) &&
+                                       [&](const auto& each) {
+                                           return request.homes.contains(each.first) &&
                                                   each.second.contains(request.software_version);
                                        }));
     }
@@ -493,7 +492,7 @@
     candidate_state state_of(const core::region_id& region, const remote_region& known,
                              const placement_request& request, core::time_point now) const
     {
-        if (!request.may_leave_region || !request.may_be_served_in(region))
+        if (!request.may_leave_region || !request.homes.contains(region))
             return candidate_state::not_allowed;
         if (contains(request.tried_regions, region))
             return candidate_state::tried;
@@ -516,7 +515,7 @@
         std::vector<upstream_state*> good;
         std::vector<upstream_state*> fallback;
         std::vector<core::address> addresses;
-        if (!request.may_be_served_in(m_region))
+        if (!request.homes.contains(m_region))
             return good;
         const service* offered = m_table->find_service(request.service);
         for (auto& [id, known] : m_upstreams)
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -475,9 +475,9 @@
           m_streams(own_region, m_origins, [] { return core::milliseconds{0}; }),
           m_accounts(account_terms{{true, core::seconds{5}}, {}}, evidence, 1, m_quota_network),
           m_homes({true, core::seconds{5}}, evidence),
-          m_environment{loop,         m_pool,        m_places,  m_callers,  m_upstream_protocol,
-                        m_regions,    m_crash_guard, m_streams, m_accounts, m_homes,
-                        m_log,        m_statistics,  nullptr}
+          m_environment{loop,      m_pool,        m_places,  m_callers,  m_upstream_protocol,
+                        m_regions, m_crash_guard, m_streams, m_accounts, m_homes,
+                        m_log,     m_statistics,  nullptr}
     {
         const core::address self{"127.0.0.1:7"};
         sharing_nodes alone;
@@ -534,15 +534,32 @@
         only.host = "shop.example";
         only.path_prefix = "/";
         only.services = {{own_service, 1}};
-        auto table = std::make_shared<routing_table>();
-        table->version = core::config_version{1};
-        table->routes.push_back(std::move(only));
+        routing_table table;
+        table.version = core::config_version{1};
+        table.routes.push_back(std::move(only));
         offered.name = own_service;
-        table->services[own_service] = offered;
-        table->accounts = std::move(accounts);
-        m_accounts.set_table(*table);
-        m_environment.table = table;
-        m_places.set_table(table);
+        table.services[own_service] = offered;
+        table.accounts = std::move(accounts);
+        publish_table(std::move(table));
+    }
+
+    /// @brief Puts a configuration in force that has a further route of the same host and service.
+    void add_route(const std::string& path_prefix, route added)
+    {
+        routing_table table = *m_environment.table;
+        added.host = table.routes.front().host;
+        added.path_prefix = path_prefix;
+        added.services = table.routes.front().services;
+        table.routes.push_back(std::move(added));
+        publish_table(std::move(table));
+    }
+
+    /// @brief Puts a configuration in force in which the first route has another path prefix.
+    void move_route(const std::string& path_prefix)
+    {
+        routing_table table = *m_environment.table;
+        table.routes.front().path_prefix = path_prefix;
+        publish_table(std::move(table));
     }
 
     /// @brief Publishes an upstream at an address, or changes its entry.
@@ -674,6 +691,14 @@
     const region_link& regions() const { return m_regions; }
 
   private:
+    void publish_table(routing_table next)
+    {
+        const auto table = std::make_shared<const routing_table>(std::move(next));
+        m_accounts.set_table(*table);
+        m_environment.table = table;
+        m_places.set_table(table);
+    }
+
     static placement_bounds bounds_with(policy::retry_bound retries)
     {
         placement_bounds bounds;
--- a/packages/serving/tests/homes_test.cpp
+++ b/packages/serving/tests/homes_test.cpp
@@ -183,3 +183,75 @@
     UNSIGNED_LONGS_EQUAL(1, upstream.requests().size());
     CHECK_TRUE_TEXT(started.status != 200, started.describe().c_str());
 }
+
+// Fails when a request that is sent once more, at the node of its client or at one of another
+// region, is placed by the homes of the version with which it began although they have moved (issue
+// 70, HOME).
+TEST(homes, a_request_that_is_repeated_is_bound_by_the_newest_version_too)
+{
+    enum class moved
+    {
+        nothing,
+        route,
+        account,
+        longer_prefix, ///< a route that matches better is added
+        removed,       ///< the route is gone: what it allowed stands
+    };
+    struct row
+    {
+        const char* name;
+        moved what;
+        bool is_forwarded;
+        std::size_t sends;
+    };
+    const row rows[] = {
+        {"nothing", moved::nothing, false, 2},
+        {"the route", moved::route, false, 1},
+        {"the account", moved::account, false, 1},
+        {"a longer prefix", moved::longer_prefix, false, 1},
+        {"the route is removed", moved::removed, false, 2},
+        {"forwarded, nothing", moved::nothing, true, 2},
+        {"forwarded, the route", moved::route, true, 1},
+        {"forwarded, the account", moved::account, true, 1},
+    };
+    const std::string not_run = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+    for (const row& each : rows)
+    {
+        call_fixture node({10, 100, 10s});
+        const std::vector<scripted_answer> refuses{{{{300ms, not_run}}, answer_end::keep}};
+        scripted_upstream first(node.loop, refuses);
+        scripted_upstream second(node.loop, refuses);
+        node.set_route(shop_route({own_region}), {}, gold_with({}));
+        node.publish("i-1", first.address());
+        node.publish("i-2", second.address());
+        std::optional<forwarded_from> from;
+        if (each.is_forwarded)
+        {
+            from = forwarded_from{3s, [](const policy::refusal&) {}};
+            from->account = core::account_id{"gold"};
+        }
+        recorded_exchange& started = node.start(request(each.is_forwarded ? "" : gold_key), from);
+        node.run_for(100ms);
+        const std::vector<core::region_id> elsewhere{other_region};
+        switch (each.what)
+        {
+        case moved::nothing:
+            break;
+        case moved::route:
+            node.set_route(shop_route(elsewhere), {}, gold_with({}));
+            break;
+        case moved::account:
+            node.set_route(shop_route({own_region}), {}, gold_with(elsewhere));
+            break;
+        case moved::longer_prefix:
+            node.add_route("/a", shop_route(elsewhere));
+            break;
+        case moved::removed:
+            node.move_route("/elsewhere/");
+            break;
+        }
+        node.finish(started);
+        UNSIGNED_LONGS_EQUAL_TEXT(each.sends, first.requests().size() + second.requests().size(),
+                                  each.name);
+    }
+}
--- a/packages/serving/tests/placement_test.cpp
+++ b/packages/serving/tests/placement_test.cpp
@@ -104,6 +104,7 @@
         request.service = service;
         request.caller = &caller;
         request.remaining = 8s;
+        request.homes = home_regions(chosen, nullptr);
         return request;
     }
 
