--- a/packages/serving/include/snipeplank/serving/node.hpp
+++ b/packages/serving/include/snipeplank/serving/node.hpp
@@ -40,8 +40,8 @@
     std::vector<std::string> fleet_keys;
     placement_bounds bounds;
     account_terms accounts;
-    lease_terms homes;     ///< under which requests that only some regions may serve are served
-    core::bytes memory{0}; ///< of the machine; 0: not known
+    lease_terms home_lease;      ///< for requests that only some regions may serve
+    core::bytes memory{0};       ///< of the machine; 0: not known
     std::size_t descriptors = 0; ///< that a process may have open; 0: not known
     core::milliseconds entry_point_lifetime{2'000};
     core::milliseconds stop_time{8'000}; ///< from the stop signal until the process is killed
--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -542,6 +542,9 @@
 {
     if (m_client_is_gone || m_is_expired || (m_exchange.has_begun() && !m_stream.is_bound()))
         return false;
+    update_homes();
+    if (home_refusal())
+        return false;
     // What may have run is sent again by the entry node only, which knows its other attempts.
     if (m_forwarded && !proven_not_run)
         return false;
@@ -933,8 +936,9 @@
 /// @return false if there is none; the current attempt must go on then
 bool call::reserve_other_attempt()
 {
+    update_homes();
     // The current attempt counts as a run only once it has ended.
-    if (m_exchange.has_begun() || !is_within_attempt_limits(m_runs + 1) ||
+    if (home_refusal() || m_exchange.has_begun() || !is_within_attempt_limits(m_runs + 1) ||
         may_have_crashed_upstream())
         return false;
     const placement_decision next = m_environment.places.decide(next_request(), now());
--- a/packages/serving/src/home_admission.hpp
+++ b/packages/serving/src/home_admission.hpp
@@ -34,8 +34,8 @@
 ///
 /// Homes move with a configuration, and a node that is cut off does not hear of it. Data that ran
 /// in a wrong region can't be taken back, so such a node refuses what only some regions may serve.
-/// While the store can't be read by anyone, the nodes that reach most others go on: one that could
-/// read it would tell them.
+/// While the store can't be read by anyone, the nodes that reach most others go on: one of these
+/// that could read it would tell them.
 class home_admission
 {
   public:
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -24,6 +24,7 @@
 #include "clock.hpp"
 #include "crash_guard.hpp"
 #include "entry_points.hpp"
+#include "fleet_contact.hpp"
 #include "fleet_link.hpp"
 #include "load_exchange.hpp"
 #include "peer_calls.hpp"
@@ -127,7 +128,7 @@
           m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
           m_streams(m_options.region, *this, [this] { return list_age(); }),
           m_accounts(m_options.accounts, *this, m_random.next(), *this),
-          m_homes(m_options.homes, *this),
+          m_homes(m_options.home_lease, *this),
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
@@ -303,6 +304,7 @@
         m_node_share = sharing.fleet;
         m_region_share = sharing.region;
         m_accounts.quotas().set_share(sharing.quotas, host_time());
+        m_contact.set_nodes(m_nodes.size(), sharing.quotas.nodes());
         m_placement.set_sharing_nodes(std::move(sharing), now());
         report_node_count();
         refresh_regions();
@@ -373,10 +375,7 @@
 
     bool is_newest_in_fleet() const override
     {
-        // The number of nodes has an allowance of one.
-        const bool reaches_most =
-            m_node_share.is_known() && 2 * m_nodes.size() >= m_node_share.nodes();
-        return reaches_most && m_environment.table &&
+        return m_environment.table && m_contact.reaches_most(host_time()) &&
                m_fleet.newest_told() <= m_environment.table->version;
     }
 
@@ -672,6 +671,7 @@
             m_streams.interrupt(now());
         }
         m_placement.on_tick(now());
+        m_contact.on_tick(host_time());
         m_ticks.expires_after(policy::pause_watch::tick_interval);
         m_ticks.async_wait(
             [this](const boost::system::error_code& error)
@@ -891,6 +891,7 @@
     asio::steady_timer m_quota_timer;
     std::optional<core::time_point> m_origins_due;
     std::vector<live_node> m_nodes;
+    fleet_contact m_contact;
     upstream_map m_upstreams;
     stop_schedule m_stopping;
     core::time_point m_stop_began{};
--- a/packages/serving/tests/homes_test.cpp
+++ b/packages/serving/tests/homes_test.cpp
@@ -115,6 +115,7 @@
         {"forwarded, confirmed", {own_region}, false, entry::other_node, 4s, false, true},
         {"forwarded, too old", {own_region}, false, entry::other_node, 5s, false, false},
         {"forwarded, too old, no homes", {}, false, entry::other_node, 60s, false, true},
+        {"forwarded, store away for all", {own_region}, false, entry::other_node, 60s, true, true},
     };
     for (const row& each : rows)
     {
