--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -710,6 +710,7 @@
 {
     if (!m_exchange.has_begun())
     {
+        allow_region_again();
         attempt_start broken = result;
         broken.kind = answer_kind::broken;
         broken.cause = "broken";
@@ -818,15 +819,16 @@
 }
 
 /// Whether an attempt in another region failed for a reason of the node that was asked, so that
-/// another node there may serve the request: it stops, has no configuration or can't be reached.
+/// another node there may serve the request: it stops, also in the middle of a run, has no
+/// configuration that may be relied on, or can't be reached.
 bool call::is_fault_of_node(const attempt_start& result)
 {
     if (result.is_unreachable || !result.refused)
         return result.is_unreachable;
-    constexpr std::array reasons{policy::refusal_reason::draining,
-                                 policy::refusal_reason::not_ready,
-                                 policy::refusal_reason::peer_unreachable,
-                                 policy::refusal_reason::configuration_unconfirmed};
+    constexpr std::array reasons{
+        policy::refusal_reason::draining, policy::refusal_reason::not_ready,
+        policy::refusal_reason::peer_unreachable, policy::refusal_reason::outcome_unknown,
+        policy::refusal_reason::configuration_unconfirmed};
     return std::find(reasons.begin(), reasons.end(), result.refused->reason) != reasons.end();
 }
 
--- a/packages/serving/tests/peer_calls_test.cpp
+++ b/packages/serving/tests/peer_calls_test.cpp
@@ -905,6 +905,16 @@
          {refusal_of(refusal_reason::peer_unreachable, execution::unknown)},
          whole_answer(head, "ok"),
          "ok"},
+        {"run ended by a stop",
+         request_kind::idempotent,
+         {refusal_of(refusal_reason::outcome_unknown, execution::unknown)},
+         whole_answer(head, "ok"),
+         "ok"},
+        {"answer cut behind its head by a stop",
+         request_kind::idempotent,
+         {head, refusal_of(refusal_reason::draining, execution::unknown)},
+         whole_answer(head, "ok"),
+         "ok"},
     };
     for (const auto& each : rows)
     {
