--- a/packages/gateway/src/wire_call.cpp
+++ b/packages/gateway/src/wire_call.cpp
@@ -54,9 +54,7 @@
                       "snipeplankctl status");
     if (received.remaining.count() <= 0)
         return refuse(refusal_reason::deadline_passed, "allow more time");
-    const bool is_free = received.residency == settings::residency::free &&
-                         service->residency == settings::residency::free;
-    request.residency = is_free ? settings::residency::free : settings::residency::bound;
+    request.residency = policy::stricter_of(received.residency, service->residency);
     request.request_id = std::move(received.request_id);
     request.service = std::move(received.service);
     request.account = std::move(received.account);
--- a/packages/policy/include/snipeplank/policy/residency.hpp
+++ b/packages/policy/include/snipeplank/policy/residency.hpp
@@ -13,6 +13,9 @@
 namespace snipeplank::policy
 {
 
+/// @brief Returns the stricter of two residencies: free only when both are.
+settings::residency stricter_of(settings::residency first, settings::residency second);
+
 /// @brief Returns the residency of a call: the stricter of the service's and the caller's.
 /// @param service residency configured for the service
 /// @param header value of `Snipeplank-Residency`, if present; an unknown value means bound
--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -119,6 +119,11 @@
     bool came_from_other_region(const call_view& call) const;
     core::region_id home_of(const call_view& call) const;
 
+    /// Whether a region may serve the call: by the residency with which the call began and by the
+    /// newest one of its service.
+    bool may_serve(const detail::service_state& service, const call_view& call,
+                   const core::region_id& region) const;
+
     // Events (dispatcher_events.cpp).
     void set_upstreams(const core::service_id& name, const std::vector<upstream_status>& upstreams,
                        core::time_point now);
--- a/packages/policy/src/dispatcher.cpp
+++ b/packages/policy/src/dispatcher.cpp
@@ -150,6 +150,9 @@
     // Only the sender in the call's entry region retries: retries in two regions would multiply.
     if (m_state->came_from_other_region(call))
         return false;
+    // A retry would be refused here, and would have used up an extra attempt.
+    if (!m_state->may_serve(service->second, call, m_state->self.region))
+        return false;
     constexpr bool needs_spare_capacity = false;
     if (!m_state->has_alternative(service->second, call, now, needs_spare_capacity) &&
         !m_state->has_remote_alternative(service->second, call, now))
--- a/packages/policy/src/dispatcher_predict.cpp
+++ b/packages/policy/src/dispatcher_predict.cpp
@@ -1,3 +1,5 @@
+#include <snipeplank/policy/residency.hpp>
+
 #include <algorithm>
 #include <chrono>
 
@@ -97,4 +99,11 @@
     return call.path.empty() ? self.region : call.path.hops().front().region;
 }
 
+bool dispatcher::state::may_serve(const service_state& service, const call_view& call,
+                                  const core::region_id& region) const
+{
+    const settings::residency binding = stricter_of(call.residency, service.config.residency);
+    return may_be_served_in(binding, home_of(call), region);
+}
+
 } // namespace snipeplank::policy
--- a/packages/policy/src/dispatcher_route.cpp
+++ b/packages/policy/src/dispatcher_route.cpp
@@ -1,5 +1,4 @@
 #include <snipeplank/policy/adaptive_policy.hpp>
-#include <snipeplank/policy/residency.hpp>
 #include <snipeplank/policy/retry_after.hpp>
 
 #include <algorithm>
@@ -206,10 +205,9 @@
         return make_final_refusal(refusal_reason::unknown_service, "name a configured service");
     if (call.remaining <= core::milliseconds{0})
         return make_final_refusal(refusal_reason::deadline_passed, "allow more time");
-    const core::region_id home = home_of(call);
-    if (!may_be_served_in(call.residency, home, self.region))
+    if (!may_serve(found->second, call, self.region))
         return make_final_refusal(refusal_reason::wrong_region,
-                                  "use an entry point of the home region " + home.get());
+                                  "use an entry point of the home region " + home_of(call).get());
     const path_hop here{self.region, self.zone, self.node};
     if (!call.path.empty() && !call.path.may_add(here))
         return make_final_refusal(refusal_reason::loop,
@@ -345,7 +343,7 @@
                                                        core::time_point now)
 {
     const core::region_id& region = candidate.view.region;
-    if (!may_be_served_in(call.residency, home_of(call), region))
+    if (!may_serve(service, call, region))
         return skip_residency;
     if (came_from_other_region(call) || !call.path.may_leave_region() || candidate.zones.empty())
         return skip_path;
--- a/packages/policy/src/residency.cpp
+++ b/packages/policy/src/residency.cpp
@@ -3,14 +3,18 @@
 namespace snipeplank::policy
 {
 
+settings::residency stricter_of(settings::residency first, settings::residency second)
+{
+    const bool is_free = first == settings::residency::free && second == settings::residency::free;
+    return is_free ? settings::residency::free : settings::residency::bound;
+}
+
 settings::residency effective_residency(settings::residency service,
                                         std::optional<std::string_view> header)
 {
-    if (service != settings::residency::free)
-        return settings::residency::bound;
-    if (header && *header != "free")
-        return settings::residency::bound;
-    return settings::residency::free;
+    const bool is_bound_by_header = header && *header != "free";
+    return stricter_of(service,
+                       is_bound_by_header ? settings::residency::bound : settings::residency::free);
 }
 
 bool may_be_served_in(settings::residency residency, const core::region_id& home,
--- a/packages/policy/tests/residency_test.cpp
+++ b/packages/policy/tests/residency_test.cpp
@@ -99,3 +99,112 @@
         call.path.with({region_name(1), core::zone_id{"r1-a"}, core::address{"127.0.0.1:9"}});
     CHECK_TRUE(refused(node.route(call, 0)) != nullptr);
 }
+
+// Fails when an attempt is placed by the residency with which its call began (issue 70, HOME).
+TEST(residency_rules, a_service_that_has_become_bound_binds_calls_that_began_before)
+{
+    enum class outcome
+    {
+        upstream,
+        region,
+        refused,
+    };
+    const core::region_id here = region_name(0);
+    const core::region_id other = region_name(1);
+    const core::region_id unknown;
+    struct row
+    {
+        const char* name;
+        residency began;
+        residency newest;
+        core::region_id home;
+        core::region_id entry; ///< where the call entered; the path is empty at the entry node
+        attempt_kind kind;
+        bool is_upstream_tried;
+        outcome expected;
+    };
+    using enum attempt_kind;
+    constexpr residency free = residency::free;
+    constexpr residency bound = residency::bound;
+    const row rows[] = {
+        {"free all along", free, free, here, here, retry, true, outcome::region},
+        {"not begun", free, bound, here, here, first, true, outcome::refused},
+        {"repeated", free, bound, here, here, retry, true, outcome::refused},
+        {"hedged", free, bound, here, here, hedge, true, outcome::refused},
+        {"home unknown", free, bound, unknown, here, retry, true, outcome::refused},
+        {"repeated at home", free, bound, here, here, retry, false, outcome::upstream},
+        {"began bound", bound, free, here, here, retry, true, outcome::refused},
+        {"away, free all along", free, free, other, here, retry, false, outcome::upstream},
+        {"away, not begun", free, bound, other, here, first, false, outcome::refused},
+        {"away, repeated", free, bound, other, here, retry, false, outcome::refused},
+        {"away, hedged", free, bound, other, here, hedge, false, outcome::refused},
+        {"away, would go home", free, bound, other, here, retry, true, outcome::refused},
+        {"received, free", free, free, other, other, first, false, outcome::upstream},
+        {"received, repeated", free, bound, other, other, retry, false, outcome::refused},
+        {"received, home unknown", free, bound, unknown, other, first, false, outcome::refused},
+        {"received at home", free, bound, here, other, first, false, outcome::upstream},
+    };
+    for (const row& test : rows)
+    {
+        one_node node(1);
+        node.subject.set_regions({free_region(1), free_region(2)}, at(0));
+        settings::published_config newest = make_config();
+        newest.services[model].residency = test.newest;
+        node.subject.set_config(newest);
+        call_view call = free_call();
+        call.residency = test.began;
+        call.home = test.home;
+        call.kind = test.kind;
+        if (test.entry != here)
+            call.path = call.path.with(
+                {test.entry, core::zone_id{test.entry.get() + "-a"}, core::address{"127.0.0.1:9"}});
+        if (test.is_upstream_tried)
+            call.tried.push_back(upstream_name(0));
+        const decision made = node.route(call, 1);
+        CHECK_TRUE_TEXT((sent_to_upstream(made) != nullptr) == (test.expected == outcome::upstream),
+                        test.name);
+        CHECK_TRUE_TEXT((sent_to_remote(made) != nullptr) == (test.expected == outcome::region),
+                        test.name);
+        CHECK_TRUE_TEXT((refused(made) != nullptr) == (test.expected == outcome::refused),
+                        test.name);
+    }
+}
+
+// Fails when a retry is granted that no region may run by the newest residency (issue 70, HOME).
+TEST(residency_rules, a_retry_is_granted_only_where_the_newest_residency_allows_it)
+{
+    const core::region_id here = region_name(0);
+    const core::region_id other = region_name(1);
+    struct row
+    {
+        const char* name;
+        residency newest;
+        core::region_id home;
+        bool is_upstream_tried;
+        bool expected;
+    };
+    const row rows[] = {
+        {"free, upstream left", residency::free, here, false, true},
+        {"free, region left", residency::free, here, true, true},
+        {"free and away", residency::free, other, false, true},
+        {"bound, upstream left", residency::bound, here, false, true},
+        {"bound, region left", residency::bound, here, true, false},
+        {"bound and away", residency::bound, other, false, false},
+        {"bound and away, region left", residency::bound, other, true, false},
+    };
+    for (const row& test : rows)
+    {
+        one_node node(1);
+        node.subject.set_regions({free_region(1)}, at(0));
+        settings::published_config newest = make_config();
+        newest.services[model].residency = test.newest;
+        node.subject.set_config(newest);
+        call_view call = free_call();
+        call.home = test.home;
+        if (test.is_upstream_tried)
+            call.tried.push_back(upstream_name(0));
+        CHECK_TRUE_TEXT(node.subject.may_retry(call, retry_reason::connect_failed, at(1)) ==
+                            test.expected,
+                        test.name);
+    }
+}
