--- a/packages/gateway/include/snipeplank/gateway/call.hpp
+++ b/packages/gateway/include/snipeplank/gateway/call.hpp
@@ -49,6 +49,13 @@
         return *config->find_service(service);
     }
 
+    /// @brief Home of the call's account in a configuration; empty when that knows none.
+    core::region_id home_in(const settings::published_config& version) const
+    {
+        const settings::account_config* found = version.find_account(account);
+        return found == nullptr ? core::region_id{} : found->home;
+    }
+
     /// @brief Time left at `now`, at least zero.
     core::milliseconds remaining(core::time_point now) const
     {
--- a/packages/gateway/include/snipeplank/gateway/call_service.hpp
+++ b/packages/gateway/include/snipeplank/gateway/call_service.hpp
@@ -5,6 +5,7 @@
 #define SNIPEPLANK_GATEWAY_CALL_SERVICE_HPP
 
 #include <snipeplank/gateway/call.hpp>
+#include <snipeplank/gateway/config_cell.hpp>
 #include <snipeplank/gateway/decision_log.hpp>
 #include <snipeplank/gateway/dispatch_guard.hpp>
 #include <snipeplank/gateway/metrics.hpp>
@@ -23,6 +24,7 @@
 /// @brief Collaborators of a call service. All must outlive it.
 struct call_service_parts
 {
+    const config_cell& config;
     dispatch_guard& dispatch;
     upstream_client& upstreams;
     region_client& regions;
--- a/packages/gateway/include/snipeplank/gateway/ticket_runner.hpp
+++ b/packages/gateway/include/snipeplank/gateway/ticket_runner.hpp
@@ -5,6 +5,7 @@
 #define SNIPEPLANK_GATEWAY_TICKET_RUNNER_HPP
 
 #include <snipeplank/gateway/call.hpp>
+#include <snipeplank/gateway/config_cell.hpp>
 #include <snipeplank/gateway/decision_log.hpp>
 #include <snipeplank/gateway/dispatch_guard.hpp>
 #include <snipeplank/gateway/metrics.hpp>
@@ -22,8 +23,9 @@
 class ticket_runner
 {
   public:
-    ticket_runner(dispatch_guard& dispatch, upstream_client& upstreams, metrics& counters)
-        : m_dispatch(dispatch), m_upstreams(upstreams), m_metrics(counters)
+    ticket_runner(const config_cell& config, dispatch_guard& dispatch, upstream_client& upstreams,
+                  metrics& counters)
+        : m_config(config), m_dispatch(dispatch), m_upstreams(upstreams), m_metrics(counters)
     {
     }
 
@@ -35,6 +37,7 @@
   private:
     policy::call_outcome attempt(const call& request, const core::address& upstream);
 
+    const config_cell& m_config;
     dispatch_guard& m_dispatch;
     upstream_client& m_upstreams;
     metrics& m_metrics;
--- a/packages/gateway/src/call_service.cpp
+++ b/packages/gateway/src/call_service.cpp
@@ -166,6 +166,7 @@
         const core::time_point now = steady_clock::now();
         m_view.kind = kind;
         m_view.remaining = m_request.remaining(now);
+        m_view.newest_home = m_request.home_in(*m_parts.config.get());
         const policy::decision chosen = m_parts.dispatch.with(
             [&](policy::dispatcher& d, core::random_source& r) { return d.route(m_view, now, r); });
         attempt_record entry;
--- a/packages/gateway/src/ticket_runner.cpp
+++ b/packages/gateway/src/ticket_runner.cpp
@@ -78,6 +78,7 @@
     {
         const core::time_point now = steady_clock::now();
         view.remaining = request.remaining(now);
+        view.newest_home = request.home_in(*m_config.get());
         const policy::decision chosen = m_dispatch.with(
             [&](policy::dispatcher& d, core::random_source& r) { return d.route(view, now, r); });
         attempt_record entry;
--- a/packages/gateway/tests/peer_server_test.cpp
+++ b/packages/gateway/tests/peer_server_test.cpp
@@ -71,7 +71,7 @@
     worker_pool workers{2};
     std::unique_ptr<upstream_client> upstreams = make_http_upstream_client(counters);
     peer_client regions{self, network, view, numbers};
-    call_service calls{{dispatch, *upstreams, regions, workers, counters}};
+    call_service calls{{config, dispatch, *upstreams, regions, workers, counters}};
     peer_server subject{{self, network, config, calls, workers, log, counters}};
 
     void teardown() override
--- a/packages/policy/include/snipeplank/policy/routing_policy.hpp
+++ b/packages/policy/include/snipeplank/policy/routing_policy.hpp
@@ -59,6 +59,9 @@
     core::milliseconds remaining{0};
     core::service_id service;
     core::region_id home; ///< empty when unknown
+    /// Home of the call's account in the newest configuration of the node; empty when that knows
+    /// none.
+    core::region_id newest_home;
     settings::residency residency = settings::residency::bound;
     call_priority priority = call_priority::interactive;
     bool is_idempotent = false;
--- a/packages/policy/src/detail/dispatcher_state.hpp
+++ b/packages/policy/src/detail/dispatcher_state.hpp
@@ -119,8 +119,8 @@
     bool came_from_other_region(const call_view& call) const;
     core::region_id home_of(const call_view& call) const;
 
-    /// Whether a region may serve the call: by the residency with which the call began and by the
-    /// newest one of its service.
+    /// Whether a region may serve the call: by the residency and home with which the call began,
+    /// and by the newest ones of its service and account.
     bool may_serve(const detail::service_state& service, const call_view& call,
                    const core::region_id& region) const;
 
--- a/packages/policy/src/dispatcher_predict.cpp
+++ b/packages/policy/src/dispatcher_predict.cpp
@@ -103,7 +103,9 @@
                                   const core::region_id& region) const
 {
     const settings::residency binding = stricter_of(call.residency, service.config.residency);
-    return may_be_served_in(binding, home_of(call), region);
+    if (!may_be_served_in(binding, home_of(call), region))
+        return false;
+    return call.newest_home.get().empty() || may_be_served_in(binding, call.newest_home, region);
 }
 
 } // namespace snipeplank::policy
--- a/packages/policy/src/dispatcher_route.cpp
+++ b/packages/policy/src/dispatcher_route.cpp
@@ -206,8 +206,12 @@
     if (call.remaining <= core::milliseconds{0})
         return make_final_refusal(refusal_reason::deadline_passed, "allow more time");
     if (!may_serve(found->second, call, self.region))
+    {
+        const core::region_id home =
+            call.newest_home.get().empty() ? home_of(call) : call.newest_home;
         return make_final_refusal(refusal_reason::wrong_region,
-                                  "use an entry point of the home region " + home_of(call).get());
+                                  "use an entry point of the home region " + home.get());
+    }
     const path_hop here{self.region, self.zone, self.node};
     if (!call.path.empty() && !call.path.may_add(here))
         return make_final_refusal(refusal_reason::loop,
--- a/packages/policy/tests/residency_test.cpp
+++ b/packages/policy/tests/residency_test.cpp
@@ -208,3 +208,59 @@
                         test.name);
     }
 }
+
+// Fails when a call is served by a home that its account has no more (issue 70, HOME).
+TEST(residency_rules, a_home_that_has_moved_binds_calls_that_began_before)
+{
+    const core::region_id here = region_name(0);
+    const core::region_id other = region_name(1);
+    const core::region_id unknown;
+    constexpr residency free = residency::free;
+    constexpr residency bound = residency::bound;
+    struct row
+    {
+        const char* name;
+        residency began;
+        residency newest;
+        core::region_id home;
+        core::region_id newest_home;
+        bool is_served;
+    };
+    const row rows[] = {
+        {"home all along", bound, bound, here, here, true},
+        {"account unknown to the newest", bound, bound, here, unknown, true},
+        {"home moved away", bound, bound, here, other, false},
+        {"home moved here", bound, bound, other, here, false},
+        {"entered here without a home, lives here", bound, bound, unknown, here, true},
+        {"entered here without a home, lives elsewhere", bound, bound, unknown, other, false},
+        {"bound by the caller, home moved away", bound, free, here, other, false},
+        {"began free, home moved away", free, bound, here, other, false},
+        {"free, home moved away", free, free, here, other, true},
+    };
+    for (const row& test : rows)
+    {
+        for (const attempt_kind kind :
+             {attempt_kind::first, attempt_kind::retry, attempt_kind::hedge})
+        {
+            one_node node(1);
+            settings::published_config newest = make_config();
+            newest.services[model].residency = test.newest;
+            node.subject.set_config(newest);
+            call_view call = free_call();
+            call.residency = test.began;
+            call.home = test.home;
+            call.newest_home = test.newest_home;
+            call.kind = kind;
+            const bool may_retry =
+                node.subject.may_retry(call, retry_reason::connect_failed, at(1));
+            CHECK_TRUE_TEXT(may_retry == test.is_served, test.name);
+            const decision made = node.route(call, 1);
+            CHECK_TRUE_TEXT((sent_to_upstream(made) != nullptr) == test.is_served, test.name);
+            if (test.is_served)
+                continue;
+            CHECK_TRUE_TEXT(refused(made) != nullptr, test.name);
+            CHECK_TRUE_TEXT(refused(made)->reason == refusal_reason::wrong_region, test.name);
+            CHECK_TRUE_TEXT(refused(made)->executed == execution::no, test.name);
+        }
+    }
+}
--- a/packages/settings/include/snipeplank/settings/published_config.hpp
+++ b/packages/settings/include/snipeplank/settings/published_config.hpp
@@ -105,7 +105,24 @@
     /// Whether callers need the key of an account: a section of accounts is listed, perhaps without
     /// any account left in it.
     bool asks_for_keys = false;
-    std::unordered_map<std::string, account_config> accounts; ///< by key_sha256
+    std::unordered_map<std::string, account_config> accounts;       ///< by key_sha256
+    std::unordered_map<core::account_id, std::string> account_keys; ///< key_sha256 by account
+
+    /// @brief Adds an account. Returns false when another one has its key.
+    bool add_account(const account_config& added)
+    {
+        if (!accounts.emplace(added.key_sha256, added).second)
+            return false;
+        account_keys[added.id] = added.key_sha256;
+        return true;
+    }
+
+    /// @brief The account of that id, or nothing.
+    const account_config* find_account(const core::account_id& id) const
+    {
+        const auto key = account_keys.find(id);
+        return key == account_keys.end() ? nullptr : &accounts.at(key->second);
+    }
 
     /// @brief The service of that name, or nothing.
     const service_config* find_service(const core::service_id& name) const
--- a/packages/settings/src/config_builder.cpp
+++ b/packages/settings/src/config_builder.cpp
@@ -80,7 +80,7 @@
 {
     for (const account_entry& entry : accounts)
     {
-        if (!config.accounts.emplace(entry.account.key_sha256, entry.account).second)
+        if (!config.add_account(entry.account))
         {
             detail::yaml_report report(file_name(section));
             report.add_error(error_code::config_invalid, entry.line, "accounts.key_sha256",
--- a/packages/settings/tests/published_config_test.cpp
+++ b/packages/settings/tests/published_config_test.cpp
@@ -103,6 +103,8 @@
     STRCMP_EQUAL("buyer-1", account.id.get().c_str());
     STRCMP_EQUAL("ennstal", account.home.get().c_str());
     DOUBLES_EQUAL(5.5, account.calls_per_second, 1e-9);
+    POINTERS_EQUAL(&account, config.find_account(account.id));
+    POINTERS_EQUAL(nullptr, config.find_account(core::account_id{"buyer-2"}));
 }
 
 TEST(published_config, absent_keys_default_to_the_safe_value)
