--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -170,7 +170,8 @@
     auto refused = m_forwarded
                        ? m_account.set_forwarded(*m_table, *m_route, m_caller, m_forwarded->account)
                        : m_account.identify(*m_table, *m_route, m_caller);
-    m_line.has_unknown_key = !m_caller.key.empty() && m_account.account() == nullptr;
+    m_line.has_unknown_key =
+        m_table->accounts && !m_caller.key.empty() && m_account.account() == nullptr;
     m_caller.key.clear();
     if (m_account.account() != nullptr)
         m_line.account = m_account.account()->name.get();
@@ -775,7 +776,8 @@
     return m_forwarded || m_broken_beginnings > 0 ? 1 : 0;
 }
 
-/// A call keeps the version with which it began, but its homes may have moved since.
+/// A call keeps the version with which it began, but its homes may have moved since: it may be
+/// served where that version and the newest one of this node both allow it.
 void call::update_homes()
 {
     if (m_homes_table == m_environment.table)
