--- a/packages/serving/tests/homes_test.cpp
+++ b/packages/serving/tests/homes_test.cpp
@@ -257,3 +257,67 @@
                                   each.name);
     }
 }
+
+// Fails when a request is sent on a connection that took its time to open, although its homes have
+// moved or may have moved since its upstream was chosen (issue 70, HOME).
+TEST(homes, homes_are_looked_at_again_on_the_open_connection)
+{
+    enum class change
+    {
+        none,
+        too_old,
+        moved,
+    };
+    struct row
+    {
+        const char* name;
+        change what;
+        std::size_t received; ///< the question which process it is, and the request
+    };
+    const row rows[] = {
+        {"none", change::none, 2},
+        {"too old", change::too_old, 1},
+        {"moved", change::moved, 1},
+    };
+    service warming;
+    warming.health_path = "/health";
+    warming.warmup = 1s;
+    warming.warmup_rate = 0.5;
+    const std::string process = "HTTP/1.1 200 OK\r\nProcess: i-1\r\nContent-Length: 2\r\n\r\nup";
+    for (const row& each : rows)
+    {
+        call_fixture node({});
+        scripted_upstream upstream(node.loop,
+                                   {{{{300ms, process}}, answer_end::keep}, plain_answer(0ms)});
+        node.set_route(shop_route({own_region}), warming);
+        node.publish("i-1", upstream.address());
+        recorded_exchange& started = node.start(request(), std::nullopt);
+        node.run_for(100ms);
+        if (each.what == change::too_old)
+            node.evidence.age = 6s;
+        if (each.what == change::moved)
+            node.set_route(shop_route({other_region}), warming);
+        node.finish(started);
+        UNSIGNED_LONGS_EQUAL_TEXT(each.received, upstream.requests().size(), each.name);
+    }
+}
+
+// Fails when a request is given up at an upstream that sends nothing for a while, for a repeat that
+// its homes then forbid (issue 70, HOME).
+TEST(homes, a_silent_upstream_is_waited_for_when_homes_forbid_a_repeat)
+{
+    call_fixture node({0, 100, 10s});
+    scripted_upstream silent(node.loop, {plain_answer(4s)});
+    scripted_upstream other(node.loop, {plain_answer(0ms)});
+    route shop = shop_route({own_region});
+    shop.timeout = 10s;
+    node.set_route(shop);
+    node.publish("i-1", silent.address());
+    recorded_exchange& started = node.start(request(), std::nullopt);
+    node.run_for(100ms);
+    node.publish("i-2", other.address());
+    node.evidence.age = 6s;
+    node.finish(started);
+    CHECK_TRUE_TEXT(started.is(200, "ok"), started.describe().c_str());
+    UNSIGNED_LONGS_EQUAL(0, other.requests().size());
+}
