--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -176,7 +176,6 @@
     if (m_account.account() != nullptr)
         m_line.account = m_account.account()->name.get();
     update_homes();
-    m_line.confirmed_age = m_environment.homes.confirmed_age();
     return refused;
 }
 
@@ -780,6 +779,7 @@
 /// served where that version and the newest one of this node both allow it.
 void call::update_homes()
 {
+    m_line.confirmed_age = m_environment.homes.confirmed_age();
     if (m_homes_table == m_environment.table)
         return;
     m_homes_table = m_environment.table;
@@ -792,6 +792,7 @@
     if (chosen != nullptr)
         m_homes.restrict_to(home_regions(*chosen, account));
     m_line.homes = m_homes;
+    m_line.homes_version = m_homes_table->version.get();
 }
 
 /// The refusal of a request whose homes may have moved; nothing when it may be sent.
--- a/packages/serving/src/call_log.cpp
+++ b/packages/serving/src/call_log.cpp
@@ -44,6 +44,7 @@
         names.push_back(region.get());
     }
     fields["homes"] = std::move(names);
+    fields["homes_version"] = line.homes_version;
     if (line.confirmed_age)
         fields["confirmed_age_ms"] = line.confirmed_age->count();
 }
--- a/packages/serving/src/call_outcome.hpp
+++ b/packages/serving/src/call_outcome.hpp
@@ -41,9 +41,10 @@
     std::string request_id;
     std::string route;
     std::string service;
-    std::string account; ///< name of the client account; empty: none
-    home_regions homes;  ///< where the request might be served
-    /// Time since the configuration was confirmed, when the request was judged; nothing: unknown.
+    std::string account;             ///< name of the client account; empty: none
+    home_regions homes;              ///< where the request might be served
+    std::uint64_t homes_version = 0; ///< newest configuration by which the homes were judged
+    /// Time since that was confirmed, when the request was last judged; nothing: unknown.
     std::optional<core::milliseconds> confirmed_age;
     bool has_unknown_key = false; ///< names a key that no account holds
     std::uint64_t config_version = 0;
--- a/packages/serving/tests/call_log_test.cpp
+++ b/packages/serving/tests/call_log_test.cpp
@@ -160,24 +160,25 @@
          {core::region_id{"duluth"}},
          core::seconds{3},
          false,
-         R"({"confirmed_age_ms":3000,"homes":["duluth"]})"},
+         R"({"confirmed_age_ms":3000,"homes":["duluth"],"homes_version":7})"},
         {"never confirmed",
          {core::region_id{"duluth"}},
          std::nullopt,
          false,
-         R"({"homes":["duluth"]})"},
+         R"({"homes":["duluth"],"homes_version":7})"},
         {"a key of nobody", {}, core::seconds{3}, true, R"({"unknown_key":true})"},
     };
     for (const row& each : rows)
     {
         call_outcome_line line;
         line.homes.restrict_to(each.homes);
+        line.homes_version = 7;
         line.confirmed_age = each.age;
         line.has_unknown_key = each.has_unknown_key;
         subject.call_ended(line);
         const auto logged = nlohmann::json::parse(pipe.read_all(output));
         nlohmann::json named = nlohmann::json::object();
-        for (const char* field : {"homes", "confirmed_age_ms", "unknown_key"})
+        for (const char* field : {"homes", "homes_version", "confirmed_age_ms", "unknown_key"})
         {
             if (logged.contains(field))
                 named[field] = logged[field];
