--- a/packages/serving/include/snipeplank/serving/state_source.hpp
+++ b/packages/serving/include/snipeplank/serving/state_source.hpp
@@ -19,6 +19,30 @@
 namespace snipeplank::serving
 {
 
+/// @brief By which path a read of the state came.
+enum class read_path
+{
+    listing,  ///< all items, from the source
+    watch,    ///< changes, from the source
+    followed, ///< changes, from the node that this one follows
+    copy,     ///< all items, from any node
+};
+
+std::string_view to_string(read_path by);
+
+/// @brief One read of the state that brought changes, by stage.
+struct state_read
+{
+    std::string prefix; ///< of the keys that were read
+    read_path by = read_path::watch;
+    core::bytes bytes{0};           ///< of the answer
+    core::milliseconds waited{0};   ///< from the question to the head of the answer
+    core::milliseconds received{0}; ///< from there to its last byte
+    core::milliseconds applied{0};  ///< from there until the changes are in force
+
+    core::milliseconds total() const { return waited + received + applied; }
+};
+
 /// @brief Receives state changes, on the event loop.
 class state_listener
 {
@@ -29,6 +53,9 @@
     virtual void on_configuration(std::shared_ptr<const routing_table> table) = 0;
     virtual void on_upstreams(const upstream_map& upstreams) = 0;
     virtual void on_evacuations(const zone_set& zones) = 0;
+
+    /// @brief Called after the changes of a read are in force.
+    virtual void on_state_read(const state_read& read) = 0;
 };
 
 /// @brief Other nodes from which a node may copy the state.
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -281,6 +281,17 @@
         m_placement.set_evacuations(zones, now());
     }
 
+    void on_state_read(const state_read& read) override
+    {
+        m_log.event(line_kind::state_change, "state_read",
+                    {{"prefix", read.prefix},
+                     {"by", to_string(read.by)},
+                     {"bytes", read.bytes.count},
+                     {"waited_ms", read.waited.count()},
+                     {"received_ms", read.received.count()},
+                     {"applied_ms", read.applied.count()}});
+    }
+
     void on_members_changed() override
     {
         m_nodes = m_fleet.live_nodes();
