--- a/tests/support/machine_fleet.cpp
+++ b/tests/support/machine_fleet.cpp
@@ -255,6 +255,11 @@
                     route("/read/", "idempotent", config.read_service, config, bound)}},
                   {"Services",
                    {service("model", config), service("shop", config), service("stall", config)}}};
+    for (int i = 0; i < config.more_routes; ++i)
+    {
+        const std::string path = "/more-" + std::to_string(config.version * i) + "/";
+        document["Routes"].push_back(route(path, "idempotent", "stall", config, anywhere));
+    }
     document["Services"][0]["Engine"] = {{"Slots", 64}, {"KvCapacity", 444'000}};
     if (config.idle_timeout.count() > 0)
         document["Limits"] = {{"IdleTimeoutMs", config.idle_timeout.count()}};
--- a/tests/support/machine_fleet.hpp
+++ b/tests/support/machine_fleet.hpp
@@ -53,6 +53,7 @@
     std::chrono::milliseconds warmup{0}; ///< after the start of a server of any service
     double warmup_rate = 0;              ///< requests/s that a cold server tolerates; 0: any number
     std::string tenants;                 ///< JSON list of client accounts; empty for none
+    int more_routes = 0;                 ///< that no test calls, about 200 bytes each
 };
 
 /// @brief Requests in one second that the rules allow a cold server.
