--- a/packages/serving/include/snipeplank/serving/configuration_lease.hpp
+++ b/packages/serving/include/snipeplank/serving/configuration_lease.hpp
@@ -12,13 +12,13 @@
 namespace snipeplank::serving
 {
 
-/// @brief When the configuration in force was last confirmed to be the newest one.
+/// @brief When the state of a kind was last confirmed to be the newest one.
 ///
 /// A read of the store reflects every change that was confirmed before it was sent, so the answer
-/// confirms the configuration as of the moment of asking. Another node that follows the store may
+/// confirms the state as of the moment of asking. Another node that follows the store may
 /// vouch: it tells how old its own confirmation is, and the age counts back from the moment at
 /// which it was asked. All times are those of `host_time`.
-class configuration_confirmation
+class state_confirmation
 {
   public:
     /// @brief Records that the store answered a read, and that the answer has been applied.
@@ -32,7 +32,7 @@
             confirm(asked_at - *age);
     }
 
-    /// @brief Time since the configuration was confirmed; nothing if it never was.
+    /// @brief Time since the state was confirmed; nothing if it never was.
     std::optional<core::milliseconds> age(core::time_point now) const
     {
         if (!m_at)
--- a/packages/serving/include/snipeplank/serving/replica.hpp
+++ b/packages/serving/include/snipeplank/serving/replica.hpp
@@ -142,6 +142,9 @@
     const replica_items& items() const { return m_items; }
     std::uint64_t as_of() const { return m_as_of; }
     store_revision revision() const { return {m_era, m_as_of}; }
+
+    /// @brief The newest change that is known, which `revision` may be past.
+    store_revision changed() const { return {m_era, m_changed}; }
     bool is_known() const { return m_is_known; }
     bool is_reachable() const { return m_is_reachable; }
 
@@ -186,6 +189,7 @@
     std::uint64_t m_first_position = 0; ///< removals up to here are not kept
     std::map<std::string, held_removal> m_held;
     std::uint64_t m_as_of = 0;
+    std::uint64_t m_changed = 0; ///< revision of the newest change
     std::uint64_t m_era = 0;
     std::uint64_t m_era_base = 0;     ///< revision as of which this era's list was taken over
     core::time_point m_answered_at{}; ///< when the store last answered any node, as far as known
--- a/packages/serving/include/snipeplank/serving/state_feed.hpp
+++ b/packages/serving/include/snipeplank/serving/state_feed.hpp
@@ -14,11 +14,13 @@
 #include <snipeplank/core/units.hpp>
 #include <snipeplank/http/request_target.hpp>
 #include <snipeplank/serving/replica.hpp>
+#include <snipeplank/serving/state_kind.hpp>
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,24 +29,48 @@
 namespace snipeplank::serving
 {
 
+/// @brief What a node knows below a prefix of which it sends no changes: they were not asked for,
+/// or there are none since the revision that the other node has.
+struct feed_summary
+{
+    store_revision changed;    ///< the newest change
+    core::milliseconds age{0}; ///< since the source last answered
+
+    friend bool operator==(const feed_summary&, const feed_summary&) = default;
+};
+
 /// @brief Answer of a node to another that copies its state.
 struct state_feed
 {
     std::uint64_t instance = 0; ///< identifies the process; positions are valid for one process
-    core::milliseconds age{0};  ///< since the source last answered
+    core::milliseconds age{0};  ///< since the source last answered for what is in `prefixes`
     std::map<std::string, replica_changes> prefixes; ///< by key prefix; without unknown ones
     bool is_source_reachable = true;                 ///< the last read of the source succeeded
     /// Since the answering node's configuration was confirmed; nothing: it vouches for nothing.
     std::optional<core::milliseconds> confirmed_age = std::nullopt;
     /// The same for its list of upstreams.
     std::optional<core::milliseconds> upstreams_age = std::nullopt;
+    /// The same for its evacuations.
+    std::optional<core::milliseconds> evacuations_age = std::nullopt;
+    std::map<std::string, feed_summary> left_out = {}; ///< by key prefix
+
+    /// @brief Since the answering node's state of a kind was confirmed.
+    std::optional<core::milliseconds>& confirmed_age_of(state_kind kind);
+    std::optional<core::milliseconds> confirmed_age_of(state_kind kind) const;
 };
 
-/// @brief What a follower has received from a node so far.
+/// @brief What a node asks of another one, and what it has already.
 struct feed_position
 {
     std::uint64_t instance = 0;
     std::map<std::string, std::uint64_t> prefixes; ///< position by key prefix
+    std::set<std::string> wanted = {};             ///< key prefixes to send; empty: all
+    /// Revision of the own state, by key prefix: nothing is to be sent that is not newer.
+    std::map<std::string, store_revision> known = {};
+
+    /// @brief Whether the changes below a prefix are to be sent.
+    /// @param changed the newest change there
+    bool wants(const std::string& prefix, store_revision changed) const;
 };
 
 /// @brief Encodes a feed as JSON. Keys and values keep their bytes: those that are not UTF-8 go as
@@ -97,13 +123,18 @@
   public:
     /// A node whose own state is older than this is not followed.
     static constexpr core::milliseconds max_age{2'500};
+    /// The same for a document, which takes longer to read.
+    static constexpr core::milliseconds max_document_age{4'000};
     /// A node reads the source itself once what it received is older than this.
     static constexpr core::milliseconds max_state_age{3'200};
 
     /// @param self how the nodes of the region address this node
-    /// @param prefixes key prefixes that a feed must have
-    feed_follower(core::address self, std::vector<std::string> prefixes)
-        : m_selector(std::move(self)), m_prefixes(std::move(prefixes))
+    /// @param prefixes key prefixes whose changes a feed must have
+    /// @param documents key prefixes that it must at least tell of
+    feed_follower(core::address self, std::vector<std::string> prefixes,
+                  std::vector<std::string> documents = {})
+        : m_selector(std::move(self)), m_prefixes(std::move(prefixes)),
+          m_documents(std::move(documents))
     {
     }
 
@@ -139,6 +170,7 @@
 
     feed_selector m_selector;
     std::vector<std::string> m_prefixes;
+    std::vector<std::string> m_documents;
     feed_position m_position;
     std::map<std::string, store_revision> m_as_of; ///< of the followed node, by prefix
     core::time_point m_following_until{};
--- a/packages/serving/include/snipeplank/serving/state_source.hpp
+++ b/packages/serving/include/snipeplank/serving/state_source.hpp
@@ -6,7 +6,9 @@
 
 #include <snipeplank/core/ids.hpp>
 #include <snipeplank/core/units.hpp>
+#include <snipeplank/serving/replica.hpp>
 #include <snipeplank/serving/routing_table.hpp>
+#include <snipeplank/serving/state_kind.hpp>
 #include <snipeplank/serving/upstream.hpp>
 
 #include <functional>
@@ -33,7 +35,7 @@
 /// @brief One read of the state that brought changes, by stage.
 struct state_read
 {
-    std::string prefix; ///< of the keys that were read
+    state_kind kind = state_kind::configuration;
     read_path by = read_path::watch;
     core::bytes bytes{0};           ///< of the answer
     core::milliseconds waited{0};   ///< from the question to the head of the answer
@@ -82,12 +84,20 @@
     /// @param query the peer's position, see `encode_position`; empty for everything
     virtual std::string feed(std::string_view query) const = 0;
 
-    /// @brief Time since the configuration was confirmed to be the newest one; nothing if it never
-    /// was. See `configuration_confirmation`.
-    virtual std::optional<core::milliseconds> confirmed_age() const = 0;
+    /// @brief Time since the state of a kind was confirmed to be the newest one; nothing if it
+    /// never was. See `state_confirmation`.
+    virtual std::optional<core::milliseconds> confirmed_age(state_kind kind) const = 0;
 
-    /// @brief The same for the list of upstreams.
-    virtual std::optional<core::milliseconds> upstreams_age() const = 0;
+    /// @brief The newest change of a kind that this node knows, to be told to other nodes.
+    virtual store_revision changed(state_kind kind) const = 0;
+
+    /// @brief Whether a change of a kind is newer than all that this node has read.
+    virtual bool is_newer(state_kind kind, store_revision change) const = 0;
+
+    /// @brief Another node has named a change that is newer than all that this node has read: it is
+    /// asked for its state.
+    /// @param node admin address of that node
+    virtual void on_told(state_kind kind, store_revision change, const core::address& node) = 0;
 
     /// @brief Whether the source was read successfully in the recent past.
     virtual bool is_reachable(core::time_point now) const = 0;
--- a/packages/serving/include/snipeplank/serving/state_timing.hpp
+++ b/packages/serving/include/snipeplank/serving/state_timing.hpp
@@ -42,6 +42,8 @@
 constexpr core::milliseconds min_watch_interval{250};
 constexpr core::milliseconds max_watch_interval{1'000};
 constexpr core::milliseconds retry_delay{200};
+/// The same after an answer that was of no use.
+constexpr core::milliseconds refused_retry_delay{400};
 constexpr core::milliseconds tick_interval{200};
 /// Interval at which the state is copied from a peer while the store fails.
 constexpr core::milliseconds peer_copy_interval{1'000};
@@ -61,7 +63,13 @@
 constexpr core::milliseconds peer_copy_delay{500};
 /// Interval at which a follower asks its node for changes.
 constexpr core::milliseconds follow_interval{700};
+/// Time for the head of the answer to a follower.
 constexpr core::milliseconds follow_timeout{600};
+/// Least time between two copies of other nodes.
+constexpr core::milliseconds min_copy_interval{100};
+/// A document that another node has named is copied from there once this node's own was confirmed
+/// longer ago: until then its usual path is about to bring it.
+constexpr core::milliseconds late_document_age{1'500};
 
 /// Longest time from the confirmation of a change until a node that watches the store has applied
 /// it: its connection went silent just before, and is replaced.
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -284,7 +284,7 @@
     void on_state_read(const state_read& read) override
     {
         m_log.event(line_kind::state_change, "state_read",
-                    {{"prefix", read.prefix},
+                    {{"kind", to_string(read.kind)},
                      {"by", to_string(read.by)},
                      {"bytes", read.bytes.count},
                      {"waited_ms", read.waited.count()},
@@ -381,7 +381,7 @@
 
     std::optional<core::milliseconds> confirmed_age() const override
     {
-        return m_adapters.source.confirmed_age();
+        return m_adapters.source.confirmed_age(state_kind::configuration);
     }
 
     bool is_newest_in_fleet() const override
@@ -658,7 +658,7 @@
     {
         if (!m_adapters.source.is_reachable(now()))
             return std::nullopt;
-        return m_adapters.source.upstreams_age();
+        return m_adapters.source.confirmed_age(state_kind::upstreams);
     }
 
     void run_housekeeping()
@@ -792,19 +792,22 @@
         text +=
             "# TYPE snipeplank_upstream_crashes_total counter\nsnipeplank_upstream_crashes_total " +
             std::to_string(m_crash_guard.crashes()) + "\n";
-        return text + stream_metrics() + retry_metrics() + entry_metrics() +
-               configuration_metrics() + account_metrics();
+        return text + stream_metrics() + retry_metrics() + entry_metrics() + state_metrics() +
+               account_metrics();
     }
 
-    /// Nothing before the first confirmation of a configuration.
-    std::string configuration_metrics() const
+    /// Nothing of a kind before its first confirmation.
+    std::string state_metrics() const
     {
-        const auto age = m_adapters.source.confirmed_age();
-        if (!age)
-            return {};
-        return "# TYPE snipeplank_configuration_confirmed_age_ms gauge\n"
-               "snipeplank_configuration_confirmed_age_ms " +
-               std::to_string(age->count()) + "\n";
+        const std::string name = "snipeplank_state_confirmed_age_ms";
+        std::string text = "# TYPE " + name + " gauge\n";
+        for (const state_kind kind : all_state_kinds)
+        {
+            if (const auto age = m_adapters.source.confirmed_age(kind))
+                text += name + "{kind=\"" + std::string(to_string(kind)) + "\"} " +
+                        std::to_string(age->count()) + "\n";
+        }
+        return text;
     }
 
     /// Nothing where the configuration lists no accounts.
@@ -884,7 +887,7 @@
     fleet_link m_fleet;
     stream_directory m_streams;
     account_admission m_accounts;
-    home_admission m_homes;
+    state_admission m_homes;
     suspension_watch m_suspensions; ///< of the ticks; calls look by themselves
     peer_calls m_peers;
     call_environment m_environment;
--- a/packages/serving/src/replica.cpp
+++ b/packages/serving/src/replica.cpp
@@ -35,6 +35,7 @@
 {
     m_era = as_of.era;
     m_as_of = as_of.revision;
+    m_changed = as_of.revision;
     m_era_base = as_of.revision;
     bool changed = remove_held();
     forget_positions();
@@ -85,6 +86,7 @@
         return false;
     }
     m_items[key] = item;
+    m_changed = std::max(m_changed, item.revision);
     m_removals.erase(key);
     m_positions[key] = ++m_position;
     return true;
@@ -139,6 +141,7 @@
     if (known.revision >= item.revision)
         return false;
     known = item;
+    m_changed = std::max(m_changed, item.revision);
     m_removals.erase(key);
     m_positions[key] = ++m_position;
     return true;
@@ -154,6 +157,7 @@
 void replica::erase(const std::string& key, std::uint64_t revision)
 {
     const auto erased = m_items.extract(key);
+    m_changed = std::max(m_changed, revision);
     m_positions.erase(key);
     m_removals[key] = {revision, ++m_position, version_of(key, erased.mapped().value)};
     if (m_removals.size() <= max_removals)
--- a/packages/serving/src/state_feed.cpp
+++ b/packages/serving/src/state_feed.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <initializer_list>
 
 namespace snipeplank::serving
@@ -20,6 +21,8 @@
 
 constexpr char watcher_key[] = "state watchers";
 constexpr char instance_name[] = "instance";
+constexpr char wanted_name[] = "want";
+constexpr char known_name[] = "known";
 constexpr char base64_suffix[] = "_base64";
 
 auto invalid(const std::string& what)
@@ -170,8 +173,66 @@
     return changes;
 }
 
+core::result<std::map<std::string, feed_summary>> to_summaries(const json& document)
+{
+    std::map<std::string, feed_summary> summaries;
+    const auto found = document.find("left_out");
+    if (found == document.end())
+        return summaries;
+    if (!found->is_object())
+        return invalid("what is left out is not an object");
+    for (const auto& [prefix, object] : found->items())
+    {
+        if (!object.is_object() || !object.contains("age_ms") ||
+            has_unreadable(object, {"era", "changed", "age_ms"}, &json::is_number_unsigned))
+            return invalid("a prefix that is left out has an unreadable field");
+        summaries[prefix] = {{number_of(object, "era"), number_of(object, "changed")},
+                             duration_of(object, "age_ms")};
+    }
+    return summaries;
+}
+
+constexpr std::array<std::pair<state_kind, const char*>, state_kind_count> age_names{{
+    {state_kind::configuration, "confirmed_age_ms"},
+    {state_kind::evacuations, "evacuations_age_ms"},
+    {state_kind::upstreams, "upstreams_age_ms"},
+}};
+
+/// Reads the revision of a prefix, written as ERA.REVISION.PREFIX; one that is damaged is left out.
+void take_known(std::string_view text, std::map<std::string, store_revision>& known)
+{
+    const std::size_t first = text.find('.');
+    const std::size_t second = text.find('.', first == text.npos ? first : first + 1);
+    if (second == text.npos)
+        return;
+    const auto era = http::parse_number(text.substr(0, first));
+    const auto revision = http::parse_number(text.substr(first + 1, second - first - 1));
+    if (era && revision)
+        known[std::string(text.substr(second + 1))] = {*era, *revision};
+}
+
 } // namespace
 
+std::optional<core::milliseconds>& state_feed::confirmed_age_of(state_kind kind)
+{
+    if (kind == state_kind::configuration)
+        return confirmed_age;
+    return kind == state_kind::evacuations ? evacuations_age : upstreams_age;
+}
+
+std::optional<core::milliseconds> state_feed::confirmed_age_of(state_kind kind) const
+{
+    return const_cast<state_feed*>(this)->confirmed_age_of(kind); // NOLINT: only read
+}
+
+bool feed_position::wants(const std::string& prefix, store_revision changed) const
+{
+    if (!wanted.empty() && !wanted.contains(prefix))
+        return false;
+    const auto own = known.find(prefix);
+    return own == known.end() || own->second < changed;
+}
+
 std::string encode_feed(const state_feed& feed)
 {
     json prefixes = json::object();
@@ -179,14 +240,23 @@
     {
         prefixes[prefix] = to_json(changes);
     }
+    json left_out = json::object();
+    for (const auto& [prefix, summary] : feed.left_out)
+    {
+        left_out[prefix] = {{"era", summary.changed.era},
+                            {"changed", summary.changed.revision},
+                            {"age_ms", summary.age.count()}};
+    }
     json document = {{"instance", feed.instance},
                      {"age_ms", feed.age.count()},
                      {"reachable", feed.is_source_reachable},
-                     {"prefixes", std::move(prefixes)}};
-    if (feed.confirmed_age)
-        document["confirmed_age_ms"] = feed.confirmed_age->count();
-    if (feed.upstreams_age)
-        document["upstreams_age_ms"] = feed.upstreams_age->count();
+                     {"prefixes", std::move(prefixes)},
+                     {"left_out", std::move(left_out)}};
+    for (const auto& [kind, name] : age_names)
+    {
+        if (const auto age = feed.confirmed_age_of(kind))
+            document[name] = age->count();
+    }
     return core::json_text(document);
 }
 
@@ -197,18 +267,25 @@
     if (!document.is_object() || prefixes == document.end() || !prefixes->is_object())
         return invalid("not an object with prefixes");
     if (!document.contains("age_ms") ||
-        has_unreadable(document, {"instance", "age_ms", "confirmed_age_ms", "upstreams_age_ms"},
-                       &json::is_number_unsigned) ||
+        has_unreadable(
+            document,
+            {"instance", "age_ms", "confirmed_age_ms", "evacuations_age_ms", "upstreams_age_ms"},
+            &json::is_number_unsigned) ||
         has_unreadable(document, {"reachable"}, &json::is_boolean))
         return invalid("it lacks its age, or has an unreadable field");
     state_feed feed;
     feed.instance = number_of(document, "instance");
     feed.age = duration_of(document, "age_ms");
     feed.is_source_reachable = bool_of(document, "reachable");
-    if (document.contains("confirmed_age_ms"))
-        feed.confirmed_age = duration_of(document, "confirmed_age_ms");
-    if (document.contains("upstreams_age_ms"))
-        feed.upstreams_age = duration_of(document, "upstreams_age_ms");
+    for (const auto& [kind, name] : age_names)
+    {
+        if (document.contains(name))
+            feed.confirmed_age_of(kind) = duration_of(document, name);
+    }
+    auto summaries = to_summaries(document);
+    if (!summaries)
+        return boost::outcome_v2::failure(summaries.error());
+    feed.left_out = std::move(summaries.value());
     for (const auto& [prefix, object] : prefixes->items())
     {
         auto changes = to_changes(object);
@@ -227,6 +304,15 @@
     {
         target.add(prefix, since);
     }
+    for (const std::string& prefix : position.wanted)
+    {
+        target.add(wanted_name, prefix);
+    }
+    for (const auto& [prefix, own] : position.known)
+    {
+        target.add(known_name,
+                   std::to_string(own.era) + "." + std::to_string(own.revision) + "." + prefix);
+    }
     return target;
 }
 
@@ -238,6 +324,10 @@
         const std::uint64_t value = http::parse_number(text).value_or(0);
         if (name == instance_name)
             position.instance = value;
+        else if (name == wanted_name)
+            position.wanted.insert(text);
+        else if (name == known_name)
+            take_known(text, position.known);
         else
             position.prefixes[name] = value;
     }
@@ -279,9 +369,15 @@
 
 bool feed_follower::is_usable(const state_feed& feed) const
 {
+    const auto is_told_of = [&](const std::string& document)
+    {
+        const auto summary = feed.left_out.find(document);
+        return summary != feed.left_out.end() && summary->second.age <= max_document_age;
+    };
     return feed.is_source_reachable && feed.age <= max_age &&
            std::all_of(m_prefixes.begin(), m_prefixes.end(),
-                       [&](const std::string& prefix) { return feed.prefixes.contains(prefix); });
+                       [&](const std::string& prefix) { return feed.prefixes.contains(prefix); }) &&
+           std::all_of(m_documents.begin(), m_documents.end(), is_told_of);
 }
 
 bool feed_follower::on_feed(const core::address& node, const state_feed& feed, core::time_point now)
@@ -291,7 +387,12 @@
         on_failed(node, now);
         return false;
     }
-    m_position.instance = feed.instance;
+    // Positions are those of one process.
+    if (m_position.instance != feed.instance)
+    {
+        m_position = {feed.instance, {}};
+        m_as_of.clear();
+    }
     for (const auto& [prefix, changes] : feed.prefixes)
     {
         m_position.prefixes[prefix] = changes.position;
--- a/packages/serving/src/state_source.cpp
+++ b/packages/serving/src/state_source.cpp
@@ -3,6 +3,20 @@
 namespace snipeplank::serving
 {
 
+std::string_view to_string(state_kind kind)
+{
+    switch (kind)
+    {
+    case state_kind::configuration:
+        return "configuration";
+    case state_kind::evacuations:
+        return "evacuations";
+    case state_kind::upstreams:
+        return "upstreams";
+    }
+    return "unknown";
+}
+
 std::string_view to_string(read_path by)
 {
     switch (by)
--- a/packages/serving/tests/client_accounts_test.cpp
+++ b/packages/serving/tests/client_accounts_test.cpp
@@ -340,7 +340,7 @@
 TEST(configuration_lease, a_confirmation_counts_from_the_question)
 {
     const core::time_point begin = core::time_point{} + 1h;
-    configuration_confirmation subject;
+    state_confirmation subject;
     CHECK_FALSE(subject.age(begin).has_value());
     subject.on_read(begin);
     LONGS_EQUAL(1'500, subject.age(begin + 1'500ms)->count());
--- a/packages/serving/tests/revocation_test.cpp
+++ b/packages/serving/tests/revocation_test.cpp
@@ -47,7 +47,7 @@
 struct model_node
 {
     replica items = replica();
-    configuration_confirmation confirmation;
+    state_confirmation confirmation;
     core::time_point next_watch = begin;
     core::time_point next_follow = begin;
     core::time_point failing_since{};
