--- a/packages/serving/include/snipeplank/serving/state_timing.hpp
+++ b/packages/serving/include/snipeplank/serving/state_timing.hpp
@@ -16,7 +16,12 @@
 {
 
 constexpr core::milliseconds connect_timeout{500};
+/// Time for the head of an answer that is due at once.
 constexpr core::milliseconds read_timeout{2'000};
+/// Time without a further byte of an answer that has begun.
+constexpr core::milliseconds progress_timeout{2'000};
+/// Time for the whole of an answer that has begun: a document of 1 MB at 1 Mbit/s.
+constexpr core::milliseconds transfer_timeout{10'000};
 /// How long the store may hold a watch open. A connection that has gone silent is detected only
 /// after this time, and a configuration must be in force 4 s after its confirmation to the
 /// operator.
--- a/packages/serving/src/state_reader.cpp
+++ b/packages/serving/src/state_reader.cpp
@@ -268,7 +268,7 @@
         co_return co_await copy.connection->connect(connect_timeout);
     }
 
-    /// @param limit for the head of the answer, and for its body
+    /// @param limit for the head of the answer
     asio::awaitable<core::result<store_answer>> get(published_copy& copy,
                                                     const http::request_target& target,
                                                     core::milliseconds limit, read_timer& timer)
@@ -284,7 +284,7 @@
             co_return boost::outcome_v2::failure(era.error());
         const transfer arriving(copy);
         auto body = co_await http::fetch_body(
-            *copy.connection, {limit, limit, max_answer_bytes});
+            *copy.connection, {progress_timeout, transfer_timeout, max_answer_bytes});
         if (!body)
             co_return boost::outcome_v2::failure(body.error());
         timer.on_body(body.value().size());
@@ -558,7 +558,7 @@
         co_return text&& apply_copy(text.value(), kinds, asked_at, timer);
     }
 
-    /// @param limit for the head of the answer, and for its body
+    /// @param limit for the head of the answer
     /// @param copy of which the answer brings a transfer
     asio::awaitable<core::result<std::string>> fetch_feed(http::client_connection& connection,
                                                           http::request_target target,
@@ -571,7 +571,7 @@
         timer.on_head();
         const transfer arriving(copy);
         auto body = co_await http::fetch_body(connection,
-                                              {limit, limit, max_copy_bytes});
+                                              {progress_timeout, transfer_timeout, max_copy_bytes});
         if (body && head.value().status != ok)
             co_return core::fail(core::error_code::connection_closed,
                                  "status " + std::to_string(head.value().status),
