--- a/packages/serving/include/snipeplank/serving/state_timing.hpp
+++ b/packages/serving/include/snipeplank/serving/state_timing.hpp
@@ -49,6 +49,11 @@
 constexpr core::milliseconds retry_delay{200};
 /// The same after an answer that was of no use.
 constexpr core::milliseconds refused_retry_delay{400};
+/// State that was confirmed longer ago is read as a whole: the changes in between grow with time,
+/// and only the last one of each item counts.
+constexpr core::milliseconds max_history_age{3'000};
+/// A document takes up at most this part of the time of a node, inverse.
+constexpr int document_time_part = 4;
 constexpr core::milliseconds tick_interval{200};
 /// Interval at which the state is copied from a peer while the store fails.
 constexpr core::milliseconds peer_copy_interval{1'000};
--- a/packages/serving/src/state_reader.cpp
+++ b/packages/serving/src/state_reader.cpp
@@ -57,8 +57,9 @@
     core::time_point failing_since{};
     core::time_point read_at{}; ///< when the store last answered, here or at another node
     state_confirmation confirmation;
+    core::milliseconds applied{0}; ///< how long the latest change took to apply
     std::size_t transfers = 0;     ///< answers with this kind that have begun
-    bool needs_listing = true;     ///< the history that the changes refer to is not known
+    bool needs_listing = true;     ///< the changes since are not to be asked for
 };
 
 /// An answer that has begun and is still arriving.
@@ -239,7 +240,7 @@
                 co_await wait_for(tick_interval);
                 continue;
             }
-            const bool lists = copy.needs_listing;
+            const bool lists = copy.needs_listing || has_long_history(copy);
             core::result<read_result> read = read_result{};
             if (lists)
                 read = co_await read_all_pages(copy);
@@ -253,13 +254,32 @@
                 on_failure(copy, read ? "status " + std::to_string(read.value().status)
                                       : read.error().message);
                 copy.connection.reset();
+                copy.needs_listing = true;
                 co_await wait_for(read ? refused_retry_delay : retry_delay);
                 continue;
             }
-            copy.needs_listing = read.value().status == gone;
+            // Until a listing shows nothing new: a watch would bring each version in between.
+            const bool is_moving = read.value().has_changed && is_document(copy.kind);
+            copy.needs_listing = read.value().status == gone || is_moving;
+            if (is_moving)
+                co_await wait_for(pause_after(copy));
         }
     }
 
+    /// Whether the changes since the copy was last confirmed may be more than the state itself.
+    bool has_long_history(const published_copy& copy) const
+    {
+        const auto age = copy.confirmation.age(host_time());
+        return !age || *age > max_history_age;
+    }
+
+    /// Leaves most of the node's time to its calls while documents come one after the other.
+    static core::milliseconds pause_after(const published_copy& copy)
+    {
+        return std::clamp(copy.applied * (document_time_part - 1), min_watch_interval,
+                          max_watch_interval);
+    }
+
     asio::awaitable<core::result<void>> connect(published_copy& copy)
     {
         if (copy.connection && !copy.connection->is_stale())
@@ -425,6 +445,7 @@
     {
         publish(copy);
         const state_read read = timer.finish();
+        copy.applied = read.applied;
         if (copy.kind != state_kind::upstreams || read.total() >= slow_read)
             m_listener->on_state_read(read);
     }
