--- a/packages/serving/include/snipeplank/serving/state_feed.hpp
+++ b/packages/serving/include/snipeplank/serving/state_feed.hpp
@@ -73,8 +73,25 @@
     bool wants(const std::string& prefix, store_revision changed) const;
 };
 
-/// @brief Encodes a feed as JSON. Keys and values keep their bytes: those that are not UTF-8 go as
-/// base64.
+/// @brief Encodes feeds as JSON. Keys and values keep their bytes: those that are not UTF-8 go as
+/// base64. Long values are compressed, each revision once for all nodes that ask. Not thread-safe.
+class feed_encoder
+{
+  public:
+    std::string encode(const state_feed& feed);
+
+  private:
+    struct encoded_value
+    {
+        std::uint64_t era = 0;
+        std::uint64_t revision = 0;
+        std::string text;
+    };
+
+    std::map<std::string, encoded_value> m_values; ///< the long ones, by key
+};
+
+/// @brief Encodes one feed.
 std::string encode_feed(const state_feed& feed);
 
 /// @brief Decodes a feed.
--- a/packages/serving/src/state_feed.cpp
+++ b/packages/serving/src/state_feed.cpp
@@ -1,4 +1,5 @@
 #include <snipeplank/core/base64.hpp>
+#include <snipeplank/core/compression.hpp>
 #include <snipeplank/core/json_text.hpp>
 #include <snipeplank/core/printable.hpp>
 #include <snipeplank/core/rendezvous.hpp>
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <initializer_list>
 
 namespace snipeplank::serving
@@ -24,6 +26,10 @@
 constexpr char wanted_name[] = "want";
 constexpr char known_name[] = "known";
 constexpr char base64_suffix[] = "_base64";
+/// Values of at least this size are compressed.
+constexpr std::size_t min_compressed_bytes = 4'096;
+/// Largest value that a compressed one may give.
+constexpr std::size_t max_value_bytes = 8'388'608;
 
 auto invalid(const std::string& what)
 {
@@ -87,14 +93,41 @@
     return bytes.has_value();
 }
 
-json to_json(const replica_changes& changes)
+/// Reads a value, compressed or not.
+/// @param[out] value unchanged where the object has none
+/// @return whether the value can be read, or is absent
+bool take_value(const json& object, std::optional<std::string>& value)
+{
+    const auto compressed = object.find("value_zlib");
+    if (compressed == object.end())
+        return take_bytes(object, "value", value);
+    const std::uint64_t size = number_of(object, "value_bytes");
+    if (!compressed->is_string() || size > max_value_bytes || object.contains("value") ||
+        object.contains(std::string("value") + base64_suffix))
+        return false;
+    const auto bytes = core::decode_base64(compressed->get<std::string>());
+    value = bytes ? core::decompress(*bytes, size) : std::nullopt;
+    return value.has_value();
+}
+
+/// Encodes a value that is long enough to be compressed; nothing for any other.
+using value_encoder =
+    std::function<const std::string*(const replica_event& event, std::uint64_t era)>;
+
+json to_json(const replica_changes& changes, const value_encoder& encode_long)
 {
     json events = json::array();
     for (const replica_event& event : changes.events)
     {
         json each = {{"revision", event.revision}};
         put_bytes(each, "key", event.key);
-        if (event.value)
+        const std::string* compressed = encode_long(event, changes.era);
+        if (compressed != nullptr)
+        {
+            each["value_zlib"] = *compressed;
+            each["value_bytes"] = event.value->size();
+        }
+        else if (event.value)
             put_bytes(each, "value", *event.value);
         events.push_back(std::move(each));
     }
@@ -162,7 +195,7 @@
         if (has_unreadable(each, {"revision"}, &json::is_number_unsigned))
             return invalid("an event has an unreadable revision");
         replica_event event{std::move(*key), std::nullopt, number_of(each, "revision")};
-        if (!take_bytes(each, "value", event.value))
+        if (!take_value(each, event.value))
             return invalid("the value of '" + event.key + "' is not text");
         changes.events.push_back(std::move(event));
     }
@@ -233,12 +266,22 @@
     return own == known.end() || own->second < changed;
 }
 
-std::string encode_feed(const state_feed& feed)
+std::string feed_encoder::encode(const state_feed& feed)
 {
+    const auto encode_long = [this](const replica_event& event,
+                                    std::uint64_t era) -> const std::string*
+    {
+        if (!event.value || event.value->size() < min_compressed_bytes)
+            return nullptr;
+        encoded_value& known = m_values[event.key];
+        if (known.text.empty() || known.era != era || known.revision != event.revision)
+            known = {era, event.revision, core::encode_base64(core::compress(*event.value))};
+        return &known.text;
+    };
     json prefixes = json::object();
     for (const auto& [prefix, changes] : feed.prefixes)
     {
-        prefixes[prefix] = to_json(changes);
+        prefixes[prefix] = to_json(changes, encode_long);
     }
     json left_out = json::object();
     for (const auto& [prefix, summary] : feed.left_out)
@@ -260,6 +303,11 @@
     return core::json_text(document);
 }
 
+std::string encode_feed(const state_feed& feed)
+{
+    return feed_encoder().encode(feed);
+}
+
 core::result<state_feed> decode_feed(const std::string& text)
 {
     const json document = json::parse(text, nullptr, false);
--- a/packages/serving/src/state_reader.cpp
+++ b/packages/serving/src/state_reader.cpp
@@ -174,7 +174,7 @@
             oldest_read = std::min(oldest_read, each.read_at);
         }
         feed.age = to_ms(now() - oldest_read);
-        return encode_feed(feed);
+        return m_encoder.encode(feed);
     }
 
     std::optional<core::milliseconds> confirmed_age(state_kind kind) const override
@@ -745,6 +745,7 @@
     std::array<published_copy, state_kind_count> m_copies;
     copy_group m_small;
     copy_group m_documents;
+    mutable feed_encoder m_encoder; ///< keeps what it has compressed
 };
 
 } // namespace
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -7,7 +7,7 @@
 )
 libraries=(
   libcpp-httplib-dev libgflags-dev libspdlog-dev libfmt-dev libboost-dev cpputest librapidcheck-dev
-  libflatbuffers-dev libyaml-cpp-dev liburcu-dev libxxhash-dev nlohmann-json3-dev libssl-dev
+  libflatbuffers-dev libyaml-cpp-dev liburcu-dev libxxhash-dev nlohmann-json3-dev libssl-dev zlib1g-dev
 )
 if [ "${1:-}" = --libraries ]; then
   echo "${libraries[@]}"
