--- a/packages/fleet/include/snipeplank/fleet/messages.hpp
+++ b/packages/fleet/include/snipeplank/fleet/messages.hpp
@@ -128,6 +128,15 @@
     friend bool operator==(const stream_origin&, const stream_origin&) = default;
 };
 
+/// @brief The newest change of a kind of published state that a node knows. 16 bytes encoded.
+struct state_change
+{
+    std::uint64_t era = 0;      ///< of the source; revisions are given out again in each
+    std::uint64_t revision = 0; ///< 0: none is known
+
+    friend bool operator==(const state_change&, const state_change&) = default;
+};
+
 /// @brief Total load of the upstreams of one service in one region. 16 bytes encoded.
 struct service_load
 {
@@ -195,6 +204,8 @@
     std::uint16_t nodes_in_region = 0; ///< of the sender
     std::vector<stream_origin> stream_origins;
     std::vector<stream_origin> wanted_origins; ///< asks for an answer in `stream_origins`
+    state_change configuration_change;         ///< of the sender's configuration
+    state_change evacuations_change;           ///< of the zones that it takes for evacuated
 
     friend bool operator==(const gossip&, const gossip&) = default;
 };
--- a/packages/fleet/src/messages.cpp
+++ b/packages/fleet/src/messages.cpp
@@ -44,6 +44,7 @@
 std::size_t size_of(const gossip& value)
 {
     constexpr std::size_t scalars = 16;
+    constexpr std::size_t state_change_bytes = 16;
     constexpr std::size_t vectors = 2;
     constexpr std::size_t struct_vectors = 7;
     std::size_t total = frame_bytes + table_bytes + scalars + vectors * vector_bytes +
@@ -59,6 +60,8 @@
              (value.stream_origins.size() + value.wanted_origins.size()) * stream_origin_bytes;
     for (const region_summary& item : value.regions)
         total += estimated_size(item);
+    for (const state_change& item : {value.configuration_change, value.evacuations_change})
+        total += item.revision > 0 ? state_change_bytes : 0;
     return total;
 }
 
--- a/packages/serving/src/fleet_link.cpp
+++ b/packages/serving/src/fleet_link.cpp
@@ -131,6 +131,8 @@
     body.sender = m_members.self();
     body.sender_region = m_options.region;
     body.digest.version = m_listener.version_in_force();
+    body.configuration_change = m_listener.newest_change(state_kind::configuration);
+    body.evacuations_change = m_listener.newest_change(state_kind::evacuations);
     const node_count counted = m_node_count.to_tell(now());
     body.nodes_in_fleet = saturate(counted.in_fleet);
     body.nodes_in_region = saturate(counted.in_region);
@@ -227,14 +229,25 @@
     if (!m_listener.add_evidence(evidence))
         return;
     m_evidence_sent = time;
+    send_to_few(evidence);
+}
+
+void fleet_link::announce_state()
+{
+    send_to_few(compose(fleet::gossip_kind::announce));
+}
+
+/// Sends a message to the nodes of both regions whose turn it is.
+void fleet_link::send_to_few(const fleet::gossip& body)
+{
     const node_addresses peers = live_peers();
     for (const core::address& each : m_local_evidence_selector.next(peers.local))
     {
-        send_gossip(each, evidence);
+        send_gossip(each, body);
     }
     for (const core::address& each : m_remote_evidence_selector.next(peers.remote))
     {
-        send_gossip(each, evidence);
+        send_gossip(each, body);
     }
 }
 
@@ -295,6 +308,7 @@
 void fleet_link::handle_gossip(const fleet::gossip& received)
 {
     record_readiness(received);
+    m_listener.on_state_told(received);
     m_members.on_gossip(received, now());
     m_node_count.on_told(received.sender_region,
                          {received.nodes_in_fleet, received.nodes_in_region}, now());
--- a/packages/serving/src/fleet_link.hpp
+++ b/packages/serving/src/fleet_link.hpp
@@ -8,6 +8,7 @@
 #include <snipeplank/fleet/membership.hpp>
 #include <snipeplank/serving/node.hpp>
 #include <snipeplank/serving/placement.hpp>
+#include <snipeplank/serving/state_kind.hpp>
 #include <snipeplank/wire/peer_network.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -72,6 +73,12 @@
 
     /// @brief Version of the configuration in force; 0 while there is none.
     virtual core::config_version version_in_force() const = 0;
+
+    /// @brief The newest change of a kind of published state that this node knows.
+    virtual fleet::state_change newest_change(state_kind kind) const = 0;
+
+    /// @brief Another node has named the newest changes that it knows.
+    virtual void on_state_told(const fleet::gossip& received) = 0;
 };
 
 /// @brief Member of the one membership group of all nodes of all regions.
@@ -103,6 +110,10 @@
     /// `fleet_listener::add_evidence` adds; at most once in `min_evidence_interval`.
     void send_evidence();
 
+    /// @brief Tells a few nodes of each kind at once which changes of the published state this one
+    /// knows, so that they need not wait for their turn to read it.
+    void announce_state();
+
     /// @brief Sends origins of streams, and questions for them, to a node.
     void send_origins(const core::address& to, std::vector<fleet::stream_origin> origins,
                       std::vector<fleet::stream_origin> wanted);
@@ -155,6 +166,7 @@
     void record_received(const core::address& peer);
     void send_probes();
     void send_members(const core::address& to);
+    void send_to_few(const fleet::gossip& body);
     void announce_to_members();
     void exchange_loads();
     node_addresses live_peers() const;
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -279,6 +279,7 @@
         }
         m_log.event(line_kind::state_change, "evacuations", {{"zones", names}});
         m_placement.set_evacuations(zones, now());
+        m_fleet.announce_state();
     }
 
     void on_state_read(const state_read& read) override
@@ -390,6 +391,25 @@
                m_fleet.newest_told() <= m_environment.table->version;
     }
 
+    fleet::state_change newest_change(state_kind kind) const override
+    {
+        const store_revision newest = m_adapters.source.changed(kind);
+        return {newest.era, newest.revision};
+    }
+
+    void on_state_told(const fleet::gossip& received) override
+    {
+        const core::address& node = received.sender.id.address;
+        for (const auto& [kind, told] :
+             {std::pair{state_kind::configuration, received.configuration_change},
+              std::pair{state_kind::evacuations, received.evacuations_change}})
+        {
+            const store_revision change{told.era, told.revision};
+            if (m_adapters.source.is_newer(kind, change))
+                m_adapters.source.on_told(kind, change, admin_address_of(node));
+        }
+    }
+
     void wake_in(core::milliseconds span) override
     {
         const core::time_point at = now() + span;
@@ -610,18 +630,23 @@
         return text;
     }
 
+    /// All nodes have the same ports.
+    core::address admin_address_of(const core::address& peer) const
+    {
+        const std::string& own = m_options.admin_address.get();
+        const std::string& other = peer.get();
+        return core::address{other.substr(0, other.rfind(':')) + own.substr(own.rfind(':'))};
+    }
+
     /// Admin addresses of the other live nodes, of one region or of all.
     std::vector<core::address> admin_addresses(const std::optional<core::region_id>& region) const
     {
-        const std::string own_port =
-            m_options.admin_address.get().substr(m_options.admin_address.get().rfind(':'));
         std::vector<core::address> addresses;
         for (const live_node& each : m_nodes)
         {
             if (each.peer == m_options.peer_address || (region && each.region != *region))
                 continue;
-            const std::string& peer = each.peer.get();
-            addresses.emplace_back(peer.substr(0, peer.rfind(':')) + own_port);
+            addresses.push_back(admin_address_of(each.peer));
         }
         return addresses;
     }
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -79,6 +79,14 @@
     std::vector<fleet::upstream_load> own_loads() override { return {}; }
     fleet::region_summary own_region() override { return {}; }
     core::config_version version_in_force() const override { return core::config_version{1}; }
+    fleet::state_change newest_change(state_kind kind) const override
+    {
+        return kind == state_kind::evacuations ? evacuations : fleet::state_change{};
+    }
+    void on_state_told(const fleet::gossip& received) override
+    {
+        told = received.evacuations_change;
+    }
 
     bool uses(const core::address& wanted) const
     {
@@ -91,6 +99,8 @@
     std::vector<fleet::prompt_crash> known_crashes;
     std::size_t crashes_received = 0;
     int call_messages = 0;
+    fleet::state_change evacuations;
+    fleet::state_change told;
 };
 
 } // namespace
--- a/packages/wire/src/decoder_fleet.cpp
+++ b/packages/wire/src/decoder_fleet.cpp
@@ -104,6 +104,13 @@
                   [&](const fb::RegionSummary* item) { to.regions.push_back(region(item)); });
     to.nodes_in_fleet = from.nodes_in_fleet();
     to.nodes_in_region = from.nodes_in_region();
+    for (const auto& [change, into] :
+         {std::pair{from.configuration_change(), &to.configuration_change},
+          std::pair{from.evacuations_change(), &to.evacuations_change}})
+    {
+        if (change != nullptr)
+            *into = {change->era(), change->revision()};
+    }
     return to;
 }
 
--- a/packages/wire/src/encoder_fleet.cpp
+++ b/packages/wire/src/encoder_fleet.cpp
@@ -103,6 +103,11 @@
     const auto regions = list<fb::RegionSummary>(
         value.regions, [this](const fleet::region_summary& item) { return region(item); });
 
+    const auto change_of = [](const fleet::state_change& change)
+    { return fb::StateChange(change.era, change.revision); };
+    const fb::StateChange configuration = change_of(value.configuration_change);
+    const fb::StateChange evacuations = change_of(value.evacuations_change);
+
     const std::string raw = sha256_from_hex(value.digest.manifest_hash);
     fb::Sha256 sha256;
     std::memcpy(&sha256, raw.data(), raw.size());
@@ -112,7 +117,9 @@
         sender_region, value.digest.version.get(), raw.empty() ? nullptr : &sha256, hash_text,
         value.digest.in_force, value.wants_members, members, load_structs, leaving_structs, regions,
         crash_structs, answer_structs, limit_structs, value.nodes_in_fleet, value.nodes_in_region,
-        origin_structs, wanted_structs);
+        origin_structs, wanted_structs,
+        value.configuration_change.revision > 0 ? &configuration : nullptr,
+        value.evacuations_change.revision > 0 ? &evacuations : nullptr);
     return {fb::Body::Gossip, table.Union()};
 }
 
