--- a/packages/serving/include/snipeplank/serving/node.hpp
+++ b/packages/serving/include/snipeplank/serving/node.hpp
@@ -40,9 +40,10 @@
     std::vector<std::string> fleet_keys;
     placement_bounds bounds;
     account_terms accounts;
-    lease_terms home_lease;      ///< for requests that only some regions may serve
-    core::bytes memory{0};       ///< of the machine; 0: not known
-    std::size_t descriptors = 0; ///< that a process may have open; 0: not known
+    lease_terms configuration_lease; ///< within which the configuration counts as the newest one
+    lease_terms evacuation_lease;    ///< the same for the evacuated zones
+    core::bytes memory{0};           ///< of the machine; 0: not known
+    std::size_t descriptors = 0;     ///< that a process may have open; 0: not known
     core::milliseconds entry_point_lifetime{2'000};
     core::milliseconds stop_time{8'000}; ///< from the stop signal until the process is killed
 };
--- a/packages/serving/src/account_admission.hpp
+++ b/packages/serving/src/account_admission.hpp
@@ -16,7 +16,7 @@
 #include <memory>
 #include <optional>
 
-#include "home_admission.hpp"
+#include "state_admission.hpp"
 
 namespace snipeplank::serving
 {
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -28,8 +28,8 @@
 #include "call_statistics.hpp"
 #include "crash_guard.hpp"
 #include "held_answers.hpp"
-#include "home_admission.hpp"
 #include "serving_end.hpp"
+#include "state_admission.hpp"
 #include "stream_binding.hpp"
 #include "stream_durations.hpp"
 #include "suspension_watch.hpp"
@@ -72,7 +72,7 @@
     crash_guard& crashes;
     stream_directory& streams;
     account_admission& accounts;
-    const home_admission& homes;
+    const state_admission& homes;
     call_log& log;
     call_statistics& statistics;
     std::shared_ptr<const routing_table> table; ///< null before the first configuration
--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -31,6 +31,7 @@
 #include "serving_end.hpp"
 #include "stream_directory.hpp"
 #include "suspension_watch.hpp"
+#include "told_changes.hpp"
 
 namespace snipeplank::serving
 {
@@ -128,7 +129,7 @@
           m_fleet(loop, m_options, m_random, *this, wire::make_peer_network()),
           m_streams(m_options.region, *this, [this] { return list_age(); }),
           m_accounts(m_options.accounts, *this, m_random.next(), *this),
-          m_homes(m_options.home_lease, *this),
+          m_homes(m_options.configuration_lease, *this),
           m_peers(
               loop, m_fleet.network(),
               {m_options.region, m_options.zone, {m_options.peer_address, m_fleet.incarnation()}},
@@ -299,8 +300,10 @@
         std::vector<region_node> others;
         std::vector<live_node> all_others;
         std::vector<policy::quota_node> quota_nodes;
+        std::set<core::address> live;
         for (const live_node& each : m_nodes)
         {
+            live.insert(each.peer);
             if (each.region != m_options.region)
                 others.push_back({each.peer, each.region});
             if (each.peer == m_options.peer_address)
@@ -310,6 +313,7 @@
         }
         m_accounts.quotas().set_nodes(m_options.peer_address, m_options.region,
                                       std::move(quota_nodes));
+        m_told.keep(live);
         m_peers.set_nodes(std::move(others));
         m_streams.set_nodes(all_others, now());
         sharing_nodes sharing = m_fleet.sharing();
@@ -391,6 +395,12 @@
                m_fleet.newest_told() <= m_environment.table->version;
     }
 
+    bool is_behind() const override
+    {
+        return is_behind(state_kind::configuration, m_options.configuration_lease) ||
+               is_behind(state_kind::evacuations, m_options.evacuation_lease);
+    }
+
     fleet::state_change newest_change(state_kind kind) const override
     {
         const store_revision newest = m_adapters.source.changed(kind);
@@ -405,6 +415,7 @@
               std::pair{state_kind::evacuations, received.evacuations_change}})
         {
             const store_revision change{told.era, told.revision};
+            m_told.on_told(node, kind, change);
             if (m_adapters.source.is_newer(kind, change))
                 m_adapters.source.on_told(kind, change, admin_address_of(node));
         }
@@ -630,6 +641,12 @@
         return text;
     }
 
+    bool is_behind(state_kind kind, const lease_terms& lease) const
+    {
+        return !lease.allow(m_adapters.source.confirmed_age(kind)) &&
+               m_adapters.source.is_newer(kind, m_told.newest(kind));
+    }
+
     /// All nodes have the same ports.
     core::address admin_address_of(const core::address& peer) const
     {
@@ -931,6 +948,7 @@
     std::optional<core::time_point> m_origins_due;
     std::vector<live_node> m_nodes;
     fleet_contact m_contact;
+    told_changes m_told;
     upstream_map m_upstreams;
     stop_schedule m_stopping;
     core::time_point m_stop_began{};
--- a/packages/serving/src/state_admission.cpp
+++ b/packages/serving/src/state_admission.cpp
@@ -1,4 +1,4 @@
-#include "home_admission.hpp"
+#include "state_admission.hpp"
 
 namespace snipeplank::serving
 {
@@ -6,7 +6,7 @@
 namespace
 {
 
-/// Retry-after while the configuration is not confirmed: the store may answer at any time.
+/// Retry-after while the state is not confirmed: the store may answer at any time.
 constexpr core::milliseconds unconfirmed_retry{500};
 
 } // namespace
@@ -17,13 +17,15 @@
             "come back after the time given, or ask another node", unconfirmed_retry};
 }
 
-bool home_admission::are_current() const
+bool state_admission::are_current() const
 {
     return m_terms.allow(m_evidence.confirmed_age()) || m_evidence.is_newest_in_fleet();
 }
 
-std::optional<policy::refusal> home_admission::find_refusal(const home_regions& homes) const
+std::optional<policy::refusal> state_admission::find_refusal(const home_regions& homes) const
 {
+    if (m_evidence.is_behind())
+        return unconfirmed_refusal();
     if (!homes.is_restricted() || are_current())
         return std::nullopt;
     return unconfirmed_refusal();
--- a/packages/serving/src/state_admission.hpp
+++ b/packages/serving/src/state_admission.hpp
@@ -1,8 +1,8 @@
 /// @file
-/// Decides by its homes whether a request may be served now.
+/// Decides by the age of what this node knows whether a request may be served now.
 
-#ifndef SNIPEPLANK_SERVING_SRC_HOME_ADMISSION_HPP
-#define SNIPEPLANK_SERVING_SRC_HOME_ADMISSION_HPP
+#ifndef SNIPEPLANK_SERVING_SRC_STATE_ADMISSION_HPP
+#define SNIPEPLANK_SERVING_SRC_STATE_ADMISSION_HPP
 
 #include <snipeplank/policy/refusal.hpp>
 #include <snipeplank/serving/configuration_lease.hpp>
@@ -28,19 +28,25 @@
     /// @brief Whether this node reaches most nodes of the fleet and has heard of no newer
     /// configuration from any.
     virtual bool is_newest_in_fleet() const = 0;
+
+    /// @brief Whether this node's configuration, or its evacuations, were confirmed longer ago than
+    /// they may be, while a live node has named newer ones.
+    virtual bool is_behind() const = 0;
 };
 
-/// @brief The homes of a node's requests. Used on the event loop only.
+/// @brief Whether a node's state is new enough for its requests. Used on the event loop only.
 ///
+/// A node that knows that it is behind serves nothing: another one can. One that merely hears of
+/// nothing new goes on, so that an isolated region serves its own, but for requests with homes.
 /// Homes move with a configuration, and a node that is cut off does not hear of it. Data that ran
 /// in a wrong region can't be taken back, so such a node refuses what only some regions may serve.
 /// While the store can't be read by anyone, the nodes that reach most others go on: one of these
 /// that could read it would tell them.
-class home_admission
+class state_admission
 {
   public:
     /// @param evidence outlives the object
-    home_admission(lease_terms terms, const configuration_evidence& evidence)
+    state_admission(lease_terms terms, const configuration_evidence& evidence)
         : m_terms(terms), m_evidence(evidence)
     {
     }
@@ -51,7 +57,7 @@
     /// @brief Whether the homes of the configuration in force may be relied on now.
     bool are_current() const;
 
-    /// @brief Whether a request with these homes may be served in one of them now.
+    /// @brief Whether a request may be served now, and in one of these homes.
     /// @return why it is refused, or nothing
     std::optional<policy::refusal> find_refusal(const home_regions& homes) const;
 
--- a/packages/serving/tests/call_fixture.hpp
+++ b/packages/serving/tests/call_fixture.hpp
@@ -455,9 +455,11 @@
   public:
     std::optional<core::milliseconds> confirmed_age() const override { return age; }
     bool is_newest_in_fleet() const override { return is_newest; }
+    bool is_behind() const override { return has_newer_told; }
 
     std::optional<core::milliseconds> age{0};
     bool is_newest = false;
+    bool has_newer_told = false;
 };
 
 const core::region_id own_region{"salzkammer"};
@@ -725,7 +727,7 @@
     stream_directory m_streams;
     no_quota_network m_quota_network;
     account_admission m_accounts;
-    home_admission m_homes;
+    state_admission m_homes;
     call_statistics m_statistics;
     call_environment m_environment;
     upstream_map m_published;
--- a/packages/serving/tests/home_history.hpp
+++ b/packages/serving/tests/home_history.hpp
@@ -25,7 +25,7 @@
 #include <utility>
 #include <vector>
 
-#include "../src/home_admission.hpp"
+#include "../src/state_admission.hpp"
 #include "property.hpp"
 
 namespace snipeplank::serving::tests
@@ -70,7 +70,7 @@
 {
     core::region_id region;
     replica items = replica();
-    configuration_confirmation confirmation;
+    state_confirmation confirmation;
     std::map<std::size_t, core::time_point> heard; ///< the last message of each other node
     std::uint64_t newest_told = 0;
     core::time_point next_read = begin;
@@ -112,6 +112,11 @@
                m_node.newest_told <= m_node.version();
     }
 
+    bool is_behind() const override
+    {
+        return m_node.newest_told > m_node.version() && !terms.allow(confirmed_age());
+    }
+
   private:
     const model_node& m_node;
     std::size_t m_fleet_size;
@@ -390,7 +395,8 @@
     bool refuses(const model_node& node, const home_regions& homes)
     {
         const node_evidence evidence(node, m_nodes.size(), m_now);
-        const bool is_refused = home_admission(terms, evidence).find_refusal(homes) != std::nullopt;
+        const bool is_refused =
+            state_admission(terms, evidence).find_refusal(homes) != std::nullopt;
         m_refused += is_refused ? 1 : 0;
         return is_refused;
     }
