--- a/packages/serving/src/state_reader.cpp
+++ b/packages/serving/src/state_reader.cpp
@@ -255,7 +255,7 @@
                                       : read.error().message);
                 copy.connection.reset();
                 copy.needs_listing = true;
-                co_await wait_for(read ? refused_retry_delay : retry_delay);
+                co_await wait_for(retry_delay_after(read));
                 continue;
             }
             // Until a listing shows nothing new: a watch would bring each version in between.
@@ -266,6 +266,16 @@
         }
     }
 
+    /// A store that can't be reached may be back at once; one that answers of no use is asked less
+    /// often.
+    static core::milliseconds retry_delay_after(const core::result<read_result>& read)
+    {
+        const bool has_answered =
+            read || (read.error().code != core::error_code::connection_closed &&
+                     read.error().code != core::error_code::upstream_timeout);
+        return has_answered ? refused_retry_delay : retry_delay;
+    }
+
     /// Whether the changes since the copy was last confirmed may be more than the state itself.
     bool has_long_history(const published_copy& copy) const
     {
