--- a/packages/serving/src/replica.cpp
+++ b/packages/serving/src/replica.cpp
@@ -77,7 +77,9 @@
 {
     const value_version listed = version_of(key, item.value);
     const auto removed = m_removals.find(key);
-    if (removed != m_removals.end() && listed <= removed->second.version)
+    // Nothing orders a value without a version and its removal: the list stands.
+    const bool is_ordered = listed != value_version{};
+    if (removed != m_removals.end() && is_ordered && listed <= removed->second.version)
         return false;
     const auto known = m_items.find(key);
     if (known != m_items.end() && listed <= version_of(key, known->second.value))
--- a/packages/serving/tests/store_era_test.cpp
+++ b/packages/serving/tests/store_era_test.cpp
@@ -139,6 +139,28 @@
     CHECK_FALSE(subject.items().contains("a"));
 }
 
+// Fails when an item that nothing orders against its removal, as an evacuation, stays unknown
+// although the store that came back lists it: the zone gets requests for good (EVAC, issue 73).
+TEST(store_era, a_listed_item_without_a_version_is_known_although_it_was_removed_before)
+{
+    struct row
+    {
+        const char* name;
+        version_reader version;
+        bool is_known;
+    };
+    for (const row& each :
+         {row{"without a version", nullptr, true}, row{"older", version_of, false}})
+    {
+        replica subject(each.version);
+        subject.on_reachable(begin);
+        subject.on_snapshot({{"zone", {"1", 10}}}, 10, begin, 1);
+        subject.on_events({{"zone", std::nullopt, 12}}, 12, begin);
+        subject.on_snapshot({{"zone", {"1", 9}}}, 9, begin, 2);
+        CHECK_EQUAL_TEXT(each.is_known, subject.items().contains("zone"), each.name);
+    }
+}
+
 // Fails when answers of an earlier era, or another node in it, take a node back.
 TEST(store_era, an_earlier_era_changes_nothing)
 {
