--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -126,6 +126,11 @@
     }
     m_line.config_version = m_table->version.get();
     m_route = m_table->find(m_caller.host, http::path_of(m_exchange.head().target));
+    if (!knows_choice_of_entry())
+    {
+        why = unconfirmed_refusal();
+        return false;
+    }
     if (m_route == nullptr || m_route->services.empty())
     {
         why = {policy::refusal_reason::unknown_service, policy::execution::no,
@@ -139,7 +144,9 @@
         why = std::move(*refused);
         return false;
     }
-    m_service = choose_service(*m_route, uniform_value(first_attempt_of(m_caller)));
+    m_service = is_behind_entry()
+                    ? m_forwarded->service
+                    : choose_service(*m_route, uniform_value(first_attempt_of(m_caller)));
     m_line.service = m_service.get();
     m_resume_from = m_caller.last_event_id;
     m_stream.set_request(m_caller, *m_route, m_service);
@@ -157,6 +164,23 @@
     return !is_hopeless;
 }
 
+/// Whether the entry node of a forwarded call judges by a newer configuration.
+bool call::is_behind_entry() const
+{
+    return m_forwarded && m_forwarded->config_version > m_table->version;
+}
+
+/// Whether the route of this node's configuration offers what a newer one has chosen. Otherwise
+/// only a node that has the newer one can serve the call.
+bool call::knows_choice_of_entry() const
+{
+    if (!is_behind_entry())
+        return true;
+    return m_route != nullptr && std::any_of(m_route->services.begin(), m_route->services.end(),
+                                             [&](const weighted_service& each)
+                                             { return each.service == m_forwarded->service; });
+}
+
 /// Whether the request is for a stream that usually takes longer than a stopping node has left.
 bool call::may_outlast(core::time_point end) const
 {
@@ -374,9 +398,9 @@
         http::request_head head = m_environment.upstreams.resume(m_exchange.head(), m_resume_from);
         if (m_account.name())
             head = m_environment.upstreams.without_key(head);
-        const forwarding_options options{remaining(), m_stream.required(),
-                                         m_account.name().value_or(core::account_id{}),
-                                         m_tried_nodes};
+        const forwarding_options options{
+            remaining(),   m_stream.required(), m_account.name().value_or(core::account_id{}),
+            m_tried_nodes, m_table->version,    m_service};
         auto sent = m_environment.regions.call(region->region, head, m_exchange.body(), options);
         if (const auto node = sent ? sent->node() : std::nullopt)
             m_tried_nodes.push_back(*node);
--- a/packages/serving/src/call.hpp
+++ b/packages/serving/src/call.hpp
@@ -44,6 +44,8 @@
     policy::software_version_key software_version; ///< the only one at which it may run; 0: any
     core::account_id account;                      ///< as the entry node has found it; empty: none
     std::vector<core::address> tried_nodes = {};   ///< are not asked again
+    core::config_version config_version = {};      ///< by which the entry node judges
+    core::service_id service = {};                 ///< that it has chosen
 };
 
 /// @brief Creates attempts at nodes of other regions.
@@ -92,6 +94,8 @@
     core::account_id account = {}; ///< as the entry node has found it; empty: none
     /// Tells the other node which software version answers, before the answer begins.
     std::function<void(policy::software_version_key)> tell_version = nullptr;
+    core::config_version config_version = {}; ///< by which the entry node judges; 0: not told
+    core::service_id service = {};            ///< that it has chosen by that version
 };
 
 /// @brief Serves one request. Owned by the coroutine that runs it.
@@ -117,6 +121,8 @@
     };
 
     bool prepare(policy::refusal& why);
+    bool is_behind_entry() const;
+    bool knows_choice_of_entry() const;
     bool may_outlast(core::time_point end) const;
     std::optional<policy::refusal> find_account();
     core::milliseconds time_limit() const;
--- a/packages/serving/src/peer_calls.cpp
+++ b/packages/serving/src/peer_calls.cpp
@@ -411,6 +411,8 @@
     what.request.headers = request.headers;
     what.request.body = body;
     what.request.software_version = options.software_version;
+    what.request.config_version = options.config_version;
+    what.request.service = options.service;
     const core::address peer = nodes[m_random.below(nodes.size())]->peer;
     return std::make_unique<peer_attempt>(*this, m_loop, peer, std::move(what), options.remaining);
 }
@@ -444,7 +446,8 @@
     m_server(std::move(request),
              {received.request.remaining, [raw](const policy::refusal& why) { raw->refuse(why); },
               received.request.software_version, received.request.account,
-              [raw](policy::software_version_key version) { raw->set_version(version); }});
+              [raw](policy::software_version_key version) { raw->set_version(version); },
+              received.request.config_version, received.request.service});
 }
 
 /// The first body always fits.
--- a/packages/serving/tests/homes_test.cpp
+++ b/packages/serving/tests/homes_test.cpp
@@ -147,6 +147,85 @@
     }
 }
 
+// Fails when a node that knows of newer state than its own goes on by its own (CONFIG, EVAC, issue
+// 73), or when one that only hears of nothing new refuses.
+TEST(homes, a_node_that_knows_that_it_is_behind_serves_nothing)
+{
+    struct row
+    {
+        const char* name;
+        bool is_forwarded;
+        bool has_newer_told;
+    };
+    for (const row& each :
+         {row{"client, nothing told", false, false}, row{"client", false, true},
+          row{"forwarded, nothing told", true, false}, row{"forwarded", true, true}})
+    {
+        call_fixture node({});
+        scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+        node.set_route(shop_route());
+        node.publish("i-1", upstream.address());
+        node.evidence.age = 60s;
+        node.evidence.has_newer_told = each.has_newer_told;
+        std::optional<policy::refusal> refused;
+        std::optional<forwarded_from> from;
+        if (each.is_forwarded)
+            from = forwarded_from{3s, [&](const policy::refusal& why) { refused = why; }};
+        node.finish(node.start(request(), from));
+        LONGS_EQUAL_TEXT(each.has_newer_told ? 0 : 1, upstream.requests().size(), each.name);
+        if (!each.has_newer_told)
+            continue;
+        const policy::refusal why = refused.value_or(node.last_refusal());
+        CHECK_TRUE_TEXT(why.reason == policy::refusal_reason::configuration_unconfirmed, each.name);
+        CHECK_TRUE_TEXT(why.executed == policy::execution::no && why.retry_after > 0ms, each.name);
+    }
+}
+
+// Fails when a forwarded call is judged by an older version than the one of its entry node: it runs
+// at the service that the route had before, or is refused as unknown (CONFIG, issue 73).
+TEST(homes, a_node_behind_the_entry_node_keeps_to_its_choice)
+{
+    struct row
+    {
+        const char* name;
+        std::uint64_t entry_version; ///< this node has version 1
+        const char* chosen;          ///< by the entry node; this node's route has "shop"
+        const char* path;
+        bool is_served;
+        policy::refusal_reason reason = policy::refusal_reason::configuration_unconfirmed;
+    };
+    constexpr auto unknown = policy::refusal_reason::unknown_service;
+    const row rows[] = {
+        {"same version", 1, "shop", "/a/", true},
+        {"not told", 0, "", "/a/", true},
+        {"newer, same service", 2, "shop", "/a/", true},
+        {"newer, another service", 2, "stall", "/a/", false},
+        {"older, another service", 0, "stall", "/a/", true},
+        {"newer, route is added", 2, "stall", "/b/", false},
+        {"same version, no such route", 1, "stall", "/b/", false, unknown},
+    };
+    for (const row& each : rows)
+    {
+        call_fixture node({});
+        scripted_upstream upstream(node.loop, {plain_answer(0ms)});
+        node.set_route(shop_route());
+        node.move_route("/a/");
+        node.publish("i-1", upstream.address());
+        std::optional<policy::refusal> refused;
+        forwarded_from from{3s, [&](const policy::refusal& why) { refused = why; }};
+        from.config_version = core::config_version{each.entry_version};
+        from.service = core::service_id{each.chosen};
+        http::request_head head = request();
+        head.target = each.path;
+        node.finish(node.start(head, from));
+        LONGS_EQUAL_TEXT(each.is_served, upstream.requests().size(), each.name);
+        if (each.is_served)
+            continue;
+        CHECK_TRUE_TEXT(refused && refused->reason == each.reason, each.name);
+        CHECK_TRUE_TEXT(refused->executed == policy::execution::no, each.name);
+    }
+}
+
 // Fails when the homes of an account bind for longer than its configuration counts, although keys
 // are accepted from it (issue 70, HOME).
 TEST(homes, homes_of_an_account_need_a_confirmed_configuration_also_on_public_routes)
--- a/packages/wire/include/snipeplank/wire/messages.hpp
+++ b/packages/wire/include/snipeplank/wire/messages.hpp
@@ -71,6 +71,8 @@
     std::string body;
     /// The only one at which the stream may go on, of which this is a continuation; 0: any.
     policy::software_version_key software_version;
+    /// Of the configuration by which the entry node has chosen `service`; 0: not told.
+    core::config_version config_version;
 
     friend bool operator==(const call_request&, const call_request&) = default;
 };
--- a/packages/wire/src/decoder.cpp
+++ b/packages/wire/src/decoder.cpp
@@ -85,6 +85,7 @@
     to.headers = headers(from->headers());
     to.body = text(from->body());
     to.software_version = policy::software_version_key{from->software_version()};
+    to.config_version = core::config_version{from->config_version()};
     return to;
 }
 
--- a/packages/wire/src/encoder.cpp
+++ b/packages/wire/src/encoder.cpp
@@ -67,10 +67,10 @@
     const auto target = text(value.target);
     const auto header_tables = headers(value.headers);
     const auto body = text(value.body);
-    return fb::CreateCallRequest(m_builder, service, account, home,
-                                 static_cast<std::uint8_t>(value.residency), value.is_interactive,
-                                 request_id, value.remaining.count(), hops, method, target,
-                                 header_tables, body, value.software_version.get());
+    return fb::CreateCallRequest(
+        m_builder, service, account, home, static_cast<std::uint8_t>(value.residency),
+        value.is_interactive, request_id, value.remaining.count(), hops, method, target,
+        header_tables, body, value.software_version.get(), value.config_version.get());
 }
 
 encoder::body encoder::operator()(const hello& value)
--- a/packages/wire/tests/arbitrary_message.hpp
+++ b/packages/wire/tests/arbitrary_message.hpp
@@ -105,6 +105,7 @@
     to.headers = any_headers();
     to.body = any<std::string>();
     to.software_version = any_strong<policy::software_version_key>();
+    to.config_version = any_strong<core::config_version>();
     return to;
 }
 
@@ -180,6 +181,15 @@
     to.regions = any_list(any_region);
     to.nodes_in_fleet = any<std::uint16_t>();
     to.nodes_in_region = any<std::uint16_t>();
+    // A change without a revision is none, and is not encoded.
+    const auto any_change = []
+    {
+        const auto revision = any<std::uint64_t>();
+        return revision == 0 ? fleet::state_change{}
+                             : fleet::state_change{any<std::uint64_t>(), revision};
+    };
+    to.configuration_change = any_change();
+    to.evacuations_change = any_change();
     const auto any_origin = [] {
         return fleet::stream_origin{any<std::uint64_t>(), any<std::uint32_t>(),
                                     any<std::uint32_t>()};
