--- a/packages/serving/src/state_reader.cpp
+++ b/packages/serving/src/state_reader.cpp
@@ -57,16 +57,21 @@
     core::time_point failing_since{};
     core::time_point read_at{}; ///< when the store last answered, here or at another node
     state_confirmation confirmation;
-    core::milliseconds applied{0}; ///< how long the latest change took to apply
-    std::size_t transfers = 0;     ///< answers with this kind that have begun
-    bool needs_listing = true;     ///< the changes since are not to be asked for
+    core::milliseconds applied{0};     ///< how long the latest change took to apply
+    std::size_t transfers = 0;         ///< answers with this kind that have begun
+    core::time_point transfer_began{}; ///< of the first of these
+    bool needs_listing = true;         ///< the changes since are not to be asked for
 };
 
 /// An answer that has begun and is still arriving.
 class transfer
 {
   public:
-    explicit transfer(published_copy& copy) : m_copy(copy) { ++m_copy.transfers; }
+    explicit transfer(published_copy& copy) : m_copy(copy)
+    {
+        if (m_copy.transfers++ == 0)
+            m_copy.transfer_began = now();
+    }
     ~transfer() { --m_copy.transfers; }
     transfer(const transfer&) = delete;
     transfer& operator=(const transfer&) = delete;
@@ -494,8 +499,10 @@
 
     bool needs_copy(const copy_group& group, const published_copy& copy) const
     {
-        // One transfer of a document at a time: a second one would slow down the first.
-        if (is_document(copy.kind) && copy.transfers > 0)
+        // A second transfer of a document would slow down the first, unless that is slow anyway:
+        // other nodes send it compressed.
+        if (is_document(copy.kind) && copy.transfers > 0 &&
+            now() - copy.transfer_began < slow_transfer)
             return false;
         const bool fails = copy.failing_since != core::time_point{} &&
                            now() - copy.failing_since > peer_copy_delay;
--- a/packages/serving/tests/fleet_link_test.cpp
+++ b/packages/serving/tests/fleet_link_test.cpp
@@ -245,6 +245,33 @@
     LONGS_EQUAL(1, listener.crashes_received);
 }
 
+// Fails when a node does not tell the others at once which changes of the published state it knows,
+// or does not hand on what it is told (EVAC, issue 73).
+TEST(fleet_link, changes_of_the_published_state_are_told_at_once)
+{
+    const auto told_to_peer = [this](std::uint64_t revision)
+    {
+        return std::any_of(network->sent.begin(), network->sent.end(),
+                           [&](const auto& each)
+                           {
+                               const auto* body = std::get_if<fleet::gossip>(&each.second);
+                               return each.first == peer && body != nullptr &&
+                                      body->evacuations_change.revision == revision;
+                           });
+    };
+    listener.evacuations = {1, 9};
+    CHECK_FALSE(told_to_peer(9));
+    link->announce_state();
+    CHECK_TRUE(told_to_peer(9));
+    fleet::gossip received;
+    received.sender = {identity.node, core::address{"10.0.0.2:2"}, remote_zone};
+    received.digest.version = core::config_version{1};
+    received.evacuations_change = {1, 12};
+    link->on_message(identity, received);
+    run_for(core::milliseconds{0});
+    CHECK_TRUE((listener.told == fleet::state_change{1, 12}));
+}
+
 // Fails when the other nodes hear of a crash only with the next load report, so that the caller's
 // repetition reaches one that knows nothing, or when many crashes cause a message each.
 TEST(fleet_link, evidence_of_a_crash_is_sent_at_once)
--- a/packages/serving/tests/state_feed_test.cpp
+++ b/packages/serving/tests/state_feed_test.cpp
@@ -331,6 +331,10 @@
         R"({"age_ms":1,"prefixes":{"op/":{"events":[],"position":-1}}})",
         R"({"age_ms":1,"prefixes":{"op/":{"events":[],"complete":1}}})",
         R"({"age_ms":1,"prefixes":{"op/":{"events":[{"key":"a","revision":"3"}]}}})",
+        R"({"age_ms":1,"evacuations_age_ms":-1,"prefixes":{}})",
+        R"({"age_ms":1,"prefixes":{},"left_out":[]})",
+        R"({"age_ms":1,"prefixes":{},"left_out":{"op/":{"changed":3}}})",
+        R"({"age_ms":1,"prefixes":{},"left_out":{"op/":{"changed":"3","age_ms":1}}})",
         std::string(R"({"age_ms":1,"prefixes":{"op/":{"events":[],"pending_removals":)") +
             R"([{"key":"a","revision":1,"remaining_ms":"9000"}]}}})",
     };
@@ -354,6 +358,81 @@
     }
 }
 
+// Fails when a long value, as a configuration with many routes, is sent in full, or comes back as
+// another one (CONFIG, issue 73).
+TEST(state_feed, long_values_are_compressed)
+{
+    std::string document;
+    for (int i = 0; i < 1'400; ++i)
+    {
+        document +=
+            R"({"Host":"shop.example","PathPrefix":"/)" + std::to_string(i * i) + "/\"}\xff";
+    }
+    const state_feed feed{
+        7, 0ms, {{"op/", {true, {{"op/a", document, 3}, {"op/b", "b", 4}}, 4, 9}}}};
+    feed_encoder encoder;
+    const std::string text = encoder.encode(feed);
+    constexpr std::size_t least_gain = 5;
+    CHECK_TRUE(text.size() * least_gain < document.size());
+    CHECK_TRUE(encoder.encode(feed) == text);
+    const auto events = decode_feed(text).value().prefixes.at("op/").events;
+    LONGS_EQUAL(2, events.size());
+    CHECK_TRUE(events[0].value == document && events[1].value == "b");
+    state_feed changed = feed;
+    changed.prefixes.at("op/").events[0] = {"op/a", document + "!", 5};
+    const auto again = decode_feed(encoder.encode(changed)).value().prefixes.at("op/").events;
+    CHECK_TRUE(again[0].value == document + "!");
+}
+
+// Fails when a compressed value that is damaged, too long, or beside a plain one passes for a
+// value.
+TEST(state_feed, damaged_compressed_values_are_errors)
+{
+    for (const char* odd :
+         {R"("value_zlib":"AAAA","value_bytes":3)", R"("value_zlib":7,"value_bytes":3)",
+          R"("value_zlib":"?","value_bytes":3)",
+          R"("value_zlib":"eJwDAAAAAAE=","value_bytes":9000000000)",
+          R"("value_zlib":"eJwDAAAAAAE=","value_bytes":0,"value":"")"})
+    {
+        const std::string feed =
+            std::string(R"({"age_ms":1,"prefixes":{"op/":{"events":[{"key":"a","revision":3,)") +
+            odd + "}]}}}";
+        CHECK_FALSE_TEXT(decode_feed(feed).has_value(), odd);
+    }
+}
+
+// Fails when a node is sent what it did not ask for or has already, or is not told how new it is.
+TEST(state_feed, what_is_not_wanted_is_only_told_of)
+{
+    struct row
+    {
+        const char* name;
+        feed_position asked;
+        bool is_wanted;
+    };
+    const store_revision changed{1, 8};
+    const row rows[] = {
+        {"everything", {}, true},
+        {"this", {0, {}, {"op/"}, {}}, true},
+        {"another", {0, {}, {"servers/"}, {}}, false},
+        {"older known", {0, {}, {}, {{"op/", {1, 7}}}}, true},
+        {"same known", {0, {}, {"op/"}, {{"op/", {1, 8}}}}, false},
+        {"another era known", {0, {}, {}, {{"op/", {0, 99}}}}, true},
+    };
+    for (const row& each : rows)
+    {
+        const feed_position received = decode_position(query_to(each.asked));
+        CHECK_EQUAL_TEXT(each.is_wanted, received.wants("op/", changed), each.name);
+    }
+    state_feed feed{7, 0ms, {}};
+    feed.left_out["op/"] = {changed, 12ms};
+    feed.confirmed_age_of(state_kind::evacuations) = 5ms;
+    const state_feed again = decode_feed(encode_feed(feed)).value();
+    CHECK_TRUE(again.left_out == feed.left_out);
+    CHECK_TRUE(again.confirmed_age_of(state_kind::evacuations) == 5ms);
+    CHECK_FALSE(again.confirmed_age_of(state_kind::upstreams).has_value());
+}
+
 // Fails when a node keeps following one that is silent, behind or incomplete, and so learns of a
 // change of the published state too late.
 TEST(state_feed, a_follower_reads_the_source_itself_without_recent_feeds)
