--- a/packages/serving/include/snipeplank/serving/state_timing.hpp
+++ b/packages/serving/include/snipeplank/serving/state_timing.hpp
@@ -70,7 +70,7 @@
 }
 
 /// A document whose transfer has taken this long is copied from another node.
-constexpr core::milliseconds slow_transfer{2'000};
+constexpr core::milliseconds slow_transfer{1'000};
 /// How long reads of the store must have failed before the state is copied from a peer.
 constexpr core::milliseconds peer_copy_delay{500};
 /// Interval at which a follower asks its node for changes.
