--- a/packages/http/tests/fetch_test.cpp
+++ b/packages/http/tests/fetch_test.cpp
@@ -85,7 +85,11 @@
                                         std::optional<std::string>& body)
 {
     const request_target target("/");
-    if (!co_await connection.connect(2'000ms) || !co_await fetch_head(connection, target, 2'000ms))
+    const auto connected = co_await connection.connect(2'000ms);
+    if (!connected)
+        co_return;
+    const auto head = co_await fetch_head(connection, target, 2'000ms);
+    if (!head)
         co_return;
     auto read = co_await fetch_body(connection, limits);
     if (read)
--- a/packages/serving/src/state_reader.cpp
+++ b/packages/serving/src/state_reader.cpp
@@ -553,9 +553,11 @@
                     kinds.push_back(each);
             }
             const auto node = node_to_copy(group, turn);
-            if (kinds.empty() || !node || co_await copy_node(*node, kinds))
+            if (kinds.empty() || !node)
                 continue;
-            forget_told(group, *node);
+            const bool is_copied = co_await copy_node(*node, kinds);
+            if (!is_copied)
+                forget_told(group, *node);
         }
     }
 
