--- a/packages/fleet/tests/config_store_test.cpp
+++ b/packages/fleet/tests/config_store_test.cpp
@@ -253,6 +253,35 @@
     UNSIGNED_LONGS_EQUAL(3, store.in_force().version.get());
 }
 
+/// Guards against a text that is thrown away because it took longer than its request may (CONFIG,
+/// issue 73): over a slow link it would never arrive, however often it is asked for.
+TEST(config_store, a_text_that_arrives_late_is_taken_whoever_was_asked_since)
+{
+    for (const auto late : {milliseconds{500}, milliseconds{1'500}, milliseconds{8'000}})
+    {
+        core::seeded_random random(1);
+        config_store store(test_documents(), random);
+        const core::time_point begin{seconds{100}};
+        const publication made = make_publication(3, 0, "");
+        const std::string hash = core::sha256_hex(made.manifest);
+        const core::address first{"10.0.0.1:7000"};
+        const core::address second{"10.0.0.2:7000"};
+        store.start(begin);
+        for (const core::address& peer : {first, second})
+        {
+            store.on_digest(peer, peer_distance::same_zone, {core::config_version{3}, hash, true},
+                            begin);
+        }
+        for (milliseconds passed{0}; passed < late; passed += milliseconds{100})
+        {
+            store.on_tick(begin + passed);
+        }
+        store.on_reply(first, {hash, true, made.manifest, {}, {}}, begin + late);
+        store.on_tick(begin + late + seconds{10});
+        UNSIGNED_LONGS_EQUAL(3, store.in_force().version.get());
+    }
+}
+
 /// Guards against deltas that produce another text; the hash check rejects it, but it costs a
 /// retry.
 TEST(config_store, a_delta_rebuilds_its_text)
