--- a/tests/slow_link_test.cpp
+++ b/tests/slow_link_test.cpp
@@ -37,10 +37,10 @@
         fleet->publish_configuration(config);
     }
 
-    bool has_version(int version) const
+    bool has_version(int version, std::size_t node = 0) const
     {
         const std::string wanted = "snipeplank_config_version " + std::to_string(version) + "\n";
-        return http_get(fleet->node(0).admin, "/metrics").body.find(wanted) != std::string::npos;
+        return http_get(fleet->node(node).admin, "/metrics").body.find(wanted) != std::string::npos;
     }
 
     bool has_evacuated(const std::string& zone) const
@@ -125,3 +125,25 @@
     const auto confirmed = std::chrono::steady_clock::now();
     CHECK_TRUE(comes_true(confirmed + bound, [&] { return has_version(10 + changes - 1); }));
 }
+
+// Fails when a node waits for its own slow link although another node that it talks to has the
+// configuration (CONFIG, issue 73).
+TEST(slow_link, a_node_gets_the_configuration_from_one_that_has_it)
+{
+    fleet =
+        std::make_unique<machine_fleet>(std::vector<std::string>{home, home}, store_path::relayed);
+    fleet->publish_configuration(3);
+    fleet->add_server("i-s", "shop", home);
+    const std::string slow_path = fleet->store_relay().address();
+    fleet->use_store(fleet->store().address());
+    fleet->start_node(0);
+    fleet->wait_until_served(0, "/read/x");
+    fleet->use_store(slow_path);
+    fleet->start_node(1);
+    fleet->wait_until_served(1, "/read/x");
+    // 0.4 MB take 20 s.
+    fleet->store_relay().set_faults({{"rate_bytes_per_s", 20'000}});
+    publish(9, large);
+    const auto confirmed = std::chrono::steady_clock::now();
+    CHECK_TRUE(comes_true(confirmed + bound, [&] { return has_version(9, 1); }));
+}
