--- a/packages/serving/src/call.cpp
+++ b/packages/serving/src/call.cpp
@@ -125,6 +125,12 @@
         return false;
     }
     m_line.config_version = m_table->version.get();
+    // A newer configuration may have the route, or the key, that this node lacks.
+    if (auto behind = m_environment.homes.find_refusal(home_regions()))
+    {
+        why = std::move(*behind);
+        return false;
+    }
     m_route = m_table->find(m_caller.host, http::path_of(m_exchange.head().target));
     if (!knows_choice_of_entry())
     {
--- a/packages/serving/tests/homes_test.cpp
+++ b/packages/serving/tests/homes_test.cpp
@@ -156,14 +156,23 @@
         const char* name;
         bool is_forwarded;
         bool has_newer_told;
+        const char* path;
+    };
+    const row rows[] = {
+        {"client, nothing told", false, false, "/a/"},
+        {"client", false, true, "/a/"},
+        {"forwarded, nothing told", true, false, "/a/"},
+        {"forwarded", true, true, "/a/"},
+        // A route that this node does not know may have been added.
+        {"client, no such route", false, true, "/b/"},
+        {"forwarded, no such route", true, true, "/b/"},
     };
-    for (const row& each :
-         {row{"client, nothing told", false, false}, row{"client", false, true},
-          row{"forwarded, nothing told", true, false}, row{"forwarded", true, true}})
+    for (const row& each : rows)
     {
         call_fixture node({});
         scripted_upstream upstream(node.loop, {plain_answer(0ms)});
         node.set_route(shop_route());
+        node.move_route("/a/");
         node.publish("i-1", upstream.address());
         node.evidence.age = 60s;
         node.evidence.has_newer_told = each.has_newer_told;
@@ -171,7 +180,9 @@
         std::optional<forwarded_from> from;
         if (each.is_forwarded)
             from = forwarded_from{3s, [&](const policy::refusal& why) { refused = why; }};
-        node.finish(node.start(request(), from));
+        http::request_head head = request();
+        head.target = each.path;
+        node.finish(node.start(head, from));
         LONGS_EQUAL_TEXT(each.has_newer_told ? 0 : 1, upstream.requests().size(), each.name);
         if (!each.has_newer_told)
             continue;
