--- a/packages/serving/src/node.cpp
+++ b/packages/serving/src/node.cpp
@@ -409,7 +409,7 @@
 
     void on_state_told(const fleet::gossip& received) override
     {
-        const core::address& node = received.sender.id.address;
+        const core::node_id& node = received.sender.id;
         for (const auto& [kind, told] :
              {std::pair{state_kind::configuration, received.configuration_change},
               std::pair{state_kind::evacuations, received.evacuations_change}})
@@ -417,7 +417,7 @@
             const store_revision change{told.era, told.revision};
             m_told.on_told(node, kind, change);
             if (m_adapters.source.is_newer(kind, change))
-                m_adapters.source.on_told(kind, change, admin_address_of(node));
+                m_adapters.source.on_told(kind, change, admin_address_of(node.address));
         }
     }
 
--- a/packages/serving/src/told_changes.hpp
+++ b/packages/serving/src/told_changes.hpp
@@ -23,11 +23,15 @@
 class told_changes
 {
   public:
-    /// @brief Records what a node has named; an older change than before is ignored.
-    void on_told(const core::address& node, state_kind kind, store_revision change)
+    /// @brief Records what a node has named; an older change than before is ignored, unless the
+    /// node has started anew: it may not have what its former process had.
+    void on_told(const core::node_id& node, state_kind kind, store_revision change)
     {
-        store_revision& known = m_changes[{node, kind}];
-        known = std::max(known, change);
+        told& known = m_changes[{node.address, kind}];
+        if (node.incarnation > known.by)
+            known = {node.incarnation, change};
+        else if (node.incarnation == known.by)
+            known.change = std::max(known.change, change);
     }
 
     /// @brief Forgets what other nodes than these have named. O(changes).
@@ -41,16 +45,22 @@
     store_revision newest(state_kind kind) const
     {
         store_revision newest;
-        for (const auto& [told, change] : m_changes)
+        for (const auto& [source, known] : m_changes)
         {
-            if (told.second == kind)
-                newest = std::max(newest, change);
+            if (source.second == kind)
+                newest = std::max(newest, known.change);
         }
         return newest;
     }
 
   private:
-    std::map<std::pair<core::address, state_kind>, store_revision> m_changes;
+    struct told
+    {
+        core::incarnation by;
+        store_revision change;
+    };
+
+    std::map<std::pair<core::address, state_kind>, told> m_changes;
 };
 
 } // namespace snipeplank::serving
