--- a/packages/serving/include/snipeplank/serving/state_feed.hpp
+++ b/packages/serving/include/snipeplank/serving/state_feed.hpp
@@ -83,8 +83,7 @@
   private:
     struct encoded_value
     {
-        std::uint64_t era = 0;
-        std::uint64_t revision = 0;
+        std::uint64_t hash = 0; ///< of the value
         std::string text;
     };
 
--- a/packages/serving/src/state_feed.cpp
+++ b/packages/serving/src/state_feed.cpp
@@ -1,5 +1,6 @@
 #include <snipeplank/core/base64.hpp>
 #include <snipeplank/core/compression.hpp>
+#include <snipeplank/core/hash.hpp>
 #include <snipeplank/core/json_text.hpp>
 #include <snipeplank/core/printable.hpp>
 #include <snipeplank/core/rendezvous.hpp>
@@ -111,8 +112,7 @@
 }
 
 /// Encodes a value that is long enough to be compressed; nothing for any other.
-using value_encoder =
-    std::function<const std::string*(const replica_event& event, std::uint64_t era)>;
+using value_encoder = std::function<const std::string*(const replica_event& event)>;
 
 json to_json(const replica_changes& changes, const value_encoder& encode_long)
 {
@@ -121,7 +121,7 @@
     {
         json each = {{"revision", event.revision}};
         put_bytes(each, "key", event.key);
-        const std::string* compressed = encode_long(event, changes.era);
+        const std::string* compressed = encode_long(event);
         if (compressed != nullptr)
         {
             each["value_zlib"] = *compressed;
@@ -268,14 +268,14 @@
 
 std::string feed_encoder::encode(const state_feed& feed)
 {
-    const auto encode_long = [this](const replica_event& event,
-                                    std::uint64_t era) -> const std::string*
+    const auto encode_long = [this](const replica_event& event) -> const std::string*
     {
         if (!event.value || event.value->size() < min_compressed_bytes)
             return nullptr;
+        const std::uint64_t hash = core::hash64(*event.value);
         encoded_value& known = m_values[event.key];
-        if (known.text.empty() || known.era != era || known.revision != event.revision)
-            known = {era, event.revision, core::encode_base64(core::compress(*event.value))};
+        if (known.text.empty() || known.hash != hash)
+            known = {hash, core::encode_base64(core::compress(*event.value))};
         return &known.text;
     };
     json prefixes = json::object();
