--- a/packages/serving/include/snipeplank/serving/state_timing.hpp
+++ b/packages/serving/include/snipeplank/serving/state_timing.hpp
@@ -21,8 +21,8 @@
 constexpr core::milliseconds read_timeout{2'000};
 /// Time without a further byte of an answer that has begun.
 constexpr core::milliseconds progress_timeout{2'000};
-/// Time for the whole of an answer that has begun: a document of 1 MB at 1 Mbit/s.
-constexpr core::milliseconds transfer_timeout{10'000};
+/// Time for the whole of an answer that has begun: a document of 1 MB, in base64, at 1 Mbit/s.
+constexpr core::milliseconds transfer_timeout{12'000};
 /// How long the store may hold a watch open. A connection that has gone silent is detected only
 /// after this time, and a configuration must be in force 4 s after its confirmation to the
 /// operator.
--- a/packages/serving/src/state_reader.cpp
+++ b/packages/serving/src/state_reader.cpp
@@ -88,11 +88,11 @@
     bool is_followed = false; ///< this node follows that one, and has no other path to the change
 };
 
-/// The kinds that are copied from other nodes together.
+/// What is copied from other nodes together.
 struct copy_group
 {
     std::vector<state_kind> kinds;
-    asio::steady_timer wake;
+    asio::steady_timer wake; ///< ends the pause before the next copy
     std::map<state_kind, told_change> told;
 };
 
@@ -283,11 +283,10 @@
         return has_answered ? refused_retry_delay : retry_delay;
     }
 
-    /// Whether the changes since the copy was last confirmed may be more than the state itself.
-    bool has_long_history(const published_copy& copy) const
+    /// Whether the changes since the store last answered may be more than the state itself.
+    static bool has_long_history(const published_copy& copy)
     {
-        const auto age = copy.confirmation.age(host_time());
-        return !age || *age > max_history_age;
+        return now() - copy.read_at > max_history_age;
     }
 
     /// Leaves most of the node's time to its calls while documents come one after the other.
@@ -351,8 +350,11 @@
             if (const auto added = listing.add(std::move(page.value())); !added)
                 co_return boost::outcome_v2::failure(added.error());
         }
-        on_success(copy, now());
         const store_revision as_of = listing.as_of();
+        // This copy may have gone on to a later era meanwhile.
+        if (as_of.era < copy.items.revision().era)
+            co_return unusable_era(as_of.era);
+        on_success(copy, now());
         const bool has_changed =
             copy.items.on_snapshot(listing.items(), as_of.revision, now(), as_of.era);
         if (has_changed)
@@ -389,8 +391,8 @@
 
     asio::awaitable<core::result<read_result>> watch(published_copy& copy)
     {
-        const http::request_target target =
-            m_protocol.watch(copy.kind, copy.items.as_of(), copy.wait);
+        const store_revision asked = copy.items.revision();
+        const http::request_target target = m_protocol.watch(copy.kind, asked.revision, copy.wait);
         const core::time_point asked_at = host_time();
         read_timer timer(copy.kind, read_path::watch);
         const auto answer = co_await get(copy, target, copy.wait + watch_response_margin, timer);
@@ -401,11 +403,11 @@
             co_return boost::outcome_v2::failure(answer.error());
         if (answer.value().status != ok)
             co_return read_result{answer.value().status, false};
-        const std::uint64_t known_era = copy.items.revision().era;
-        if (answer.value().era > known_era)
-            co_return read_result{gone, false};
-        if (answer.value().era < known_era)
+        if (answer.value().era < copy.items.revision().era)
             co_return unusable_era(answer.value().era);
+        // The changes go on from another era than the one that was asked about.
+        if (answer.value().era > asked.era || copy.items.revision().era != asked.era)
+            co_return read_result{gone, false};
         const core::result<watched_changes> changes = m_protocol.read_changes(answer.value().body);
         if (!changes)
             co_return boost::outcome_v2::failure(changes.error());
@@ -561,20 +563,20 @@
             if (kinds.empty() || !node)
                 continue;
             const bool is_copied = co_await copy_node(*node, kinds);
-            if (!is_copied)
-                forget_told(group, *node);
+            forget_told(group, *node, is_copied);
         }
     }
 
-    /// A node that does not answer is not asked again before it names a change again.
-    void forget_told(copy_group& group, const core::address& node)
+    /// A node that has been asked is not asked again before it names a change again: it did not
+    /// answer, has sent the change, or has it no longer.
+    void forget_told(copy_group& group, const core::address& node, bool has_answered)
     {
         std::erase_if(group.told,
                       [&](const auto& each)
                       {
                           if (each.second.node != node)
                               return false;
-                          if (each.second.is_followed && m_follower)
+                          if (!has_answered && each.second.is_followed && m_follower)
                               m_follower->on_failed(node, now());
                           return true;
                       });
